--- /dev/null
+++ b/cmd/ambertiller/path_test.go
@@ -0,0 +1,299 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/standin"
+)
+
+// patience is how long anything may take; it only ends a test that would fail.
+const patience = time.Minute
+
+// fleet is a deployment of separate processes.
+type fleet struct {
+	t       *testing.T
+	binary  string
+	network string
+	layout  standin.Layout
+	// stoppable are the entries and then the guards.
+	stoppable []*exec.Cmd
+}
+
+func newFleet(t *testing.T, workers, entries int) *fleet {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "ambertiller")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	network := fmt.Sprintf("127.%d", 100+os.Getpid()%100)
+	made := &fleet{t: t, binary: binary, network: network, layout: standin.Layout{Network: network}}
+	made.start("standin", "--network", network, "--workers", fmt.Sprint(workers), "--entries", fmt.Sprint(entries))
+	for index := 1; index <= entries; index++ {
+		made.stoppable = append(made.stoppable, made.startEntry(index))
+	}
+	for index := 1; index <= workers; index++ {
+		made.stoppable = append(made.stoppable, made.startGuard(index))
+	}
+	return made
+}
+
+func (made *fleet) start(arguments ...string) *exec.Cmd {
+	made.t.Helper()
+	started := exec.Command(made.binary, arguments...)
+	var log bytes.Buffer
+	started.Stderr = &log
+	if err := started.Start(); err != nil {
+		made.t.Fatal(err)
+	}
+	made.t.Cleanup(func() {
+		_ = started.Process.Kill()
+		_ = started.Wait()
+		if made.t.Failed() {
+			made.t.Logf("%s: %s", strings.Join(arguments, " "), log.String())
+		}
+	})
+	return started
+}
+
+func (made *fleet) startEntry(index int) *exec.Cmd {
+	return made.start("entry", "--name", standin.EntryName(index),
+		"--failure-domain", standin.Options{}.FailureDomain(index),
+		"--http", made.layout.Entry(index, standin.EntryHTTPPort),
+		"--rpc", made.layout.Entry(index, standin.EntryRPCPort),
+		"--platform", "http://"+made.layout.Platform(), "--leave-delay", "500ms")
+}
+
+func (made *fleet) startGuard(index int) *exec.Cmd {
+	return made.start("guard", "--name", standin.WorkerName(index),
+		"--failure-domain", standin.Options{}.FailureDomain(index), "--service", "verbale",
+		"--rpc", made.layout.Worker(index, standin.GuardPort),
+		"--admin", made.layout.Worker(index, standin.GuardAdminPort),
+		"--platform", "http://"+made.layout.Platform(),
+		"--worker", "http://"+made.layout.Worker(index, standin.WorkerPort),
+		"--backend", "http://"+made.layout.Worker(index, standin.BackendPort), "--leave-delay", "500ms")
+}
+
+// run runs an operator's command against an entry.
+func (made *fleet) run(entry int, arguments ...string) (string, error) {
+	url := "http://" + made.layout.Entry(entry, standin.EntryHTTPPort)
+	command := exec.Command(made.binary, append([]string{"--entry", url, "--output", "json", "--timeout", patience.String()}, arguments...)...)
+	var out, errOut bytes.Buffer
+	command.Stdout, command.Stderr = &out, &errOut
+	if err := command.Run(); err != nil {
+		return out.String(), fmt.Errorf("%s: %w: %s", strings.Join(arguments, " "), err, errOut.String())
+	}
+	return out.String(), nil
+}
+
+// until repeats a step until it succeeds.
+func (made *fleet) until(what string, step func() error) {
+	made.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		err := step()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			made.t.Fatalf("%s: %v", what, err)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// publishConfig publishes and waits until it is in force on all instances.
+func (made *fleet) publishConfig(instances int) {
+	made.t.Helper()
+	example, err := os.ReadFile("../../examples/verbalia/config.yaml")
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	// Requests that a test holds need longer than a correction may take.
+	patient := filepath.Join(made.t.TempDir(), "config.yaml")
+	if err := os.WriteFile(patient, bytes.ReplaceAll(example, []byte("timeout: 2s"), []byte("timeout: "+patience.String())), 0o600); err != nil {
+		made.t.Fatal(err)
+	}
+	made.until("publish the configuration", func() error {
+		_, err := made.run(1, "config", "publish", "--based-on", "0", patient)
+		return err
+	})
+	made.until("configuration in force everywhere", func() error {
+		out, err := made.run(2, "config", "show", "--in-force")
+		if err != nil {
+			return err
+		}
+		var listed []api.InForce
+		if err := json.Unmarshal([]byte(out), &listed); err != nil {
+			return err
+		}
+		if len(listed) != instances {
+			return fmt.Errorf("in force on %d of %d instances", len(listed), instances)
+		}
+		return nil
+	})
+}
+
+func (made *fleet) request(entry int, body string, header http.Header) (*http.Response, string, error) {
+	url := "http://" + made.layout.Entry(entry, standin.EntryHTTPPort) + "/v1/services/verbale/snippets"
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	request.Header = header
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return response, string(answer), err
+}
+
+// TestWholePath starts the deployment as separate processes: a request gets
+// its whole answer, a batch job is submitted, placed, runs and finishes, and a
+// published policy takes effect.
+func TestWholePath(t *testing.T) {
+	made := newFleet(t, 3, 2)
+	made.publishConfig(5)
+
+	made.until("a request is answered", func() error {
+		response, answer, err := made.request(2, "la seduta", http.Header{api.HeaderRequestID: {"r-1"}})
+		if err != nil {
+			return err
+		}
+		if response.StatusCode != http.StatusOK || answer != "corrected: la seduta\n" || response.Header.Get(api.HeaderRequestID) != "r-1" {
+			return fmt.Errorf("status %d, answer %q, request %q", response.StatusCode, answer, response.Header.Get(api.HeaderRequestID))
+		}
+		return nil
+	})
+
+	finished := made.submit("council-12")
+	if finished.Phase != "finished" || finished.Policy != "built-in@0" {
+		t.Fatalf("the job ended as %+v", finished)
+	}
+	out, err := made.run(2, "result", finished.ID)
+	if err != nil || !strings.Contains(out, `transcription of \"council-12\"`) {
+		t.Fatalf("result %q, %v", out, err)
+	}
+
+	program := filepath.Join(t.TempDir(), "placement.expr")
+	if err := os.WriteFile(program, []byte(`worker.name == "worker-03" ? 1 : 0`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := made.run(2, "policy", "publish", program); err != nil {
+		t.Fatal(err)
+	}
+	made.until("the policy is in force", func() error {
+		if placed := made.submit(""); placed.Policy != "placement@1" || placed.Worker != "worker-03" {
+			return fmt.Errorf("placed by %s on %s", placed.Policy, placed.Worker)
+		}
+		return nil
+	})
+}
+
+func (made *fleet) submit(input string) api.Task {
+	made.t.Helper()
+	out, err := made.run(1, "submit", "--team", "councils", "--kind", "transcription", "--run-time", "200ms", "--input", input, "--wait")
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	var task api.Task
+	if err := json.Unmarshal([]byte(out), &task); err != nil {
+		made.t.Fatal(err)
+	}
+	return task
+}
+
+// control calls a control of the stand-in and returns the body.
+func (made *fleet) control(method, path string) string {
+	made.t.Helper()
+	request, err := http.NewRequest(method, "http://"+made.layout.Platform()+path, nil)
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	return strings.TrimSpace(string(body))
+}
+
+// TestPlannedStop sends SIGTERM to a guard and an entry while requests are in
+// flight; none of them is cut.
+func TestPlannedStop(t *testing.T) {
+	made := newFleet(t, 2, 2)
+	made.publishConfig(4)
+	made.until("a request is answered", func() error {
+		response, _, err := made.request(1, "x", http.Header{})
+		if err == nil && response.StatusCode != http.StatusOK {
+			err = fmt.Errorf("status %d", response.StatusCode)
+		}
+		return err
+	})
+	entry, guard := made.stoppable[0], made.stoppable[2]
+	const inFlight = 8
+	failures := make(chan error, inFlight)
+	for range inFlight {
+		go func() {
+			response, answer, err := made.request(1, "slow", http.Header{standin.HeaderHold: {"stop"}, api.HeaderTimeout: {patience.String()}})
+			if err == nil && (response.StatusCode != http.StatusOK || answer != "corrected: slow\n") {
+				err = fmt.Errorf("status %d, answer %q", response.StatusCode, answer)
+			}
+			failures <- err
+		}()
+	}
+	made.until("the requests are in flight", func() error {
+		if held := made.control(http.MethodGet, "/control/holds/stop"); held != "8" {
+			return fmt.Errorf("%s requests are held", held)
+		}
+		return nil
+	})
+	for _, stopping := range []*exec.Cmd{guard, entry} {
+		if err := stopping.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	}
+	made.until("both say that they leave", func() error {
+		for _, address := range []string{made.layout.Entry(1, standin.EntryHTTPPort), made.layout.Worker(1, standin.GuardAdminPort)} {
+			response, err := http.Get("http://" + address + "/readyz")
+			if err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					return fmt.Errorf("%s is still ready", address)
+				}
+			}
+		}
+		return nil
+	})
+	made.control(http.MethodDelete, "/control/holds/stop")
+	for range inFlight {
+		if err := <-failures; err != nil {
+			t.Errorf("a request in flight was cut: %v", err)
+		}
+	}
+	for _, stopping := range []*exec.Cmd{guard, entry} {
+		if err := stopping.Wait(); err != nil {
+			t.Errorf("the planned stop ended with %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/command/operator.go
@@ -0,0 +1,298 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"os/user"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/config"
+	"ambertiller.example/ambertiller/document"
+	"ambertiller.example/ambertiller/policy"
+	"ambertiller.example/ambertiller/state"
+)
+
+func workersCommand() *cli.Command {
+	return &cli.Command{
+		Name: "workers", Usage: "show workers and what each carries",
+		Action: func(ctx context.Context, from *cli.Command) error {
+			calling, err := newClient(from)
+			if err != nil {
+				return err
+			}
+			var workers []api.Worker
+			if err := calling.call(ctx, http.MethodGet, "/v1/workers", nil, nil, &workers); err != nil {
+				return err
+			}
+			rows := make([][]string, 0, len(workers))
+			for _, worker := range workers {
+				rows = append(rows, []string{
+					worker.Name, worker.FailureDomain, worker.Rack, worker.State, strconv.FormatBool(worker.Draining),
+					number(worker.FreeCPU) + "/" + number(worker.Processors),
+					fmt.Sprintf("%d/%d", worker.SlotsUsed, worker.Slots), strings.Join(worker.Tasks, " "),
+				})
+			}
+			return calling.out.print(workers, []string{"NAME", "FAILURE DOMAIN", "RACK", "STATE", "DRAINING", "FREE PROCESSORS", "SLOTS", "TASKS"}, rows)
+		},
+	}
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "move the tasks of a worker elsewhere and place no more there", ArgsUsage: "WORKER",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "end", Usage: "end the drain"},
+			authorFlag(),
+		},
+		Action: func(ctx context.Context, from *cli.Command) error {
+			asked := api.DrainRequest{Draining: !from.Bool("end"), Author: authorOf(from)}
+			return oneArgument("WORKER", func(ctx context.Context, calling *client, worker string) error {
+				var done api.DrainRequest
+				if err := calling.call(ctx, http.MethodPut, "/v1/workers/"+url.PathEscape(worker)+"/drain", nil, asked, &done); err != nil {
+					return err
+				}
+				return calling.out.fields(&done, "worker", worker, "draining", strconv.FormatBool(done.Draining))
+			})(ctx, from)
+		},
+	}
+}
+
+func authorFlag() cli.Flag {
+	return &cli.StringFlag{Name: "author", Usage: "who makes the change; default: the user", Sources: env("AUTHOR")}
+}
+
+func authorOf(from *cli.Command) string {
+	if author := from.String("author"); author != "" {
+		return author
+	}
+	if current, err := user.Current(); err == nil {
+		return current.Username
+	}
+	return ""
+}
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name: "config", Usage: "check, publish and show the configuration",
+		Commands: documentCommands(func(*cli.Command) string { return config.Document }, nil),
+	}
+}
+
+func policyCommand() *cli.Command {
+	flag := &cli.StringFlag{Name: "policy", Usage: "name of the policy", Value: policy.Placement}
+	return &cli.Command{
+		Name: "policy", Usage: "check, publish and show policies",
+		Commands: documentCommands(func(from *cli.Command) string { return config.PolicyDocument(from.String("policy")) }, []cli.Flag{flag}),
+	}
+}
+
+// documentCommands are the commands on the document that name returns.
+func documentCommands(name func(from *cli.Command) string, flags []cli.Flag) []*cli.Command {
+	return []*cli.Command{
+		{
+			Name: "check", Usage: "say what is wrong in a file and what it would change", ArgsUsage: "FILE",
+			Flags:  append([]cli.Flag{&cli.BoolFlag{Name: "offline", Usage: "check the file alone, without asking an entry"}}, flags...),
+			Action: func(ctx context.Context, from *cli.Command) error { return checkDocument(ctx, from, name(from)) },
+		},
+		{
+			Name: "publish", Usage: "publish a file", ArgsUsage: "FILE",
+			Flags: append([]cli.Flag{
+				&cli.IntFlag{Name: "based-on", Usage: "version the file was made from; default: the newest now", Value: -1},
+				&cli.StringFlag{Name: "comment", Usage: "why"},
+				authorFlag(),
+			}, flags...),
+			Action: func(ctx context.Context, from *cli.Command) error { return publishDocument(ctx, from, name(from)) },
+		},
+		{
+			Name: "history", Usage: "list the versions that are kept", Flags: flags,
+			Action: func(ctx context.Context, from *cli.Command) error { return showHistory(ctx, from, name(from)) },
+		},
+		{
+			Name: "show", Usage: "show the newest version",
+			Flags: append([]cli.Flag{
+				&cli.IntFlag{Name: "version", Usage: "show this version instead"},
+				&cli.BoolFlag{Name: "in-force", Usage: "show which instances decide by which version"},
+			}, flags...),
+			Action: func(ctx context.Context, from *cli.Command) error { return showDocument(ctx, from, name(from)) },
+		},
+	}
+}
+
+func readFile(from *cli.Command) (string, error) {
+	if from.Args().Len() != 1 {
+		return "", usage("give exactly one FILE")
+	}
+	content, err := os.ReadFile(from.Args().First())
+	if err != nil {
+		return "", &exitError{code: ExitUsage, cause: errors.Wrap(err, "read the file")}
+	}
+	if len(content) > state.MaxDocumentBytes {
+		return "", usage("the file has %d bytes; a document has at most %d", len(content), state.MaxDocumentBytes)
+	}
+	return string(content), nil
+}
+
+func checkDocument(ctx context.Context, from *cli.Command, name string) error {
+	content, err := readFile(from)
+	if err != nil {
+		return err
+	}
+	calling, err := newClient(from)
+	if err != nil {
+		return err
+	}
+	report := api.CheckReport{Valid: true}
+	if from.Bool("offline") {
+		if err := document.Check(name, []byte(content)); err != nil {
+			return &exitError{code: ExitFaults, cause: err}
+		}
+	} else if err := calling.call(ctx, http.MethodPost, documentPath(name)+"/check", nil, api.PublishRequest{Content: content}, &report); err != nil {
+		return err
+	}
+	if err := calling.out.print(&report, []string{"CHECK", "RESULT"}, reportRows(&report)); err != nil {
+		return err
+	}
+	if !report.Valid {
+		return &exitError{code: ExitFaults, cause: errors.New("the document has faults: " + faultLines(report.Faults))}
+	}
+	return nil
+}
+
+func documentPath(name string) string { return "/v1/documents/" + url.PathEscape(name) }
+
+func reportRows(report *api.CheckReport) [][]string {
+	rows := [][]string{{"valid", strconv.FormatBool(report.Valid)}}
+	for _, fault := range report.Faults {
+		rows = append(rows, []string{"fault", faultLines([]api.Fault{fault})})
+	}
+	rows = append(rows, []string{"decisions checked", count(report.Checked)}, []string{"decisions changed", count(len(report.Changes))})
+	for _, change := range report.Changes {
+		rows = append(rows, []string{"task " + change.Task, change.Before + " -> " + change.After})
+	}
+	return rows
+}
+
+func publishDocument(ctx context.Context, from *cli.Command, name string) error {
+	content, err := readFile(from)
+	if err != nil {
+		return err
+	}
+	calling, err := newClient(from)
+	if err != nil {
+		return err
+	}
+	basedOn, err := calling.basedOn(ctx, from, name)
+	if err != nil {
+		return err
+	}
+	asked := api.PublishRequest{BasedOn: basedOn, Author: authorOf(from), Comment: from.String("comment"), Content: content}
+	var published api.Document
+	if err := calling.call(ctx, http.MethodPut, documentPath(name), nil, asked, &published); err != nil {
+		return err
+	}
+	return calling.out.fields(&published, "name", published.Name, "version", unsigned(published.Version), "author", published.Author)
+}
+
+// basedOn returns the version that a publication starts from.
+func (calling *client) basedOn(ctx context.Context, from *cli.Command, name string) (uint64, error) {
+	if given := from.Int("based-on"); given >= 0 {
+		return uint64(given), nil
+	}
+	var newest api.Document
+	err := calling.call(ctx, http.MethodGet, documentPath(name), nil, nil, &newest)
+	var problem *api.Problem
+	if errors.As(err, &problem) && problem.Type == api.TypeNotFound {
+		return 0, nil
+	}
+	return newest.Version, err
+}
+
+func showHistory(ctx context.Context, from *cli.Command, name string) error {
+	calling, err := newClient(from)
+	if err != nil {
+		return err
+	}
+	var versions []api.Document
+	if err := calling.call(ctx, http.MethodGet, documentPath(name)+"/history", nil, nil, &versions); err != nil {
+		return err
+	}
+	rows := make([][]string, 0, len(versions))
+	for _, version := range versions {
+		rows = append(rows, []string{unsigned(version.Version), version.Author, version.Written.Format(timeFormat), version.Comment})
+	}
+	return calling.out.print(versions, []string{"VERSION", "AUTHOR", "WRITTEN", "COMMENT"}, rows)
+}
+
+func showDocument(ctx context.Context, from *cli.Command, name string) error {
+	if from.Bool("in-force") {
+		return showInForce(ctx, from, name)
+	}
+	calling, err := newClient(from)
+	if err != nil {
+		return err
+	}
+	path := documentPath(name)
+	if version := from.Int("version"); version > 0 {
+		path += "?version=" + strconv.Itoa(version)
+	}
+	var shown api.Document
+	if err := calling.call(ctx, http.MethodGet, path, nil, nil, &shown); err != nil {
+		return err
+	}
+	if calling.out.asJSON {
+		return calling.out.print(&shown, nil, nil)
+	}
+	_, err = fmt.Fprintf(calling.out.out, "# %s version %d by %s, %s\n%s", shown.Name, shown.Version, shown.Author, shown.Written.Format(timeFormat), shown.Content)
+	return errors.Wrap(err, "print")
+}
+
+func inForceCommand() *cli.Command {
+	return &cli.Command{
+		Name: "in-force", Usage: "show which instances decide by which versions of all documents",
+		Action: func(ctx context.Context, from *cli.Command) error { return showInForce(ctx, from, "") },
+	}
+}
+
+func showInForce(ctx context.Context, from *cli.Command, name string) error {
+	calling, err := newClient(from)
+	if err != nil {
+		return err
+	}
+	var all []api.InForce
+	if err := calling.call(ctx, http.MethodGet, "/v1/in-force", nil, nil, &all); err != nil {
+		return err
+	}
+	listed := []api.InForce{}
+	rows := [][]string{}
+	for _, each := range all {
+		if name != "" && each.Document != name {
+			continue
+		}
+		listed = append(listed, each)
+		rows = append(rows, []string{each.Document, each.Role, each.Instance, unsigned(each.Version), unsigned(each.Accepted)})
+	}
+	return calling.out.print(listed, []string{"DOCUMENT", "ROLE", "INSTANCE", "IN FORCE", "ACCEPTED"}, rows)
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name: "version", Usage: "print the version and the record format it knows",
+		Action: func(_ context.Context, from *cli.Command) error {
+			given := &settings{from: from}
+			out := newPrinter(from, given)
+			if err := given.err(); err != nil {
+				return err
+			}
+			info := versionInfo{Version: version + revision(), Format: state.Format}
+			return out.fields(&info, "version", info.Version, "record format", count(int(info.Format)))
+		},
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,168 @@
+// Package daemon puts the roles together as services of a kernel: what an
+// `ambertiller entry` or `ambertiller guard` process runs, and what the demo
+// runs several of in one process.
+//
+// # Usage
+//
+//	running, err := daemon.NewEntry(ctx, daemon.EntryOptions{Name: "entry-1", ...})
+//	if err := running.Start(ctx); err != nil { ... }
+//	defer running.Stop(stopCtx)
+//
+// # Stopping
+//
+// Stop is the planned stop: the role says that it leaves, waits LeaveDelay so
+// that others have heard it, finishes what is in flight, and only then closes
+// its listeners. The context given to Stop bounds all of it.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/kernel"
+	"ambertiller.example/ambertiller/telemetry"
+)
+
+const (
+	headerTimeout     = 5 * time.Second
+	bodyTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+	platformIdleConns = 8
+	platformTimeout   = 40 * time.Second
+)
+
+// Names of the services of a kernel.
+const (
+	ServiceMetrics = "metrics"
+	ServicePool    = "pool"
+	ServiceJournal = "journal"
+	ServiceRole    = "role"
+	ServiceRPC     = "rpc"
+	ServiceHTTP    = "http"
+	ServiceDrain   = "drain"
+	ServiceSettle  = "settle"
+)
+
+// Daemon is one running role.
+type Daemon struct {
+	kern   *kernel.Kernel
+	events *event.Logger
+}
+
+// Start starts the role's services.
+func (running *Daemon) Start(ctx context.Context) error {
+	if err := running.kern.Start(ctx); err != nil {
+		return err
+	}
+	running.events.Log(ctx, event.ProcessStarted)
+	return nil
+}
+
+// Stop finishes what is in flight and stops, within the bound of ctx.
+func (running *Daemon) Stop(ctx context.Context) error {
+	running.events.Log(ctx, event.ProcessStopping)
+	err := running.kern.Stop(ctx)
+	running.events.Log(ctx, event.ProcessStopped)
+	return err
+}
+
+// background is a service that runs until it is stopped.
+type background struct {
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func (loop *background) start(run func(ctx context.Context)) {
+	var ctx context.Context
+	ctx, loop.cancel = context.WithCancel(context.Background())
+	loop.done.Go(func() { run(ctx) })
+}
+
+func (loop *background) stop(context.Context) error {
+	loop.cancel()
+	loop.done.Wait()
+	return nil
+}
+
+func registerAll(kern *kernel.Kernel, services ...kernel.Service) error {
+	for _, service := range services {
+		if err := kern.Register(service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// httpService serves a handler on an address. Stop finishes the requests in
+// flight; those left when its context ends are broken off.
+func httpService(name string, needs []string, address string, handler http.Handler) kernel.Service {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	loop := &background{}
+	return kernel.Service{
+		Name:  name,
+		Needs: needs,
+		Start: func(ctx context.Context) error {
+			listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+			if err != nil {
+				return errors.Wrap(err, "listen for HTTP")
+			}
+			loop.start(func(context.Context) { _ = server.Serve(listener) })
+			return nil
+		},
+		Stop: func(ctx context.Context) error {
+			err := server.Shutdown(ctx)
+			if err != nil {
+				_ = server.Close()
+			}
+			_ = loop.stop(ctx)
+			return errors.Wrap(err, "finish HTTP requests")
+		},
+	}
+}
+
+func metricsService(metering *telemetry.Metering) kernel.Service {
+	return kernel.Service{Name: ServiceMetrics, Provides: metering, Stop: metering.Shutdown}
+}
+
+// platformClient is the HTTP client towards the platform's log and list.
+func platformClient() *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: idleTimeout}
+	return &http.Client{Transport: transport, Timeout: platformTimeout}
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+func adminMux(metering *telemetry.Metering, ready func() bool) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metering.Handler())
+	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("alive\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(writer, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = writer.Write([]byte("ready\n"))
+	})
+	return mux
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,229 @@
+// Package entry is the process that callers and operators reach.
+//
+// An entry routes the requests of latency-critical services to backend
+// servers, through the guards beside them, and accepts tasks, documents and
+// drains into the log. It places pending tasks and settles what guards report.
+// It keeps nothing that another entry could not rebuild: any entry can serve
+// any caller, and all of them may go at any time.
+//
+// Work that several entries could do is shared out by a hash over those that
+// are live. While they disagree about who is live two may act for one task;
+// the log then lets the first win.
+//
+// # Usage
+//
+//	entering := entry.New(entry.Options{Name: "entry-1", Journal: log, ...})
+//	handler, err := entering.Handler()
+//	go entering.Run(ctx)
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/metric"
+
+	"ambertiller.example/ambertiller/budget"
+	"ambertiller.example/ambertiller/document"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/instances"
+	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/membership"
+	"ambertiller.example/ambertiller/policy"
+	"ambertiller.example/ambertiller/route"
+	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/state"
+)
+
+const (
+	defaultSilent   = 10 * time.Second
+	listInterval    = time.Second
+	peerInterval    = time.Second
+	placeInterval   = 100 * time.Millisecond
+	janitorInterval = 5 * time.Second
+	callTimeout     = 2 * time.Second
+	appendWait      = 2 * time.Second
+	retryBurst      = 20
+	defaultRatio    = 0.1
+	mostInFlight    = 4096
+	// staleLog is how old the newest whole read of the log may be before the
+	// log counts as down.
+	staleLog = 3 * time.Second
+)
+
+// Options sets up an Entry.
+type Options struct {
+	Name          string
+	FailureDomain string
+	Journal       *journal.Journal
+	Instances     instances.Lister
+	Pool          *rpc.Pool
+	// Clock is the entry's clock. Default the real clock.
+	Clock clockwork.Clock
+	// Events receives log lines. Default none.
+	Events *event.Logger
+	// Meters counts. Default the global provider.
+	Meters metric.MeterProvider
+}
+
+// Entry is the process that callers and operators reach.
+type Entry struct {
+	options  Options
+	log      *journal.Journal
+	view     *membership.View
+	table    *route.Table
+	shelf    *document.Shelf
+	retries  *budget.Budget
+	claims   *claims
+	placer   *placer
+	metrics  *metrics
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	suspects suspects
+	moved    chan struct{}
+	leave    sync.Once
+}
+
+// New returns an entry that knows nothing yet.
+func New(options Options) *Entry {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	if options.Events == nil {
+		options.Events = event.Discard()
+	}
+	if options.Meters == nil {
+		options.Meters = otel.GetMeterProvider()
+	}
+	entry := &Entry{
+		options:  options,
+		log:      options.Journal,
+		view:     membership.NewView(defaultSilent),
+		table:    route.NewTable(options.FailureDomain),
+		shelf:    document.NewShelf(),
+		retries:  budget.New(defaultRatio, retryBurst),
+		moved:    make(chan struct{}),
+		suspects: suspects{since: map[string]knownSuspicion{}, missing: map[string]time.Time{}},
+	}
+	entry.claims = newClaims(entry)
+	entry.placer = &placer{entry: entry, runner: policy.NewRunner(), refusals: map[string][]refusal{}}
+	entry.metrics = newMetrics(entry)
+	return entry
+}
+
+// Shelf returns the documents in force.
+func (entry *Entry) Shelf() *document.Shelf { return entry.shelf }
+
+// Journal returns the entry's copy of the state.
+func (entry *Entry) Journal() *journal.Journal { return entry.log }
+
+// View returns what the entry knows of other instances.
+func (entry *Entry) View() *membership.View { return entry.view }
+
+func (entry *Entry) now() time.Time { return entry.options.Clock.Now() }
+
+// Ready returns nil when the entry may take requests, and otherwise why not.
+func (entry *Entry) Ready() error {
+	if entry.leaving.Load() {
+		return errLeaving
+	}
+	if entry.shelf.Config() == nil {
+		return errNoConfig
+	}
+	return nil
+}
+
+// Run does the entry's own work until ctx ends.
+func (entry *Entry) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { entry.followDocuments(ctx) })
+	loops.Go(func() { entry.every(ctx, listInterval, entry.readList) })
+	loops.Go(func() { entry.every(ctx, peerInterval, entry.askPeers) })
+	loops.Go(func() { entry.every(ctx, janitorInterval, entry.clean) })
+	loops.Go(func() { entry.claims.run(ctx) })
+	loops.Go(func() { entry.placeLoop(ctx) })
+	loops.Wait()
+}
+
+func (entry *Entry) every(ctx context.Context, interval time.Duration, work func(ctx context.Context)) {
+	ticker := entry.options.Clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// Leave makes the entry unready, so that the balancer sends it nothing more,
+// and ends open streams with the place from which to go on elsewhere.
+func (entry *Entry) Leave() {
+	entry.leave.Do(func() {
+		entry.leaving.Store(true)
+		close(entry.moved)
+	})
+}
+
+// Settle waits until the ends of all claims are recorded, or ctx ends. The
+// listener must have finished its requests before.
+func (entry *Entry) Settle(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		entry.claims.settle()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// followDocuments puts what the log accepts in force.
+func (entry *Entry) followDocuments(ctx context.Context) {
+	for {
+		changed := entry.log.Changed()
+		entry.log.View(func(folded *state.State) {
+			for _, accepted := range folded.Documents() {
+				entry.offer(ctx, document.Copy{Name: accepted.GetName(), Version: accepted.GetVersion(), Content: accepted.GetContent()})
+			}
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// readList reads the platform's list and notes which guards have gone silent.
+func (entry *Entry) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if list, err := entry.options.Instances.List(ctx); err == nil {
+		entry.view.ListRead(list)
+	}
+	now := entry.now()
+	for _, guard := range entry.view.Guards() {
+		entry.table.Update(guard, entry.view.Silent(guard, now))
+	}
+}
+
+// owns reports whether this entry acts for the subject.
+func (entry *Entry) owns(subject string, now time.Time) bool {
+	names := append(entry.view.LivePeers(now), entry.options.Name)
+	return membership.Owner(subject, names) == entry.options.Name
+}
+
+// logUp reports whether the log has been read to its end lately.
+func (entry *Entry) logUp(now time.Time) bool {
+	return entry.log.Ready() == nil && now.Sub(entry.log.FreshAt()) < staleLog
+}
--- /dev/null
+++ b/entry/explain.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/placement"
+	"ambertiller.example/ambertiller/policy"
+	"ambertiller.example/ambertiller/state"
+)
+
+// spare returns a runner for decisions outside the placement rounds.
+func (placing *placer) spare() *policy.Runner { return policy.NewRunner() }
+
+func (entry *Entry) policies() placement.Policies {
+	return placement.Policies{InForce: entry.shelf.Placement(), BuiltIn: entry.shelf.BuiltIn()}
+}
+
+// serveExplain says why a task is where it is, or what it waits for.
+func (entry *Entry) serveExplain(writer http.ResponseWriter, id string) {
+	var made *api.Explanation
+	settings := entry.shelf.Config()
+	now := entry.now()
+	entry.log.View(func(folded *state.State) {
+		task := folded.Task(id)
+		if task == nil || settings == nil {
+			return
+		}
+		made = &api.Explanation{Task: *showTask(task), Policy: entry.shelf.Placement().String()}
+		if task.Phase() != state.PhasePending {
+			made.Summary = settledSummary(task)
+			return
+		}
+		decision := entry.placer.decideOne(entry.placer.board(folded, now), teamUsage(folded), settings, entry.policies(), task, now)
+		explainPending(made, decision)
+	})
+	if made == nil {
+		writeProblem(writer, notFound("no task has the ID "+strconv.Quote(id)))
+		return
+	}
+	if !entry.logUp(now) {
+		made.Summary += "; the platform's log can't be read, so nothing is placed until it is back"
+	}
+	writeJSON(writer, http.StatusOK, made)
+}
+
+func settledSummary(task *state.Task) string {
+	if !task.Phase().Placed() {
+		return fmt.Sprintf("the task is %s: %s", task.Phase(), task.Reason())
+	}
+	return fmt.Sprintf("attempt %d is %s on %s, where policy %s placed it: %s", task.Attempt(), task.Phase(), task.Worker(), task.PolicyVersion(), task.Reason())
+}
+
+func explainPending(made *api.Explanation, decision *placement.Decision) {
+	made.Workers = decision.Workers()
+	made.Policy = decision.Policy()
+	if failure := decision.PolicyFailure(); failure != nil {
+		made.PolicyFault = failure.Error()
+	}
+	for _, constraint := range slices.Sorted(maps.Keys(decision.Rejected())) {
+		made.Constraints = append(made.Constraints, api.Constraint{Name: string(constraint), Workers: decision.Rejected()[constraint]})
+	}
+	switch {
+	case decision.Placed():
+		made.Candidate, made.Score = decision.Worker(), decision.Score()
+		made.Second, made.SecondScore = decision.Second()
+		made.Summary = "the task is about to be placed on " + decision.Worker()
+	case decision.Workers() == 0:
+		made.Summary = "the task waits: this entry has not heard of any worker"
+	case decision.Impossible():
+		made.Summary = "the task can never run on the workers that are known"
+	default:
+		made.Summary = fmt.Sprintf("the task waits: none of %d workers can take it now", decision.Workers())
+	}
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/route"
+	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// mostTries bounds how often one request is sent.
+	mostTries = 3
+	// sendChunkBytes is how much of a streamed body goes into one message.
+	sendChunkBytes = 32 << 10
+)
+
+// fate says what is known of one try.
+type fate int
+
+const (
+	fateAnswered fate = iota // the whole answer was passed on
+	fateCut                  // part of an answer was passed on
+	fateNotRun               // proved not to have run
+	fateUnknown              // it may have run
+)
+
+// try is the end of one try.
+type try struct {
+	fate   fate
+	status int
+	load   *wire.Load
+	// full says that the guard had no free slot, which is no fault.
+	full   bool
+	detail string
+}
+
+// runCall sends a request until it is answered or given up. held is the claim
+// on a request that must not be repeated.
+func (entry *Entry) runCall(ctx context.Context, writer http.ResponseWriter, made *call, held *heldClaim) *api.Problem {
+	entry.retries.Deposit()
+	var tried []string
+	for {
+		picked, err := entry.table.Wait(ctx, made.service, tried, route.Bounds{
+			Most:     made.settings.Queue(),
+			Deadline: made.deadline,
+			Now:      entry.now,
+		})
+		if err != nil {
+			entry.releaseClaim(ctx, held)
+			return shedProblem(err)
+		}
+		ended := entry.send(ctx, writer, made, picked)
+		entry.noteTry(ctx, made, picked, ended)
+		switch ended.fate {
+		case fateAnswered:
+			entry.finishClaim(held, ended.status, false)
+			return nil
+		case fateCut:
+			entry.finishClaim(held, ended.status, true)
+			// Breaking the connection off is the only way to tell a caller who
+			// has part of the answer that it is not whole.
+			panic(http.ErrAbortHandler)
+		}
+		tried = append(tried, picked.Target().Name())
+		if entry.mayRetry(made, ended, len(tried)) {
+			entry.options.Events.Log(ctx, event.RequestRetried, slog.String("request", made.id),
+				slog.String("worker", picked.Target().Name()), slog.String("reason", ended.detail))
+			continue
+		}
+		if ended.fate == fateNotRun {
+			entry.releaseClaim(ctx, held)
+			return notRun(ended.detail, entry.retryAfter(made.service))
+		}
+		entry.finishClaim(held, 0, true)
+		return unknown(unknownStatus(ctx), ended.detail)
+	}
+}
+
+func unknownStatus(ctx context.Context) int {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// mayRetry decides whether a request that got no answer is sent again: only
+// when it has proved not to have run or may be repeated, its body is still
+// here, there is time, and the budget of retries has one left.
+func (entry *Entry) mayRetry(made *call, ended try, tries int) bool {
+	if tries >= mostTries || made.rest != nil || !entry.now().Before(made.deadline) {
+		return false
+	}
+	if ended.fate != fateNotRun && !made.repeatable {
+		return false
+	}
+	return entry.retries.Withdraw()
+}
+
+const leastComeBack = 100 * time.Millisecond
+
+// retryAfter is when a slot can be expected to be free.
+func (entry *Entry) retryAfter(service string) time.Duration {
+	return max(leastComeBack, entry.table.ExpectedWait(service))
+}
+
+func shedProblem(err error) *api.Problem {
+	var shed *route.ShedError
+	if errors.As(err, &shed) {
+		return notRun(shed.Error(), shed.RetryAfter())
+	}
+	return notRun(err.Error(), retryLog)
+}
+
+func (entry *Entry) releaseClaim(ctx context.Context, held *heldClaim) {
+	if held != nil {
+		entry.claims.release(ctx, held)
+	}
+}
+
+func (entry *Entry) finishClaim(held *heldClaim, status int, maybe bool) {
+	if held != nil {
+		entry.claims.finish(held, status, maybe)
+	}
+}
+
+// noteTry tells the routing table, the metrics and the log how a try ended.
+func (entry *Entry) noteTry(ctx context.Context, made *call, picked *route.Picked, ended try) {
+	now := entry.now()
+	outcome := route.Answered
+	switch {
+	case ended.fate == fateNotRun && ended.full:
+		outcome = route.Refused
+	case ended.fate != fateAnswered:
+		outcome = route.Failed
+	}
+	entry.table.Done(picked, outcome, ended.load, now.Sub(made.began), now)
+	if ended.fate == fateCut {
+		entry.options.Events.Log(ctx, event.AnswerCut, slog.String("request", made.id), slog.String("worker", picked.Target().Name()), slog.String("error", ended.detail))
+		return
+	}
+	if ended.fate != fateAnswered {
+		return
+	}
+	entry.metrics.answered(ctx, made.service, now.Sub(made.began))
+	if !entry.options.Events.Enabled(ctx, event.RequestRouted) {
+		return
+	}
+	entry.options.Events.Log(ctx, event.RequestRouted,
+		slog.String("request", made.id),
+		slog.String("service", made.service),
+		slog.String("worker", picked.Target().Name()),
+		slog.Int("status", ended.status),
+		slog.Float64("fullness", picked.Fullness()),
+		slog.Int("considered", picked.Considered()),
+		slog.Int("rejected_full", picked.Full()),
+		slog.Int("rejected_unready", picked.Unready()),
+		slog.Int("rejected_failing", picked.Ejected()),
+		slog.Duration("took", now.Sub(made.began)))
+}
+
+// gaveUp logs and counts a request that ended in a problem.
+func (entry *Entry) gaveUp(ctx context.Context, made *call, sent *api.Problem) {
+	service, id := "", ""
+	if made != nil {
+		service, id = made.service, made.id
+	}
+	entry.metrics.gaveUp(ctx, service, sent.Type)
+	code := event.RequestNotRun
+	if sent.Outcome == api.OutcomeUnknown {
+		code = event.RequestUnknown
+	}
+	entry.options.Events.Log(ctx, code, slog.String("request", id), slog.String("service", service),
+		slog.String("type", sent.Type), slog.String("reason", sent.Detail), slog.String("retry_after", sent.RetryAfter))
+}
+
+// send makes one try at the picked target.
+func (entry *Entry) send(ctx context.Context, writer http.ResponseWriter, made *call, picked *route.Picked) try {
+	stream, err := wire.NewDRPCGuardClient(entry.options.Pool.Conn(picked.Target().Address())).Serve(ctx)
+	if err != nil {
+		return callFailed(err)
+	}
+	defer func() { _ = stream.Close() }()
+	sendErr := sendBody(stream, made, entry.now())
+	var broke *callerBodyError
+	if errors.As(sendErr, &broke) {
+		return try{fate: fateUnknown, detail: sendErr.Error()}
+	}
+	// A guard that refuses stops reading, so a failed send can still have an
+	// answer waiting behind it.
+	first, err := stream.Recv()
+	if err != nil {
+		return try{fate: fateUnknown, detail: "no answer came: " + err.Error()}
+	}
+	if first.GetRefusal() != nil {
+		return refusedTry(first)
+	}
+	if first.GetHead().GetRequestId() != made.id {
+		return try{fate: fateUnknown, detail: "an answer to another request came"}
+	}
+	return relayAnswer(writer, made, first, stream)
+}
+
+// callFailed judges a call that could not be opened.
+func callFailed(err error) try {
+	var dial *rpc.DialError
+	if errors.As(err, &dial) {
+		return try{fate: fateNotRun, detail: err.Error()}
+	}
+	return try{fate: fateUnknown, detail: err.Error()}
+}
+
+func refusedTry(first *wire.ServeOut) try {
+	refusal := first.GetRefusal()
+	ended := try{fate: fateUnknown, load: first.GetLoad(), detail: refusal.GetReason().String() + ": " + refusal.GetDetail()}
+	if refusal.GetNotRun() {
+		ended.fate = fateNotRun
+	}
+	switch refusal.GetReason() {
+	case wire.RefusalReason_REFUSAL_NO_SLOT, wire.RefusalReason_REFUSAL_NO_CONNECTION, wire.RefusalReason_REFUSAL_LEAVING:
+		ended.full = true
+	}
+	return ended
+}
+
+func sendBody(stream wire.DRPCGuard_ServeClient, made *call, now time.Time) error {
+	first := &wire.ServeIn{
+		Head: &wire.ServeHead{
+			RequestId:     made.id,
+			Service:       made.service,
+			Method:        made.request.Method,
+			Target:        made.target,
+			Headers:       made.headers,
+			TimeoutNanos:  made.deadline.Sub(now).Nanoseconds(),
+			Repeatable:    made.repeatable,
+			ContentLength: made.length,
+		},
+		Body: made.body,
+		Last: made.rest == nil,
+	}
+	if err := stream.Send(first); err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	if made.rest == nil {
+		return nil
+	}
+	return sendRest(stream, made.rest)
+}
+
+// callerBodyError says that the caller did not send the rest of the body.
+type callerBodyError struct {
+	cause error
+}
+
+// Error implements error.
+func (broke *callerBodyError) Error() string {
+	return "the caller's body broke off: " + broke.cause.Error()
+}
+
+func sendRest(stream wire.DRPCGuard_ServeClient, rest io.Reader) error {
+	buffer := make([]byte, sendChunkBytes)
+	for {
+		count, err := rest.Read(buffer)
+		last := errors.Is(err, io.EOF)
+		if err != nil && !last {
+			return &callerBodyError{cause: err}
+		}
+		if err := stream.Send(&wire.ServeIn{Body: buffer[:count], Last: last}); err != nil {
+			return errors.Wrap(err, "send body")
+		}
+		if last {
+			return nil
+		}
+	}
+}
+
+// relayAnswer passes an answer on. Nothing reaches the caller of an answer
+// that came in one message until it is known to be whole.
+func relayAnswer(writer http.ResponseWriter, made *call, first *wire.ServeOut, stream wire.DRPCGuard_ServeClient) try {
+	head := first.GetHead()
+	ended := try{fate: fateAnswered, status: int(head.GetStatus()), load: first.GetLoad()}
+	if first.GetLast() && head.GetContentLength() >= 0 && made.request.Method != http.MethodHead && int64(len(first.GetBody())) != head.GetContentLength() {
+		return try{fate: fateUnknown, detail: "the answer is shorter than it says"}
+	}
+	writeHead(writer, made, first)
+	if _, err := writer.Write(first.GetBody()); err != nil && made.request.Method != http.MethodHead {
+		return cut(ended, err)
+	}
+	sent := int64(len(first.GetBody()))
+	for last := first.GetLast(); !last; {
+		next, err := stream.Recv()
+		if err != nil {
+			return cut(ended, err)
+		}
+		if _, err := writer.Write(next.GetBody()); err != nil {
+			return cut(ended, err)
+		}
+		sent += int64(len(next.GetBody()))
+		last, ended.load = next.GetLast(), next.GetLoad()
+	}
+	if length := head.GetContentLength(); length >= 0 && sent != length && made.request.Method != http.MethodHead {
+		return cut(ended, errors.New("the answer is shorter than it says"))
+	}
+	return ended
+}
+
+func cut(ended try, err error) try {
+	ended.fate = fateCut
+	ended.detail = err.Error()
+	return ended
+}
+
+func writeHead(writer http.ResponseWriter, made *call, first *wire.ServeOut) {
+	head := first.GetHead()
+	header := writer.Header()
+	for _, each := range head.GetHeaders() {
+		header.Add(each.GetName(), each.GetValue())
+	}
+	header.Set(api.HeaderRequestID, made.id)
+	length := head.GetContentLength()
+	if first.GetLast() && made.request.Method != http.MethodHead {
+		length = int64(len(first.GetBody()))
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	writer.WriteHeader(int(head.GetStatus()))
+}
--- /dev/null
+++ b/entry/tasks.go
@@ -0,0 +1,363 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/config"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/placement"
+	"ambertiller.example/ambertiller/record"
+	"ambertiller.example/ambertiller/state"
+)
+
+const (
+	thousand        = 1000
+	maxProcessors   = 1 << 20
+	maxAccelerators = 1 << 16
+	maxPriority     = 1000
+	maxRunTime      = 30 * 24 * time.Hour
+	// keyNamespace makes a task's ID out of its team and key, so that the same
+	// submission is the same task whichever entry takes it.
+	keyNamespace = "8f0b8b4e-6f0e-4c55-9a3e-5d7f2b1c9a10"
+)
+
+// serveSubmit accepts a batch job or a watch.
+func (entry *Entry) serveSubmit(writer http.ResponseWriter, request *http.Request) {
+	var asked api.TaskRequest
+	if sent := readBody(writer, request, &asked); sent != nil {
+		writeProblem(writer, sent)
+		return
+	}
+	created, task, sent := entry.submit(request.Context(), &asked, request.Header.Get(api.HeaderKey))
+	if sent != nil {
+		writeProblem(writer, sent)
+		return
+	}
+	status := http.StatusOK
+	if created {
+		status = http.StatusCreated
+		writer.Header().Set("Location", "/v1/tasks/"+task.ID)
+	}
+	writeJSON(writer, status, task)
+}
+
+// submit accepts a task into the log. A second submission with the same team
+// and key returns the first one's task.
+func (entry *Entry) submit(ctx context.Context, asked *api.TaskRequest, key string) (bool, *api.Task, *api.Problem) {
+	spec, sent := entry.specOf(asked)
+	if sent != nil {
+		return false, nil, sent
+	}
+	if len(key) > maxNameBytes {
+		return false, nil, badRequest(api.HeaderKey + " has at most " + strconv.Itoa(maxNameBytes) + " bytes")
+	}
+	if key == "" {
+		key = uuid.NewString()
+	}
+	id := taskID(spec.GetTeam(), key)
+	if task, sent := entry.existing(id, spec); task != nil || sent != nil {
+		return false, task, sent
+	}
+	if sent := entry.possible(spec); sent != nil {
+		return false, nil, sent
+	}
+	now := entry.now()
+	if !entry.logUp(now) {
+		return false, nil, logProblem(errors.New("it has not been read to its end lately"))
+	}
+	rec := journal.NewRecord(now)
+	rec.Body = &record.Record_TaskCreate{TaskCreate: &record.TaskCreate{Task: id, Spec: spec, IdempotencyKey: key}}
+	ctx, cancel := context.WithTimeout(ctx, appendWait)
+	defer cancel()
+	outcomes, err := entry.log.Append(ctx, rec)
+	if err != nil {
+		return false, nil, logProblem(err)
+	}
+	task, sent := entry.existing(id, spec)
+	if sent == nil && task == nil {
+		return false, nil, badRequest("the log did not accept the task: " + string(outcomes[0].Reason()))
+	}
+	if outcomes[0].Accepted() {
+		entry.options.Events.Log(ctx, event.TaskSubmitted, slog.String("task", id), slog.String("team", spec.GetTeam()), slog.String("kind", spec.GetKind()))
+	}
+	return outcomes[0].Accepted(), task, sent
+}
+
+func taskID(team, key string) string {
+	return uuid.NewSHA1(uuid.MustParse(keyNamespace), []byte(team+"\x00"+key)).String()
+}
+
+// existing returns the task of an ID, and a conflict when it was submitted
+// with another specification.
+func (entry *Entry) existing(id string, spec *record.TaskSpec) (*api.Task, *api.Problem) {
+	var found *api.Task
+	var sent *api.Problem
+	entry.log.View(func(folded *state.State) {
+		task := folded.Task(id)
+		if task == nil {
+			return
+		}
+		if !proto.Equal(task.Spec(), spec) {
+			sent = problem(http.StatusConflict, api.TypeConflict, "The key was used for another task", "task "+id+" has another specification; use another "+api.HeaderKey)
+			return
+		}
+		found = showTask(task)
+	})
+	return found, sent
+}
+
+// specOf checks what was asked for, all of it at once.
+func (entry *Entry) specOf(asked *api.TaskRequest) (*record.TaskSpec, *api.Problem) {
+	settings := entry.shelf.Config()
+	if settings == nil {
+		return nil, notRun(errNoConfig.Error(), retryLog)
+	}
+	check := &taskCheck{}
+	kind := check.kind(settings, asked.Kind)
+	check.team(settings, asked.Team)
+	spec := &record.TaskSpec{
+		Team:          asked.Team,
+		Kind:          asked.Kind,
+		Name:          check.text("name", asked.Name, maxNameBytes),
+		FailureDomain: check.text("failure_domain", asked.FailureDomain, maxNameBytes),
+		Input:         []byte(check.text("input", asked.Input, state.MaxInputBytes)),
+		Priority:      int32(kind.Priority()),
+		RunTimeNanos:  check.duration("run_time", asked.RunTime).Nanoseconds(),
+		Resources: &record.Resources{
+			MilliCpu:     check.processors(asked.Processors),
+			MemoryBytes:  check.size("memory", asked.Memory),
+			Accelerators: check.count("accelerators", asked.Accelerators, maxAccelerators),
+		},
+	}
+	if asked.Priority != nil {
+		spec.Priority = int32(check.count("priority", int64(*asked.Priority), maxPriority))
+	}
+	if len(check.faults) > 0 {
+		sent := badRequest("the task has faults; correct them and submit it again")
+		sent.Faults = check.faults
+		return nil, sent
+	}
+	return spec, nil
+}
+
+// taskCheck collects the faults of a submission.
+type taskCheck struct {
+	faults []api.Fault
+}
+
+func (check *taskCheck) fault(path, format string, arguments ...any) {
+	check.faults = append(check.faults, api.Fault{Path: path, Message: fmt.Sprintf(format, arguments...)})
+}
+
+func (check *taskCheck) kind(settings *config.Config, name string) config.Kind {
+	kind, found := settings.Kind(name)
+	if !found {
+		check.fault("kind", "%q is not one of the configured kinds", name)
+	} else if kind.Class() == config.LatencyCritical {
+		check.fault("kind", "%q is latency-critical; send its work as requests of a service", name)
+	}
+	return kind
+}
+
+func (check *taskCheck) team(settings *config.Config, name string) {
+	if _, found := settings.Team(name); !found {
+		check.fault("team", "%q is not one of the configured teams", name)
+	}
+}
+
+func (check *taskCheck) text(path, given string, most int) string {
+	if len(given) > most {
+		check.fault(path, "it has %d bytes; the most is %d", len(given), most)
+	}
+	return given
+}
+
+func (check *taskCheck) duration(path, given string) time.Duration {
+	if given == "" {
+		return 0
+	}
+	parsed, err := time.ParseDuration(given)
+	if err != nil || parsed < 0 || parsed > maxRunTime {
+		check.fault(path, "%q is not a duration from 0 to %s, such as 90s", given, maxRunTime)
+	}
+	return parsed
+}
+
+func (check *taskCheck) processors(given float64) int64 {
+	if math.IsNaN(given) || given < 0 || given > maxProcessors {
+		check.fault("processors", "%g is out of bounds; give 0 to %d", given, maxProcessors)
+		return 0
+	}
+	return int64(math.Ceil(given * thousand))
+}
+
+func (check *taskCheck) size(path, given string) int64 {
+	if given == "" {
+		return 0
+	}
+	parsed, err := config.ParseSize(given)
+	if err != nil {
+		check.fault(path, "%v", err)
+	}
+	return parsed
+}
+
+func (check *taskCheck) count(path string, given, most int64) int64 {
+	if given < 0 || given > most {
+		check.fault(path, "%d is out of bounds; give 0 to %d", given, most)
+		return 0
+	}
+	return given
+}
+
+// possible refuses work that no known worker could run even when empty, and
+// work that its team's quota never lets run.
+func (entry *Entry) possible(spec *record.TaskSpec) *api.Problem {
+	if (teamUse{}).over(entry.shelf.Config(), spec) {
+		return problem(http.StatusUnprocessableEntity, api.TypeImpossible, "The task can never run", "it asks for more than the quota of team "+spec.GetTeam())
+	}
+	var decision *placement.Decision
+	entry.log.View(func(folded *state.State) {
+		board := entry.placer.board(folded, entry.now())
+		decision = board.Decide(entry.placer.spare(), entry.policies(), &placement.Task{Spec: spec})
+	})
+	if !decision.Impossible() {
+		return nil
+	}
+	return problem(http.StatusUnprocessableEntity, api.TypeImpossible, "The task can never run",
+		fmt.Sprintf("of %d workers %d are too small and %d are in another failure domain", decision.Workers(),
+			decision.Rejected()[placement.TooSmall], decision.Rejected()[placement.OtherDomain]))
+}
+
+func showTask(task *state.Task) *api.Task {
+	spec := task.Spec()
+	return &api.Task{
+		ID:            task.ID(),
+		Team:          spec.GetTeam(),
+		Kind:          spec.GetKind(),
+		Name:          spec.GetName(),
+		Phase:         task.Phase().String(),
+		Reason:        task.Reason(),
+		Worker:        task.Worker(),
+		Attempt:       task.Attempt(),
+		Evictions:     task.Evictions(),
+		StartFailures: task.StartFailures(),
+		Processors:    float64(spec.GetResources().GetMilliCpu()) / thousand,
+		MemoryBytes:   spec.GetResources().GetMemoryBytes(),
+		Accelerators:  spec.GetResources().GetAccelerators(),
+		Priority:      spec.GetPriority(),
+		Policy:        task.PolicyVersion(),
+		Created:       task.Created().UTC(),
+		Changed:       task.Changed().UTC(),
+	}
+}
+
+func (entry *Entry) serveTask(writer http.ResponseWriter, id string) {
+	var found *api.Task
+	entry.log.View(func(folded *state.State) {
+		if task := folded.Task(id); task != nil {
+			found = showTask(task)
+		}
+	})
+	if found == nil {
+		writeProblem(writer, notFound("no task has the ID "+strconv.Quote(id)))
+		return
+	}
+	writeJSON(writer, http.StatusOK, found)
+}
+
+// mostListed bounds one listing.
+const mostListed = 10_000
+
+// serveTasks lists tasks, oldest first, of one team, kind, phase or worker if
+// the query says so.
+func (entry *Entry) serveTasks(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	wanted := func(task *api.Task) bool {
+		return matches(query.Get("team"), task.Team) && matches(query.Get("kind"), task.Kind) &&
+			matches(query.Get("phase"), task.Phase) && matches(query.Get("worker"), task.Worker)
+	}
+	listed := []*api.Task{}
+	entry.log.View(func(folded *state.State) {
+		for _, task := range folded.Tasks() {
+			if shown := showTask(task); wanted(shown) && len(listed) < mostListed {
+				listed = append(listed, shown)
+			}
+		}
+	})
+	writeJSON(writer, http.StatusOK, listed)
+}
+
+func matches(asked, is string) bool { return asked == "" || asked == is }
+
+func (entry *Entry) serveResult(writer http.ResponseWriter, id string) {
+	var result *api.Result
+	var sent *api.Problem
+	entry.log.View(func(folded *state.State) {
+		task := folded.Task(id)
+		switch {
+		case task == nil:
+			sent = notFound("no task has the ID " + strconv.Quote(id))
+		case !task.Phase().Ended():
+			sent = problem(http.StatusConflict, api.TypeConflict, "The task has not ended", "it is "+task.Phase().String()+": "+task.Reason())
+		default:
+			result = &api.Result{ID: id, Phase: task.Phase().String(), Reason: task.Reason(), Output: string(task.Result())}
+		}
+	})
+	if sent != nil {
+		writeProblem(writer, sent)
+		return
+	}
+	writeJSON(writer, http.StatusOK, result)
+}
+
+// serveCancel cancels a task. Cancelling one that has ended changes nothing.
+func (entry *Entry) serveCancel(writer http.ResponseWriter, request *http.Request, id string) {
+	now := entry.now()
+	if !entry.logUp(now) {
+		writeProblem(writer, logProblem(errors.New("it has not been read to its end lately")))
+		return
+	}
+	rec := journal.NewRecord(now)
+	rec.Body = &record.Record_TaskCancel{TaskCancel: &record.TaskCancel{Task: id}}
+	ctx, cancel := context.WithTimeout(request.Context(), appendWait)
+	defer cancel()
+	outcomes, err := entry.log.Append(ctx, rec)
+	if err != nil {
+		writeProblem(writer, logProblem(err))
+		return
+	}
+	if outcomes[0].Accepted() {
+		entry.options.Events.Log(ctx, event.TaskCancelled, slog.String("task", id))
+		entry.stopCancelled(context.WithoutCancel(ctx), id)
+	}
+	entry.serveTask(writer, id)
+}
+
+// stopCancelled tells the guard at once; if that fails, its next report will.
+func (entry *Entry) stopCancelled(ctx context.Context, id string) {
+	var made *verdicts
+	entry.log.View(func(folded *state.State) {
+		task := folded.Task(id)
+		if task == nil || task.Phase() != state.PhaseStopping {
+			return
+		}
+		if guard := entry.view.Guard(task.Worker()); guard != nil {
+			made = &verdicts{}
+			made.stops = append(made.stops, stopOf(task, guard))
+			go entry.act(ctx, guard, made)
+		}
+	})
+}
--- /dev/null
+++ b/entry/workers.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/membership"
+	"ambertiller.example/ambertiller/record"
+	"ambertiller.example/ambertiller/state"
+)
+
+// serveWorkers lists the workers and what each carries.
+func (entry *Entry) serveWorkers(writer http.ResponseWriter) {
+	now := entry.now()
+	listed := []api.Worker{}
+	entry.log.View(func(folded *state.State) {
+		for _, guard := range entry.view.Guards() {
+			listed = append(listed, entry.showWorker(folded, guard, now))
+		}
+	})
+	writeJSON(writer, http.StatusOK, listed)
+}
+
+func (entry *Entry) showWorker(folded *state.State, guard *membership.Guard, now time.Time) api.Worker {
+	laid := entry.placer.workerOf(folded, guard, now)
+	shown := api.Worker{
+		Name:          guard.Name(),
+		FailureDomain: guard.FailureDomain(),
+		Rack:          guard.Rack(),
+		Service:       guard.Service(),
+		State:         entry.workerState(folded, guard, now),
+		Draining:      folded.Draining(guard.Name()),
+		Processors:    float64(laid.Capacity.MilliCPU) / thousand,
+		FreeCPU:       float64(laid.Capacity.MilliCPU-laid.Committed.MilliCPU) / thousand,
+		MemoryBytes:   laid.Capacity.MemoryBytes,
+		Accelerators:  laid.Capacity.Accelerators,
+		SlotsUsed:     guard.Load().GetSlotsUsed(),
+		Slots:         guard.Load().GetSlots(),
+		Tasks:         []string{},
+		HeardAt:       guard.HeardAt().UTC(),
+	}
+	for _, task := range folded.OnWorker(guard.Name()) {
+		shown.Tasks = append(shown.Tasks, task.ID())
+	}
+	return shown
+}
+
+func (entry *Entry) workerState(folded *state.State, guard *membership.Guard, now time.Time) string {
+	switch {
+	case folded.Suspicion(guard.Name()) != 0:
+		return "suspected"
+	case entry.view.Silent(guard, now):
+		return "silent"
+	case guard.Leaving():
+		return "leaving"
+	case !guard.Ready():
+		return "not ready"
+	}
+	return "ready"
+}
+
+// serveDrain begins or ends the drain of a worker.
+func (entry *Entry) serveDrain(writer http.ResponseWriter, request *http.Request, worker string) {
+	var asked api.DrainRequest
+	if sent := readBody(writer, request, &asked); sent != nil {
+		writeProblem(writer, sent)
+		return
+	}
+	if entry.view.Guard(worker) == nil {
+		writeProblem(writer, notFound("no worker is named "+strconv.Quote(worker)+"; see `ambertiller workers`"))
+		return
+	}
+	now := entry.now()
+	if !entry.logUp(now) {
+		writeProblem(writer, logProblem(errors.New("it has not been read to its end lately")))
+		return
+	}
+	rec := journal.NewRecord(now)
+	rec.Body = &record.Record_WorkerDrain{WorkerDrain: &record.WorkerDrain{Worker: worker, Draining: asked.Draining, Author: asked.Author}}
+	ctx, cancel := context.WithTimeout(request.Context(), appendWait)
+	defer cancel()
+	outcomes, err := entry.log.Append(ctx, rec)
+	if err != nil {
+		writeProblem(writer, logProblem(err))
+		return
+	}
+	if outcomes[0].Accepted() {
+		entry.options.Events.Log(ctx, event.WorkerDrained, slog.String("worker", worker), slog.Bool("draining", asked.Draining), slog.String("author", asked.Author))
+	}
+	writeJSON(writer, http.StatusOK, asked)
+}
--- /dev/null
+++ b/guard/attributes.go
@@ -0,0 +1,27 @@
+package guard
+
+import (
+	"log/slog"
+
+	"ambertiller.example/ambertiller/wire"
+)
+
+func attrError(err error) slog.Attr { return slog.String("error", err.Error()) }
+
+func attrDocument(copied *wire.DocumentCopy) slog.Attr {
+	return slog.String("document", copied.GetName())
+}
+
+func attrVersion(copied *wire.DocumentCopy) slog.Attr {
+	return slog.Uint64("version", copied.GetVersion())
+}
+
+func attrTask(id string) slog.Attr { return slog.String("task", id) }
+
+func attrAttempt(number uint64) slog.Attr { return slog.Uint64("attempt", number) }
+
+func attrReason(reason string) slog.Attr { return slog.String("reason", reason) }
+
+func attrRequest(id string) slog.Attr { return slog.String("request", id) }
+
+func attrDetail(detail string) slog.Attr { return slog.String("detail", detail) }
--- /dev/null
+++ b/guard/report.go
@@ -0,0 +1,262 @@
+package guard
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/instances"
+	"ambertiller.example/ambertiller/wire"
+	"ambertiller.example/ambertiller/worker"
+)
+
+// pollLoop follows the worker.
+func (guard *Guard) pollLoop(ctx context.Context) {
+	ticker := guard.options.Clock.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		if err := guard.Poll(ctx); err != nil {
+			guard.options.Events.Log(ctx, event.WorkerUnreachable, attrError(err))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// Poll reads the worker once. The first one adopts what it runs.
+func (guard *Guard) Poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	guard.mu.Lock()
+	ready := guard.ready
+	guard.mu.Unlock()
+	if !ready {
+		return guard.Adopt(ctx)
+	}
+	listing, err := guard.options.Worker.Tasks(ctx)
+	if err != nil {
+		return err
+	}
+	usage, err := guard.options.Worker.Usage(ctx)
+	if err != nil {
+		return err
+	}
+	if guard.follow(ctx, listing, usage) {
+		guard.wakeReport()
+	}
+	return nil
+}
+
+// follow takes over what the worker says and reports whether an attempt ended.
+func (guard *Guard) follow(ctx context.Context, listing worker.Listing, usage worker.Usage) bool {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	guard.usage = usage
+	guard.workerUptime = listing.Uptime
+	someEnded := false
+	for _, task := range listing.Tasks {
+		each, known := guard.attempts[task.Task]
+		if !known {
+			guard.adopt(ctx, task)
+			continue
+		}
+		if each.number != task.Attempt || each.ended() || each.starting {
+			continue
+		}
+		each.follow(task)
+		if each.ended() {
+			someEnded = true
+			guard.gate.ReleaseTask(task.Task)
+			if each.phase == wire.TaskPhase_TASK_LAPSED {
+				guard.options.Events.Log(ctx, event.LeaseLapsed, attrTask(task.Task), attrAttempt(task.Attempt))
+			}
+			guard.options.Events.Log(ctx, event.TaskEnded, attrTask(task.Task), attrAttempt(task.Attempt), attrReason(task.Reason))
+		}
+	}
+	return someEnded
+}
+
+// reportLoop reports once a second, and at once when an attempt ends.
+func (guard *Guard) reportLoop(ctx context.Context) {
+	ticker := guard.options.Clock.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		guard.reportAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-guard.wake:
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (guard *Guard) listLoop(ctx context.Context) {
+	ticker := guard.options.Clock.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		guard.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// readList learns where the entries are. An unreadable list changes nothing.
+func (guard *Guard) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := guard.options.Instances.List(ctx)
+	if err != nil {
+		return
+	}
+	entries := slices.DeleteFunc(list, func(each instances.Instance) bool { return each.Role != instances.Entry })
+	guard.mu.Lock()
+	first := len(guard.entries) == 0
+	guard.entries = entries
+	guard.mu.Unlock()
+	if first {
+		guard.wakeReport()
+	}
+}
+
+// reportAll tells every entry what the guard carries.
+func (guard *Guard) reportAll(ctx context.Context) {
+	guard.mu.Lock()
+	entries := slices.Clone(guard.entries)
+	guard.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, entry := range entries {
+		calls.Go(func() { guard.reportTo(ctx, entry) })
+	}
+	calls.Wait()
+}
+
+func (guard *Guard) reportTo(ctx context.Context, entry instances.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := wire.NewDRPCEntryClient(guard.options.Pool.Conn(entry.Address))
+	report, workerUptime := guard.report(guard.options.Clock.Now())
+	reply, err := client.Report(ctx, report)
+	if err != nil {
+		guard.options.Events.Log(ctx, event.ReportFailed, slog.String("entry", entry.Name), attrError(err))
+		return
+	}
+	guard.applyDocuments(ctx, reply.GetDocuments())
+	guard.applyGrants(ctx, reply.GetGrants(), workerUptime)
+}
+
+// report makes a report, and returns with it the reading of the worker's clock
+// from which the leases granted in reply are counted: it is older than the
+// grant, so a lease ends early rather than late, however long the reply takes.
+func (guard *Guard) report(now time.Time) (*wire.ReportRequest, time.Duration) {
+	usage := guard.gate.Usage()
+	capacity := guard.gate.Capacity()
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	guard.reported = max(guard.reported, guard.uptime(now))
+	report := &wire.ReportRequest{
+		Worker:        guard.options.Name,
+		Incarnation:   guard.incarnation,
+		UptimeNanos:   guard.reported.Nanoseconds(),
+		FailureDomain: guard.options.FailureDomain,
+		Rack:          guard.capacity.Rack,
+		Service:       guard.options.Service,
+		Address:       guard.options.Address,
+		Leaving:       guard.gate.Leaving(),
+		Ready:         guard.ready,
+		Capacity:      &wire.Resources{MilliCpu: capacity.MilliCPU, MemoryBytes: capacity.MemoryBytes, Accelerators: capacity.Accelerators},
+		Used:          &wire.Resources{MilliCpu: guard.usage.MilliCPU, MemoryBytes: guard.usage.MemoryBytes, Accelerators: usage.Resources.Accelerators},
+		Load:          guard.load(),
+		Documents:     wire.Versions(guard.shelf.Versions()),
+	}
+	for _, task := range slices.Sorted(maps.Keys(guard.attempts)) {
+		each := guard.attempts[task]
+		report.Tasks = append(report.Tasks, &wire.TaskReport{
+			Task:       task,
+			Attempt:    each.number,
+			Phase:      each.phase,
+			Reason:     each.reason,
+			Result:     each.result,
+			Checkpoint: each.checkpoint,
+		})
+	}
+	return report, guard.workerUptime
+}
+
+// applyGrants renews leases, stops what no entry stands behind any more, and
+// forgets what the log has recorded.
+func (guard *Guard) applyGrants(ctx context.Context, grants []*wire.TaskGrant, workerUptime time.Duration) {
+	var renewals []worker.Renewal
+	for _, grant := range grants {
+		if grant.GetRecorded() {
+			guard.forget(ctx, grant)
+		}
+		if grant.GetStop() {
+			guard.stopOrphan(ctx, grant)
+		}
+		if grant.GetLeaseNanos() > 0 {
+			renewals = append(renewals, worker.Renewal{
+				Task:     grant.GetTask(),
+				Attempt:  grant.GetAttempt(),
+				LeaseEnd: workerUptime + time.Duration(grant.GetLeaseNanos()),
+			})
+		}
+	}
+	if len(renewals) == 0 {
+		return
+	}
+	if err := guard.options.Worker.Renew(ctx, renewals); err != nil {
+		guard.options.Events.Log(ctx, event.WorkerUnreachable, attrError(err))
+	}
+}
+
+// forget drops an attempt whose end is in the log.
+func (guard *Guard) forget(ctx context.Context, grant *wire.TaskGrant) {
+	guard.mu.Lock()
+	each := guard.attempts[grant.GetTask()]
+	due := each != nil && each.number == grant.GetAttempt() && each.ended()
+	guard.mu.Unlock()
+	if !due {
+		return
+	}
+	if err := guard.options.Worker.Forget(ctx, grant.GetTask(), grant.GetAttempt()); err != nil {
+		guard.options.Events.Log(ctx, event.WorkerUnreachable, attrError(err))
+		return
+	}
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	guard.drop(grant.GetTask())
+}
+
+func (guard *Guard) stopOrphan(ctx context.Context, grant *wire.TaskGrant) {
+	guard.mu.Lock()
+	each := guard.attempts[grant.GetTask()]
+	due := each != nil && each.number == grant.GetAttempt() && each.phase == wire.TaskPhase_TASK_RUNNING
+	guard.mu.Unlock()
+	if !due {
+		return
+	}
+	guard.options.Events.Log(ctx, event.TaskOrphanStopped, attrTask(grant.GetTask()), attrAttempt(grant.GetAttempt()))
+	if _, err := guard.Stop(ctx, &wire.StopRequest{Task: grant.GetTask(), Attempt: grant.GetAttempt(), Reason: "orphan"}); err != nil {
+		guard.options.Events.Log(ctx, event.WorkerUnreachable, attrError(err))
+	}
+}
+
+// Documents answers an entry that lacks documents, as after a start with the
+// log down. It implements the drpc service.
+func (guard *Guard) Documents(_ context.Context, request *wire.DocumentsRequest) (*wire.DocumentsReply, error) {
+	return &wire.DocumentsReply{
+		Documents: wire.Copies(guard.shelf.NewerThan(wire.FromVersions(request.GetHave()))),
+		InForce:   wire.Versions(guard.shelf.Versions()),
+	}, nil
+}
--- /dev/null
+++ b/guard/task.go
@@ -0,0 +1,244 @@
+package guard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/admission"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/wire"
+	"ambertiller.example/ambertiller/worker"
+)
+
+// attempt is one attempt of a task that the guard answers for.
+type attempt struct {
+	number     uint64
+	phase      wire.TaskPhase
+	reason     string
+	result     []byte
+	checkpoint []byte
+	// starting is set while the worker's answer to the start is awaited.
+	starting bool
+	// reservedAt is the worker's clock before the attempt was reserved.
+	reservedAt time.Duration
+}
+
+func (each *attempt) ended() bool {
+	return each.phase != wire.TaskPhase_TASK_RUNNING && each.phase != wire.TaskPhase_TASK_STOPPING
+}
+
+// Start takes up an offer and starts an attempt. It implements the drpc service.
+func (guard *Guard) Start(ctx context.Context, request *wire.StartRequest) (*wire.StartReply, error) {
+	now := guard.options.Clock.Now()
+	reply := &wire.StartReply{UptimeNanos: guard.uptime(now).Nanoseconds()}
+	if reply.Refusal = guard.reserve(request, now); reply.Refusal != nil {
+		guard.refused(ctx, request.GetTask(), reply.Refusal)
+		return reply, nil
+	}
+	err := guard.options.Worker.Start(ctx, guard.startOf(request))
+	reply.Refusal = guard.started(ctx, request, err)
+	guard.wakeReport()
+	return reply, nil
+}
+
+// reserve decides whether the attempt may start and counts it on the worker.
+func (guard *Guard) reserve(request *wire.StartRequest, now time.Time) *wire.Refusal {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	deadline := time.Duration(request.GetOfferDeadlineNanos())
+	known := guard.attempts[request.GetTask()]
+	switch {
+	case known != nil && request.GetAttempt() == known.number:
+		return &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_ALREADY_RUNNING, Detail: "the attempt has been started"}
+	case request.GetIncarnation() != guard.incarnation:
+		return notRun(wire.RefusalReason_REFUSAL_WRONG_INCARNATION, "the offer was made to "+request.GetIncarnation())
+	case max(guard.uptime(now), guard.reported) >= deadline || deadline > guard.uptime(now)+maxOffer:
+		return notRun(wire.RefusalReason_REFUSAL_OFFER_EXPIRED, "the offer has ended, or ends too far ahead")
+	case request.GetAttempt() <= guard.barriers[request.GetTask()].attempt:
+		return notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt was stopped before it came")
+	case known != nil && (request.GetAttempt() < known.number || !known.ended()):
+		return notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "another attempt is here")
+	case !guard.ready:
+		return notRun(wire.RefusalReason_REFUSAL_WORKER_FAILED, "the worker is not known yet")
+	}
+	asked := request.GetResources()
+	if err := guard.gate.AdmitTask(request.GetTask(), admission.Resources{
+		MilliCPU:     asked.GetMilliCpu(),
+		MemoryBytes:  asked.GetMemoryBytes(),
+		Accelerators: asked.GetAccelerators(),
+	}); err != nil {
+		return admissionRefusal(err)
+	}
+	guard.attempts[request.GetTask()] = &attempt{number: request.GetAttempt(), phase: wire.TaskPhase_TASK_RUNNING, starting: true, reservedAt: guard.workerUptime}
+	return nil
+}
+
+// started notes the worker's answer to a start. When the answer is missing the
+// attempt counts as running until the worker's own list tells.
+func (guard *Guard) started(ctx context.Context, request *wire.StartRequest, err error) *wire.Refusal {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	each := guard.attempts[request.GetTask()]
+	if each == nil || each.number != request.GetAttempt() {
+		return &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_STALE_ATTEMPT, Detail: "the attempt ended while it was started"}
+	}
+	each.starting = false
+	var rejected *worker.RejectedError
+	switch {
+	case err == nil:
+		guard.options.Events.Log(ctx, event.TaskStarted, attrTask(request.GetTask()), attrAttempt(request.GetAttempt()))
+		return nil
+	case errors.As(err, &rejected):
+		guard.drop(request.GetTask())
+		return notRun(wire.RefusalReason_REFUSAL_WORKER_FAILED, err.Error())
+	case errors.Is(err, worker.ErrStale):
+		guard.drop(request.GetTask())
+		return notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, err.Error())
+	}
+	return &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_WORKER_FAILED, Detail: err.Error()}
+}
+
+// drop stops counting a task; the guard's lock is held.
+func (guard *Guard) drop(task string) {
+	delete(guard.attempts, task)
+	guard.gate.ReleaseTask(task)
+}
+
+// startOf makes the message to the worker. Its lease is counted from the last
+// reading of the worker's clock before the attempt was reserved.
+func (guard *Guard) startOf(request *wire.StartRequest) worker.Start {
+	return worker.Start{
+		Task:         request.GetTask(),
+		Attempt:      request.GetAttempt(),
+		Team:         request.GetTeam(),
+		Kind:         request.GetKind(),
+		Name:         request.GetName(),
+		MilliCPU:     request.GetResources().GetMilliCpu(),
+		MemoryBytes:  request.GetResources().GetMemoryBytes(),
+		Accelerators: request.GetResources().GetAccelerators(),
+		RunTime:      time.Duration(request.GetRunTimeNanos()),
+		LeaseEnd:     guard.reservedAt(request.GetTask()) + time.Duration(request.GetLeaseNanos()),
+		Input:        request.GetInput(),
+		Checkpoint:   request.GetCheckpoint(),
+	}
+}
+
+func (guard *Guard) reservedAt(task string) time.Duration {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	if each := guard.attempts[task]; each != nil {
+		return each.reservedAt
+	}
+	return 0
+}
+
+// Stop stops an attempt, or makes sure that it never starts here. It
+// implements the drpc service.
+func (guard *Guard) Stop(ctx context.Context, request *wire.StopRequest) (*wire.StopReply, error) {
+	now := guard.options.Clock.Now()
+	running, refusal := guard.bar(request, now)
+	if !running {
+		return &wire.StopReply{Refusal: refusal}, nil
+	}
+	if err := guard.options.Worker.Stop(ctx, request.GetTask(), request.GetAttempt()); err != nil {
+		return nil, errors.Wrap(err, "stop attempt")
+	}
+	guard.options.Events.Log(ctx, event.TaskStopped, attrTask(request.GetTask()), attrAttempt(request.GetAttempt()), attrReason(request.GetReason()))
+	return &wire.StopReply{Accepted: true}, nil
+}
+
+// bar sets a barrier against the attempt and reports whether it runs here. The
+// refusal proves that it does not and will not.
+func (guard *Guard) bar(request *wire.StopRequest, now time.Time) (bool, *wire.Refusal) {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	guard.pruneBarriers(now)
+	present := guard.barriers[request.GetTask()]
+	guard.barriers[request.GetTask()] = barrier{
+		attempt: max(present.attempt, request.GetAttempt()),
+		until:   guard.uptime(now) + maxOffer,
+	}
+	each := guard.attempts[request.GetTask()]
+	if each != nil && each.number == request.GetAttempt() && !each.ended() {
+		each.phase = wire.TaskPhase_TASK_STOPPING
+		return true, nil
+	}
+	if each != nil && each.number == request.GetAttempt() {
+		return false, &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_STALE_ATTEMPT, Detail: "the attempt has ended"}
+	}
+	return false, notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt is not here and won't start here")
+}
+
+func (guard *Guard) pruneBarriers(now time.Time) {
+	for task, set := range guard.barriers {
+		if set.until < guard.uptime(now) {
+			delete(guard.barriers, task)
+		}
+	}
+}
+
+// Adopt reads what the worker has and still runs, and counts it. The guard
+// takes work once this has succeeded.
+func (guard *Guard) Adopt(ctx context.Context) error {
+	capacity, err := guard.options.Worker.Capacity(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the worker's capacity")
+	}
+	listing, err := guard.options.Worker.Tasks(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the worker's tasks")
+	}
+	guard.mu.Lock()
+	guard.capacity = capacity
+	guard.workerUptime = listing.Uptime
+	for _, task := range listing.Tasks {
+		guard.adopt(ctx, task)
+	}
+	guard.ready = true
+	guard.mu.Unlock()
+	guard.followBounds()
+	return nil
+}
+
+func (guard *Guard) adopt(ctx context.Context, task worker.Task) {
+	if _, known := guard.attempts[task.Task]; known {
+		return
+	}
+	each := &attempt{number: task.Attempt, phase: wire.TaskPhase_TASK_RUNNING}
+	guard.attempts[task.Task] = each
+	guard.gate.AdoptTask(task.Task, admission.Resources{
+		MilliCPU:     task.MilliCPU,
+		MemoryBytes:  task.MemoryBytes,
+		Accelerators: task.Accelerators,
+	})
+	each.follow(task)
+	if each.ended() {
+		guard.gate.ReleaseTask(task.Task)
+	}
+	guard.options.Events.Log(ctx, event.TaskAdopted, attrTask(task.Task), attrAttempt(task.Attempt))
+}
+
+var workerPhases = map[worker.Phase]wire.TaskPhase{
+	worker.Running:  wire.TaskPhase_TASK_RUNNING,
+	worker.Stopping: wire.TaskPhase_TASK_STOPPING,
+	worker.Finished: wire.TaskPhase_TASK_FINISHED,
+	worker.Failed:   wire.TaskPhase_TASK_FAILED,
+	worker.Stopped:  wire.TaskPhase_TASK_STOPPED,
+	worker.Lapsed:   wire.TaskPhase_TASK_LAPSED,
+}
+
+// follow takes over what the worker says of the attempt.
+func (each *attempt) follow(task worker.Task) {
+	phase := workerPhases[task.Phase]
+	if phase == wire.TaskPhase_TASK_RUNNING && each.phase == wire.TaskPhase_TASK_STOPPING {
+		return
+	}
+	each.phase = phase
+	each.reason = task.Reason
+	each.result = task.Result
+	if each.ended() {
+		each.checkpoint = task.Checkpoint
+	}
+}
--- /dev/null
+++ b/logservice/client.go
@@ -0,0 +1,137 @@
+package logservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	contentTypeBytes   = "application/octet-stream"
+	defaultRetryAfter  = 100 * time.Millisecond
+	maxResponseBytes   = 64 << 20
+	readResponseMargin = 5 * time.Second
+)
+
+// Client speaks to the platform's log service over HTTP.
+type Client struct {
+	base       string
+	httpClient *http.Client
+}
+
+// NewClient returns a Client for the service at the base URL.
+func NewClient(base string, httpClient *http.Client) *Client {
+	return &Client{base: base, httpClient: httpClient}
+}
+
+var _ Service = (*Client)(nil)
+
+// AppendAnswer is the body of a successful append.
+type AppendAnswer struct {
+	Offset int64 `json:"offset"`
+}
+
+// Append adds one entry and returns its offset.
+func (client *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.recordsURL(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, errors.Wrap(ErrRefused, err.Error())
+	}
+	request.Header.Set("Content-Type", contentTypeBytes)
+	// An append must not be sent twice behind our back: net/http repeats a
+	// request on a fresh connection only when it can rewind its body.
+	request.GetBody = nil
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "append")
+	}
+	defer func() {
+		drain(response.Body)
+		_ = response.Body.Close()
+	}()
+	if response.StatusCode != http.StatusCreated {
+		return 0, appendError(response)
+	}
+	var answer AppendAnswer
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&answer); err != nil {
+		return 0, errors.Wrap(err, "append: the answer is cut")
+	}
+	return answer.Offset, nil
+}
+
+// Read returns entries from an offset on.
+func (client *Client) Read(ctx context.Context, stream string, options ReadOptions) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, options.Wait+readResponseMargin)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.recordsURL(stream)+readQuery(options), nil)
+	if err != nil {
+		return Page{}, errors.Wrap(err, "read")
+	}
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return Page{}, errors.Wrap(err, "read")
+	}
+	defer func() {
+		drain(response.Body)
+		_ = response.Body.Close()
+	}()
+	var page Page
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusGone:
+		if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&page); err != nil {
+			return Page{}, errors.Wrap(err, "read: the answer is cut")
+		}
+	case http.StatusTooManyRequests:
+		return Page{}, &ThrottledError{RetryAfter: retryAfter(response)}
+	default:
+		return Page{}, errors.Errorf("read: the log service answered %s", response.Status)
+	}
+	if response.StatusCode == http.StatusGone {
+		return Page{}, &TrimmedError{Earliest: page.Earliest}
+	}
+	return page, nil
+}
+
+func (client *Client) recordsURL(stream string) string {
+	return client.base + "/streams/" + url.PathEscape(stream) + "/records"
+}
+
+func readQuery(options ReadOptions) string {
+	query := url.Values{}
+	query.Set("from", strconv.FormatInt(options.From, 10))
+	query.Set("max", strconv.Itoa(options.Max))
+	query.Set("wait", options.Wait.String())
+	return "?" + query.Encode()
+}
+
+// appendError tells the failures that prove that nothing was appended from
+// those that don't.
+func appendError(response *http.Response) error {
+	switch response.StatusCode {
+	case http.StatusTooManyRequests:
+		return &ThrottledError{RetryAfter: retryAfter(response)}
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusNotFound:
+		return errors.Wrapf(ErrRefused, "append: %s", response.Status)
+	}
+	return errors.Errorf("append: the log service answered %s", response.Status)
+}
+
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if err != nil || seconds <= 0 {
+		return defaultRetryAfter
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// drain reads what is left, so that the connection can be used again.
+func drain(body io.Reader) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxResponseBytes))
+}
--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,153 @@
+// Package rpc carries the calls between ambertiller's own processes over drpc.
+//
+// A drpc connection carries one call at a time, so a Pool keeps several to each
+// address and hands out an idle one for each call. The certificates of both
+// sides are checked when TLS is configured.
+//
+// # Usage
+//
+//	server, err := rpc.Listen(ctx, "127.0.0.1:7103", nil, func(mux *drpcmux.Mux) error {
+//		return wire.DRPCRegisterGuard(mux, guard)
+//	})
+//	go server.Serve(ctx)
+//
+//	pool := rpc.NewPool(nil)
+//	reply, err := wire.NewDRPCGuardClient(pool.Conn("127.0.0.1:7103")).Start(ctx, request)
+//
+// # Errors
+//
+// A [*DialError] proves that the call was not made. After any other error it
+// may have been.
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	dialTimeout       = time.Second
+	idleExpiration    = time.Minute
+	maxMessageBytes   = 4 << 20
+	keptBufferBytes   = 64 << 10
+	poolCapacity      = 4096
+	poolAddressMost   = 128
+	softCancelGrace   = 100 * time.Millisecond
+	keepAliveInterval = 15 * time.Second
+	writerBufferBytes = 16 << 10
+	splitFrameBytes   = 64 << 10
+)
+
+// DialError says that no connection could be made, so that the call was not.
+type DialError struct {
+	address string
+	cause   error
+}
+
+// Error implements error.
+func (dial *DialError) Error() string {
+	return "connect to " + dial.address + ": " + dial.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (dial *DialError) Unwrap() error { return dial.cause }
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		WriterBufferSize: writerBufferBytes,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:           drpcstream.Options{SplitSize: splitFrameBytes, MaximumBufferSize: keptBufferBytes},
+		SoftCancel:       true,
+		SoftCancelGrace:  softCancelGrace,
+	}
+}
+
+// Pool keeps client connections by address. It may be used by many goroutines.
+type Pool struct {
+	conns  *drpcpool.Pool[string, drpcpool.Conn]
+	client *tls.Config
+}
+
+// NewPool returns an empty pool. With a nil configuration connections are plain.
+func NewPool(client *tls.Config) *Pool {
+	return &Pool{
+		conns: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleExpiration,
+			Capacity:    poolCapacity,
+			KeyCapacity: poolAddressMost,
+		}),
+		client: client,
+	}
+}
+
+// Conn returns a connection to the address that takes one from the pool for
+// each call.
+func (pool *Pool) Conn(address string) drpc.Conn {
+	return pool.conns.Get(context.Background(), address, pool.dial)
+}
+
+// Close closes the idle connections.
+func (pool *Pool) Close() error {
+	return errors.Wrap(pool.conns.Close(), "close pooled connections")
+}
+
+func (pool *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	var raw net.Conn
+	var err error
+	if pool.client == nil {
+		raw, err = dialer.DialContext(ctx, "tcp", address)
+	} else {
+		raw, err = (&tls.Dialer{NetDialer: dialer, Config: pool.client}).DialContext(ctx, "tcp", address)
+	}
+	if err != nil {
+		return nil, &DialError{address: address, cause: err}
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Server accepts calls on one address.
+type Server struct {
+	listener net.Listener
+	handler  *drpcserver.Server
+}
+
+// Listen opens the address and registers services. With a nil configuration
+// connections are plain.
+func Listen(ctx context.Context, address string, server *tls.Config, register func(mux *drpcmux.Mux) error) (*Server, error) {
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return nil, errors.Wrap(err, "register calls")
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for calls")
+	}
+	if server != nil {
+		listener = tls.NewListener(listener, server)
+	}
+	return &Server{
+		listener: listener,
+		handler:  drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+	}, nil
+}
+
+// Address returns the address that was opened.
+func (server *Server) Address() string { return server.listener.Addr().String() }
+
+// Serve answers calls until ctx ends; calls in flight are then broken off.
+func (server *Server) Serve(ctx context.Context) error {
+	return errors.Wrap(server.handler.Serve(ctx, server.listener), "serve calls")
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,239 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"ambertiller.example/ambertiller/logservice"
+	"ambertiller.example/ambertiller/worker"
+)
+
+const (
+	maxBody      = 16 << 20
+	longestWait  = 30 * time.Second
+	readMaxLimit = 4096
+)
+
+// platformHandler serves the log and the instance list, and the controls that
+// bring failures about.
+func (platform *Platform) platformHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}/records", platform.serveAppend)
+	mux.HandleFunc("GET /streams/{stream}/records", platform.serveRead)
+	mux.HandleFunc("GET /instances", platform.serveInstances)
+	mux.HandleFunc("PUT /instances/{name}/state/{state}", platform.serveInstanceState)
+	mux.HandleFunc("PUT /control/log/{state}", platform.serveLogState)
+	mux.HandleFunc("GET /control/holds/{name}", func(writer http.ResponseWriter, request *http.Request) {
+		answer(writer, http.StatusOK, platform.holds.count(request.PathValue("name")))
+	})
+	mux.HandleFunc("DELETE /control/holds/{name}", func(writer http.ResponseWriter, request *http.Request) {
+		platform.holds.release(request.PathValue("name"))
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func (platform *Platform) serveAppend(writer http.ResponseWriter, request *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, logservice.MaxEntryBytes))
+	if err != nil {
+		http.Error(writer, "the entry is too large or cut", http.StatusRequestEntityTooLarge)
+		return
+	}
+	result := platform.log.append(request.PathValue("stream"), data, time.Now())
+	switch {
+	case result.down:
+		http.Error(writer, "outage", http.StatusServiceUnavailable)
+	case result.retryAfter > 0:
+		writer.Header().Set("Retry-After", strconv.FormatFloat(result.retryAfter.Seconds(), 'f', 3, 64))
+		http.Error(writer, "too many appends", http.StatusTooManyRequests)
+	case result.lost:
+		panic(http.ErrAbortHandler)
+	default:
+		answer(writer, http.StatusCreated, logservice.AppendAnswer{Offset: result.offset})
+	}
+}
+
+func (platform *Platform) serveRead(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil || from < 0 {
+		http.Error(writer, "from must be an offset", http.StatusBadRequest)
+		return
+	}
+	most, err := strconv.Atoi(query.Get("max"))
+	if err != nil || most < 1 {
+		http.Error(writer, "max must be a count", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		wait = 0
+	}
+	page, up := platform.log.waitRead(request.Context(), request.PathValue("stream"), logservice.ReadOptions{
+		From: from,
+		Max:  min(most, readMaxLimit),
+		Wait: min(wait, longestWait),
+	})
+	switch {
+	case !up:
+		http.Error(writer, "outage", http.StatusServiceUnavailable)
+	case from < page.Earliest:
+		answer(writer, http.StatusGone, logservice.Page{Earliest: page.Earliest, Next: page.Next})
+	default:
+		answer(writer, http.StatusOK, page)
+	}
+}
+
+func (platform *Platform) serveInstances(writer http.ResponseWriter, _ *http.Request) {
+	answer(writer, http.StatusOK, platform.Instances())
+}
+
+func (platform *Platform) serveInstanceState(writer http.ResponseWriter, request *http.Request) {
+	if !platform.setState(request.PathValue("name"), request.PathValue("state")) {
+		http.Error(writer, "no instance of that name, or not one of live, leaving, gone", http.StatusNotFound)
+		return
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (platform *Platform) serveLogState(writer http.ResponseWriter, request *http.Request) {
+	switch request.PathValue("state") {
+	case "up":
+		platform.log.SetDown(false)
+	case "down":
+		platform.log.SetDown(true)
+	default:
+		http.Error(writer, "the state must be up or down", http.StatusNotFound)
+		return
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+// Handler serves the platform's interface to one worker.
+func (fake *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /capacity", func(writer http.ResponseWriter, _ *http.Request) {
+		answer(writer, http.StatusOK, fake.options.Capacity)
+	})
+	mux.HandleFunc("GET /usage", func(writer http.ResponseWriter, _ *http.Request) {
+		answer(writer, http.StatusOK, fake.usage())
+	})
+	mux.HandleFunc("GET /tasks", func(writer http.ResponseWriter, _ *http.Request) {
+		answer(writer, http.StatusOK, fake.list())
+	})
+	mux.HandleFunc("PUT /tasks/{task}", fake.serveStart)
+	mux.HandleFunc("POST /tasks/{task}/stop", fake.attemptHandler(func(each *running, _ attemptRequest) {
+		if each.Phase == worker.Running {
+			each.Phase = worker.Stopping
+		}
+	}))
+	mux.HandleFunc("POST /tasks/{task}/throttle", fake.attemptHandler(func(each *running, asked attemptRequest) {
+		each.throttle = asked.Share
+	}))
+	mux.HandleFunc("DELETE /tasks/{task}", fake.attemptHandler(func(each *running, _ attemptRequest) {
+		if ended(each.Phase) {
+			delete(fake.tasks, each.Task.Task)
+		}
+	}))
+	mux.HandleFunc("POST /leases", fake.serveRenew)
+	mux.HandleFunc("GET /tasks/{task}/stream", fake.serveStream)
+	return mux
+}
+
+type attemptRequest struct {
+	Attempt uint64  `json:"attempt"`
+	Share   float64 `json:"share"`
+}
+
+func (fake *Worker) serveStart(writer http.ResponseWriter, request *http.Request) {
+	var start worker.Start
+	if !decode(writer, request, &start) {
+		return
+	}
+	stale, failure := fake.start(start, time.Now())
+	switch {
+	case stale:
+		http.Error(writer, "a newer attempt is known", http.StatusConflict)
+	case failure != "":
+		http.Error(writer, failure, http.StatusUnprocessableEntity)
+	default:
+		writer.WriteHeader(http.StatusCreated)
+	}
+}
+
+func (fake *Worker) attemptHandler(change func(each *running, asked attemptRequest)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		var asked attemptRequest
+		if !decode(writer, request, &asked) {
+			return
+		}
+		current := fake.withAttempt(request.PathValue("task"), asked.Attempt, func(each *running) { change(each, asked) })
+		if !current {
+			http.Error(writer, "no such attempt", http.StatusConflict)
+			return
+		}
+		writer.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (fake *Worker) serveRenew(writer http.ResponseWriter, request *http.Request) {
+	var renewals []worker.Renewal
+	if !decode(writer, request, &renewals) {
+		return
+	}
+	for _, renewal := range renewals {
+		fake.withAttempt(renewal.Task, renewal.Attempt, func(each *running) {
+			each.LeaseEnd = max(each.LeaseEnd, renewal.LeaseEnd)
+		})
+	}
+	writer.WriteHeader(http.StatusAccepted)
+}
+
+func (fake *Worker) serveStream(writer http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(writer, "after must be a sequence number", http.StatusBadRequest)
+		return
+	}
+	flusher := http.NewResponseController(writer)
+	writer.Header().Set("Content-Type", "application/jsonl")
+	encoder := json.NewEncoder(writer)
+	for {
+		outputs, over, grown := fake.outputs(request.PathValue("task"), after)
+		for _, output := range outputs {
+			if err := encoder.Encode(output); err != nil {
+				return
+			}
+			after = output.Sequence
+		}
+		if over {
+			_ = encoder.Encode(worker.Output{Sequence: after, Last: true})
+			return
+		}
+		if err := flusher.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-grown:
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func decode(writer http.ResponseWriter, request *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxBody)).Decode(into); err != nil {
+		http.Error(writer, "the body can't be read: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
--- /dev/null
+++ b/state/worker.go
@@ -0,0 +1,72 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"ambertiller.example/ambertiller/record"
+)
+
+// Draining reports whether an operator is emptying the worker.
+func (folded *State) Draining(worker string) bool { return folded.workers[worker].GetDraining() }
+
+// Suspicion returns the number of the suspicion that the worker is under, zero
+// when it is under none. While it is, nobody renews leases on the worker.
+func (folded *State) Suspicion(worker string) uint64 {
+	if !folded.workers[worker].GetSuspected() {
+		return 0
+	}
+	return folded.workers[worker].GetSuspicions()
+}
+
+// Suspects returns the suspected workers, by name.
+func (folded *State) Suspects() []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(folded.workers)) {
+		if folded.Suspicion(name) != 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (folded *State) worker(name string) *record.WorkerState {
+	worker, found := folded.workers[name]
+	if !found {
+		worker = &record.WorkerState{Worker: name}
+		folded.workers[name] = worker
+	}
+	return worker
+}
+
+func (folded *State) drainWorker(drain *record.WorkerDrain) Reason {
+	if !validName(drain.GetWorker()) {
+		return ReasonInvalid
+	}
+	if folded.Draining(drain.GetWorker()) == drain.GetDraining() {
+		return ReasonPhase
+	}
+	folded.worker(drain.GetWorker()).Draining = drain.GetDraining()
+	return ""
+}
+
+func (folded *State) suspectWorker(suspect *record.WorkerSuspect) Reason {
+	if !validName(suspect.GetWorker()) {
+		return ReasonInvalid
+	}
+	present := folded.Suspicion(suspect.GetWorker())
+	if suspect.GetCleared() {
+		if present == 0 || present != suspect.GetSuspicion() {
+			return ReasonStale
+		}
+		folded.worker(suspect.GetWorker()).Suspected = false
+		return ""
+	}
+	if present != 0 {
+		return ReasonExists
+	}
+	worker := folded.worker(suspect.GetWorker())
+	worker.Suspected = true
+	worker.Suspicions++
+	return ""
+}
--- /dev/null
+++ b/worker/client.go
@@ -0,0 +1,148 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+const maxAnswerBytes = 16 << 20
+
+// Client speaks to a worker over HTTP.
+type Client struct {
+	base       string
+	httpClient *http.Client
+}
+
+// NewClient returns a Client for the worker at the base URL.
+func NewClient(base string, httpClient *http.Client) *Client {
+	return &Client{base: base, httpClient: httpClient}
+}
+
+var _ Worker = (*Client)(nil)
+
+// Capacity returns what the worker has.
+func (client *Client) Capacity(ctx context.Context) (Capacity, error) {
+	var capacity Capacity
+	err := client.get(ctx, "/capacity", &capacity)
+	return capacity, err
+}
+
+// Usage returns what the worker measured last.
+func (client *Client) Usage(ctx context.Context) (Usage, error) {
+	var usage Usage
+	err := client.get(ctx, "/usage", &usage)
+	return usage, err
+}
+
+// Tasks returns every attempt that runs, or has ended and isn't forgotten.
+func (client *Client) Tasks(ctx context.Context) (Listing, error) {
+	var listing Listing
+	err := client.get(ctx, "/tasks", &listing)
+	return listing, err
+}
+
+// Start starts an attempt.
+func (client *Client) Start(ctx context.Context, start Start) error {
+	return client.send(ctx, http.MethodPut, "/tasks/"+url.PathEscape(start.Task), start)
+}
+
+// attemptBody is the body of calls on one attempt.
+type attemptBody struct {
+	Attempt uint64  `json:"attempt"`
+	Share   float64 `json:"share,omitempty"`
+}
+
+// Stop checkpoints and stops an attempt.
+func (client *Client) Stop(ctx context.Context, task string, attempt uint64) error {
+	return client.send(ctx, http.MethodPost, "/tasks/"+url.PathEscape(task)+"/stop", attemptBody{Attempt: attempt})
+}
+
+// Throttle bounds an attempt to a share of its processors.
+func (client *Client) Throttle(ctx context.Context, task string, attempt uint64, share float64) error {
+	return client.send(ctx, http.MethodPost, "/tasks/"+url.PathEscape(task)+"/throttle", attemptBody{Attempt: attempt, Share: share})
+}
+
+// Renew extends leases.
+func (client *Client) Renew(ctx context.Context, renewals []Renewal) error {
+	return client.send(ctx, http.MethodPost, "/leases", renewals)
+}
+
+// Forget drops an attempt that has ended.
+func (client *Client) Forget(ctx context.Context, task string, attempt uint64) error {
+	return client.send(ctx, http.MethodDelete, "/tasks/"+url.PathEscape(task), attemptBody{Attempt: attempt})
+}
+
+// Follow streams what a watch produces after a sequence number.
+func (client *Client) Follow(ctx context.Context, task string, after uint64) (io.ReadCloser, error) {
+	path := client.base + "/tasks/" + url.PathEscape(task) + "/stream?after=" + strconv.FormatUint(after, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "follow task")
+	}
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "follow task")
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, errors.Errorf("follow task: the worker answered %s", response.Status)
+	}
+	return response.Body, nil
+}
+
+func (client *Client) get(ctx context.Context, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.base+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "ask worker")
+	}
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask worker")
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("ask worker %s: it answered %s", path, response.Status)
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into), "ask worker "+path)
+}
+
+func (client *Client) send(ctx context.Context, method, path string, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, client.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return errors.Wrap(err, "tell worker")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "tell worker")
+	}
+	defer closeBody(response)
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusAccepted, http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return ErrStale
+	case http.StatusUnprocessableEntity, http.StatusInsufficientStorage, http.StatusBadRequest:
+		message, _ := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+		return &RejectedError{message: string(bytes.TrimSpace(message))}
+	}
+	return errors.Errorf("tell worker %s: it answered %s", path, response.Status)
+}
+
+const maxMessageBytes = 1 << 10
+
+func closeBody(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+	_ = response.Body.Close()
+}
