--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/metric"
 
@@ -50,6 +51,10 @@
 	retryBurst      = 20
 	defaultRatio    = 0.1
 	mostInFlight    = 4096
+	// hearTime is how long a new entry waits to hear of a backend server for
+	// each service before it takes requests all the same: by then every guard
+	// that can reach it has read the platform's list and reported.
+	hearTime = 5 * time.Second
 	// staleLog is how old the newest whole read of the log may be before the
 	// log counts as down.
 	staleLog = 3 * time.Second
@@ -73,6 +78,7 @@
 // Entry is the process that callers and operators reach.
 type Entry struct {
 	options  Options
+	began    time.Time
 	log      *journal.Journal
 	view     *membership.View
 	table    *route.Table
@@ -101,6 +107,7 @@
 	}
 	entry := &Entry{
 		options:  options,
+		began:    options.Clock.Now(),
 		log:      options.Journal,
 		view:     membership.NewView(defaultSilent),
 		table:    route.NewTable(options.FailureDomain),
@@ -131,9 +138,18 @@
 	if entry.leaving.Load() {
 		return errLeaving
 	}
-	if entry.shelf.Config() == nil {
+	settings := entry.shelf.Config()
+	if settings == nil {
 		return errNoConfig
 	}
+	if entry.now().Sub(entry.began) > hearTime {
+		return nil
+	}
+	for service := range settings.Services() {
+		if !entry.table.Usable(service) {
+			return errors.Errorf("no guard of service %s has been heard since the start", service)
+		}
+	}
 	return nil
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -23,6 +23,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -276,6 +277,17 @@
 	return before + time.Duration(smoothWeight*float64(reading-before))
 }
 
+// Usable reports whether some backend server of the service is ready.
+func (table *Table) Usable(name string) bool {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	named, found := table.services[name]
+	if !found {
+		return false
+	}
+	return slices.ContainsFunc(named.targets, func(target *Target) bool { return target.ready })
+}
+
 // InFlight returns how many requests of a service this entry has under way.
 func (table *Table) InFlight(name string) int {
 	table.mu.Lock()
