Golden sessions with fake clocks; an unknown outcome stays unknown

Cause: sessions of caller, operator and failure had no golden record. Writing them showed a wrong 'not run': a request whose first try may have run and whose second try found no server was answered 'not run' by the last try alone. Ruled out: the guard's judgement (it said unknown). Change: runCall remembers that some try may have run; giveUp ends every path.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -173,6 +173,9 @@
 	}
 }
 
+// RecordEnds makes one round of recording the ends of claims.
+func (entry *Entry) RecordEnds(ctx context.Context) { entry.claims.flush(ctx) }
+
 // mostEnds is how many ends are recorded in one append.
 const mostEnds = 128
 
--- a/entry/clean.go
+++ b/entry/clean.go
@@ -12,8 +12,8 @@
 // mostForgotten bounds how much is forgotten in one append.
 const mostForgotten = 200
 
-// clean suspects silent workers and forgets what is past its time.
-func (entry *Entry) clean(ctx context.Context) {
+// Clean suspects silent workers and forgets what is past its time.
+func (entry *Entry) Clean(ctx context.Context) {
 	entry.watchSilence(ctx)
 	now := entry.now()
 	settings := entry.shelf.Config()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,8 @@
 	suspects suspects
 	moved    chan struct{}
 	leave    sync.Once
+	// background counts the actions that follow a decision.
+	background sync.WaitGroup
 }
 
 // New returns an entry that knows nothing yet.
@@ -157,12 +159,13 @@
 func (entry *Entry) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { entry.followDocuments(ctx) })
-	loops.Go(func() { entry.every(ctx, listInterval, entry.readList) })
-	loops.Go(func() { entry.every(ctx, peerInterval, entry.askPeers) })
-	loops.Go(func() { entry.every(ctx, janitorInterval, entry.clean) })
+	loops.Go(func() { entry.every(ctx, listInterval, entry.ReadList) })
+	loops.Go(func() { entry.every(ctx, peerInterval, entry.AskPeers) })
+	loops.Go(func() { entry.every(ctx, janitorInterval, entry.Clean) })
 	loops.Go(func() { entry.claims.run(ctx) })
 	loops.Go(func() { entry.placeLoop(ctx) })
 	loops.Wait()
+	entry.background.Wait()
 }
 
 func (entry *Entry) every(ctx context.Context, interval time.Duration, work func(ctx context.Context)) {
@@ -187,6 +190,9 @@
 	})
 }
 
+// Finish waits until the actions that followed earlier decisions have ended.
+func (entry *Entry) Finish() { entry.background.Wait() }
+
 // Settle waits until the ends of all claims are recorded, or ctx ends. The
 // listener must have finished its requests before.
 func (entry *Entry) Settle(ctx context.Context) error {
@@ -207,11 +213,7 @@
 func (entry *Entry) followDocuments(ctx context.Context) {
 	for {
 		changed := entry.log.Changed()
-		entry.log.View(func(folded *state.State) {
-			for _, accepted := range folded.Documents() {
-				entry.offer(ctx, document.Copy{Name: accepted.GetName(), Version: accepted.GetVersion(), Content: accepted.GetContent()})
-			}
-		})
+		entry.SyncDocuments(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -220,8 +222,17 @@
 	}
 }
 
-// readList reads the platform's list and notes which guards have gone silent.
-func (entry *Entry) readList(ctx context.Context) {
+// SyncDocuments puts the newest documents of the state in force.
+func (entry *Entry) SyncDocuments(ctx context.Context) {
+	entry.log.View(func(folded *state.State) {
+		for _, accepted := range folded.Documents() {
+			entry.offer(ctx, document.Copy{Name: accepted.GetName(), Version: accepted.GetVersion(), Content: accepted.GetContent()})
+		}
+	})
+}
+
+// ReadList reads the platform's list and notes which guards have gone silent.
+func (entry *Entry) ReadList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if list, err := entry.options.Instances.List(ctx); err == nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -35,6 +35,7 @@
 	app.OnErrorCode(iris.StatusMethodNotAllowed, func(ctx iris.Context) {
 		writeProblem(ctx.ResponseWriter(), problem(http.StatusMethodNotAllowed, api.TypeMethod, "The method is not allowed here", ctx.Method()+" "+ctx.Path()))
 	})
+	app.Configure(iris.WithFireMethodNotAllowed, iris.WithoutServerError(iris.ErrServerClosed))
 	if err := app.Build(); err != nil {
 		return nil, errors.Wrap(err, "build routes")
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -55,7 +55,7 @@
 	ticker := entry.options.Clock.NewTicker(placeInterval)
 	defer ticker.Stop()
 	for {
-		entry.placer.round(ctx, entry.now())
+		entry.Place(ctx, entry.now())
 		select {
 		case <-ctx.Done():
 			return
@@ -64,6 +64,9 @@
 	}
 }
 
+// Place makes one round of placements.
+func (entry *Entry) Place(ctx context.Context, now time.Time) { entry.placer.round(ctx, now) }
+
 // assignment is one proposed placement.
 type assignment struct {
 	task     *record.TaskAssign
@@ -185,7 +188,7 @@
 	}
 	entry.metrics.decided(ctx, "placed")
 	logPlaced(ctx, entry.options.Events, each)
-	go entry.start(ctx, each.task.GetTask(), each.attempt)
+	entry.background.Go(func() { entry.start(ctx, each.task.GetTask(), each.attempt) })
 }
 
 func logPlaced(ctx context.Context, events *event.Logger, each *assignment) {
--- a/entry/report.go
+++ b/entry/report.go
@@ -32,7 +32,7 @@
 	reply.Grants = verdicts.grants
 	if len(verdicts.records) > 0 || len(verdicts.stops) > 0 || len(verdicts.starts) > 0 {
 		// The guard is answered first; it hears of the outcome next time.
-		go entry.act(context.WithoutCancel(ctx), guard, verdicts)
+		entry.background.Go(func() { entry.act(context.WithoutCancel(ctx), guard, verdicts) })
 	}
 	return reply, nil
 }
@@ -184,7 +184,9 @@
 // act records the ends of attempts and sends stops and offers.
 func (entry *Entry) act(ctx context.Context, guard *membership.Guard, made *verdicts) {
 	if len(made.records) > 0 && entry.logUp(entry.now()) {
-		entry.noteRecorded(ctx, made.records, entry.propose(ctx, made.records...))
+		outcomes := entry.propose(ctx, made.records...)
+		entry.noteRecorded(ctx, made.records, outcomes)
+		made.stops = append(made.stops, evicted(guard, made.records, outcomes)...)
 	}
 	for _, task := range made.starts {
 		entry.start(ctx, task.ID(), task.Attempt())
@@ -194,6 +196,21 @@
 	}
 }
 
+// evicted returns the stops of the attempts whose eviction took effect.
+func evicted(guard *membership.Guard, records []*record.Record, outcomes []state.Outcome) []*wire.StopRequest {
+	var stops []*wire.StopRequest
+	for index, outcome := range outcomes {
+		evict := records[index].GetTaskEvict()
+		if evict == nil || !outcome.Accepted() {
+			continue
+		}
+		stops = append(stops, &wire.StopRequest{
+			Task: evict.GetTask(), Attempt: evict.GetAttempt(), Incarnation: guard.Incarnation(), Reason: evict.GetReason(),
+		})
+	}
+	return stops
+}
+
 func (entry *Entry) noteRecorded(ctx context.Context, records []*record.Record, outcomes []state.Outcome) {
 	for index, outcome := range outcomes {
 		if !outcome.Accepted() {
@@ -239,9 +256,9 @@
 	}, nil
 }
 
-// askPeers learns which other entries are there, and takes over documents that
+// AskPeers learns which other entries are there, and takes over documents that
 // they have and the log has not brought here.
-func (entry *Entry) askPeers(ctx context.Context) {
+func (entry *Entry) AskPeers(ctx context.Context) {
 	var calls sync.WaitGroup
 	for _, peer := range entry.view.Entries() {
 		if peer.Name == entry.options.Name {
@@ -275,7 +292,7 @@
 	}
 	for _, each := range held {
 		if each.GetVersion() > mine[each.GetName()] {
-			go entry.fetchFromGuard(context.WithoutCancel(ctx), address)
+			entry.background.Go(func() { entry.fetchFromGuard(context.WithoutCancel(ctx), address) })
 			return
 		}
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -47,7 +47,8 @@
 	now := entry.now()
 	made, sent := entry.readCall(writer, request, service, path, now)
 	if sent == nil {
-		ctx, cancel := context.WithDeadline(request.Context(), made.deadline)
+		// By the span and not the point: only the entry's clock knows the latter.
+		ctx, cancel := context.WithTimeout(request.Context(), made.deadline.Sub(now))
 		defer cancel()
 		sent = entry.admitAndRun(ctx, writer, made)
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -49,6 +49,9 @@
 func (entry *Entry) runCall(ctx context.Context, writer http.ResponseWriter, made *call, held *heldClaim) *api.Problem {
 	entry.retries.Deposit()
 	var tried []string
+	// maybe is set once a backend server may have run the request. Whatever
+	// comes after, it can't be called not run any more.
+	maybe := false
 	for {
 		picked, err := entry.table.Wait(ctx, made.service, tried, route.Bounds{
 			Most:     made.settings.Queue(),
@@ -56,8 +59,7 @@
 			Now:      entry.now,
 		})
 		if err != nil {
-			entry.releaseClaim(ctx, held)
-			return shedProblem(err)
+			return entry.giveUp(ctx, held, maybe, shedProblem(err))
 		}
 		ended := entry.send(ctx, writer, made, picked)
 		entry.noteTry(ctx, made, picked, ended)
@@ -71,21 +73,28 @@
 			// has part of the answer that it is not whole.
 			panic(http.ErrAbortHandler)
 		}
+		maybe = maybe || ended.fate == fateUnknown
 		tried = append(tried, picked.Target().Name())
 		if entry.mayRetry(made, ended, len(tried)) {
 			entry.options.Events.Log(ctx, event.RequestRetried, slog.String("request", made.id),
 				slog.String("worker", picked.Target().Name()), slog.String("reason", ended.detail))
 			continue
 		}
-		if ended.fate == fateNotRun {
-			entry.releaseClaim(ctx, held)
-			return notRun(ended.detail, entry.retryAfter(made.service))
-		}
-		entry.finishClaim(held, 0, true)
-		return unknown(unknownStatus(ctx), ended.detail)
+		return entry.giveUp(ctx, held, maybe, notRun(ended.detail, entry.retryAfter(made.service)))
 	}
 }
 
+// giveUp ends the claim and returns the final answer of a request that got
+// none: the problem given, unless the request may have run.
+func (entry *Entry) giveUp(ctx context.Context, held *heldClaim, maybe bool, sent *api.Problem) *api.Problem {
+	if !maybe {
+		entry.releaseClaim(ctx, held)
+		return sent
+	}
+	entry.finishClaim(held, 0, true)
+	return unknown(unknownStatus(ctx), sent.Detail)
+}
+
 func unknownStatus(ctx context.Context) int {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return http.StatusGatewayTimeout
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -357,7 +357,7 @@
 		if guard := entry.view.Guard(task.Worker()); guard != nil {
 			made = &verdicts{}
 			made.stops = append(made.stops, stopOf(task, guard))
-			go entry.act(ctx, guard, made)
+			entry.background.Go(func() { entry.act(ctx, guard, made) })
 		}
 	})
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -183,7 +183,7 @@
 func (guard *Guard) Leave(ctx context.Context) {
 	guard.gate.Leave()
 	guard.options.Events.Log(ctx, event.GuardLeaving)
-	guard.reportAll(ctx)
+	guard.ReportAll(ctx)
 	guard.leave()
 }
 
--- a/guard/report.go
+++ b/guard/report.go
@@ -88,7 +88,7 @@
 	ticker := guard.options.Clock.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
-		guard.reportAll(ctx)
+		guard.ReportAll(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -102,7 +102,7 @@
 	ticker := guard.options.Clock.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
-		guard.readList(ctx)
+		guard.ReadList(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -111,8 +111,8 @@
 	}
 }
 
-// readList learns where the entries are. An unreadable list changes nothing.
-func (guard *Guard) readList(ctx context.Context) {
+// ReadList learns where the entries are. An unreadable list changes nothing.
+func (guard *Guard) ReadList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	list, err := guard.options.Instances.List(ctx)
@@ -129,19 +129,20 @@
 	}
 }
 
-// reportAll tells every entry what the guard carries.
-func (guard *Guard) reportAll(ctx context.Context) {
+// ReportAll tells every entry what the guard carries.
+func (guard *Guard) ReportAll(ctx context.Context) {
 	guard.mu.Lock()
 	entries := slices.Clone(guard.entries)
 	guard.mu.Unlock()
 	var calls sync.WaitGroup
 	for _, entry := range entries {
-		calls.Go(func() { guard.reportTo(ctx, entry) })
+		calls.Go(func() { guard.ReportTo(ctx, entry) })
 	}
 	calls.Wait()
 }
 
-func (guard *Guard) reportTo(ctx context.Context, entry instances.Instance) {
+// ReportTo tells one entry what the guard carries and follows its reply.
+func (guard *Guard) ReportTo(ctx context.Context, entry instances.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := wire.NewDRPCEntryClient(guard.options.Pool.Conn(entry.Address))
--- a/guard/task.go
+++ b/guard/task.go
@@ -138,20 +138,23 @@
 // implements the drpc service.
 func (guard *Guard) Stop(ctx context.Context, request *wire.StopRequest) (*wire.StopReply, error) {
 	now := guard.options.Clock.Now()
-	running, refusal := guard.bar(request, now)
+	running, again, refusal := guard.bar(request, now)
 	if !running {
 		return &wire.StopReply{Refusal: refusal}, nil
 	}
 	if err := guard.options.Worker.Stop(ctx, request.GetTask(), request.GetAttempt()); err != nil {
 		return nil, errors.Wrap(err, "stop attempt")
 	}
-	guard.options.Events.Log(ctx, event.TaskStopped, attrTask(request.GetTask()), attrAttempt(request.GetAttempt()), attrReason(request.GetReason()))
+	if !again {
+		guard.options.Events.Log(ctx, event.TaskStopped, attrTask(request.GetTask()), attrAttempt(request.GetAttempt()), attrReason(request.GetReason()))
+	}
 	return &wire.StopReply{Accepted: true}, nil
 }
 
-// bar sets a barrier against the attempt and reports whether it runs here. The
-// refusal proves that it does not and will not.
-func (guard *Guard) bar(request *wire.StopRequest, now time.Time) (bool, *wire.Refusal) {
+// bar sets a barrier against the attempt and reports whether it runs here, and
+// whether it was being stopped before. The refusal proves that it does not and
+// will not run.
+func (guard *Guard) bar(request *wire.StopRequest, now time.Time) (running, again bool, refusal *wire.Refusal) {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
 	guard.pruneBarriers(now)
@@ -162,13 +165,14 @@
 	}
 	each := guard.attempts[request.GetTask()]
 	if each != nil && each.number == request.GetAttempt() && !each.ended() {
+		again = each.phase == wire.TaskPhase_TASK_STOPPING
 		each.phase = wire.TaskPhase_TASK_STOPPING
-		return true, nil
+		return true, again, nil
 	}
 	if each != nil && each.number == request.GetAttempt() {
-		return false, &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_STALE_ATTEMPT, Detail: "the attempt has ended"}
+		return false, false, &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_STALE_ATTEMPT, Detail: "the attempt has ended"}
 	}
-	return false, notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt is not here and won't start here")
+	return false, false, notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt is not here and won't start here")
 }
 
 func (guard *Guard) pruneBarriers(now time.Time) {
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -74,21 +74,36 @@
 	}
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool keeps client connections by address. It may be used by many goroutines.
 type Pool struct {
-	conns  *drpcpool.Pool[string, drpcpool.Conn]
-	client *tls.Config
+	conns *drpcpool.Pool[string, drpcpool.Conn]
+	open  Dial
 }
 
-// NewPool returns an empty pool. With a nil configuration connections are plain.
+// NewPool returns an empty pool of TCP connections. With a nil configuration
+// they are plain.
 func NewPool(client *tls.Config) *Pool {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return NewPoolDialing(func(ctx context.Context, address string) (net.Conn, error) {
+		if client == nil {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+		return (&tls.Dialer{NetDialer: dialer, Config: client}).DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewPoolDialing returns an empty pool of connections that open makes.
+func NewPoolDialing(open Dial) *Pool {
 	return &Pool{
 		conns: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			Capacity:    poolCapacity,
 			KeyCapacity: poolAddressMost,
 		}),
-		client: client,
+		open: open,
 	}
 }
 
@@ -104,14 +119,7 @@
 }
 
 func (pool *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	var raw net.Conn
-	var err error
-	if pool.client == nil {
-		raw, err = dialer.DialContext(ctx, "tcp", address)
-	} else {
-		raw, err = (&tls.Dialer{NetDialer: dialer, Config: pool.client}).DialContext(ctx, "tcp", address)
-	}
+	raw, err := pool.open(ctx, address)
 	if err != nil {
 		return nil, &DialError{address: address, cause: err}
 	}
@@ -127,10 +135,6 @@
 // Listen opens the address and registers services. With a nil configuration
 // connections are plain.
 func Listen(ctx context.Context, address string, server *tls.Config, register func(mux *drpcmux.Mux) error) (*Server, error) {
-	mux := drpcmux.New()
-	if err := register(mux); err != nil {
-		return nil, errors.Wrap(err, "register calls")
-	}
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for calls")
@@ -138,6 +142,15 @@
 	if server != nil {
 		listener = tls.NewListener(listener, server)
 	}
+	return NewServer(listener, register)
+}
+
+// NewServer registers services on a listener that is open.
+func NewServer(listener net.Listener, register func(mux *drpcmux.Mux) error) (*Server, error) {
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return nil, errors.Wrap(err, "register calls")
+	}
 	return &Server{
 		listener: listener,
 		handler:  drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
--- /dev/null
+++ b/session/harness_test.go
@@ -0,0 +1,467 @@
+// Package session_test runs whole sessions of entries and guards in one
+// process, with a fake clock and a network in memory, and compares what was
+// said and logged with golden files.
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/entry"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/examples"
+	"ambertiller.example/ambertiller/guard"
+	"ambertiller.example/ambertiller/instances"
+	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/standin"
+	"ambertiller.example/ambertiller/state"
+	"ambertiller.example/ambertiller/wire"
+	"ambertiller.example/ambertiller/worker"
+)
+
+var sessionStart = time.Date(2026, 3, 4, 9, 0, 0, 0, time.UTC)
+
+const gibibyte = 1 << 30
+
+// network connects addresses in memory. A cut address can't be dialled, and
+// its connections are broken off.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	cut       map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*pipeListener{}, cut: map[string]bool{}}
+}
+
+func (links *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	links.mu.Lock()
+	listener, found := links.listeners[address]
+	cut := links.cut[address]
+	links.mu.Unlock()
+	if !found || cut {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case listener.accepted <- far:
+		listener.add(near)
+		return near, nil
+	case <-listener.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (links *network) listen(address string) *pipeListener {
+	links.mu.Lock()
+	defer links.mu.Unlock()
+	listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{}), address: address}
+	links.listeners[address] = listener
+	return listener
+}
+
+// setCut cuts an address off, or joins it again.
+func (links *network) setCut(address string, cut bool) {
+	links.mu.Lock()
+	defer links.mu.Unlock()
+	links.cut[address] = cut
+	if listener := links.listeners[address]; cut && listener != nil {
+		listener.breakOff()
+	}
+}
+
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+	address  string
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (listener *pipeListener) add(conn net.Conn) {
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	listener.conns = append(listener.conns, conn)
+}
+
+func (listener *pipeListener) breakOff() {
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	for _, conn := range listener.conns {
+		_ = conn.Close()
+	}
+	listener.conns = nil
+}
+
+func (listener *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-listener.accepted:
+		return conn, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (listener *pipeListener) Close() error {
+	listener.once.Do(func() { close(listener.closed) })
+	return nil
+}
+
+func (listener *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: listener.address} }
+
+// bench holds one session.
+type bench struct {
+	t        *testing.T
+	ctx      context.Context
+	clock    *clockwork.FakeClock
+	log      *standin.Log
+	links    *network
+	list     []instances.Instance
+	entries  map[string]*seatedEntry
+	guards   map[string]*seatedGuard
+	workers  map[string]*standin.Worker
+	backends map[string]http.Handler
+	said     transcript
+}
+
+type seatedEntry struct {
+	role    *entry.Entry
+	journal *journal.Journal
+	handler http.Handler
+	address string
+	stop    context.CancelFunc
+	log     *switchedLog
+}
+
+type seatedGuard struct {
+	role    *guard.Guard
+	address string
+	stop    context.CancelFunc
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return &bench{
+		t:        t,
+		ctx:      ctx,
+		clock:    clockwork.NewFakeClockAt(sessionStart),
+		log:      standin.NewLog(0),
+		links:    newNetwork(),
+		entries:  map[string]*seatedEntry{},
+		guards:   map[string]*seatedGuard{},
+		workers:  map[string]*standin.Worker{},
+		backends: map[string]http.Handler{},
+		said:     transcript{names: map[string]string{}},
+	}
+}
+
+// List implements instances.Lister.
+func (made *bench) List(context.Context) ([]instances.Instance, error) { return made.list, nil }
+
+// events returns a logger whose lines go into the transcript.
+func (made *bench) events(name string) *event.Logger {
+	options := &slog.HandlerOptions{ReplaceAttr: func(_ []string, attribute slog.Attr) slog.Attr {
+		switch attribute.Key {
+		case slog.TimeKey, "took":
+			return slog.Attr{}
+		}
+		return attribute
+	}}
+	return event.New(slog.New(slog.NewTextHandler(&lineWriter{said: &made.said, name: name}, options)))
+}
+
+func (made *bench) addEntry(name, domain string) *seatedEntry {
+	made.t.Helper()
+	address := name + ":rpc"
+	made.list = append(made.list, instances.Instance{Name: name, Role: instances.Entry, Address: address, FailureDomain: domain, State: instances.Live})
+	return made.startEntry(name, domain)
+}
+
+// startEntry starts an entry that is on the list, with empty memory.
+func (made *bench) startEntry(name, domain string) *seatedEntry {
+	made.t.Helper()
+	ctx, stop := context.WithCancel(made.ctx)
+	log := &switchedLog{Log: made.log}
+	kept := journal.New(log, journal.Options{Writer: name, AppendsPerSecond: 1e6, Clock: made.clock, Events: made.events(name)})
+	go kept.Run(ctx)
+	role := entry.New(entry.Options{
+		Name: name, FailureDomain: domain, Journal: kept, Instances: made,
+		Pool: rpc.NewPoolDialing(made.links.dial), Clock: made.clock, Events: made.events(name),
+	})
+	handler, err := role.Handler()
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	seated := &seatedEntry{role: role, journal: kept, handler: handler, address: name + ":rpc", stop: stop, log: log}
+	made.serve(ctx, seated.address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterEntry(mux, role) })
+	made.entries[name] = seated
+	made.await("the entry reads the log", func() bool { return kept.Ready() == nil || made.log.IsDown() })
+	role.SyncDocuments(ctx)
+	role.ReadList(ctx)
+	return seated
+}
+
+func (made *bench) serve(ctx context.Context, address string, register func(mux *drpcmux.Mux) error) {
+	server, err := rpc.NewServer(made.links.listen(address), register)
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx) }()
+}
+
+func (made *bench) addWorker(name, domain string) *seatedGuard {
+	made.t.Helper()
+	address := name + ":rpc"
+	made.list = append(made.list, instances.Instance{Name: name, Role: instances.Guard, Address: address, FailureDomain: domain, State: instances.Live})
+	made.workers[name] = standin.NewWorker(standin.WorkerOptions{
+		Name:     name,
+		Capacity: worker.Capacity{MilliCPU: 32_000, MemoryBytes: 125 * gibibyte, Accelerators: 1, Rack: "rack-1"},
+	})
+	made.backends[name] = standin.NewBackend(name, 0)
+	return made.startGuard(name, domain)
+}
+
+// startGuard starts a guard of a worker that is there, as a new incarnation.
+func (made *bench) startGuard(name, domain string) *seatedGuard {
+	made.t.Helper()
+	ctx, stop := context.WithCancel(made.ctx)
+	backend := httptest.NewServer(made.backends[name])
+	made.t.Cleanup(backend.Close)
+	role := guard.New(guard.Options{
+		Name: name, Address: name + ":rpc", FailureDomain: domain, Service: "verbale", BackendURL: backend.URL,
+		Worker: made.workers[name].Direct(), Instances: made, Pool: rpc.NewPoolDialing(made.links.dial),
+		Clock: made.clock, Events: made.events(name),
+	})
+	made.serve(ctx, name+":rpc", func(mux *drpcmux.Mux) error { return wire.DRPCRegisterGuard(mux, role) })
+	seated := &seatedGuard{role: role, address: name + ":rpc", stop: stop}
+	made.guards[name] = seated
+	if err := role.Poll(ctx); err != nil {
+		made.t.Fatal(err)
+	}
+	role.ReadList(ctx)
+	return seated
+}
+
+// kill ends an instance without any goodbye.
+func (made *bench) kill(name string) {
+	made.links.mu.Lock()
+	listener := made.links.listeners[name+":rpc"]
+	delete(made.links.listeners, name+":rpc")
+	made.links.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+		listener.breakOff()
+	}
+	if seated, found := made.entries[name]; found {
+		seated.stop()
+		delete(made.entries, name)
+	}
+	if seated, found := made.guards[name]; found {
+		seated.stop()
+		delete(made.guards, name)
+	}
+}
+
+// await spins until the condition holds.
+func (made *bench) await(what string, holds func() bool) {
+	made.t.Helper()
+	deadline := time.Now().Add(time.Minute)
+	for !holds() {
+		if time.Now().After(deadline) {
+			made.t.Fatalf("waited in vain: %s", what)
+		}
+		runtime.Gosched()
+	}
+}
+
+// pass lets time pass for everything, and then lets every entry read the log.
+func (made *bench) pass(span time.Duration) {
+	made.t.Helper()
+	made.clock.Advance(span)
+	now := made.clock.Now()
+	for _, fake := range made.workers {
+		fake.Step(now, span)
+	}
+	made.catchUp()
+}
+
+// catchUp lets every entry read the log to its end.
+func (made *bench) catchUp() {
+	made.t.Helper()
+	now := made.clock.Now()
+	if made.log.IsDown() {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(made.entries)) {
+		seated := made.entries[name]
+		if seated.log.isCut() {
+			continue
+		}
+		made.await(name+" reads the log", func() bool {
+			made.log.Nudge()
+			var next int64
+			seated.journal.View(func(folded *state.State) { next = folded.Next() })
+			return !seated.journal.FreshAt().Before(now) && next == made.log.End(journal.RecordStream)
+		})
+		seated.role.SyncDocuments(made.ctx)
+	}
+}
+
+// report lets the guards poll their workers and report, by name, and the
+// entries act on what they heard.
+func (made *bench) report(names ...string) {
+	made.t.Helper()
+	for _, name := range names {
+		seated, found := made.guards[name]
+		if !found {
+			continue
+		}
+		if err := seated.role.Poll(made.ctx); err != nil {
+			made.t.Fatal(err)
+		}
+		for _, each := range made.list {
+			if each.Role != instances.Entry {
+				continue
+			}
+			seated.role.ReportTo(made.ctx, each)
+			made.finish()
+		}
+	}
+}
+
+func (made *bench) finish() {
+	for _, name := range slices.Sorted(maps.Keys(made.entries)) {
+		seated := made.entries[name]
+		seated.role.Finish()
+		seated.role.RecordEnds(made.ctx)
+	}
+	made.catchUp()
+}
+
+// hearPeers lets the entries ask each other, by name.
+func (made *bench) hearPeers() {
+	for _, name := range slices.Sorted(maps.Keys(made.entries)) {
+		made.entries[name].role.ReadList(made.ctx)
+		made.entries[name].role.AskPeers(made.ctx)
+	}
+}
+
+// place lets the entries place what waits, by name.
+func (made *bench) place(names ...string) {
+	for _, name := range names {
+		if seated, found := made.entries[name]; found {
+			seated.role.Place(made.ctx, made.clock.Now())
+			made.finish()
+		}
+	}
+}
+
+// do sends one HTTP request to an entry and notes both ways.
+func (made *bench) do(name, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	made.t.Helper()
+	request := httptest.NewRequestWithContext(made.ctx, method, path, strings.NewReader(body))
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	made.said.add("caller", strings.TrimSpace(fmt.Sprintf("%s %s %s %q", method, path, strings.Join(headers, " "), body)))
+	recorder := httptest.NewRecorder()
+	if broken := serveRecorded(made.entries[name].handler, recorder, request); broken {
+		made.said.add(name, "breaks the connection off")
+		return recorder
+	}
+	made.said.add(name, fmt.Sprintf("answers %d %s", recorder.Code, strings.TrimSpace(recorder.Body.String())))
+	return recorder
+}
+
+func serveRecorded(handler http.Handler, recorder *httptest.ResponseRecorder, request *http.Request) (broken bool) {
+	defer func() {
+		if failure := recover(); failure != nil {
+			if failure != http.ErrAbortHandler {
+				panic(failure)
+			}
+			broken = true
+		}
+	}()
+	handler.ServeHTTP(recorder, request)
+	return false
+}
+
+func (made *bench) publishExample(entryName string) {
+	made.t.Helper()
+	content, err := examples.Files.ReadFile("verbalia/config.yaml")
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	rec := made.doQuiet(entryName, http.MethodPut, "/v1/documents/config", fmt.Sprintf(`{"content":%q,"author":"anna"}`, content))
+	if rec.Code != http.StatusOK {
+		made.t.Fatalf("publish: %d %s", rec.Code, rec.Body)
+	}
+	made.catchUp()
+}
+
+func (made *bench) doQuiet(name, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	request := httptest.NewRequestWithContext(made.ctx, method, path, strings.NewReader(body))
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	recorder := httptest.NewRecorder()
+	serveRecorded(made.entries[name].handler, recorder, request)
+	return recorder
+}
+
+// task returns a task as an entry's state has it.
+func (made *bench) task(name, id string) api.Task {
+	made.t.Helper()
+	var shown api.Task
+	made.entries[name].journal.View(func(folded *state.State) {
+		if task := folded.Task(id); task != nil {
+			shown = api.Task{ID: id, Phase: task.Phase().String(), Worker: task.Worker(), Attempt: task.Attempt(), Reason: task.Reason(), Evictions: task.Evictions()}
+		}
+	})
+	return shown
+}
+
+// switchedLog is one entry's way to the log, which can be cut.
+type switchedLog struct {
+	*standin.Log
+	mu  sync.Mutex
+	cut bool
+}
+
+var errCut = errors.New("the way to the log is cut")
+
+func (way *switchedLog) setCut(cut bool) {
+	way.mu.Lock()
+	defer way.mu.Unlock()
+	way.cut = cut
+}
+
+func (way *switchedLog) isCut() bool {
+	way.mu.Lock()
+	defer way.mu.Unlock()
+	return way.cut
+}
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,153 @@
+package session_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"ambertiller.example/ambertiller/api"
+)
+
+// newSession returns a bench with two entries and two workers that decide by
+// Verbalia's configuration.
+func newSession(t *testing.T) *bench {
+	t.Helper()
+	made := newBench(t)
+	made.said.step("start")
+	made.addEntry("entry-1", "milano-a")
+	made.addEntry("entry-2", "milano-b")
+	made.publishExample("entry-1")
+	made.addWorker("worker-01", "milano-a")
+	made.addWorker("worker-02", "milano-b")
+	made.report("worker-01", "worker-02")
+	made.hearPeers()
+	return made
+}
+
+func (made *bench) golden(name string) {
+	made.t.Helper()
+	goldie.New(made.t, goldie.WithFixtureDir("testdata"), goldie.WithDiffEngine(goldie.ColoredDiff)).Assert(made.t, name, []byte(made.said.text()))
+}
+
+func idOf(t *testing.T, body []byte) string {
+	t.Helper()
+	var task api.Task
+	if err := json.Unmarshal(body, &task); err != nil {
+		t.Fatalf("%v in %s", err, body)
+	}
+	return task.ID
+}
+
+const transcriptionBody = `{"team":"councils","kind":"transcription","processors":4,"memory":"8GiB","run_time":"2s","input":"seduta 12"}`
+
+// TestCallerSession is a clerk's and a caller's day: snippets, a request that
+// must not be repeated, a transcription, and mistakes.
+func TestCallerSession(t *testing.T) {
+	made := newSession(t)
+	made.said.step("a snippet is corrected")
+	made.do("entry-1", http.MethodPost, "/v1/services/verbale/snippets", "la seduta", api.HeaderRequestID, "r-1")
+	made.said.step("a request that must not be repeated runs once, whichever entry it comes to")
+	made.do("entry-1", http.MethodPost, "/v1/services/verbale/bill", "x", api.HeaderRepeatable, "false", api.HeaderKey, "bill-7", api.HeaderRequestID, "r-2")
+	made.finish()
+	made.do("entry-2", http.MethodPost, "/v1/services/verbale/bill", "x", api.HeaderRepeatable, "false", api.HeaderKey, "bill-7", api.HeaderRequestID, "r-3")
+	made.said.step("mistakes get a clear answer")
+	made.do("entry-1", http.MethodPost, "/v1/services/nowhere/snippets", "x", api.HeaderRequestID, "r-4")
+	made.do("entry-1", http.MethodPost, "/v1/services/verbale/snippets", "x", api.HeaderTimeout, "-2s", api.HeaderRequestID, "r-5")
+	made.do("entry-1", http.MethodPost, "/v1/services/verbale/snippets", "x", api.HeaderRepeatable, "perhaps", api.HeaderRequestID, "r-6")
+	made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"councils","kind":"transcription","colour":"red"}`)
+	made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"nobody","kind":"correction","processors":-1,"run_time":"-3s","memory":"much"}`)
+	made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"councils","kind":"transcription","processors":200}`)
+	made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"meetings","kind":"transcription","processors":40}`)
+	made.do("entry-1", http.MethodPut, "/v1/tasks", `{}`)
+	made.do("entry-1", http.MethodGet, "/v1/nothing", "")
+	made.said.step("a transcription is submitted twice with one key")
+	first := made.do("entry-1", http.MethodPost, "/v1/tasks", transcriptionBody, api.HeaderKey, "council-12")
+	id := idOf(t, first.Body.Bytes())
+	made.catchUp()
+	made.do("entry-2", http.MethodPost, "/v1/tasks", transcriptionBody, api.HeaderKey, "council-12")
+	made.do("entry-2", http.MethodGet, "/v1/tasks/"+id+"/result", "")
+	made.said.step("it is placed and runs")
+	made.place("entry-1", "entry-2")
+	made.report("worker-01", "worker-02")
+	made.do("entry-2", http.MethodGet, "/v1/tasks/"+id, "")
+	made.said.step("it finishes")
+	made.pass(3 * time.Second)
+	made.report("worker-01", "worker-02")
+	made.do("entry-2", http.MethodGet, "/v1/tasks/"+id+"/result", "")
+	made.golden("caller")
+}
+
+// TestOperatorSession is an operator's day: a race for the configuration, a
+// policy, a task that waits and why, a drain.
+func TestOperatorSession(t *testing.T) {
+	made := newSession(t)
+	made.said.step("two operators publish from the same version; one loses cleanly")
+	made.do("entry-1", http.MethodPut, "/v1/documents/policy-placement", `{"based_on":0,"author":"anna","content":"worker.name == 'worker-01' ? 1 : 0"}`)
+	made.catchUp()
+	made.do("entry-2", http.MethodPut, "/v1/documents/policy-placement", `{"based_on":0,"author":"bruno","content":"worker.free_memory"}`)
+	made.said.step("a policy with a mistake is not accepted")
+	made.do("entry-1", http.MethodPost, "/v1/documents/policy-placement/check", `{"content":"worker.nam"}`)
+	made.do("entry-1", http.MethodPut, "/v1/documents/policy-placement", `{"based_on":1,"content":"worker.nam"}`)
+	made.said.step("a configuration with faults names each with its place")
+	made.do("entry-1", http.MethodPost, "/v1/documents/config/check", `{"content":"kinds:\n  fast:\n    class: quick\n    priority: 5000\nservices:\n  desk:\n    kind: slow\nteams:\n  a:\n    share: 1\n"}`)
+	made.said.step("a task is placed by the policy")
+	id := idOf(t, made.do("entry-1", http.MethodPost, "/v1/tasks", transcriptionBody, api.HeaderKey, "t-1").Body.Bytes())
+	made.place("entry-1", "entry-2")
+	made.report("worker-01", "worker-02")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+id+"/explain", "")
+	made.said.step("another one waits; explain says for what")
+	waiting := idOf(t, made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"councils","kind":"transcription","processors":2,"accelerators":1,"failure_domain":"milano-a"}`, api.HeaderKey, "t-2").Body.Bytes())
+	made.place("entry-1", "entry-2")
+	second := idOf(t, made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"councils","kind":"transcription","processors":2,"accelerators":1,"failure_domain":"milano-a"}`, api.HeaderKey, "t-3").Body.Bytes())
+	made.place("entry-1", "entry-2")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+second+"/explain", "")
+	made.said.step("the worker is drained; what it runs goes on elsewhere from its checkpoint")
+	made.do("entry-2", http.MethodPut, "/v1/workers/worker-01/drain", `{"draining":true,"author":"anna"}`)
+	made.catchUp()
+	made.report("worker-01", "worker-02")
+	made.pass(time.Second)
+	made.pass(time.Second)
+	made.report("worker-01", "worker-02")
+	made.place("entry-1", "entry-2")
+	made.report("worker-01", "worker-02")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+id, "")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+waiting+"/explain", "")
+	made.do("entry-1", http.MethodGet, "/v1/workers", "")
+	made.do("entry-1", http.MethodGet, "/v1/in-force", "")
+	made.golden("operator")
+}
+
+// TestFailureSession loses the log, a guard and an entry.
+func TestFailureSession(t *testing.T) {
+	made := newSession(t)
+	id := idOf(t, made.do("entry-1", http.MethodPost, "/v1/tasks", `{"team":"councils","kind":"transcription","processors":4,"run_time":"1h","input":"seduta 13"}`, api.HeaderKey, "t-1").Body.Bytes())
+	made.place("entry-1", "entry-2")
+	made.report("worker-01", "worker-02")
+	made.said.step("the log goes down: repeatable requests are served, others are not run, work goes on")
+	made.log.SetDown(true)
+	made.pass(10 * time.Second)
+	made.do("entry-1", http.MethodPost, "/v1/services/verbale/snippets", "la seduta", api.HeaderRequestID, "r-1")
+	made.do("entry-1", http.MethodPost, "/v1/services/verbale/bill", "x", api.HeaderRepeatable, "false", api.HeaderKey, "bill-7", api.HeaderRequestID, "r-2")
+	made.do("entry-1", http.MethodPost, "/v1/tasks", transcriptionBody, api.HeaderKey, "t-2")
+	made.do("entry-1", http.MethodPut, "/v1/documents/policy-placement", `{"based_on":0,"content":"1"}`)
+	made.do("entry-1", http.MethodGet, "/readyz", "")
+	made.log.SetDown(false)
+	made.pass(3 * time.Second)
+	made.do("entry-1", http.MethodGet, "/readyz", "")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+id, "")
+	made.said.step("the guard of its worker dies; a new one adopts what runs")
+	holder := made.task("entry-1", id).Worker
+	made.kill(holder)
+	made.startGuard(holder, "milano-a")
+	made.report("worker-01", "worker-02")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+id, "")
+	made.said.step("an entry dies; a new one with empty memory knows the task")
+	made.kill("entry-1")
+	made.startEntry("entry-1", "milano-a")
+	made.report("worker-01", "worker-02")
+	made.do("entry-1", http.MethodGet, "/v1/tasks/"+id, "")
+	made.golden("failure")
+}
--- /dev/null
+++ b/standin/direct.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/logservice"
+	"ambertiller.example/ambertiller/worker"
+)
+
+var errOutage = errors.New("the log is out of service")
+
+var errLostAnswer = errors.New("the answer was lost")
+
+var _ logservice.Service = (*Log)(nil)
+
+// Append implements logservice.Service without a network between.
+func (kept *Log) Append(_ context.Context, stream string, data []byte) (int64, error) {
+	result := kept.append(stream, append([]byte(nil), data...), time.Now())
+	switch {
+	case result.down:
+		return 0, errOutage
+	case result.retryAfter > 0:
+		return 0, &logservice.ThrottledError{RetryAfter: result.retryAfter}
+	case result.lost:
+		return 0, errLostAnswer
+	}
+	return result.offset, nil
+}
+
+// Read implements logservice.Service without a network between.
+func (kept *Log) Read(ctx context.Context, stream string, options logservice.ReadOptions) (logservice.Page, error) {
+	page, up := kept.waitRead(ctx, stream, options)
+	if !up {
+		return logservice.Page{}, errOutage
+	}
+	if options.From < page.Earliest {
+		return logservice.Page{}, &logservice.TrimmedError{Earliest: page.Earliest}
+	}
+	return page, nil
+}
+
+// Nudge makes every waiting read return at once, as if its time had passed.
+func (kept *Log) Nudge() {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	kept.nudges++
+	for _, named := range kept.streams {
+		close(named.grown)
+		named.grown = make(chan struct{})
+	}
+}
+
+// DirectWorker calls a stand-in worker without a network between. Its Follow
+// is not supported; streams need the real interface.
+type DirectWorker struct {
+	fake *Worker
+}
+
+// Direct returns the worker's interface without a network between.
+func (fake *Worker) Direct() *DirectWorker { return &DirectWorker{fake: fake} }
+
+var _ worker.Worker = (*DirectWorker)(nil)
+
+// Capacity implements worker.Worker.
+func (direct *DirectWorker) Capacity(context.Context) (worker.Capacity, error) {
+	return direct.fake.options.Capacity, nil
+}
+
+// Usage implements worker.Worker.
+func (direct *DirectWorker) Usage(context.Context) (worker.Usage, error) {
+	return direct.fake.usage(), nil
+}
+
+// Tasks implements worker.Worker.
+func (direct *DirectWorker) Tasks(context.Context) (worker.Listing, error) {
+	return direct.fake.list(), nil
+}
+
+// Start implements worker.Worker.
+func (direct *DirectWorker) Start(_ context.Context, start worker.Start) error {
+	stale, failure := direct.fake.start(start, time.Now())
+	switch {
+	case stale:
+		return worker.ErrStale
+	case failure != "":
+		return worker.Rejected(failure)
+	}
+	return nil
+}
+
+// Stop implements worker.Worker.
+func (direct *DirectWorker) Stop(_ context.Context, task string, attempt uint64) error {
+	return direct.change(task, attempt, stopRunning)
+}
+
+// Throttle implements worker.Worker.
+func (direct *DirectWorker) Throttle(_ context.Context, task string, attempt uint64, share float64) error {
+	return direct.change(task, attempt, func(each *running) { each.throttle = share })
+}
+
+// Renew implements worker.Worker.
+func (direct *DirectWorker) Renew(_ context.Context, renewals []worker.Renewal) error {
+	direct.fake.renew(renewals)
+	return nil
+}
+
+// Forget implements worker.Worker.
+func (direct *DirectWorker) Forget(_ context.Context, task string, attempt uint64) error {
+	return direct.change(task, attempt, direct.fake.forgetEnded)
+}
+
+// Follow implements worker.Worker.
+func (direct *DirectWorker) Follow(context.Context, string, uint64) (io.ReadCloser, error) {
+	return nil, errors.New("streams need the worker's HTTP interface")
+}
+
+func (direct *DirectWorker) change(task string, attempt uint64, change func(each *running)) error {
+	if !direct.fake.withAttempt(task, attempt, change) {
+		return worker.ErrStale
+	}
+	return nil
+}
--- a/standin/http.go
+++ b/standin/http.go
@@ -125,19 +125,11 @@
 		answer(writer, http.StatusOK, fake.list())
 	})
 	mux.HandleFunc("PUT /tasks/{task}", fake.serveStart)
-	mux.HandleFunc("POST /tasks/{task}/stop", fake.attemptHandler(func(each *running, _ attemptRequest) {
-		if each.Phase == worker.Running {
-			each.Phase = worker.Stopping
-		}
-	}))
+	mux.HandleFunc("POST /tasks/{task}/stop", fake.attemptHandler(func(each *running, _ attemptRequest) { stopRunning(each) }))
 	mux.HandleFunc("POST /tasks/{task}/throttle", fake.attemptHandler(func(each *running, asked attemptRequest) {
 		each.throttle = asked.Share
 	}))
-	mux.HandleFunc("DELETE /tasks/{task}", fake.attemptHandler(func(each *running, _ attemptRequest) {
-		if ended(each.Phase) {
-			delete(fake.tasks, each.Task.Task)
-		}
-	}))
+	mux.HandleFunc("DELETE /tasks/{task}", fake.attemptHandler(func(each *running, _ attemptRequest) { fake.forgetEnded(each) }))
 	mux.HandleFunc("POST /leases", fake.serveRenew)
 	mux.HandleFunc("GET /tasks/{task}/stream", fake.serveStream)
 	return mux
@@ -184,11 +176,7 @@
 	if !decode(writer, request, &renewals) {
 		return
 	}
-	for _, renewal := range renewals {
-		fake.withAttempt(renewal.Task, renewal.Attempt, func(each *running) {
-			each.LeaseEnd = max(each.LeaseEnd, renewal.LeaseEnd)
-		})
-	}
+	fake.renew(renewals)
 	writer.WriteHeader(http.StatusAccepted)
 }
 
--- a/standin/log.go
+++ b/standin/log.go
@@ -20,6 +20,7 @@
 	second    int64
 	inSecond  int
 	appends   int64
+	nudges    int64
 }
 
 type stream struct {
@@ -134,13 +135,20 @@
 	return page, named.grown, true
 }
 
+func (kept *Log) nudgeCount() int64 {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	return kept.nudges
+}
+
 // waitRead reads, and waits for the stream to grow while there is nothing.
 func (kept *Log) waitRead(ctx context.Context, name string, options logservice.ReadOptions) (logservice.Page, bool) {
 	timer := time.NewTimer(options.Wait)
 	defer timer.Stop()
+	nudges := kept.nudgeCount()
 	for {
 		page, grown, up := kept.read(name, options.From, options.Max)
-		if !up || len(page.Entries) > 0 || options.From < page.Earliest || options.Wait == 0 {
+		if !up || len(page.Entries) > 0 || options.From < page.Earliest || options.Wait == 0 || kept.nudgeCount() != nudges {
 			return page, up
 		}
 		select {
@@ -152,3 +160,18 @@
 		}
 	}
 }
+
+// End returns the offset that the next append to the stream will get.
+func (kept *Log) End(name string) int64 {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	named := kept.stream(name)
+	return named.earliest + int64(len(named.entries))
+}
+
+// IsDown reports whether there is an outage.
+func (kept *Log) IsDown() bool {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	return kept.down
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -208,6 +209,27 @@
 	return false, ""
 }
 
+func stopRunning(each *running) {
+	if each.Phase == worker.Running {
+		each.Phase = worker.Stopping
+	}
+}
+
+// forgetEnded drops an attempt that has ended; the worker's lock is held.
+func (fake *Worker) forgetEnded(each *running) {
+	if ended(each.Phase) {
+		delete(fake.tasks, each.Task.Task)
+	}
+}
+
+func (fake *Worker) renew(renewals []worker.Renewal) {
+	for _, renewal := range renewals {
+		fake.withAttempt(renewal.Task, renewal.Attempt, func(each *running) {
+			each.LeaseEnd = max(each.LeaseEnd, renewal.LeaseEnd)
+		})
+	}
+}
+
 func ended(phase worker.Phase) bool {
 	return phase != worker.Running && phase != worker.Stopping
 }
@@ -229,7 +251,8 @@
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
 	listing := worker.Listing{Uptime: fake.uptime, Tasks: make([]worker.Task, 0, len(fake.tasks))}
-	for _, each := range fake.tasks {
+	for _, id := range slices.Sorted(maps.Keys(fake.tasks)) {
+		each := fake.tasks[id]
 		listed := each.Task
 		listed.Throttle = each.throttle
 		listing.Tasks = append(listing.Tasks, listed)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -38,6 +38,9 @@
 // Error implements error.
 func (rejected *RejectedError) Error() string { return rejected.message }
 
+// Rejected returns the error of an attempt that was not started, and why.
+func Rejected(message string) error { return &RejectedError{message: message} }
+
 // Phase is what a worker says of an attempt.
 type Phase string
 
