--- a/session/harness_test.go
+++ b/session/harness_test.go
@@ -29,6 +29,7 @@
 	"ambertiller.example/ambertiller/guard"
 	"ambertiller.example/ambertiller/instances"
 	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/logservice"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/standin"
 	"ambertiller.example/ambertiller/state"
@@ -143,7 +144,14 @@
 	guards   map[string]*seatedGuard
 	workers  map[string]*standin.Worker
 	backends map[string]http.Handler
-	said     transcript
+	// backend takes the place of every stand-in backend server, if it is set.
+	backend http.Handler
+	said    transcript
+	owned   ownership
+	// unreachable names the guards that can't reach any entry.
+	unreachable map[string]bool
+	// ignoreLeases breaks the workers on purpose.
+	ignoreLeases bool
 }
 
 type seatedEntry struct {
@@ -166,16 +174,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	return &bench{
-		t:        t,
-		ctx:      ctx,
-		clock:    clockwork.NewFakeClockAt(sessionStart),
-		log:      standin.NewLog(0),
-		links:    newNetwork(),
-		entries:  map[string]*seatedEntry{},
-		guards:   map[string]*seatedGuard{},
-		workers:  map[string]*standin.Worker{},
-		backends: map[string]http.Handler{},
-		said:     transcript{names: map[string]string{}},
+		t:           t,
+		ctx:         ctx,
+		clock:       clockwork.NewFakeClockAt(sessionStart),
+		log:         standin.NewLog(0),
+		links:       newNetwork(),
+		entries:     map[string]*seatedEntry{},
+		guards:      map[string]*seatedGuard{},
+		workers:     map[string]*standin.Worker{},
+		backends:    map[string]http.Handler{},
+		unreachable: map[string]bool{},
+		said:        transcript{names: map[string]string{}},
 	}
 }
 
@@ -194,18 +203,18 @@
 	return event.New(slog.New(slog.NewTextHandler(&lineWriter{said: &made.said, name: name}, options)))
 }
 
-func (made *bench) addEntry(name, domain string) *seatedEntry {
+func (made *bench) addEntry(name, domain string) {
 	made.t.Helper()
 	address := name + ":rpc"
 	made.list = append(made.list, instances.Instance{Name: name, Role: instances.Entry, Address: address, FailureDomain: domain, State: instances.Live})
-	return made.startEntry(name, domain)
+	made.startEntry(name, domain)
 }
 
 // startEntry starts an entry that is on the list, with empty memory.
 func (made *bench) startEntry(name, domain string) *seatedEntry {
 	made.t.Helper()
 	ctx, stop := context.WithCancel(made.ctx)
-	log := &switchedLog{Log: made.log}
+	log := &switchedLog{way: made.log}
 	kept := journal.New(log, journal.Options{Writer: name, AppendsPerSecond: 1e6, Clock: made.clock, Events: made.events(name)})
 	go kept.Run(ctx)
 	role := entry.New(entry.Options{
@@ -233,16 +242,20 @@
 	go func() { _ = server.Serve(ctx) }()
 }
 
-func (made *bench) addWorker(name, domain string) *seatedGuard {
+func (made *bench) addWorker(name, domain string) {
 	made.t.Helper()
 	address := name + ":rpc"
 	made.list = append(made.list, instances.Instance{Name: name, Role: instances.Guard, Address: address, FailureDomain: domain, State: instances.Live})
 	made.workers[name] = standin.NewWorker(standin.WorkerOptions{
 		Name:     name,
 		Capacity: worker.Capacity{MilliCPU: 32_000, MemoryBytes: 125 * gibibyte, Accelerators: 1, Rack: "rack-1"},
+		Observe:  made.owned.note, IgnoreLeases: made.ignoreLeases,
 	})
 	made.backends[name] = standin.NewBackend(name, 0)
-	return made.startGuard(name, domain)
+	if made.backend != nil {
+		made.backends[name] = made.backend
+	}
+	made.startGuard(name, domain)
 }
 
 // startGuard starts a guard of a worker that is there, as a new incarnation.
@@ -318,7 +331,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(made.entries)) {
 		seated := made.entries[name]
-		if seated.log.isCut() {
+		if seated.log.get() == nil {
 			continue
 		}
 		made.await(name+" reads the log", func() bool {
@@ -344,7 +357,7 @@
 			made.t.Fatal(err)
 		}
 		for _, each := range made.list {
-			if each.Role != instances.Entry {
+			if each.Role != instances.Entry || made.unreachable[name] {
 				continue
 			}
 			seated.role.ReportTo(made.ctx, each)
@@ -370,6 +383,29 @@
 	}
 }
 
+// clean lets the entries look for silent workers.
+func (made *bench) clean() {
+	for _, name := range slices.Sorted(maps.Keys(made.entries)) {
+		made.entries[name].role.Clean(made.ctx)
+		made.finish()
+	}
+	made.hearPeers()
+}
+
+// placeTask submits a long transcription and has it run on worker-01.
+func (made *bench) placeTask(key string) string {
+	made.t.Helper()
+	body := `{"team":"councils","kind":"transcription","processors":4,"run_time":"100h","input":"seduta"}`
+	id := idOf(made.t, made.doQuiet("entry-1", http.MethodPost, "/v1/tasks", body, api.HeaderKey, key).Body.Bytes())
+	made.finish()
+	made.place("entry-1", "entry-2")
+	made.report("worker-01", "worker-02")
+	if worker := made.task("entry-1", id).Worker; worker != "worker-01" {
+		made.t.Fatalf("the task is on %q", worker)
+	}
+	return id
+}
+
 // place lets the entries place what waits, by name.
 func (made *bench) place(names ...string) {
 	for _, name := range names {
@@ -447,21 +483,37 @@
 
 // switchedLog is one entry's way to the log, which can be cut.
 type switchedLog struct {
-	*standin.Log
 	mu  sync.Mutex
-	cut bool
+	way logservice.Service
 }
 
 var errCut = errors.New("the way to the log is cut")
 
-func (way *switchedLog) setCut(cut bool) {
-	way.mu.Lock()
-	defer way.mu.Unlock()
-	way.cut = cut
+// set changes the way to the log; nil cuts it.
+func (switched *switchedLog) set(way logservice.Service) {
+	switched.mu.Lock()
+	defer switched.mu.Unlock()
+	switched.way = way
+}
+
+func (switched *switchedLog) get() logservice.Service {
+	switched.mu.Lock()
+	defer switched.mu.Unlock()
+	return switched.way
 }
 
-func (way *switchedLog) isCut() bool {
-	way.mu.Lock()
-	defer way.mu.Unlock()
-	return way.cut
+// Append implements logservice.Service.
+func (switched *switchedLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if way := switched.get(); way != nil {
+		return way.Append(ctx, stream, data)
+	}
+	return 0, errCut
+}
+
+// Read implements logservice.Service.
+func (switched *switchedLog) Read(ctx context.Context, stream string, options logservice.ReadOptions) (logservice.Page, error) {
+	if way := switched.get(); way != nil {
+		return way.Read(ctx, stream, options)
+	}
+	return logservice.Page{}, errCut
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -16,6 +16,13 @@
 func newSession(t *testing.T) *bench {
 	t.Helper()
 	made := newBench(t)
+	made.fill()
+	return made
+}
+
+// fill starts two entries and two workers.
+func (made *bench) fill() {
+	made.t.Helper()
 	made.said.step("start")
 	made.addEntry("entry-1", "milano-a")
 	made.addEntry("entry-2", "milano-b")
@@ -24,7 +31,6 @@
 	made.addWorker("worker-02", "milano-b")
 	made.report("worker-01", "worker-02")
 	made.hearPeers()
-	return made
 }
 
 func (made *bench) golden(name string) {
--- a/session/transcript_test.go
+++ b/session/transcript_test.go
@@ -1,32 +1,14 @@
 package session_test
 
 import (
-	"context"
 	"fmt"
 	"regexp"
 	"strings"
 	"sync"
 
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/logservice"
 )
 
-// Append implements logservice.Service.
-func (way *switchedLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
-	if way.isCut() {
-		return 0, errCut
-	}
-	return way.Log.Append(ctx, stream, data)
-}
-
-// Read implements logservice.Service.
-func (way *switchedLog) Read(ctx context.Context, stream string, options logservice.ReadOptions) (logservice.Page, error) {
-	if way.isCut() {
-		return logservice.Page{}, errCut
-	}
-	return way.Log.Read(ctx, stream, options)
-}
-
 // transcript collects what was said and logged. IDs are replaced by numbers in
 // the order of their first appearance.
 type transcript struct {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -28,6 +28,21 @@
 	Capacity worker.Capacity
 	// WatchKinds are the kinds whose tasks stream until they are cancelled.
 	WatchKinds []string
+	// Observe is told of every begin and end of an attempt, in order. It may be
+	// nil.
+	Observe func(Observation)
+	// IgnoreLeases breaks the worker on purpose: it runs on without a lease.
+	IgnoreLeases bool
+}
+
+// Observation is the begin or end of an attempt on a worker.
+type Observation struct {
+	Worker  string
+	Task    string
+	Attempt uint64
+	Ended   bool
+	// Progress is how much of the task had been done.
+	Progress time.Duration
 }
 
 // Worker is a stand-in for one worker: it runs tasks under leases. A task
@@ -122,7 +137,7 @@
 	default:
 		return
 	}
-	if fake.uptime >= each.LeaseEnd {
+	if fake.uptime >= each.LeaseEnd && !fake.options.IgnoreLeases {
 		fake.end(each, worker.Lapsed, "its lease ended", now)
 		return
 	}
@@ -163,6 +178,7 @@
 	each.Phase = phase
 	each.Reason = reason
 	fake.started[each.run].Ended = now
+	fake.observe(each, true)
 	if phase == worker.Stopped || phase == worker.Lapsed {
 		// A checkpoint is a small JSON value; encoding it cannot fail.
 		each.Checkpoint, _ = json.Marshal(checkpoint{Progress: each.progress, Sequence: each.sequence})
@@ -206,9 +222,19 @@
 		run:      len(fake.started) - 1,
 		throttle: 1,
 	}
+	fake.observe(fake.tasks[start.Task], false)
 	return false, ""
 }
 
+func (fake *Worker) observe(each *running, over bool) {
+	if fake.options.Observe == nil {
+		return
+	}
+	fake.options.Observe(Observation{
+		Worker: fake.options.Name, Task: each.Task.Task, Attempt: each.Attempt, Ended: over, Progress: each.progress,
+	})
+}
+
 func stopRunning(each *running) {
 	if each.Phase == worker.Running {
 		each.Phase = worker.Stopping
--- /dev/null
+++ b/state/property_test.go
@@ -0,0 +1,140 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ambertiller.example/ambertiller/record"
+	"ambertiller.example/ambertiller/state"
+)
+
+// drawRecord draws a change that may or may not be valid.
+func drawRecord(t *rapid.T, number int) *record.Record {
+	task := fmt.Sprintf("task-%d", rapid.IntRange(1, 3).Draw(t, "task"))
+	worker := fmt.Sprintf("worker-%d", rapid.IntRange(1, 2).Draw(t, "worker"))
+	attempt := rapid.Uint64Range(0, 4).Draw(t, "attempt")
+	rec := &record.Record{Id: fmt.Sprint(number), Format: 1}
+	switch rapid.IntRange(0, 9).Draw(t, "body") {
+	case 0:
+		rec = createOf(task, 1)
+	case 1:
+		rec.Body = &record.Record_TaskAssign{TaskAssign: &record.TaskAssign{Task: task, BasedOn: rapid.Uint64Range(0, 8).Draw(t, "based on"), Worker: worker, Incarnation: "i", LeaseNanos: 1}}
+	case 2:
+		rec.Body = &record.Record_TaskRunning{TaskRunning: &record.TaskRunning{Task: task, Attempt: attempt}}
+	case 3:
+		rec.Body = &record.Record_TaskFinish{TaskFinish: &record.TaskFinish{Task: task, Attempt: attempt}}
+	case 4:
+		rec.Body = &record.Record_TaskRelease{TaskRelease: &record.TaskRelease{Task: task, Attempt: attempt,
+			Reason: record.ReleaseReason(rapid.IntRange(0, 4).Draw(t, "reason")), Suspicion: rapid.Uint64Range(0, 2).Draw(t, "suspicion")}}
+	case 5:
+		rec.Body = &record.Record_TaskCancel{TaskCancel: &record.TaskCancel{Task: task}}
+	case 6:
+		rec.Body = &record.Record_TaskEvict{TaskEvict: &record.TaskEvict{Task: task, Attempt: attempt}}
+	case 7:
+		rec.Body = &record.Record_WorkerDrain{WorkerDrain: &record.WorkerDrain{Worker: worker, Draining: rapid.Bool().Draw(t, "draining")}}
+	case 8:
+		rec.Body = &record.Record_WorkerSuspect{WorkerSuspect: &record.WorkerSuspect{Worker: worker, Cleared: rapid.Bool().Draw(t, "cleared"), Suspicion: rapid.Uint64Range(0, 2).Draw(t, "suspicion")}}
+	case 9:
+		rec.Body = &record.Record_TaskForget{TaskForget: &record.TaskForget{Task: task}}
+	}
+	return rec
+}
+
+// TestFoldKeepsItsPromises draws histories: whatever comes, a task is held by
+// at most one worker, attempts and versions only grow, an ended task stays
+// ended, nothing is lost into a suspicion that is over, and a state that goes
+// through a snapshot at any point ends up the same.
+func TestFoldKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		folded, other := state.New(), state.New()
+		count := rapid.IntRange(1, 60).Draw(t, "count")
+		snapshotAt := rapid.IntRange(0, count).Draw(t, "snapshot at")
+		for number := range count {
+			if number == snapshotAt {
+				other = throughSnapshot(t, other)
+			}
+			rec := drawRecord(t, number)
+			before := look(folded)
+			batch := batchOf(fmt.Sprint("batch-", number), rec)
+			if _, err := folded.Apply(folded.Next(), batch); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := other.Apply(other.Next(), batch); err != nil {
+				t.Fatal(err)
+			}
+			checkStep(t, before, folded, rec)
+		}
+		checkSame(t, folded, other)
+	})
+}
+
+func throughSnapshot(t *rapid.T, folded *state.State) *state.State {
+	data, err := folded.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := state.Restore(data, state.Format)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return restored
+}
+
+type seen struct {
+	version, attempt uint64
+	phase            state.Phase
+}
+
+func look(folded *state.State) map[string]seen {
+	all := map[string]seen{}
+	for _, task := range folded.Tasks() {
+		all[task.ID()] = seen{task.Version(), task.Attempt(), task.Phase()}
+	}
+	return all
+}
+
+func checkStep(t *rapid.T, before map[string]seen, folded *state.State, rec *record.Record) {
+	holders := map[string]int{}
+	for _, worker := range folded.Workers() {
+		for _, task := range folded.OnWorker(worker) {
+			holders[task.ID()]++
+			if !task.Phase().Placed() || task.Worker() != worker {
+				t.Fatalf("%s is listed on %s but is %s on %s", task.ID(), worker, task.Phase(), task.Worker())
+			}
+		}
+	}
+	for _, task := range folded.Tasks() {
+		was, known := before[task.ID()]
+		if want := 0; task.Phase().Placed() {
+			want = 1
+			if holders[task.ID()] != want {
+				t.Fatalf("%s is held %d times", task.ID(), holders[task.ID()])
+			}
+		}
+		if known && (task.Version() < was.version || task.Attempt() < was.attempt) {
+			t.Fatalf("%s went back after %v", task.ID(), rec)
+		}
+		if known && was.phase.Ended() && task.Version() != was.version {
+			t.Fatalf("%s changed after its end by %v", task.ID(), rec)
+		}
+		if known && was.phase.Placed() && task.Attempt() != was.attempt {
+			t.Fatalf("%s got a new attempt while one was placed, by %v", task.ID(), rec)
+		}
+	}
+}
+
+func checkSame(t *rapid.T, one, other *state.State) {
+	a, err := one.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := other.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(a) != string(b) {
+		t.Fatal("a state that went through a snapshot differs")
+	}
+}
