--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,301 @@
+// Package claim makes sure that a request which must not be repeated is run by
+// at most one of many instances, through the log that they share.
+//
+// An instance takes a claim on the request's key before it runs it. The first
+// claim in the log wins. A claim is given back when the request has proved not
+// to have run, and ended otherwise; the ends are recorded in the background
+// until the log takes them. A holder's name is used once, so a claim that the
+// log takes late, after its request was given up, is recognised and given back.
+//
+// # Usage
+//
+//	claims := claim.New(claim.Options{Journal: log, Instance: "entry-1"})
+//	go claims.Run(ctx)
+//	held, err := claims.Take(ctx, "bill-7", "verbale", now)
+//	if err != nil { ... not run by this instance ... }
+//	claims.Finish(held, http.StatusOK, false)
+//
+// # Errors
+//
+// [*TakenError] says what became of the request that has the key. [ErrLogDown],
+// [*UnsettledError] and [ErrLost] say that this instance must not run it.
+package claim
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/record"
+	"ambertiller.example/ambertiller/state"
+)
+
+const (
+	takeWait    = time.Second
+	releaseWait = 250 * time.Millisecond
+	recordWait  = 2 * time.Second
+	recordRetry = 500 * time.Millisecond
+	// mostEnds is how many ends are recorded in one append.
+	mostEnds = 128
+	// lateClaim is how long an append without an answer can still take effect:
+	// the journal sends a batch only while somebody waits for it.
+	lateClaim = 30 * time.Second
+)
+
+// ErrLogDown says that the log can't be reached.
+var ErrLogDown = errors.New("the log, in which the request is claimed, can't be reached")
+
+// ErrLost says that another holder had the key and gave it back meanwhile.
+var ErrLost = errors.New("another request with the same key was claimed and given back meanwhile")
+
+// TakenError says that the key is claimed.
+type TakenError struct {
+	phase  state.ClaimPhase
+	status int
+}
+
+// Phase returns what became of the request that has the key.
+func (taken *TakenError) Phase() state.ClaimPhase { return taken.phase }
+
+// Status returns the status of its answer, if it has one.
+func (taken *TakenError) Status() int { return taken.status }
+
+// Error implements error.
+func (taken *TakenError) Error() string { return "the key is claimed" }
+
+// UnsettledError says that the log did not settle the claim in time.
+type UnsettledError struct {
+	cause error
+}
+
+// Error implements error.
+func (unsettled *UnsettledError) Error() string {
+	return "the claim on the request was not settled: " + unsettled.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (unsettled *UnsettledError) Unwrap() error { return unsettled.cause }
+
+// Held is a claim that this instance holds.
+type Held struct {
+	key    string
+	holder string
+}
+
+// Key returns the claimed key.
+func (held *Held) Key() string { return held.key }
+
+// Options sets up Claims.
+type Options struct {
+	// Journal is the instance's copy of the shared state.
+	Journal *journal.Journal
+	// Instance names the instance.
+	Instance string
+	// StaleLog is how old the newest whole read of the log may be before the
+	// log counts as down. Default 3 s.
+	StaleLog time.Duration
+	// Clock paces retries. Default the real clock.
+	Clock clockwork.Clock
+	// Events receives log lines. Default none.
+	Events *event.Logger
+}
+
+const defaultStaleLog = 3 * time.Second
+
+// Claims takes and ends the claims of one instance. It may be used by many
+// goroutines.
+type Claims struct {
+	options Options
+
+	mu    sync.Mutex
+	ends  map[string]*record.Record // by holder: what must still be recorded
+	wake  chan struct{}
+	doing sync.WaitGroup
+}
+
+// New returns Claims that hold nothing.
+func New(options Options) *Claims {
+	if options.StaleLog == 0 {
+		options.StaleLog = defaultStaleLog
+	}
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	if options.Events == nil {
+		options.Events = event.Discard()
+	}
+	return &Claims{options: options, ends: map[string]*record.Record{}, wake: make(chan struct{}, 1)}
+}
+
+// Take claims a key. Without an error the caller runs the request and ends the
+// claim with Release or Finish.
+func (claims *Claims) Take(ctx context.Context, key, service string, now time.Time) (*Held, error) {
+	log := claims.options.Journal
+	if log.Ready() != nil || now.Sub(log.FreshAt()) >= claims.options.StaleLog {
+		return nil, ErrLogDown
+	}
+	// Performance: a key that is known to be taken costs no append.
+	if taken := claims.taken(key); taken != nil {
+		return nil, taken
+	}
+	held := &Held{key: key, holder: claims.options.Instance + "/" + uuid.NewString()}
+	rec := journal.NewRecord(now)
+	rec.Body = &record.Record_Claim{Claim: &record.Claim{Key: key, Holder: held.holder, Service: service}}
+	ctx, cancel := context.WithTimeout(ctx, takeWait)
+	defer cancel()
+	outcomes, err := log.Append(ctx, rec)
+	if err != nil {
+		return nil, claims.unsettled(held, err, now)
+	}
+	if !outcomes[0].Accepted() {
+		claims.options.Events.Log(ctx, event.ClaimLost, slog.String("key", key))
+		if taken := claims.taken(key); taken != nil {
+			return nil, taken
+		}
+		return nil, ErrLost
+	}
+	claims.options.Events.Log(ctx, event.ClaimTaken, slog.String("key", key), slog.String("holder", held.holder))
+	return held, nil
+}
+
+// unsettled makes sure that a claim which may still come is given back.
+func (claims *Claims) unsettled(held *Held, err error, now time.Time) error {
+	var open *journal.UnsettledError
+	if errors.As(err, &open) {
+		claims.end(releaseRecord(held, now), held)
+	}
+	return &UnsettledError{cause: err}
+}
+
+// taken answers from the state whether the key is claimed.
+func (claims *Claims) taken(key string) error {
+	var found *TakenError
+	claims.options.Journal.View(func(folded *state.State) {
+		if kept := folded.Claim(key); kept != nil {
+			found = &TakenError{phase: state.ClaimPhase(kept.GetPhase()), status: int(kept.GetStatus())}
+		}
+	})
+	if found == nil {
+		return nil
+	}
+	return found
+}
+
+func releaseRecord(held *Held, now time.Time) *record.Record {
+	rec := journal.NewRecord(now)
+	rec.Body = &record.Record_ClaimRelease{ClaimRelease: &record.ClaimRelease{Key: held.key, Holder: held.holder}}
+	return rec
+}
+
+// Release gives a claim back, because its request has proved not to have run.
+// It waits a little, so that the caller can come back at once.
+func (claims *Claims) Release(ctx context.Context, held *Held, now time.Time) {
+	rec := releaseRecord(held, now)
+	claims.options.Events.Log(ctx, event.ClaimReleased, slog.String("key", held.key))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseWait)
+	defer cancel()
+	if _, err := claims.options.Journal.Append(ctx, rec); err != nil {
+		claims.end(rec, held)
+	}
+}
+
+// Finish records in the background that a claimed request has run, or may have.
+func (claims *Claims) Finish(held *Held, status int, maybe bool, now time.Time) {
+	rec := journal.NewRecord(now)
+	rec.Body = &record.Record_ClaimFinish{ClaimFinish: &record.ClaimFinish{
+		Key:     held.key,
+		Holder:  held.holder,
+		Status:  int32(status),
+		Unknown: maybe,
+	}}
+	claims.end(rec, held)
+}
+
+// end records the end of a claim in the background, until the log takes it.
+func (claims *Claims) end(rec *record.Record, held *Held) {
+	claims.mu.Lock()
+	claims.ends[held.holder] = rec
+	claims.mu.Unlock()
+	claims.doing.Add(1)
+	select {
+	case claims.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run records the ends of claims until ctx ends.
+func (claims *Claims) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-claims.wake:
+		}
+		for claims.Record(ctx, claims.options.Clock.Now()) > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-claims.options.Clock.After(recordRetry):
+			}
+		}
+	}
+}
+
+// Record makes one round of recording the ends that are due and returns how
+// many are left.
+func (claims *Claims) Record(ctx context.Context, now time.Time) int {
+	holders, records := claims.due()
+	if len(records) == 0 {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	outcomes, err := claims.options.Journal.Append(ctx, records...)
+	if err != nil {
+		return len(records)
+	}
+	return claims.note(holders, outcomes, now)
+}
+
+func (claims *Claims) due() (holders []string, records []*record.Record) {
+	claims.mu.Lock()
+	defer claims.mu.Unlock()
+	for holder, rec := range claims.ends {
+		if len(holders) == mostEnds {
+			break
+		}
+		holders = append(holders, holder)
+		records = append(records, rec)
+	}
+	return holders, records
+}
+
+// note drops what has been recorded. An end whose claim the log has not seen
+// stays: the claim may still come, and must then be given back.
+func (claims *Claims) note(holders []string, outcomes []state.Outcome, now time.Time) int {
+	claims.mu.Lock()
+	defer claims.mu.Unlock()
+	for index, holder := range holders {
+		rec, open := claims.ends[holder]
+		if !open {
+			continue
+		}
+		early := now.Sub(time.Unix(0, rec.GetWrittenUnixNano())) < lateClaim
+		if outcomes[index].Reason() == state.ReasonUnknown && early {
+			continue
+		}
+		delete(claims.ends, holder)
+		claims.doing.Done()
+	}
+	return len(claims.ends)
+}
+
+// Settle waits until every end is recorded.
+func (claims *Claims) Settle() { claims.doing.Wait() }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"ambertiller.example/ambertiller/budget"
+	"ambertiller.example/ambertiller/claim"
 	"ambertiller.example/ambertiller/document"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/instances"
@@ -84,7 +85,7 @@
 	table    *route.Table
 	shelf    *document.Shelf
 	retries  *budget.Budget
-	claims   *claims
+	claims   *claim.Claims
 	placer   *placer
 	metrics  *metrics
 	inFlight atomic.Int64
@@ -118,7 +119,9 @@
 		moved:    make(chan struct{}),
 		suspects: suspects{since: map[string]knownSuspicion{}, missing: map[string]time.Time{}},
 	}
-	entry.claims = newClaims(entry)
+	entry.claims = claim.New(claim.Options{
+		Journal: options.Journal, Instance: options.Name, StaleLog: staleLog, Clock: options.Clock, Events: options.Events,
+	})
 	entry.placer = &placer{entry: entry, runner: policy.NewRunner(), refusals: map[string][]refusal{}}
 	entry.metrics = newMetrics(entry)
 	return entry
@@ -162,7 +165,7 @@
 	loops.Go(func() { entry.every(ctx, listInterval, entry.ReadList) })
 	loops.Go(func() { entry.every(ctx, peerInterval, entry.AskPeers) })
 	loops.Go(func() { entry.every(ctx, janitorInterval, entry.Clean) })
-	loops.Go(func() { entry.claims.run(ctx) })
+	loops.Go(func() { entry.claims.Run(ctx) })
 	loops.Go(func() { entry.placeLoop(ctx) })
 	loops.Wait()
 	entry.background.Wait()
@@ -198,7 +201,7 @@
 func (entry *Entry) Settle(ctx context.Context) error {
 	ended := make(chan struct{})
 	go func() {
-		entry.claims.settle()
+		entry.claims.Settle()
 		close(ended)
 	}()
 	select {
--- a/entry/report.go
+++ b/entry/report.go
@@ -8,6 +8,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/membership"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
@@ -97,8 +98,7 @@
 	if folded.Suspicion(guard.Name()) == 0 {
 		// A lease counts from the last time this entry is sure that nobody
 		// had withdrawn it, not from now.
-		left := task.Lease() - now.Sub(fresh)
-		grant.LeaseNanos = max(0, left).Nanoseconds()
+		grant.LeaseNanos = lease.Left(task.Lease(), fresh, now).Nanoseconds()
 	}
 	switch {
 	case !owned:
--- a/entry/run.go
+++ b/entry/run.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/claim"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/route"
 	"ambertiller.example/ambertiller/rpc"
@@ -46,7 +47,7 @@
 
 // runCall sends a request until it is answered or given up. held is the claim
 // on a request that must not be repeated.
-func (entry *Entry) runCall(ctx context.Context, writer http.ResponseWriter, made *call, held *heldClaim) *api.Problem {
+func (entry *Entry) runCall(ctx context.Context, writer http.ResponseWriter, made *call, held *claim.Held) *api.Problem {
 	entry.retries.Deposit()
 	var tried []string
 	// maybe is set once a backend server may have run the request. Whatever
@@ -86,7 +87,7 @@
 
 // giveUp ends the claim and returns the final answer of a request that got
 // none: the problem given, unless the request may have run.
-func (entry *Entry) giveUp(ctx context.Context, held *heldClaim, maybe bool, sent *api.Problem) *api.Problem {
+func (entry *Entry) giveUp(ctx context.Context, held *claim.Held, maybe bool, sent *api.Problem) *api.Problem {
 	if !maybe {
 		entry.releaseClaim(ctx, held)
 		return sent
@@ -130,18 +131,6 @@
 	return notRun(err.Error(), retryLog)
 }
 
-func (entry *Entry) releaseClaim(ctx context.Context, held *heldClaim) {
-	if held != nil {
-		entry.claims.release(ctx, held)
-	}
-}
-
-func (entry *Entry) finishClaim(held *heldClaim, status int, maybe bool) {
-	if held != nil {
-		entry.claims.finish(held, status, maybe)
-	}
-}
-
 // noteTry tells the routing table, the metrics and the log how a try ended.
 func (entry *Entry) noteTry(ctx context.Context, made *call, picked *route.Picked, ended try) {
 	now := entry.now()
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -8,18 +8,11 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
 )
 
-const (
-	// clockRateBound is how much faster or slower one clock may run than
-	// another one: the lease of a worker counts on the worker's clock, the
-	// wait for its end on the entry's.
-	clockRateBound = 0.02
-	lostMargin     = 2 * time.Second
-)
-
 // suspects notes since when this entry has known of a suspicion. It counts
 // anew after a restart, so it can only wait too long.
 type suspects struct {
@@ -73,7 +66,7 @@
 		}
 		since := entry.suspects.known(worker, suspicion, now)
 		for _, task := range folded.OnWorker(worker) {
-			if now.Sub(since) > lostAfter(task.Lease()) {
+			if now.Sub(since) > lease.CountedOut(task.Lease(), offerTime) {
 				records = append(records, lostRecord(task, suspicion, now))
 			}
 		}
@@ -81,14 +74,6 @@
 	return records
 }
 
-// lostAfter is how long after a suspicion became known an attempt must have
-// been stopped by its worker. No lease is renewed on a state that has the
-// suspicion; the last one that was, on a state that had not, or the last offer
-// that was taken up, ends within this time on the slowest clock.
-func lostAfter(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease+offerTime)*(1+2*clockRateBound)) + lostMargin
-}
-
 func (entry *Entry) silent(worker string, now time.Time) bool {
 	guard := entry.view.Guard(worker)
 	if guard != nil {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -36,6 +36,7 @@
 	"ambertiller.example/ambertiller/document"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/instances"
+	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/wire"
 	"ambertiller.example/ambertiller/worker"
@@ -48,9 +49,6 @@
 	pollInterval       = 250 * time.Millisecond
 	listInterval       = 2 * time.Second
 	callTimeout        = 2 * time.Second
-	// maxOffer bounds how far ahead an offer may end. Barriers against stopped
-	// attempts are kept that long.
-	maxOffer = 30 * time.Second
 )
 
 // Options sets up a Guard.
@@ -92,26 +90,17 @@
 
 	mu       sync.Mutex
 	attempts map[string]*attempt
-	barriers map[string]barrier
+	holder   *lease.Holder
 	capacity worker.Capacity
 	usage    worker.Usage
 	// workerUptime is the worker's clock when it was last read. Leases are
 	// counted from it, so that they end early rather than late.
 	workerUptime time.Duration
-	// reported is the latest uptime that a report has told. An offer that ends
-	// before it is never taken up: entries may have acted on that report.
-	reported time.Duration
-	ready    bool
-	entries  []instances.Instance
-	metrics  *metrics
-	left     context.Context
-	leave    context.CancelFunc
-}
-
-// barrier keeps attempts up to a number from starting.
-type barrier struct {
-	attempt uint64
-	until   time.Duration
+	ready        bool
+	entries      []instances.Instance
+	metrics      *metrics
+	left         context.Context
+	leave        context.CancelFunc
 }
 
 // New returns a guard that carries nothing yet.
@@ -125,19 +114,20 @@
 	if options.Meters == nil {
 		options.Meters = otel.GetMeterProvider()
 	}
+	incarnation := newIncarnation()
 	left, leave := context.WithCancel(context.Background())
 	return &Guard{
 		left:        left,
 		leave:       leave,
 		options:     options,
-		incarnation: newIncarnation(),
+		incarnation: incarnation,
 		began:       options.Clock.Now(),
 		gate:        admission.NewGate(admission.Capacity{Slots: defaultSlots, Connections: defaultConnections}),
 		shelf:       document.NewShelf(),
 		backend:     newTransport(),
 		wake:        make(chan struct{}, 1),
 		attempts:    map[string]*attempt{},
-		barriers:    map[string]barrier{},
+		holder:      lease.NewHolder(incarnation),
 		metrics:     newMetrics(options.Meters),
 	}
 }
--- a/guard/report.go
+++ b/guard/report.go
@@ -164,11 +164,10 @@
 	capacity := guard.gate.Capacity()
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	guard.reported = max(guard.reported, guard.uptime(now))
 	report := &wire.ReportRequest{
 		Worker:        guard.options.Name,
 		Incarnation:   guard.incarnation,
-		UptimeNanos:   guard.reported.Nanoseconds(),
+		UptimeNanos:   guard.holder.Report(guard.uptime(now)).Nanoseconds(),
 		FailureDomain: guard.options.FailureDomain,
 		Rack:          guard.capacity.Rack,
 		Service:       guard.options.Service,
--- a/guard/task.go
+++ b/guard/task.go
@@ -8,6 +8,7 @@
 
 	"ambertiller.example/ambertiller/admission"
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/wire"
 	"ambertiller.example/ambertiller/worker"
 )
@@ -47,17 +48,14 @@
 func (guard *Guard) reserve(request *wire.StartRequest, now time.Time) *wire.Refusal {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	deadline := time.Duration(request.GetOfferDeadlineNanos())
 	known := guard.attempts[request.GetTask()]
-	switch {
-	case known != nil && request.GetAttempt() == known.number:
+	if known != nil && request.GetAttempt() == known.number {
 		return &wire.Refusal{Reason: wire.RefusalReason_REFUSAL_ALREADY_RUNNING, Detail: "the attempt has been started"}
-	case request.GetIncarnation() != guard.incarnation:
-		return notRun(wire.RefusalReason_REFUSAL_WRONG_INCARNATION, "the offer was made to "+request.GetIncarnation())
-	case max(guard.uptime(now), guard.reported) >= deadline || deadline > guard.uptime(now)+maxOffer:
-		return notRun(wire.RefusalReason_REFUSAL_OFFER_EXPIRED, "the offer has ended, or ends too far ahead")
-	case request.GetAttempt() <= guard.barriers[request.GetTask()].attempt:
-		return notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt was stopped before it came")
+	}
+	if err := guard.holder.Check(offerOf(request), guard.uptime(now)); err != nil {
+		return notRun(offerReasons[err], err.Error())
+	}
+	switch {
 	case known != nil && (request.GetAttempt() < known.number || !known.ended()):
 		return notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "another attempt is here")
 	case !guard.ready:
@@ -75,6 +73,21 @@
 	return nil
 }
 
+func offerOf(request *wire.StartRequest) lease.Offer {
+	return lease.Offer{
+		Subject:     request.GetTask(),
+		Token:       request.GetAttempt(),
+		Incarnation: request.GetIncarnation(),
+		Deadline:    time.Duration(request.GetOfferDeadlineNanos()),
+	}
+}
+
+var offerReasons = map[error]wire.RefusalReason{
+	lease.ErrIncarnation: wire.RefusalReason_REFUSAL_WRONG_INCARNATION,
+	lease.ErrExpired:     wire.RefusalReason_REFUSAL_OFFER_EXPIRED,
+	lease.ErrBarred:      wire.RefusalReason_REFUSAL_STALE_ATTEMPT,
+}
+
 // started notes the worker's answer to a start. When the answer is missing the
 // attempt counts as running until the worker's own list tells.
 func (guard *Guard) started(ctx context.Context, request *wire.StartRequest, err error) *wire.Refusal {
@@ -157,12 +170,7 @@
 func (guard *Guard) bar(request *wire.StopRequest, now time.Time) (running, again bool, refusal *wire.Refusal) {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	guard.pruneBarriers(now)
-	present := guard.barriers[request.GetTask()]
-	guard.barriers[request.GetTask()] = barrier{
-		attempt: max(present.attempt, request.GetAttempt()),
-		until:   guard.uptime(now) + maxOffer,
-	}
+	guard.holder.Bar(request.GetTask(), request.GetAttempt(), guard.uptime(now))
 	each := guard.attempts[request.GetTask()]
 	if each != nil && each.number == request.GetAttempt() && !each.ended() {
 		again = each.phase == wire.TaskPhase_TASK_STOPPING
@@ -175,14 +183,6 @@
 	return false, false, notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt is not here and won't start here")
 }
 
-func (guard *Guard) pruneBarriers(now time.Time) {
-	for task, set := range guard.barriers {
-		if set.until < guard.uptime(now) {
-			delete(guard.barriers, task)
-		}
-	}
-}
-
 // Adopt reads what the worker has and still runs, and counts it. The guard
 // takes work once this has succeeded.
 func (guard *Guard) Adopt(ctx context.Context) error {
