--- a/command/settings.go
+++ b/command/settings.go
@@ -129,7 +129,7 @@
 	defaultLeave = 3 * time.Second
 	longestStop  = 10 * time.Minute
 
-	entryProcessors = 2
+	entryProcessors = 1
 	guardProcessors = 1
 	mostProcessors  = 256
 )
