--- a/command/settings.go
+++ b/command/settings.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -109,6 +110,8 @@
 	count := given.between("processors", 1, mostProcessors)
 	if len(given.faults) == 0 {
 		runtime.GOMAXPROCS(count)
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(softMemory)
 	}
 }
 
@@ -129,6 +132,12 @@
 	defaultLeave = 3 * time.Second
 	longestStop  = 10 * time.Minute
 
+	// gcPercent trades memory for processor time: a role that holds a few MiB
+	// would otherwise collect many times a second. softMemory makes collection
+	// eager again well below the 128 MB that a node may use.
+	gcPercent  = 400
+	softMemory = 96 << 20
+
 	entryProcessors = 1
 	guardProcessors = 1
 	mostProcessors  = 256
