--- a/standin/http.go
+++ b/standin/http.go
@@ -21,8 +21,7 @@
 // bring failures about.
 func (platform *Platform) platformHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /streams/{stream}/records", platform.serveAppend)
-	mux.HandleFunc("GET /streams/{stream}/records", platform.serveRead)
+	platform.log.routes(mux)
 	mux.HandleFunc("GET /instances", platform.serveInstances)
 	mux.HandleFunc("PUT /instances/{name}/state/{state}", platform.serveInstanceState)
 	mux.HandleFunc("PUT /control/log/{state}", platform.serveLogState)
@@ -36,13 +35,25 @@
 	return mux
 }
 
-func (platform *Platform) serveAppend(writer http.ResponseWriter, request *http.Request) {
+// LogHandler serves a log alone.
+func LogHandler(kept *Log) http.Handler {
+	mux := http.NewServeMux()
+	kept.routes(mux)
+	return mux
+}
+
+func (kept *Log) routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /streams/{stream}/records", kept.serveAppend)
+	mux.HandleFunc("GET /streams/{stream}/records", kept.serveRead)
+}
+
+func (kept *Log) serveAppend(writer http.ResponseWriter, request *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, logservice.MaxEntryBytes))
 	if err != nil {
 		http.Error(writer, "the entry is too large or cut", http.StatusRequestEntityTooLarge)
 		return
 	}
-	result := platform.log.append(request.PathValue("stream"), data, time.Now())
+	result := kept.append(request.PathValue("stream"), data, time.Now())
 	switch {
 	case result.down:
 		http.Error(writer, "outage", http.StatusServiceUnavailable)
@@ -56,7 +67,7 @@
 	}
 }
 
-func (platform *Platform) serveRead(writer http.ResponseWriter, request *http.Request) {
+func (kept *Log) serveRead(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
 	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
 	if err != nil || from < 0 {
@@ -72,7 +83,7 @@
 	if err != nil {
 		wait = 0
 	}
-	page, up := platform.log.waitRead(request.Context(), request.PathValue("stream"), logservice.ReadOptions{
+	page, up := kept.waitRead(request.Context(), request.PathValue("stream"), logservice.ReadOptions{
 		From: from,
 		Max:  min(most, readMaxLimit),
 		Wait: min(wait, longestWait),
--- /dev/null
+++ b/state/bench_test.go
@@ -0,0 +1,91 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	"ambertiller.example/ambertiller/record"
+	"ambertiller.example/ambertiller/state"
+)
+
+// lifeOf returns the records of a task's life, as batches of one record.
+func lifeOf(number int) []*record.Batch {
+	id := fmt.Sprintf("8f0b8b4e-6f0e-4c55-9a3e-%012d", number)
+	worker := fmt.Sprintf("worker-%03d", number%550)
+	records := []*record.Record{
+		createOf(id, 1),
+		{Id: id + "2", Format: 1, Body: &record.Record_TaskAssign{TaskAssign: &record.TaskAssign{Task: id, BasedOn: 1, Worker: worker, Incarnation: "i", LeaseNanos: 1}}},
+		{Id: id + "3", Format: 1, Body: &record.Record_TaskRunning{TaskRunning: &record.TaskRunning{Task: id, Attempt: 1}}},
+		{Id: id + "4", Format: 1, Body: &record.Record_TaskFinish{TaskFinish: &record.TaskFinish{Task: id, Attempt: 1, Result: []byte("done")}}},
+		{Id: id + "5", Format: 1, Body: &record.Record_TaskForget{TaskForget: &record.TaskForget{Task: id}}},
+	}
+	batches := make([]*record.Batch, 0, len(records))
+	for _, rec := range records {
+		batches = append(batches, batchOf(rec.GetId(), rec))
+	}
+	return batches
+}
+
+// liveState holds tasks that run.
+func liveState(tb testing.TB, tasks int) *state.State {
+	tb.Helper()
+	folded := state.New()
+	for number := range tasks {
+		for _, batch := range lifeOf(number)[:3] {
+			if _, err := folded.Apply(folded.Next(), batch); err != nil {
+				tb.Fatal(err)
+			}
+		}
+	}
+	return folded
+}
+
+// BenchmarkFold folds one record, among tasks at the two-year size.
+func BenchmarkFold(b *testing.B) {
+	folded := liveState(b, 5000)
+	number := 1_000_000
+	var batches []*record.Batch
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(batches) == 0 {
+			b.StopTimer()
+			for range 1000 {
+				batches = append(batches, lifeOf(number)...)
+				number++
+			}
+			b.StartTimer()
+		}
+		if _, err := folded.Apply(folded.Next(), batches[0]); err != nil {
+			b.Fatal(err)
+		}
+		batches = batches[1:]
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "records/s")
+}
+
+// BenchmarkSnapshot and BenchmarkRestore are per 1,000 tasks.
+func BenchmarkSnapshot(b *testing.B) {
+	folded := liveState(b, 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		data, err := folded.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(data)))
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	data, err := liveState(b, 1000).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := state.Restore(data, state.Format); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
