--- a/entry/entry.go
+++ b/entry/entry.go
@@ -257,3 +257,6 @@
 func (entry *Entry) logUp(now time.Time) bool {
 	return entry.log.Ready() == nil && now.Sub(entry.log.FreshAt()) < staleLog
 }
+
+// Queued returns how many requests of a service wait for a slot.
+func (entry *Entry) Queued(service string) int { return entry.table.Queued(service) }
--- a/entry/run.go
+++ b/entry/run.go
@@ -21,6 +21,9 @@
 const (
 	// mostTries bounds how often one request is sent.
 	mostTries = 3
+	// mostRequeued bounds how often a request that found its server full goes
+	// back to wait. Such a refusal costs a message and no work.
+	mostRequeued = 4
 	// sendChunkBytes is how much of a streamed body goes into one message.
 	sendChunkBytes = 32 << 10
 )
@@ -40,8 +43,10 @@
 	fate   fate
 	status int
 	load   *wire.Load
-	// full says that the guard had no free slot, which is no fault.
-	full   bool
+	// full says that the guard had no free slot, leaving that it takes no more
+	// work; neither is a fault.
+	full    bool
+	leaving bool
 	detail string
 }
 
@@ -53,11 +58,14 @@
 	// maybe is set once a backend server may have run the request. Whatever
 	// comes after, it can't be called not run any more.
 	maybe := false
+	requeued := 0
 	for {
 		picked, err := entry.table.Wait(ctx, made.service, tried, route.Bounds{
 			Most:     made.settings.Queue(),
 			Deadline: made.deadline,
 			Now:      entry.now,
+			After:    entry.options.Clock.After,
+			Again:    requeued > 0,
 		})
 		if err != nil {
 			return entry.giveUp(ctx, held, maybe, shedProblem(err))
@@ -74,6 +82,12 @@
 			// has part of the answer that it is not whole.
 			panic(http.ErrAbortHandler)
 		}
+		if ended.full && requeued < mostRequeued {
+			// The guard knows better than this entry that it is full. The load
+			// that came with its refusal is noted; the request waits its turn.
+			requeued++
+			continue
+		}
 		maybe = maybe || ended.fate == fateUnknown
 		tried = append(tried, picked.Target().Name())
 		if entry.mayRetry(made, ended, len(tried)) {
@@ -136,7 +150,7 @@
 	now := entry.now()
 	outcome := route.Answered
 	switch {
-	case ended.fate == fateNotRun && ended.full:
+	case ended.full || ended.leaving:
 		outcome = route.Refused
 	case ended.fate != fateAnswered:
 		outcome = route.Failed
@@ -246,8 +260,10 @@
 		ended.fate = fateNotRun
 	}
 	switch refusal.GetReason() {
-	case wire.RefusalReason_REFUSAL_NO_SLOT, wire.RefusalReason_REFUSAL_NO_CONNECTION, wire.RefusalReason_REFUSAL_LEAVING:
+	case wire.RefusalReason_REFUSAL_NO_SLOT, wire.RefusalReason_REFUSAL_NO_CONNECTION:
 		ended.full = true
+	case wire.RefusalReason_REFUSAL_LEAVING:
+		ended.leaving = true
 	}
 	return ended
 }
--- a/route/queue.go
+++ b/route/queue.go
@@ -36,24 +36,72 @@
 		if ticket == nil {
 			return picked, err
 		}
+		picked, err = table.await(ctx, name, ticket, tried, bounds)
+		if picked != nil || err != nil {
+			return picked, err
+		}
+		bounds.queued = true
+	}
+}
+
+// await waits for the ticket's turn. The first in the queue looks again by
+// itself now and then, because nothing tells an entry of the slots that the
+// requests of other entries give back. Without a result the turn has come.
+func (table *Table) await(ctx context.Context, name string, ticket chan struct{}, tried []string, bounds Bounds) (*Picked, error) {
+	for {
 		select {
 		case <-ticket:
+			return nil, nil
+		case <-bounds.After(table.lookAgain(name)):
+			if picked := table.pickFirst(name, ticket, tried, bounds.Now()); picked != nil {
+				return picked, nil
+			}
 		case <-ctx.Done():
 			table.leave(name, ticket)
 			return nil, &ShedError{reason: "the deadline passed while the request waited for a slot", retryAfter: leastRetryAfter}
 		}
-		bounds.queued = true
 	}
 }
 
+const (
+	leastLookAgain = time.Millisecond
+	lookAgainPart  = 4
+)
+
+// lookAgain is how long the first in the queue waits before it looks again.
+func (table *Table) lookAgain(name string) time.Duration {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return max(leastLookAgain, table.services[name].latency/lookAgainPart)
+}
+
+// pickFirst picks for the ticket if it is the first in the queue.
+func (table *Table) pickFirst(name string, ticket chan struct{}, tried []string, now time.Time) *Picked {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	waiting := table.services[name].queue.waiting
+	if len(waiting) == 0 || waiting[0] != ticket {
+		return nil
+	}
+	picked, err := table.pick(name, tried, now)
+	if err != nil {
+		return nil
+	}
+	table.services[name].queue.waiting = waiting[1:]
+	return picked
+}
+
 // Bounds limits one wait.
 type Bounds struct {
 	// Most is how many requests of the service may wait.
 	Most int
 	// Deadline is when the request's time ends.
 	Deadline time.Time
-	// Now returns the present time.
-	Now func() time.Time
+	// Now returns the present time, After waits.
+	Now   func() time.Time
+	After func(wait time.Duration) <-chan time.Time
+	// Again marks a request that has waited before and goes first.
+	Again bool
 
 	queued bool
 }
@@ -63,7 +111,7 @@
 	defer table.mu.Unlock()
 	now := bounds.Now()
 	named, found := table.services[name]
-	if found && !bounds.queued && len(named.queue.waiting) > 0 {
+	if found && !bounds.queued && !bounds.Again && len(named.queue.waiting) > 0 {
 		// Those who wait go first.
 		return table.enqueue(named, bounds, now)
 	}
@@ -75,6 +123,12 @@
 }
 
 func (table *Table) enqueue(named *service, bounds Bounds, now time.Time) (chan struct{}, *Picked, error) {
+	if bounds.queued || bounds.Again {
+		// It has waited its turn; what took the slot away was not its fault.
+		ticket := make(chan struct{})
+		named.queue.waiting = append([]chan struct{}{ticket}, named.queue.waiting...)
+		return ticket, nil, nil
+	}
 	waiting := len(named.queue.waiting)
 	expected := named.expectedWait(waiting + 1)
 	if waiting >= bounds.Most {
@@ -110,11 +164,14 @@
 }
 
 // wakeFree wakes as many of those who wait as there are free slots.
-func (named *service) wakeFree() {
+func (named *service) wakeFree(now time.Time) {
+	if len(named.queue.waiting) == 0 {
+		return
+	}
 	free := 0
 	for _, target := range named.targets {
 		if target.ready {
-			free += max(0, target.slots-target.others-target.inFlight)
+			free += max(0, target.slots-target.used(now))
 		}
 	}
 	for ; free > 0 && len(named.queue.waiting) > 0; free-- {
--- a/route/route.go
+++ b/route/route.go
@@ -46,6 +46,9 @@
 	// failuresToEject is how many failures in a row put a server aside.
 	failuresToEject = 3
 	ejectTime       = 5 * time.Second
+	// unknownLatency stands in for the time of a server that has answered
+	// nothing yet.
+	unknownLatency = 100 * time.Millisecond
 	// mostEjected bounds the part of a service that is put aside.
 	mostEjected = 0.34
 )
@@ -68,6 +71,7 @@
 	incarnation string
 	slots       int
 	others      int
+	learnedAt   time.Time
 	inFlight    int
 	ready       bool
 	failures    int
@@ -154,8 +158,8 @@
 	target.domain = guard.FailureDomain()
 	target.incarnation = guard.Incarnation()
 	target.ready = guard.Ready() && !silent
-	target.learn(guard.Load())
-	named.wakeFree()
+	target.learn(guard.Load(), guard.HeardAt())
+	named.wakeFree(guard.HeardAt())
 }
 
 func (named *service) target(name string) *Target {
@@ -171,10 +175,11 @@
 
 // learn takes in a load that the guard stated. What it counts beyond this
 // entry's own requests is the work of others.
-func (target *Target) learn(load *wire.Load) {
+func (target *Target) learn(load *wire.Load, now time.Time) {
 	if load == nil {
 		return
 	}
+	target.learnedAt = now
 	target.slots = int(load.GetSlots())
 	target.others = max(0, int(load.GetSlotsUsed())-target.inFlight)
 	if load.GetLatencyNanos() > 0 {
@@ -182,11 +187,25 @@
 	}
 }
 
-func (target *Target) fullness() float64 {
+// used is how many slots are believed to be taken. The requests of others are
+// taken to end, one after the other, within the server's usual time: without
+// that an entry none of whose own requests is there would believe a server
+// full until its guard's next report.
+func (target *Target) used(now time.Time) int {
+	usual := target.latency
+	if usual == 0 {
+		usual = unknownLatency
+	}
+	age := max(0, now.Sub(target.learnedAt))
+	left := max(0, 1-float64(age)/float64(usual))
+	return int(math.Ceil(float64(target.others)*left)) + target.inFlight
+}
+
+func (target *Target) fullness(now time.Time) float64 {
 	if target.slots == 0 {
 		return 1
 	}
-	return float64(target.others+target.inFlight) / float64(target.slots)
+	return float64(target.used(now)) / float64(target.slots)
 }
 
 // Pick takes the cheapest target that is not in tried and counts a request on
@@ -213,11 +232,11 @@
 		case now.Before(target.ejectedTill) && picked.ejected < ejectable:
 			picked.ejected++
 			continue
-		case target.others+target.inFlight >= target.slots:
+		case target.used(now) >= target.slots:
 			picked.full++
 			continue
 		}
-		price := target.fullness()
+		price := target.fullness(now)
 		if target.domain != table.domain {
 			price += distancePrice
 		}
@@ -231,7 +250,7 @@
 		}
 		return nil, ErrNone
 	}
-	picked.fullness = picked.target.fullness()
+	picked.fullness = picked.target.fullness(now)
 	picked.target.inFlight++
 	return picked, nil
 }
@@ -253,7 +272,7 @@
 	named := table.services[picked.service]
 	target := picked.target
 	target.inFlight--
-	target.learn(load)
+	target.learn(load, now)
 	switch outcome {
 	case Answered:
 		target.failures = 0
@@ -265,7 +284,7 @@
 			target.ejectedTill = now.Add(ejectTime)
 		}
 	}
-	named.wakeFree()
+	named.wakeFree(now)
 }
 
 const smoothWeight = 0.05
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -135,7 +135,7 @@
 
 func TestWait(t *testing.T) {
 	bounds := func(most int, deadline time.Duration) route.Bounds {
-		return route.Bounds{Most: most, Deadline: start.Add(deadline), Now: func() time.Time { return start }}
+		return route.Bounds{Most: most, Deadline: start.Add(deadline), Now: func() time.Time { return start }, After: time.After}
 	}
 	t.Run("no queue: given up at once, with the time to come back", func(t *testing.T) {
 		table := tableOf(guardOf("a", "milano-a", 8, 8, true))
--- a/session/outcome_test.go
+++ b/session/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 
@@ -37,3 +38,43 @@
 		})
 	}
 }
+
+// TestFullServerIsWaitedFor: two entries that don't know of each other's
+// requests send to a server with one slot left; the one that is refused waits
+// its turn and is answered.
+func TestFullServerIsWaitedFor(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 32)
+	made := newBench(t)
+	made.backend = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		_, _ = io.WriteString(writer, "whole")
+	})
+	made.fill()
+	made.guards["worker-02"].role.Leave(made.ctx)
+	const slots = 8
+	statuses := make(chan int, 2*slots)
+	send := func(name string) {
+		answer := made.doQuiet(name, http.MethodPost, "/v1/services/verbale/snippets", "x")
+		statuses <- answer.Code
+	}
+	for range slots {
+		go send("entry-1")
+	}
+	for range slots {
+		<-arrived
+	}
+	for range slots {
+		go send("entry-2")
+	}
+	made.await("the refused ones wait", func() bool { return made.entries["entry-2"].role.Queued("verbale") == slots })
+	close(release)
+	made.whileTimePasses(func() {
+		for range 2 * slots {
+			if status := <-statuses; status != http.StatusOK {
+				t.Errorf("status %d", status)
+			}
+		}
+	})
+}
