Limits that hold: pending per kind, run time per kind, shares, targets

Cause: max_pending, max_run_time, share and target_p99 could be configured and did nothing. Change: a kind's max_pending refuses submissions as not run with the time to come back; a run time beyond the kind's is refused with its place; among equal priorities the team that uses least for its share goes first; answers slower than target_p99 are counted; a gauge of queued requests per service.

--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,110 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/command"
+)
+
+func run(arguments ...string) (code int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	code = command.Run(context.Background(), append([]string{"ambertiller"}, arguments...), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// TestSettingsNameEveryFault: a role with several wrong settings names all of
+// them at once and starts nothing.
+func TestSettingsNameEveryFault(t *testing.T) {
+	tests := map[string]struct {
+		arguments []string
+		want      []string
+	}{
+		"entry": {
+			[]string{"entry", "--http", "localhost:1", "--rpc", "127.0.0.1", "--platform", "ftp://x", "--stop-timeout", "0s", "--appends-per-second", "0", "--log-level", "loud"},
+			[]string{"--name must be set", "--failure-domain must be set", "--http must name an IP number", "--rpc must be an IP number and port", "--platform must be a URL", "--stop-timeout must be", "--appends-per-second is out of bounds", `"loud"`},
+		},
+		"guard": {
+			[]string{"guard"},
+			[]string{"--name", "--service", "--rpc", "--admin", "--platform", "--worker", "--backend"},
+		},
+		"standin":  {[]string{"standin", "--network", "10.0", "--workers", "0"}, []string{"--network", "--workers"}},
+		"operator": {[]string{"--output", "xml", "--entry", "nowhere", "workers"}, []string{"--output must be table or json", "--entry must be a URL"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			code, _, errOut := run(test.arguments...)
+			if code != command.ExitUsage {
+				t.Errorf("exit code %d: %s", code, errOut)
+			}
+			for _, want := range test.want {
+				if !strings.Contains(errOut, want) {
+					t.Errorf("%q is not in %s", want, errOut)
+				}
+			}
+		})
+	}
+}
+
+func TestVariables(t *testing.T) {
+	t.Setenv("AMBERTILLER_OUTPUT", "json")
+	code, out, errOut := run("version")
+	var info struct {
+		Version string `json:"version"`
+	}
+	if err := json.Unmarshal([]byte(out), &info); code != command.ExitOK || err != nil || info.Version == "" {
+		t.Errorf("exit code %d, %q, %q, %v", code, out, errOut, err)
+	}
+}
+
+// TestExitCodes: each kind of failure has its own code, and says what to do.
+func TestExitCodes(t *testing.T) {
+	tests := map[string]struct {
+		problem api.Problem
+		code    int
+	}{
+		"not found":     {api.Problem{Type: api.TypeNotFound, Status: http.StatusNotFound}, command.ExitNotFound},
+		"conflict":      {api.Problem{Type: api.TypeConflict, Status: http.StatusConflict}, command.ExitConflict},
+		"faults":        {api.Problem{Type: api.TypeBadRequest, Status: http.StatusBadRequest, Faults: []api.Fault{{Message: "x"}}}, command.ExitFaults},
+		"bad request":   {api.Problem{Type: api.TypeBadRequest, Status: http.StatusBadRequest}, command.ExitUsage},
+		"log down":      {api.Problem{Type: api.TypeLog, Status: http.StatusServiceUnavailable, Outcome: api.OutcomeNotRun}, command.ExitUnavailable},
+		"log unsettled": {api.Problem{Type: api.TypeLog, Status: http.StatusServiceUnavailable, Outcome: api.OutcomeUnknown}, command.ExitUnreachable},
+		"can never run": {api.Problem{Type: api.TypeImpossible, Status: http.StatusUnprocessableEntity}, command.ExitFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			entry := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Content-Type", api.ProblemType)
+				writer.WriteHeader(test.problem.Status)
+				_ = json.NewEncoder(writer).Encode(test.problem)
+			}))
+			defer entry.Close()
+			if code, _, errOut := run("--entry", entry.URL, "task", "t-1"); code != test.code || errOut == "" {
+				t.Errorf("exit code %d: %q", code, errOut)
+			}
+		})
+	}
+	t.Run("no entry", func(t *testing.T) {
+		if code, _, errOut := run("--entry", "http://127.0.0.1:1", "workers"); code != command.ExitUnreachable || !strings.Contains(errOut, "check --entry") {
+			t.Errorf("exit code %d: %q", code, errOut)
+		}
+	})
+}
+
+func TestCheckOffline(t *testing.T) {
+	if code, _, errOut := run("config", "check", "--offline", "../examples/sapporo/config.yaml"); code != command.ExitOK {
+		t.Errorf("exit code %d: %s", code, errOut)
+	}
+	if code, _, _ := run("config", "check", "--offline", "../config/testdata/every-fault.yaml"); code != command.ExitFaults {
+		t.Errorf("exit code %d", code)
+	}
+	if code, _, _ := run("policy", "check", "--offline", "../examples/verbalia/placement.expr"); code != command.ExitOK {
+		t.Errorf("exit code %d", code)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -135,7 +135,8 @@
 // task on a silent worker can be started elsewhere.
 func (kind Kind) Lease() time.Duration { return kind.lease }
 
-// MaxRunTime returns the longest run of a task, zero for no bound.
+// MaxRunTime returns the longest run time that a task may declare, zero for no
+// bound.
 func (kind Kind) MaxRunTime() time.Duration { return kind.maxRunTime }
 
 // MaxPending returns how many tasks of the kind may wait, zero for no bound.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -20,6 +20,7 @@
 type metrics struct {
 	latency  metric.Float64Histogram
 	problems metric.Int64Counter
+	late     metric.Int64Counter
 	placed   metric.Int64Counter
 	ended    metric.Int64Counter
 }
@@ -31,6 +32,7 @@
 	made.latency, _ = meter.Float64Histogram("ambertiller.request.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time to a whole answer, by service."), metric.WithExplicitBucketBoundaries(latencyBounds...))
 	made.problems, _ = meter.Int64Counter("ambertiller.request.problems", metric.WithDescription("Requests without an answer, by service and problem type."))
+	made.late, _ = meter.Int64Counter("ambertiller.request.over_target", metric.WithDescription("Answers that took longer than the service's target_p99."))
 	made.placed, _ = meter.Int64Counter("ambertiller.placement.decisions", metric.WithDescription("Placement decisions, by outcome."))
 	made.ended, _ = meter.Int64Counter("ambertiller.task.attempts_ended", metric.WithDescription("Attempts recorded as ended, by outcome."))
 	observe(meter, entry)
@@ -60,6 +62,15 @@
 				return nil
 			}))
 	}
+	_, _ = meter.Int64ObservableGauge("ambertiller.requests.queued", metric.WithDescription("Requests that wait for a slot, by service."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			if settings := entry.shelf.Config(); settings != nil {
+				for service := range settings.Services() {
+					observer.Observe(int64(entry.table.Queued(service)), metric.WithAttributes(attribute.String("service", service)))
+				}
+			}
+			return nil
+		}))
 	_, _ = meter.Int64ObservableGauge("ambertiller.document.version", metric.WithDescription("Document versions in force on this entry."),
 		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 			for _, each := range entry.shelf.Versions() {
@@ -69,8 +80,12 @@
 		}))
 }
 
-func (counted *metrics) answered(ctx context.Context, service string, took time.Duration) {
-	counted.latency.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("service", service)))
+func (counted *metrics) answered(ctx context.Context, service string, took, target time.Duration) {
+	named := metric.WithAttributes(attribute.String("service", service))
+	counted.latency.Record(ctx, took.Seconds(), named)
+	if target > 0 && took > target {
+		counted.late.Add(ctx, 1, named)
+	}
 }
 
 func (counted *metrics) gaveUp(ctx context.Context, service, kind string) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -117,7 +117,7 @@
 		}
 		board := placing.board(folded, now)
 		usage := teamUsage(folded)
-		for _, task := range folded.Pending() {
+		for _, task := range byShare(folded.Pending(), usage, settings) {
 			if len(assignments) == mostPerRound {
 				return
 			}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"cmp"
+	"math"
+	"slices"
+
 	"ambertiller.example/ambertiller/config"
 	"ambertiller.example/ambertiller/placement"
 	"ambertiller.example/ambertiller/record"
@@ -44,3 +48,24 @@
 }
 
 func exceeds(value, quota int64) bool { return quota > 0 && value > quota }
+
+// byShare orders tasks of equal priority so that the teams which use least for
+// their share come first. The order within a team stays as it is.
+func byShare(pending []*state.Task, usage teamUse, settings *config.Config) []*state.Task {
+	slices.SortStableFunc(pending, func(a, b *state.Task) int {
+		return cmp.Or(
+			cmp.Compare(b.Spec().GetPriority(), a.Spec().GetPriority()),
+			cmp.Compare(usage.perShare(settings, a.Spec().GetTeam()), usage.perShare(settings, b.Spec().GetTeam())),
+		)
+	})
+	return pending
+}
+
+// perShare is what a team uses for each unit of its share.
+func (usage teamUse) perShare(settings *config.Config, name string) float64 {
+	team, found := settings.Team(name)
+	if !found || team.Share() == 0 {
+		return math.Inf(1)
+	}
+	return float64(usage[name].MilliCPU) / team.Share()
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -47,7 +47,7 @@
 	// work; neither is a fault.
 	full    bool
 	leaving bool
-	detail string
+	detail  string
 }
 
 // runCall sends a request until it is answered or given up. held is the claim
@@ -163,7 +163,7 @@
 	if ended.fate != fateAnswered {
 		return
 	}
-	entry.metrics.answered(ctx, made.service, now.Sub(made.began))
+	entry.metrics.answered(ctx, made.service, now.Sub(made.began), made.settings.TargetP99())
 	if !entry.options.Events.Enabled(ctx, event.RequestRouted) {
 		return
 	}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -73,6 +73,9 @@
 	if sent := entry.possible(spec); sent != nil {
 		return false, nil, sent
 	}
+	if sent := entry.room(spec); sent != nil {
+		return false, nil, sent
+	}
 	now := entry.now()
 	if !entry.logUp(now) {
 		return false, nil, logProblem(errors.New("it has not been read to its end lately"))
@@ -127,6 +130,10 @@
 	check := &taskCheck{}
 	kind := check.kind(settings, asked.Kind)
 	check.team(settings, asked.Team)
+	runTime := check.duration("run_time", asked.RunTime)
+	if most := kind.MaxRunTime(); most > 0 && runTime > most {
+		check.fault("run_time", "%s is longer than %s, which tasks of this kind may take", runTime, most)
+	}
 	spec := &record.TaskSpec{
 		Team:          asked.Team,
 		Kind:          asked.Kind,
@@ -134,7 +141,7 @@
 		FailureDomain: check.text("failure_domain", asked.FailureDomain, maxNameBytes),
 		Input:         []byte(check.text("input", asked.Input, state.MaxInputBytes)),
 		Priority:      int32(kind.Priority()),
-		RunTimeNanos:  check.duration("run_time", asked.RunTime).Nanoseconds(),
+		RunTimeNanos:  runTime.Nanoseconds(),
 		Resources: &record.Resources{
 			MilliCpu:     check.processors(asked.Processors),
 			MemoryBytes:  check.size("memory", asked.Memory),
@@ -241,6 +248,23 @@
 			decision.Rejected()[placement.TooSmall], decision.Rejected()[placement.OtherDomain]))
 }
 
+// retryPending is when a submission that found too many waiting may come back.
+const retryPending = 10 * time.Second
+
+// room refuses a task of a kind of which as many wait as may.
+func (entry *Entry) room(spec *record.TaskSpec) *api.Problem {
+	kind, _ := entry.shelf.Config().Kind(spec.GetKind())
+	if kind.MaxPending() == 0 {
+		return nil
+	}
+	var waiting int
+	entry.log.View(func(folded *state.State) { waiting = folded.PendingOfKind(spec.GetKind()) })
+	if waiting < kind.MaxPending() {
+		return nil
+	}
+	return notRun(fmt.Sprintf("%d tasks of kind %s wait already, which is as many as may", waiting, spec.GetKind()), retryPending)
+}
+
 func showTask(task *state.Task) *api.Task {
 	spec := task.Spec()
 	return &api.Task{
--- a/session/outcome_test.go
+++ b/session/outcome_test.go
@@ -78,3 +78,21 @@
 		}
 	})
 }
+
+// TestSubmissionBounds: what a kind does not allow is told at submission.
+func TestSubmissionBounds(t *testing.T) {
+	made := newSession(t)
+	long := made.doQuiet("entry-1", http.MethodPost, "/v1/tasks", `{"team":"councils","kind":"transcription","run_time":"7h"}`)
+	if long.Code != http.StatusBadRequest {
+		t.Errorf("a task longer than its kind allows: status %d: %s", long.Code, long.Body)
+	}
+	made.doQuiet("entry-1", http.MethodPut, "/v1/documents/config",
+		`{"based_on":1,"content":"kinds:\n  minutes: {class: batch, max_pending: 1}\nteams:\n  councils: {}\n"}`)
+	made.catchUp()
+	const minutes = `{"team":"councils","kind":"minutes"}`
+	for index, want := range []int{http.StatusCreated, http.StatusServiceUnavailable} {
+		if answer := made.doQuiet("entry-1", http.MethodPost, "/v1/tasks", minutes); answer.Code != want {
+			t.Errorf("submission %d: status %d: %s", index, answer.Code, answer.Body)
+		}
+	}
+}
--- a/state/query.go
+++ b/state/query.go
@@ -16,6 +16,9 @@
 // PendingCount returns the number of tasks that wait for a worker.
 func (folded *State) PendingCount() int { return len(folded.pending) }
 
+// PendingOfKind returns the number of tasks of a kind that wait for a worker.
+func (folded *State) PendingOfKind(kind string) int { return folded.pendingKinds[kind] }
+
 // Pending returns the tasks that wait for a worker: by falling priority, then
 // oldest first.
 func (folded *State) Pending() []*Task {
--- a/state/state.go
+++ b/state/state.go
@@ -112,8 +112,10 @@
 	recent    []string
 	recentSet map[string]struct{}
 	pending   map[string]*Task
-	ended     map[string]*Task
-	byWorker  map[string]map[string]*Task
+	// pendingKinds counts the pending tasks of each kind.
+	pendingKinds map[string]int
+	ended        map[string]*Task
+	byWorker     map[string]map[string]*Task
 }
 
 // New returns the state of an empty log.
@@ -123,16 +125,17 @@
 // up to known. Tests use it to stand an old build beside a new one.
 func NewKnowing(known uint32) *State {
 	return &State{
-		format:    FirstFormat,
-		known:     known,
-		tasks:     map[string]*Task{},
-		claims:    map[string]*record.ClaimState{},
-		documents: map[string][]*record.Document{},
-		workers:   map[string]*record.WorkerState{},
-		recentSet: map[string]struct{}{},
-		pending:   map[string]*Task{},
-		ended:     map[string]*Task{},
-		byWorker:  map[string]map[string]*Task{},
+		format:       FirstFormat,
+		known:        known,
+		tasks:        map[string]*Task{},
+		claims:       map[string]*record.ClaimState{},
+		documents:    map[string][]*record.Document{},
+		workers:      map[string]*record.WorkerState{},
+		recentSet:    map[string]struct{}{},
+		pending:      map[string]*Task{},
+		pendingKinds: map[string]int{},
+		ended:        map[string]*Task{},
+		byWorker:     map[string]map[string]*Task{},
 	}
 }
 
--- a/state/task.go
+++ b/state/task.go
@@ -298,13 +298,17 @@
 }
 
 func (folded *State) index(task *Task) {
-	delete(folded.pending, task.ID())
+	if _, waited := folded.pending[task.ID()]; waited {
+		delete(folded.pending, task.ID())
+		folded.pendingKinds[task.Spec().GetKind()]--
+	}
 	if held := folded.byWorker[task.Worker()]; held != nil {
 		delete(held, task.ID())
 	}
 	switch {
 	case task.Phase() == PhasePending:
 		folded.pending[task.ID()] = task
+		folded.pendingKinds[task.Spec().GetKind()]++
 	case task.Phase().Ended():
 		folded.ended[task.ID()] = task
 	case task.Phase().Placed():
