--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -70,4 +70,3 @@
 		t.Errorf("got %v", order)
 	}
 }
-
