--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -216,4 +216,3 @@
 	}
 	return strings.NewReplacer(replace...).Replace(string(content))
 }
-
--- a/standin/log.go
+++ b/standin/log.go
@@ -175,3 +175,14 @@
 	defer kept.mu.Unlock()
 	return kept.down
 }
+
+// Bytes returns how many bytes the entries of a stream hold.
+func (kept *Log) Bytes(name string) int {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	bytes := 0
+	for _, entry := range kept.stream(name).entries {
+		bytes += len(entry)
+	}
+	return bytes
+}
