--- a/session/harness_test.go
+++ b/session/harness_test.go
@@ -148,6 +148,9 @@
 	backend http.Handler
 	said    transcript
 	owned   ownership
+	// restless lets time pass while the entries read the log: after an outage
+	// they wait before they read again.
+	restless bool
 	// unreachable names the guards that can't reach any entry.
 	unreachable map[string]bool
 	// ignoreLeases breaks the workers on purpose.
@@ -308,7 +311,7 @@
 // await spins until the condition holds.
 func (made *bench) await(what string, holds func() bool) {
 	made.t.Helper()
-	deadline := time.Now().Add(time.Minute)
+	deadline := time.Now().Add(20 * time.Second)
 	for !holds() {
 		if time.Now().After(deadline) {
 			made.t.Fatalf("waited in vain: %s", what)
@@ -320,12 +323,17 @@
 // pass lets time pass for everything, and then lets every entry read the log.
 func (made *bench) pass(span time.Duration) {
 	made.t.Helper()
+	made.tick(span)
+	made.catchUp()
+}
+
+// tick moves the clock and every worker's time on.
+func (made *bench) tick(span time.Duration) {
 	made.clock.Advance(span)
 	now := made.clock.Now()
-	for _, fake := range made.workers {
-		fake.Step(now, span)
+	for _, name := range slices.Sorted(maps.Keys(made.workers)) {
+		made.workers[name].Step(now, span)
 	}
-	made.catchUp()
 }
 
 // catchUp lets every entry read the log to its end.
@@ -342,6 +350,9 @@
 		}
 		made.await(name+" reads the log", func() bool {
 			made.log.Nudge()
+			if made.restless {
+				made.tick(time.Millisecond)
+			}
 			var next int64
 			seated.journal.View(func(folded *state.State) { next = folded.Next() })
 			return !seated.journal.FreshAt().Before(now) && next == made.log.End(journal.RecordStream)
