--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,7 +117,7 @@
 		shelf:    document.NewShelf(),
 		retries:  budget.New(defaultRatio, retryBurst),
 		moved:    make(chan struct{}),
-		suspects: suspects{since: map[string]knownSuspicion{}, missing: map[string]time.Time{}},
+		suspects: suspects{since: map[string]knownSuspicion{}, missing: map[string]time.Time{}, elsewhere: map[string]endedSuspicion{}},
 	}
 	entry.claims = claim.New(claim.Options{
 		Journal: options.Journal, Instance: options.Name, StaleLog: staleLog, Clock: options.Clock, Events: options.Events,
--- a/entry/report.go
+++ b/entry/report.go
@@ -168,10 +168,12 @@
 // worker counts as not there.
 const adoptSettle = 3 * time.Second
 
-// judgeSuspect ends the suspicion of a guard that speaks again.
+// judgeSuspect ends the suspicion of a guard that speaks. Any entry that hears
+// it does so, not only the one that acts for the worker: the case is a guard
+// that reaches some entries and not that one.
 func (entry *Entry) judgeSuspect(made *verdicts, folded *state.State, guard *membership.Guard, now time.Time) {
 	suspicion := folded.Suspicion(guard.Name())
-	if suspicion == 0 || !entry.owns(guard.Name(), now) {
+	if suspicion == 0 {
 		return
 	}
 	rec := journal.NewRecord(now)
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -19,6 +19,9 @@
 	mu      sync.Mutex
 	since   map[string]knownSuspicion
 	missing map[string]time.Time
+	// elsewhere is when the newest suspicion of a worker was seen to have ended:
+	// another entry had heard its guard.
+	elsewhere map[string]endedSuspicion
 }
 
 type knownSuspicion struct {
@@ -38,6 +41,22 @@
 	return present.since
 }
 
+type endedSuspicion struct {
+	number uint64
+	at     time.Time
+}
+
+// ended notes that a worker is under no suspicion after a number of them, and
+// returns when the newest was seen to have ended, zero if there was none.
+func (noted *suspects) ended(worker string, number uint64, now time.Time) time.Time {
+	noted.mu.Lock()
+	defer noted.mu.Unlock()
+	if number > noted.elsewhere[worker].number {
+		noted.elsewhere[worker] = endedSuspicion{number: number, at: now}
+	}
+	return noted.elsewhere[worker].at
+}
+
 // missingSince returns since when a worker that holds tasks has been missing.
 func (noted *suspects) missingSince(worker string, now time.Time) time.Time {
 	noted.mu.Lock()
@@ -59,7 +78,7 @@
 		}
 		suspicion := folded.Suspicion(worker)
 		if suspicion == 0 {
-			if entry.silent(worker, now) {
+			if entry.silent(worker, folded.Suspicions(worker), now) {
 				records = append(records, suspectRecord(worker, now))
 			}
 			continue
@@ -74,13 +93,18 @@
 	return records
 }
 
-func (entry *Entry) silent(worker string, now time.Time) bool {
+// silent reports whether nobody has heard the worker's guard for too long, as
+// far as this entry knows.
+func (entry *Entry) silent(worker string, suspicions uint64, now time.Time) bool {
+	settings := entry.shelf.Config()
+	if settings == nil || now.Sub(entry.suspects.ended(worker, suspicions, now)) <= settings.Limits().WorkerSilent() {
+		return false
+	}
 	guard := entry.view.Guard(worker)
 	if guard != nil {
 		return entry.view.Silent(guard, now)
 	}
-	settings := entry.shelf.Config()
-	return settings != nil && now.Sub(entry.suspects.missingSince(worker, now)) > settings.Limits().WorkerSilent()
+	return now.Sub(entry.suspects.missingSince(worker, now)) > settings.Limits().WorkerSilent()
 }
 
 func suspectRecord(worker string, now time.Time) *record.Record {
--- a/session/harness_test.go
+++ b/session/harness_test.go
@@ -374,7 +374,7 @@
 			made.t.Fatal(err)
 		}
 		for _, each := range made.list {
-			if each.Role != instances.Entry || made.unreachable[name] {
+			if each.Role != instances.Entry || made.unreachable[name] || made.unreachable[name+" to "+each.Name] {
 				continue
 			}
 			seated.role.ReportTo(made.ctx, each)
--- a/state/worker.go
+++ b/state/worker.go
@@ -19,6 +19,11 @@
 	return folded.workers[worker].GetSuspicions()
 }
 
+// Suspicions returns how many suspicions the worker has been under.
+func (folded *State) Suspicions(worker string) uint64 {
+	return folded.workers[worker].GetSuspicions()
+}
+
 // Suspects returns the suspected workers, by name.
 func (folded *State) Suspects() []string {
 	var names []string
