Read as a newcomer: one place for a change, judging apart from acting

No behaviour changed. The four handlers that append one record said the same eight lines each; they share entry.change now. entry/report.go held reports, judgements and peers; they are report.go, judge.go and peers.go.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -101,9 +101,6 @@
 		return nil, sent
 	}
 	now := entry.now()
-	if !entry.logUp(now) {
-		return nil, logProblem(errors.New("it has not been read to its end lately"))
-	}
 	rec := journal.NewRecord(now)
 	rec.Body = &record.Record_Publish{Publish: &record.Publish{
 		Document: name,
@@ -112,16 +109,14 @@
 		Comment:  asked.Comment,
 		Content:  []byte(asked.Content),
 	}}
-	ctx, cancel := context.WithTimeout(ctx, appendWait)
-	defer cancel()
-	outcomes, err := entry.log.Append(ctx, rec)
-	if err != nil {
-		return nil, logProblem(err)
+	outcome, sent := entry.change(ctx, rec)
+	if sent != nil {
+		return nil, sent
 	}
-	if !outcomes[0].Accepted() {
+	if !outcome.Accepted() {
 		entry.options.Events.Log(ctx, event.DocumentConflict, slog.String("document", name), slog.Uint64("based_on", asked.BasedOn), slog.String("author", asked.Author))
 		return nil, problem(http.StatusConflict, api.TypeConflict, "The publication was not accepted",
-			fmt.Sprintf("%s: it was based on version %d and the newest is %d; look at that one and publish again", outcomes[0].Reason(), asked.BasedOn, entry.newestVersion(name)))
+			fmt.Sprintf("%s: it was based on version %d and the newest is %d; look at that one and publish again", outcome.Reason(), asked.BasedOn, entry.newestVersion(name)))
 	}
 	entry.options.Events.Log(ctx, event.DocumentPublished, slog.String("document", name), slog.Uint64("version", asked.BasedOn+1), slog.String("author", asked.Author))
 	return &api.Document{Name: name, Version: asked.BasedOn + 1, Author: asked.Author, Comment: asked.Comment, Written: now.UTC()}, nil
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"ambertiller.example/ambertiller/membership"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// Documents answers another entry, or the guard of another process, with the
+// documents that it lacks. It implements the drpc service.
+func (entry *Entry) Documents(ctx context.Context, request *wire.DocumentsRequest) (*wire.DocumentsReply, error) {
+	have := wire.FromVersions(request.GetHave())
+	return &wire.DocumentsReply{
+		Entry:     entry.options.Name,
+		Documents: wire.Copies(entry.shelf.NewerThan(have)),
+		InForce:   wire.Versions(entry.shelf.Versions()),
+	}, nil
+}
+
+// AskPeers learns which other entries are there, and takes over documents that
+// they have and the log has not brought here.
+func (entry *Entry) AskPeers(ctx context.Context) {
+	var calls sync.WaitGroup
+	for _, peer := range entry.view.Entries() {
+		if peer.Name == entry.options.Name {
+			continue
+		}
+		calls.Go(func() { entry.askPeer(ctx, peer.Address) })
+	}
+	calls.Wait()
+}
+
+func (entry *Entry) askPeer(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := &wire.DocumentsRequest{Entry: entry.options.Name, Have: wire.Versions(entry.shelf.Versions())}
+	reply, err := wire.NewDRPCEntryClient(entry.options.Pool.Conn(address)).Documents(ctx, request)
+	if err != nil {
+		return
+	}
+	entry.view.PeerHeard(membership.Peer{Name: reply.GetEntry(), HeardAt: entry.now(), Documents: wire.FromVersions(reply.GetInForce())})
+	for _, copied := range reply.GetDocuments() {
+		entry.offer(ctx, wire.FromCopy(copied))
+	}
+}
+
+// learnDocuments notices that a guard holds a newer document than this entry,
+// as after a cold start with the log down, and fetches it.
+func (entry *Entry) learnDocuments(ctx context.Context, held []*wire.DocumentVersion, address string) {
+	mine := map[string]uint64{}
+	for _, each := range entry.shelf.Versions() {
+		mine[each.Name] = each.Version
+	}
+	for _, each := range held {
+		if each.GetVersion() > mine[each.GetName()] {
+			entry.background.Go(func() { entry.fetchFromGuard(context.WithoutCancel(ctx), address) })
+			return
+		}
+	}
+}
+
+func (entry *Entry) fetchFromGuard(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := &wire.DocumentsRequest{Entry: entry.options.Name, Have: wire.Versions(entry.shelf.Versions())}
+	reply, err := wire.NewDRPCGuardClient(entry.options.Pool.Conn(address)).Documents(ctx, request)
+	if err != nil {
+		return
+	}
+	for _, copied := range reply.GetDocuments() {
+		entry.offer(ctx, wire.FromCopy(copied))
+	}
+}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/api"
@@ -76,26 +75,20 @@
 	if sent := entry.room(spec); sent != nil {
 		return false, nil, sent
 	}
-	now := entry.now()
-	if !entry.logUp(now) {
-		return false, nil, logProblem(errors.New("it has not been read to its end lately"))
-	}
-	rec := journal.NewRecord(now)
+	rec := journal.NewRecord(entry.now())
 	rec.Body = &record.Record_TaskCreate{TaskCreate: &record.TaskCreate{Task: id, Spec: spec, IdempotencyKey: key}}
-	ctx, cancel := context.WithTimeout(ctx, appendWait)
-	defer cancel()
-	outcomes, err := entry.log.Append(ctx, rec)
-	if err != nil {
-		return false, nil, logProblem(err)
+	outcome, sent := entry.change(ctx, rec)
+	if sent != nil {
+		return false, nil, sent
 	}
 	task, sent := entry.existing(id, spec)
 	if sent == nil && task == nil {
-		return false, nil, badRequest("the log did not accept the task: " + string(outcomes[0].Reason()))
+		return false, nil, badRequest("the log did not accept the task: " + string(outcome.Reason()))
 	}
-	if outcomes[0].Accepted() {
+	if outcome.Accepted() {
 		entry.options.Events.Log(ctx, event.TaskSubmitted, slog.String("task", id), slog.String("team", spec.GetTeam()), slog.String("kind", spec.GetKind()))
 	}
-	return outcomes[0].Accepted(), task, sent
+	return outcome.Accepted(), task, sent
 }
 
 func taskID(team, key string) string {
@@ -349,21 +342,14 @@
 
 // serveCancel cancels a task. Cancelling one that has ended changes nothing.
 func (entry *Entry) serveCancel(writer http.ResponseWriter, request *http.Request, id string) {
-	now := entry.now()
-	if !entry.logUp(now) {
-		writeProblem(writer, logProblem(errors.New("it has not been read to its end lately")))
-		return
-	}
-	rec := journal.NewRecord(now)
+	rec := journal.NewRecord(entry.now())
 	rec.Body = &record.Record_TaskCancel{TaskCancel: &record.TaskCancel{Task: id}}
-	ctx, cancel := context.WithTimeout(request.Context(), appendWait)
-	defer cancel()
-	outcomes, err := entry.log.Append(ctx, rec)
-	if err != nil {
-		writeProblem(writer, logProblem(err))
+	outcome, done := entry.changeFor(writer, request, rec)
+	if !done {
 		return
 	}
-	if outcomes[0].Accepted() {
+	ctx := request.Context()
+	if outcome.Accepted() {
 		entry.options.Events.Log(ctx, event.TaskCancelled, slog.String("task", id))
 		entry.stopCancelled(context.WithoutCancel(ctx), id)
 	}
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -1,14 +1,11 @@
 package entry
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"ambertiller.example/ambertiller/api"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/journal"
@@ -87,22 +84,14 @@
 		writeProblem(writer, notFound("no worker is named "+strconv.Quote(worker)+"; see `ambertiller workers`"))
 		return
 	}
-	now := entry.now()
-	if !entry.logUp(now) {
-		writeProblem(writer, logProblem(errors.New("it has not been read to its end lately")))
-		return
-	}
-	rec := journal.NewRecord(now)
+	rec := journal.NewRecord(entry.now())
 	rec.Body = &record.Record_WorkerDrain{WorkerDrain: &record.WorkerDrain{Worker: worker, Draining: asked.Draining, Author: asked.Author}}
-	ctx, cancel := context.WithTimeout(request.Context(), appendWait)
-	defer cancel()
-	outcomes, err := entry.log.Append(ctx, rec)
-	if err != nil {
-		writeProblem(writer, logProblem(err))
+	outcome, done := entry.changeFor(writer, request, rec)
+	if !done {
 		return
 	}
-	if outcomes[0].Accepted() {
-		entry.options.Events.Log(ctx, event.WorkerDrained, slog.String("worker", worker), slog.Bool("draining", asked.Draining), slog.String("author", asked.Author))
+	if outcome.Accepted() {
+		entry.options.Events.Log(request.Context(), event.WorkerDrained, slog.String("worker", worker), slog.Bool("draining", asked.Draining), slog.String("author", asked.Author))
 	}
 	writeJSON(writer, http.StatusOK, asked)
 }
