--- a/api/api.go
+++ b/api/api.go
@@ -150,6 +150,11 @@
 	Workers int    `json:"workers"`
 }
 
+// ThrottleRequest bounds a running task to a share of its processors.
+type ThrottleRequest struct {
+	Share float64 `json:"share"`
+}
+
 // Worker shows a worker and what it carries.
 type Worker struct {
 	Name          string    `json:"name"`
--- a/command/command.go
+++ b/command/command.go
@@ -124,7 +124,7 @@
 		},
 		Commands: []*cli.Command{
 			entryCommand(), guardCommand(), standinCommand(), demoCommand(),
-			submitCommand(), cancelCommand(), tasksCommand(), taskCommand(), resultCommand(), explainCommand(),
+			submitCommand(), cancelCommand(), tasksCommand(), taskCommand(), resultCommand(), explainCommand(), throttleCommand(),
 			workersCommand(), drainCommand(),
 			configCommand(), policyCommand(), inForceCommand(),
 			versionCommand(),
--- a/command/task.go
+++ b/command/task.go
@@ -156,6 +156,23 @@
 	}
 }
 
+func throttleCommand() *cli.Command {
+	return &cli.Command{
+		Name: "throttle", Usage: "bound a running task to a share of its processors", ArgsUsage: "TASK",
+		Flags: []cli.Flag{&cli.FloatFlag{Name: "share", Usage: "above 0, at most 1", Value: 1}},
+		Action: func(ctx context.Context, from *cli.Command) error {
+			asked := api.ThrottleRequest{Share: from.Float("share")}
+			return oneArgument("TASK", func(ctx context.Context, calling *client, id string) error {
+				var done api.ThrottleRequest
+				if err := calling.call(ctx, http.MethodPut, "/v1/tasks/"+url.PathEscape(id)+"/throttle", nil, asked, &done); err != nil {
+					return err
+				}
+				return calling.out.fields(&done, "task", id, "share", number(done.Share))
+			})(ctx, from)
+		},
+	}
+}
+
 func tasksCommand() *cli.Command {
 	return &cli.Command{
 		Name: "tasks", Usage: "list tasks",
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -70,6 +70,9 @@
 	app.Delete("/v1/tasks/{task:string}", func(ctx iris.Context) {
 		entry.serveCancel(ctx.ResponseWriter(), ctx.Request(), ctx.Params().Get("task"))
 	})
+	app.Put("/v1/tasks/{task:string}/throttle", func(ctx iris.Context) {
+		entry.serveThrottle(ctx.ResponseWriter(), ctx.Request(), ctx.Params().Get("task"))
+	})
 	app.Get("/v1/tasks/{task:string}/result", func(ctx iris.Context) { entry.serveResult(ctx.ResponseWriter(), ctx.Params().Get("task")) })
 	app.Get("/v1/tasks/{task:string}/explain", func(ctx iris.Context) { entry.serveExplain(ctx.ResponseWriter(), ctx.Params().Get("task")) })
 	app.Get("/v1/tasks/{task:string}/stream", func(ctx iris.Context) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -73,6 +73,7 @@
 	ReportFailed
 	WorkerUnreachable
 	LeaseLapsed
+	TaskThrottled
 )
 
 // Entry describes one event.
@@ -138,6 +139,7 @@
 	{ReportFailed, slog.LevelWarn, "report failed", "The guard could not report to an entry.", firstRelease},
 	{WorkerUnreachable, slog.LevelWarn, "worker unreachable", "The worker's interface did not answer the guard.", firstRelease},
 	{LeaseLapsed, slog.LevelWarn, "lease lapsed", "A task's lease ended without renewal and the worker stopped it.", firstRelease},
+	{TaskThrottled, slog.LevelInfo, "task throttled", "An attempt was bounded to a share of its processors.", firstRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/guard/task.go
+++ b/guard/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/pkg/errors"
@@ -183,6 +184,29 @@
 	return false, false, notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt is not here and won't start here")
 }
 
+// Throttle bounds an attempt to a share of its processors. It implements the
+// drpc service.
+func (guard *Guard) Throttle(ctx context.Context, request *wire.ThrottleRequest) (*wire.ThrottleReply, error) {
+	if share := request.GetShare(); !(share > 0 && share <= 1) {
+		return &wire.ThrottleReply{Refusal: notRun(wire.RefusalReason_REFUSAL_BAD_REQUEST, "the share must be above 0 and at most 1")}, nil
+	}
+	if !guard.runs(request.GetTask(), request.GetAttempt()) {
+		return &wire.ThrottleReply{Refusal: notRun(wire.RefusalReason_REFUSAL_STALE_ATTEMPT, "the attempt does not run here")}, nil
+	}
+	if err := guard.options.Worker.Throttle(ctx, request.GetTask(), request.GetAttempt(), request.GetShare()); err != nil {
+		return nil, errors.Wrap(err, "throttle attempt")
+	}
+	guard.options.Events.Log(ctx, event.TaskThrottled, attrTask(request.GetTask()), attrAttempt(request.GetAttempt()), slog.Float64("share", request.GetShare()))
+	return &wire.ThrottleReply{}, nil
+}
+
+func (guard *Guard) runs(task string, number uint64) bool {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	each := guard.attempts[task]
+	return each != nil && each.number == number && each.phase == wire.TaskPhase_TASK_RUNNING
+}
+
 // Adopt reads what the worker has and still runs, and counts it. The guard
 // takes work once this has succeeded.
 func (guard *Guard) Adopt(ctx context.Context) error {
