--- a/entry/run.go
+++ b/entry/run.go
@@ -89,10 +89,10 @@
 			continue
 		}
 		maybe = maybe || ended.fate == fateUnknown
-		tried = append(tried, picked.Target().Name())
+		tried = append(tried, picked.Worker())
 		if entry.mayRetry(made, ended, len(tried)) {
 			entry.options.Events.Log(ctx, event.RequestRetried, slog.String("request", made.id),
-				slog.String("worker", picked.Target().Name()), slog.String("reason", ended.detail))
+				slog.String("worker", picked.Worker()), slog.String("reason", ended.detail))
 			continue
 		}
 		return entry.giveUp(ctx, held, maybe, notRun(ended.detail, entry.retryAfter(made.service)))
@@ -157,7 +157,7 @@
 	}
 	entry.table.Done(picked, outcome, ended.load, now.Sub(made.began), now)
 	if ended.fate == fateCut {
-		entry.options.Events.Log(ctx, event.AnswerCut, slog.String("request", made.id), slog.String("worker", picked.Target().Name()), slog.String("error", ended.detail))
+		entry.options.Events.Log(ctx, event.AnswerCut, slog.String("request", made.id), slog.String("worker", picked.Worker()), slog.String("error", ended.detail))
 		return
 	}
 	if ended.fate != fateAnswered {
@@ -170,7 +170,7 @@
 	entry.options.Events.Log(ctx, event.RequestRouted,
 		slog.String("request", made.id),
 		slog.String("service", made.service),
-		slog.String("worker", picked.Target().Name()),
+		slog.String("worker", picked.Worker()),
 		slog.Int("status", ended.status),
 		slog.Float64("fullness", picked.Fullness()),
 		slog.Int("considered", picked.Considered()),
@@ -197,7 +197,7 @@
 
 // send makes one try at the picked target.
 func (entry *Entry) send(ctx context.Context, writer http.ResponseWriter, made *call, picked *route.Picked) try {
-	conn, err := entry.options.Pool.Borrow(ctx, picked.Target().Address())
+	conn, err := entry.options.Pool.Borrow(ctx, picked.Address())
 	if err != nil {
 		return callFailed(err)
 	}
--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -50,20 +50,28 @@
 	made.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	made.start("standin", "--network", network, "--workers", strconv.Itoa(workers), "--entries", strconv.Itoa(entries), "--work-time", workTime.String())
 	for index := 1; index <= entries; index++ {
-		made.entries = append(made.entries, made.start("entry", "--name", standin.EntryName(index), "--failure-domain", "milano-a",
-			"--http", made.layout.Entry(index, standin.EntryHTTPPort), "--rpc", made.layout.Entry(index, standin.EntryRPCPort),
-			"--platform", "http://"+made.layout.Platform(), "--log-level", "warn"))
+		made.entries = append(made.entries, made.startEntry(index))
 	}
 	for index := 1; index <= workers; index++ {
-		made.guards = append(made.guards, made.start("guard", "--name", standin.WorkerName(index), "--failure-domain", "milano-a", "--service", "verbale",
-			"--rpc", made.layout.Worker(index, standin.GuardPort), "--admin", made.layout.Worker(index, standin.GuardAdminPort),
-			"--platform", "http://"+made.layout.Platform(), "--worker", "http://"+made.layout.Worker(index, standin.WorkerPort),
-			"--backend", "http://"+made.layout.Worker(index, standin.BackendPort), "--log-level", "warn"))
+		made.guards = append(made.guards, made.startGuard(index))
 	}
 	made.publish(config, workers+entries)
 	return made
 }
 
+func (made *fleet) startEntry(index int) *exec.Cmd {
+	return made.start("entry", "--name", standin.EntryName(index), "--failure-domain", "milano-a",
+		"--http", made.layout.Entry(index, standin.EntryHTTPPort), "--rpc", made.layout.Entry(index, standin.EntryRPCPort),
+		"--platform", "http://"+made.layout.Platform(), "--log-level", "warn")
+}
+
+func (made *fleet) startGuard(index int) *exec.Cmd {
+	return made.start("guard", "--name", standin.WorkerName(index), "--failure-domain", "milano-a", "--service", "verbale",
+		"--rpc", made.layout.Worker(index, standin.GuardPort), "--admin", made.layout.Worker(index, standin.GuardAdminPort),
+		"--platform", "http://"+made.layout.Platform(), "--worker", "http://"+made.layout.Worker(index, standin.WorkerPort),
+		"--backend", "http://"+made.layout.Worker(index, standin.BackendPort), "--log-level", "warn")
+}
+
 func (made *fleet) start(arguments ...string) *exec.Cmd {
 	made.t.Helper()
 	started := exec.Command(made.binary, arguments...)
--- a/route/route.go
+++ b/route/route.go
@@ -63,8 +63,8 @@
 	Failed
 )
 
-// Target is one backend server.
-type Target struct {
+// server is one backend server; the table's lock guards it.
+type server struct {
 	name        string
 	address     string
 	domain      string
@@ -79,15 +79,11 @@
 	latency     time.Duration
 }
 
-// Name returns the name of the target's worker.
-func (target *Target) Name() string { return target.name }
-
-// Address returns where the target's guard is reached.
-func (target *Target) Address() string { return target.address }
-
-// Picked is a target that was given a request.
+// Picked is a backend server that was given a request, as it was known then.
 type Picked struct {
-	target     *Target
+	target     *server
+	worker     string
+	address    string
 	service    string
 	fullness   float64
 	considered int
@@ -96,8 +92,11 @@
 	ejected    int
 }
 
-// Target returns the picked target.
-func (picked *Picked) Target() *Target { return picked.target }
+// Worker returns the name of the picked server's worker.
+func (picked *Picked) Worker() string { return picked.worker }
+
+// Address returns where the picked server's guard is reached.
+func (picked *Picked) Address() string { return picked.address }
 
 // Fullness returns how full the target was believed to be, 0 to 1.
 func (picked *Picked) Fullness() float64 { return picked.fullness }
@@ -122,7 +121,7 @@
 }
 
 type service struct {
-	targets []*Target
+	targets []*server
 	queue   queue
 	latency time.Duration
 }
@@ -162,20 +161,20 @@
 	named.wakeFree(guard.HeardAt())
 }
 
-func (named *service) target(name string) *Target {
+func (named *service) target(name string) *server {
 	for _, target := range named.targets {
 		if target.name == name {
 			return target
 		}
 	}
-	target := &Target{name: name}
+	target := &server{name: name}
 	named.targets = append(named.targets, target)
 	return target
 }
 
 // learn takes in a load that the guard stated. What it counts beyond this
 // entry's own requests is the work of others.
-func (target *Target) learn(load *wire.Load, now time.Time) {
+func (target *server) learn(load *wire.Load, now time.Time) {
 	if load == nil {
 		return
 	}
@@ -191,7 +190,7 @@
 // taken to end, one after the other, within the server's usual time: without
 // that an entry none of whose own requests is there would believe a server
 // full until its guard's next report.
-func (target *Target) used(now time.Time) int {
+func (target *server) used(now time.Time) int {
 	usual := target.latency
 	if usual == 0 {
 		usual = unknownLatency
@@ -201,7 +200,7 @@
 	return int(math.Ceil(float64(target.others)*left)) + target.inFlight
 }
 
-func (target *Target) fullness(now time.Time) float64 {
+func (target *server) fullness(now time.Time) float64 {
 	if target.slots == 0 {
 		return 1
 	}
@@ -251,6 +250,7 @@
 		return nil, ErrNone
 	}
 	picked.fullness = picked.target.fullness(now)
+	picked.worker, picked.address = picked.target.name, picked.target.address
 	picked.target.inFlight++
 	return picked, nil
 }
@@ -304,7 +304,7 @@
 	if !found {
 		return false
 	}
-	return slices.ContainsFunc(named.targets, func(target *Target) bool { return target.ready })
+	return slices.ContainsFunc(named.targets, func(target *server) bool { return target.ready })
 }
 
 // InFlight returns how many requests of a service this entry has under way.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -55,8 +55,8 @@
 			if !errors.Is(err, test.err) {
 				t.Fatalf("got %v", err)
 			}
-			if err == nil && picked.Target().Name() != test.want {
-				t.Errorf("got %s", picked.Target().Name())
+			if err == nil && picked.Worker() != test.want {
+				t.Errorf("got %s", picked.Worker())
 			}
 		})
 	}
@@ -71,7 +71,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		counts[picked.Target().Name()]++
+		counts[picked.Worker()]++
 	}
 	if counts["a"] != 2 || counts["b"] != 2 {
 		t.Errorf("got %v", counts)
@@ -86,11 +86,11 @@
 func TestLoadOfOthersIsLearned(t *testing.T) {
 	table := tableOf(guardOf("a", "milano-a", 0, 8, true), guardOf("b", "milano-a", 1, 8, true))
 	picked, err := table.Pick("verbale", nil, start)
-	if err != nil || picked.Target().Name() != "a" {
+	if err != nil || picked.Worker() != "a" {
 		t.Fatalf("got %v, %v", picked, err)
 	}
 	table.Done(picked, route.Answered, &wire.Load{SlotsUsed: 6, Slots: 8}, time.Millisecond, start)
-	if next, err := table.Pick("verbale", nil, start); err != nil || next.Target().Name() != "b" {
+	if next, err := table.Pick("verbale", nil, start); err != nil || next.Worker() != "b" {
 		t.Errorf("got %v, %v", next, err)
 	}
 }
@@ -118,7 +118,7 @@
 		fail(t, table, "a", start)
 	}
 	picked, err := table.Pick("verbale", nil, start)
-	if err != nil || picked.Target().Name() != "b" || picked.Ejected() != 1 {
+	if err != nil || picked.Worker() != "b" || picked.Ejected() != 1 {
 		t.Fatalf("got %v, %v", picked, err)
 	}
 	table.Done(picked, route.Answered, nil, time.Millisecond, start)
@@ -206,3 +206,20 @@
 		})
 	}
 }
+
+// TestPickedKeepsItsAddress: a report that moves the server to another address
+// while a request is on its way changes nothing about that request.
+func TestPickedKeepsItsAddress(t *testing.T) {
+	table := tableOf(guardOf("a", "milano-a", 0, 8, true))
+	picked, err := table.Pick("verbale", nil, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := membership.NewView(time.Minute).Heard(&wire.ReportRequest{
+		Worker: "a", Incarnation: "i-2", Service: "verbale", Address: "elsewhere", Ready: true, Load: &wire.Load{Slots: 8},
+	}, start)
+	table.Update(moved, false)
+	if picked.Address() != "a" || picked.Worker() != "a" {
+		t.Errorf("got %s at %s", picked.Worker(), picked.Address())
+	}
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -19,6 +19,8 @@
 	HeaderCut = "X-Standin-Cut"
 	// HeaderHold keeps the request in flight until its name is let go.
 	HeaderHold = "X-Standin-Hold"
+	// HeaderCount counts the run under a name.
+	HeaderCount = "X-Standin-Count"
 	// HeaderRequestID is echoed, so that a caller can tell whose answer it got.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -61,6 +63,9 @@
 		http.Error(writer, "the request is cut", http.StatusBadRequest)
 		return
 	}
+	if name := request.Header.Get(HeaderCount); name != "" {
+		backend.holds.run(name)
+	}
 	if name := request.Header.Get(HeaderHold); name != "" {
 		backend.holds.wait(request.Context(), name)
 	}
--- a/standin/hold.go
+++ b/standin/hold.go
@@ -6,10 +6,11 @@
 )
 
 // holds keeps requests in flight at the backend servers until they are let go,
-// so that a test can act while they are there.
+// so that a test can act while they are there, and counts runs by name.
 type holds struct {
 	mu    sync.Mutex
 	named map[string]*hold
+	runs  map[string]int
 }
 
 type hold struct {
@@ -17,7 +18,20 @@
 	released chan struct{}
 }
 
-func newHolds() *holds { return &holds{named: map[string]*hold{}} }
+func newHolds() *holds { return &holds{named: map[string]*hold{}, runs: map[string]int{}} }
+
+// run counts a run under a name.
+func (kept *holds) run(name string) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	kept.runs[name]++
+}
+
+func (kept *holds) ran(name string) int {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	return kept.runs[name]
+}
 
 func (kept *holds) get(name string) *hold {
 	found, known := kept.named[name]
--- a/standin/http.go
+++ b/standin/http.go
@@ -33,6 +33,9 @@
 	mux.HandleFunc("GET /control/holds/{name}", func(writer http.ResponseWriter, request *http.Request) {
 		answer(writer, http.StatusOK, platform.holds.count(request.PathValue("name")))
 	})
+	mux.HandleFunc("GET /control/counts/{name}", func(writer http.ResponseWriter, request *http.Request) {
+		answer(writer, http.StatusOK, platform.holds.ran(request.PathValue("name")))
+	})
 	mux.HandleFunc("DELETE /control/holds/{name}", func(writer http.ResponseWriter, request *http.Request) {
 		platform.holds.release(request.PathValue("name"))
 		writer.WriteHeader(http.StatusNoContent)
