--- a/cmd/ambertiller/path_test.go
+++ b/cmd/ambertiller/path_test.go
@@ -267,6 +267,51 @@
 	})
 }
 
+// TestSecondSignal holds a request in flight: the first SIGTERM waits for it,
+// the second breaks off and says so.
+func TestSecondSignal(t *testing.T) {
+	made := newFleet(t, 1, 1)
+	made.publishConfig(2)
+	made.until("a request is answered", func() error {
+		response, _, err := made.request(1, "x", http.Header{})
+		if err == nil && response.StatusCode != http.StatusOK {
+			err = fmt.Errorf("status %d", response.StatusCode)
+		}
+		return err
+	})
+	go func() {
+		_, _, _ = made.request(1, "held", http.Header{standin.HeaderHold: {"second"}, api.HeaderTimeout: {patience.String()}})
+	}()
+	made.until("the request is in flight", func() error {
+		if held := made.control(http.MethodGet, "/control/holds/second"); held != "1" {
+			return fmt.Errorf("%s requests are held", held)
+		}
+		return nil
+	})
+	entry := made.stoppable[0]
+	if err := entry.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	made.until("the entry says that it leaves", func() error {
+		response, err := http.Get("http://" + made.layout.Entry(1, standin.EntryHTTPPort) + "/readyz")
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode == http.StatusOK {
+			return fmt.Errorf("it is still ready")
+		}
+		return nil
+	})
+	if err := entry.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := entry.Wait(); err == nil || entry.ProcessState.ExitCode() != 1 {
+		t.Errorf("the entry ended with %v", err)
+	}
+	made.control(http.MethodDelete, "/control/holds/second")
+}
+
 // TestPlannedStop sends SIGTERM to a guard and an entry while requests are in
 // flight; none of them is cut.
 func TestPlannedStop(t *testing.T) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -42,21 +42,21 @@
 // observe registers the gauges that are read off the entry's state.
 func observe(meter metric.Meter, entry *Entry) {
 	gauges := []struct {
-		name, description string
-		read              func() int64
+		name, unit, description string
+		read                    func() int64
 	}{
-		{"ambertiller.log.lag", "Entries of the log that are not folded yet.", entry.log.Lag},
-		{"ambertiller.log.age", "Milliseconds since the log was last read to its end.", func() int64 {
+		{"ambertiller.log.lag", "", "Entries of the log that are not folded yet.", entry.log.Lag},
+		{"ambertiller.log.age", "ms", "Time since the log was last read to its end.", func() int64 {
 			return entry.now().Sub(entry.log.FreshAt()).Milliseconds()
 		}},
-		{"ambertiller.tasks.pending", "Tasks that wait for a worker.", func() (count int64) {
+		{"ambertiller.tasks.pending", "", "Tasks that wait for a worker.", func() (count int64) {
 			entry.log.View(func(folded *state.State) { count = int64(folded.PendingCount()) })
 			return count
 		}},
-		{"ambertiller.requests.in_flight", "Requests this entry carries.", entry.inFlight.Load},
+		{"ambertiller.requests.in_flight", "", "Requests this entry carries.", entry.inFlight.Load},
 	}
 	for _, gauge := range gauges {
-		_, _ = meter.Int64ObservableGauge(gauge.name, metric.WithDescription(gauge.description),
+		_, _ = meter.Int64ObservableGauge(gauge.name, metric.WithUnit(gauge.unit), metric.WithDescription(gauge.description),
 			metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 				observer.Observe(gauge.read())
 				return nil
