A claim that was given back can be taken at another entry at once

An instance that had not yet read the release of a claim answered from its own copy that the key was held. Ruled out: the log (the release was accepted before the second take began). Change: only a claim whose request has ended is answered from the copy; one that is held is settled by the log.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -141,8 +141,11 @@
 	if log.Ready() != nil || now.Sub(log.FreshAt()) >= claims.options.StaleLog {
 		return nil, ErrLogDown
 	}
-	// Performance: a key that is known to be taken costs no append.
-	if taken := claims.taken(key); taken != nil {
+	// Performance: a key whose request has ended costs no append. One that is
+	// held may have been given back since this instance last read the log, so
+	// that is for the log to say: the case is a caller who comes back at once to
+	// another instance than the one that gave the claim back.
+	if taken := claims.taken(key); taken != nil && taken.phase != state.ClaimHeld {
 		return nil, taken
 	}
 	held := &Held{key: key, holder: claims.options.Instance + "/" + uuid.NewString()}
@@ -175,16 +178,13 @@
 }
 
 // taken answers from the state whether the key is claimed.
-func (claims *Claims) taken(key string) error {
+func (claims *Claims) taken(key string) *TakenError {
 	var found *TakenError
 	claims.options.Journal.View(func(folded *state.State) {
 		if kept := folded.Claim(key); kept != nil {
 			found = &TakenError{phase: state.ClaimPhase(kept.GetPhase()), status: int(kept.GetStatus())}
 		}
 	})
-	if found == nil {
-		return nil
-	}
 	return found
 }
 
