Take out what nothing calls; one way to the policies of a decision

No behaviour changed. Linters clean; tests of entry, state, route, session, claim and placement pass.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -176,7 +176,7 @@
 		return
 	}
 	now := entry.now()
-	runner := entry.placer.spare()
+	runner := policy.NewRunner()
 	entry.log.View(func(folded *state.State) {
 		board := entry.placer.board(folded, now)
 		for _, task := range folded.Tasks() {
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -9,13 +9,9 @@
 
 	"ambertiller.example/ambertiller/api"
 	"ambertiller.example/ambertiller/placement"
-	"ambertiller.example/ambertiller/policy"
 	"ambertiller.example/ambertiller/state"
 )
 
-// spare returns a runner for decisions outside the placement rounds.
-func (placing *placer) spare() *policy.Runner { return policy.NewRunner() }
-
 func (entry *Entry) policies() placement.Policies {
 	return placement.Policies{InForce: entry.shelf.Placement(), BuiltIn: entry.shelf.BuiltIn()}
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -109,7 +109,7 @@
 func (placing *placer) decide(ctx context.Context, now time.Time) []*assignment {
 	entry := placing.entry
 	settings := entry.shelf.Config()
-	policies := placement.Policies{InForce: entry.shelf.Placement(), BuiltIn: entry.shelf.BuiltIn()}
+	policies := entry.policies()
 	var assignments []*assignment
 	entry.log.View(func(folded *state.State) {
 		if folded.PendingCount() == 0 {
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -17,6 +17,7 @@
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/placement"
+	"ambertiller.example/ambertiller/policy"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
 )
@@ -231,7 +232,7 @@
 	var decision *placement.Decision
 	entry.log.View(func(folded *state.State) {
 		board := entry.placer.board(folded, entry.now())
-		decision = board.Decide(entry.placer.spare(), entry.policies(), &placement.Task{Spec: spec})
+		decision = board.Decide(policy.NewRunner(), entry.policies(), &placement.Task{Spec: spec})
 	})
 	if !decision.Impossible() {
 		return nil
--- a/route/route.go
+++ b/route/route.go
@@ -306,16 +306,3 @@
 	}
 	return slices.ContainsFunc(named.targets, func(target *server) bool { return target.ready })
 }
-
-// InFlight returns how many requests of a service this entry has under way.
-func (table *Table) InFlight(name string) int {
-	table.mu.Lock()
-	defer table.mu.Unlock()
-	count := 0
-	if named, found := table.services[name]; found {
-		for _, target := range named.targets {
-			count += target.inFlight
-		}
-	}
-	return count
-}
--- a/state/claim.go
+++ b/state/claim.go
@@ -15,9 +15,6 @@
 // Claim returns the claim on a key, nil when nobody holds or held it.
 func (folded *State) Claim(key string) *record.ClaimState { return folded.claims[key] }
 
-// Claims returns the number of claims that are kept.
-func (folded *State) Claims() int { return len(folded.claims) }
-
 // ClaimsWrittenBefore returns up to limit keys of ended claims that were
 // written before the time, in Unix nanoseconds.
 func (folded *State) ClaimsWrittenBefore(unixNano int64, limit int) []string {
--- a/state/worker.go
+++ b/state/worker.go
@@ -1,9 +1,6 @@
 package state
 
 import (
-	"maps"
-	"slices"
-
 	"ambertiller.example/ambertiller/record"
 )
 
@@ -24,17 +21,6 @@
 	return folded.workers[worker].GetSuspicions()
 }
 
-// Suspects returns the suspected workers, by name.
-func (folded *State) Suspects() []string {
-	var names []string
-	for _, name := range slices.Sorted(maps.Keys(folded.workers)) {
-		if folded.Suspicion(name) != 0 {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // Knows reports whether any record spoke of the worker.
 func (folded *State) Knows(worker string) bool {
 	_, marked := folded.workers[worker]
