--- a/claim/claim.go
+++ b/claim/claim.go
@@ -31,8 +31,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
 )
@@ -95,7 +95,7 @@
 // Options sets up Claims.
 type Options struct {
 	// Journal is the instance's copy of the shared state.
-	Journal *journal.Journal
+	Journal *changelog.Journal
 	// Instance names the instance.
 	Instance string
 	// StaleLog is how old the newest whole read of the log may be before the
@@ -149,7 +149,7 @@
 		return nil, taken
 	}
 	held := &Held{key: key, holder: claims.options.Instance + "/" + uuid.NewString()}
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_Claim{Claim: &record.Claim{Key: key, Holder: held.holder, Service: service}}
 	ctx, cancel := context.WithTimeout(ctx, takeWait)
 	defer cancel()
@@ -170,7 +170,7 @@
 
 // unsettled makes sure that a claim which may still come is given back.
 func (claims *Claims) unsettled(held *Held, err error, now time.Time) error {
-	var open *journal.UnsettledError
+	var open *changelog.UnsettledError
 	if errors.As(err, &open) {
 		claims.end(releaseRecord(held, now), held)
 	}
@@ -189,7 +189,7 @@
 }
 
 func releaseRecord(held *Held, now time.Time) *record.Record {
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_ClaimRelease{ClaimRelease: &record.ClaimRelease{Key: held.key, Holder: held.holder}}
 	return rec
 }
@@ -208,7 +208,7 @@
 
 // Finish records in the background that a claimed request has run, or may have.
 func (claims *Claims) Finish(held *Held, status int, maybe bool, now time.Time) {
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_ClaimFinish{ClaimFinish: &record.ClaimFinish{
 		Key:     held.key,
 		Holder:  held.holder,
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/claim"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/standin"
 	"ambertiller.example/ambertiller/state"
 )
@@ -18,7 +18,7 @@
 // instance returns the claims of an instance that follows the log.
 func instance(t testing.TB, log *standin.Log, name string) *claim.Claims {
 	t.Helper()
-	kept := journal.New(log, journal.Options{Writer: name, AppendsPerSecond: 1e6})
+	kept := changelog.New(log, changelog.Options{Writer: name, AppendsPerSecond: 1e6})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go kept.Run(ctx)
@@ -55,7 +55,7 @@
 }
 
 func TestLogDown(t *testing.T) {
-	claims := claim.New(claim.Options{Journal: journal.New(standin.NewLog(0), journal.Options{}), Instance: "entry-1"})
+	claims := claim.New(claim.Options{Journal: changelog.New(standin.NewLog(0), changelog.Options{}), Instance: "entry-1"})
 	if _, err := claims.Take(context.Background(), "bill-7", "verbale", time.Now()); !errors.Is(err, claim.ErrLogDown) {
 		t.Errorf("got %v", err)
 	}
@@ -63,7 +63,7 @@
 
 func ExampleClaims() {
 	log := standin.NewLog(0)
-	kept := journal.New(log, journal.Options{Writer: "entry-1"})
+	kept := changelog.New(log, changelog.Options{Writer: "entry-1"})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go kept.Run(ctx)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -8,10 +8,10 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
 
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/entry"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/instances"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/kernel"
 	"ambertiller.example/ambertiller/logservice"
 	"ambertiller.example/ambertiller/rpc"
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	client := platformClient()
-	log := journal.New(logservice.NewClient(options.PlatformURL, client), journal.Options{
+	log := changelog.New(logservice.NewClient(options.PlatformURL, client), changelog.Options{
 		Writer:           options.Name,
 		AppendsPerSecond: options.AppendsPerSecond,
 		SnapshotEvery:    options.SnapshotEvery,
@@ -84,7 +84,7 @@
 	)
 }
 
-func journalService(log *journal.Journal) kernel.Service {
+func journalService(log *changelog.Journal) kernel.Service {
 	loop := &background{}
 	return kernel.Service{
 		Name:     ServiceJournal,
--- a/entry/clean.go
+++ b/entry/clean.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
 )
@@ -33,12 +33,12 @@
 func forgetRecords(folded *state.State, now time.Time, keepEnded, keepClaims time.Duration) []*record.Record {
 	var records []*record.Record
 	for _, id := range folded.EndedBefore(now.Add(-keepEnded), mostForgotten) {
-		rec := journal.NewRecord(now)
+		rec := changelog.NewRecord(now)
 		rec.Body = &record.Record_TaskForget{TaskForget: &record.TaskForget{Task: id}}
 		records = append(records, rec)
 	}
 	for _, key := range folded.ClaimsWrittenBefore(now.Add(-keepClaims).UnixNano(), mostForgotten) {
-		rec := journal.NewRecord(now)
+		rec := changelog.NewRecord(now)
 		rec.Body = &record.Record_ClaimForget{ClaimForget: &record.ClaimForget{Key: key}}
 		records = append(records, rec)
 	}
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -13,10 +13,10 @@
 	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/config"
 	"ambertiller.example/ambertiller/document"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/membership"
 	"ambertiller.example/ambertiller/placement"
 	"ambertiller.example/ambertiller/policy"
@@ -101,7 +101,7 @@
 		return nil, sent
 	}
 	now := entry.now()
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_Publish{Publish: &record.Publish{
 		Document: name,
 		BasedOn:  asked.BasedOn,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,11 +29,11 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"ambertiller.example/ambertiller/budget"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/claim"
 	"ambertiller.example/ambertiller/document"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/instances"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/membership"
 	"ambertiller.example/ambertiller/policy"
 	"ambertiller.example/ambertiller/route"
@@ -65,7 +65,7 @@
 type Options struct {
 	Name          string
 	FailureDomain string
-	Journal       *journal.Journal
+	Journal       *changelog.Journal
 	Instances     instances.Lister
 	Pool          *rpc.Pool
 	// Clock is the entry's clock. Default the real clock.
@@ -80,7 +80,7 @@
 type Entry struct {
 	options  Options
 	began    time.Time
-	log      *journal.Journal
+	log      *changelog.Journal
 	view     *membership.View
 	table    *route.Table
 	shelf    *document.Shelf
@@ -131,7 +131,7 @@
 func (entry *Entry) Shelf() *document.Shelf { return entry.shelf }
 
 // Journal returns the entry's copy of the state.
-func (entry *Entry) Journal() *journal.Journal { return entry.log }
+func (entry *Entry) Journal() *changelog.Journal { return entry.log }
 
 // View returns what the entry knows of other instances.
 func (entry *Entry) View() *membership.View { return entry.view }
--- a/entry/judge.go
+++ b/entry/judge.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/membership"
 	"ambertiller.example/ambertiller/record"
@@ -89,7 +89,7 @@
 }
 
 func evictRecord(task *state.Task, reason string, now time.Time) *record.Record {
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_TaskEvict{TaskEvict: &record.TaskEvict{Task: task.ID(), Attempt: task.Attempt(), Reason: reason}}
 	return rec
 }
@@ -99,7 +99,7 @@
 	id, attempt := reported.GetTask(), reported.GetAttempt()
 	switch reported.GetPhase() {
 	case wire.TaskPhase_TASK_FINISHED, wire.TaskPhase_TASK_FAILED:
-		rec := journal.NewRecord(now)
+		rec := changelog.NewRecord(now)
 		rec.Body = &record.Record_TaskFinish{TaskFinish: &record.TaskFinish{
 			Task:    id,
 			Attempt: attempt,
@@ -149,7 +149,7 @@
 	if suspicion == 0 {
 		return
 	}
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_WorkerSuspect{WorkerSuspect: &record.WorkerSuspect{
 		Worker: guard.Name(), Incarnation: guard.Incarnation(), Cleared: true, Suspicion: suspicion,
 	}}
--- a/entry/place.go
+++ b/entry/place.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/config"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/membership"
 	"ambertiller.example/ambertiller/placement"
 	"ambertiller.example/ambertiller/policy"
@@ -88,7 +88,7 @@
 	}
 	records := make([]*record.Record, 0, len(assignments))
 	for _, each := range assignments {
-		rec := journal.NewRecord(now)
+		rec := changelog.NewRecord(now)
 		rec.Body = &record.Record_TaskAssign{TaskAssign: each.task}
 		records = append(records, rec)
 	}
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/api"
-	"ambertiller.example/ambertiller/journal"
+	"ambertiller.example/ambertiller/changelog"
 )
 
 var (
@@ -50,7 +50,7 @@
 
 // logProblem says that the log did not take a record, or may have.
 func logProblem(err error) *api.Problem {
-	var unsettled *journal.UnsettledError
+	var unsettled *changelog.UnsettledError
 	made := problem(http.StatusServiceUnavailable, api.TypeLog, "The platform's log does not answer", err.Error())
 	made.Outcome = api.OutcomeNotRun
 	made.RetryAfter = retryLog.String()
--- a/entry/start.go
+++ b/entry/start.go
@@ -7,9 +7,9 @@
 
 	"github.com/pkg/errors"
 
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/config"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/state"
@@ -156,13 +156,13 @@
 }
 
 func runningRecord(id string, attempt uint64, now time.Time) *record.Record {
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_TaskRunning{TaskRunning: &record.TaskRunning{Task: id, Attempt: attempt}}
 	return rec
 }
 
 func releaseOf(id string, attempt uint64, reason record.ReleaseReason, detail string, checkpoint []byte, now time.Time) *record.Record {
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_TaskRelease{TaskRelease: &record.TaskRelease{
 		Task: id, Attempt: attempt, Reason: reason, Detail: detail, Checkpoint: checkpoint,
 	}}
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
@@ -108,7 +108,7 @@
 }
 
 func suspectRecord(worker string, now time.Time) *record.Record {
-	rec := journal.NewRecord(now)
+	rec := changelog.NewRecord(now)
 	rec.Body = &record.Record_WorkerSuspect{WorkerSuspect: &record.WorkerSuspect{Worker: worker}}
 	return rec
 }
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -13,9 +13,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/config"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/placement"
 	"ambertiller.example/ambertiller/policy"
 	"ambertiller.example/ambertiller/record"
@@ -76,7 +76,7 @@
 	if sent := entry.room(spec); sent != nil {
 		return false, nil, sent
 	}
-	rec := journal.NewRecord(entry.now())
+	rec := changelog.NewRecord(entry.now())
 	rec.Body = &record.Record_TaskCreate{TaskCreate: &record.TaskCreate{Task: id, Spec: spec, IdempotencyKey: key}}
 	outcome, sent := entry.change(ctx, rec)
 	if sent != nil {
@@ -343,7 +343,7 @@
 
 // serveCancel cancels a task. Cancelling one that has ended changes nothing.
 func (entry *Entry) serveCancel(writer http.ResponseWriter, request *http.Request, id string) {
-	rec := journal.NewRecord(entry.now())
+	rec := changelog.NewRecord(entry.now())
 	rec.Body = &record.Record_TaskCancel{TaskCancel: &record.TaskCancel{Task: id}}
 	outcome, done := entry.changeFor(writer, request, rec)
 	if !done {
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/membership"
 	"ambertiller.example/ambertiller/record"
 	"ambertiller.example/ambertiller/state"
@@ -84,7 +84,7 @@
 		writeProblem(writer, notFound("no worker is named "+strconv.Quote(worker)+"; see `ambertiller workers`"))
 		return
 	}
-	rec := journal.NewRecord(entry.now())
+	rec := changelog.NewRecord(entry.now())
 	rec.Body = &record.Record_WorkerDrain{WorkerDrain: &record.WorkerDrain{Worker: worker, Draining: asked.Draining, Author: asked.Author}}
 	outcome, done := entry.changeFor(writer, request, rec)
 	if !done {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -19,7 +19,7 @@
 // A service reaches another one inside its Start:
 //
 //	found, err := kern.Lookup("journal")
-//	records, ok := found.(*journal.Journal)
+//	records, ok := found.(*changelog.Journal)
 package kernel
 
 import (
--- a/session/harness_test.go
+++ b/session/harness_test.go
@@ -22,12 +22,12 @@
 	"storj.io/drpc/drpcmux"
 
 	"ambertiller.example/ambertiller/api"
+	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/entry"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/examples"
 	"ambertiller.example/ambertiller/guard"
 	"ambertiller.example/ambertiller/instances"
-	"ambertiller.example/ambertiller/journal"
 	"ambertiller.example/ambertiller/logservice"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/standin"
@@ -67,7 +67,7 @@
 
 type seatedEntry struct {
 	role    *entry.Entry
-	journal *journal.Journal
+	journal *changelog.Journal
 	handler http.Handler
 	address string
 	stop    context.CancelFunc
@@ -134,7 +134,7 @@
 	made.t.Helper()
 	ctx, stop := context.WithCancel(made.ctx)
 	log := &switchedLog{way: made.log}
-	kept := journal.New(log, journal.Options{Writer: name, AppendsPerSecond: 1e6, Clock: made.clock, Events: made.events(name)})
+	kept := changelog.New(log, changelog.Options{Writer: name, AppendsPerSecond: 1e6, Clock: made.clock, Events: made.events(name)})
 	go kept.Run(ctx)
 	role := entry.New(entry.Options{
 		Name: name, FailureDomain: domain, Journal: kept, Instances: made,
@@ -263,7 +263,7 @@
 			}
 			var next int64
 			seated.journal.View(func(folded *state.State) { next = folded.Next() })
-			return !seated.journal.FreshAt().Before(now) && next == made.log.End(journal.RecordStream)
+			return !seated.journal.FreshAt().Before(now) && next == made.log.End(changelog.RecordStream)
 		})
 		seated.role.SyncDocuments(made.ctx)
 	}
