--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,232 @@
+// Package agent runs beside one worker. It is the only process that gives the
+// worker orders: it takes starts and stops from the owners of shards, decides
+// whether the worker has room, renews the worker's lease, and tells the owners
+// what runs and what has ended.
+//
+// # Leases
+//
+// An owner grants its runs time on the agent's own clock. The worker's lease,
+// which holds for everything that it runs, never goes beyond the earliest grant
+// of an owner with runs there; the agent stops the runs of an owner that has
+// been silent before that owner's grant would hold the others up. So a run is
+// over for certain once its owner's last grant is.
+//
+// # Orders without an answer
+//
+// A start that gets no answer may take effect seconds later. The agent then
+// raises its fencing token and asks the worker what runs: the worker obeys no
+// lower token from there on, so the answer settles it.
+//
+// # Usage
+//
+//	beside := agent.New(agent.Options{Name: "side-1", Worker: connect, Events: events})
+//	go beside.Run(ctx)
+//	wire.DRPCRegisterAgent(mux, beside)
+//	http.Handle("/", platform.BeatHandler(beside))
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/loop"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	stepEvery = 100 * time.Millisecond
+	// leaseLength is how long the worker runs on without its agent: long
+	// enough for an agent that was killed to come back and hear of the worker
+	// (1 s to start, 1.1 s to the next heartbeat), short enough that work on a
+	// lost machine moves within its objective.
+	leaseLength = 4 * time.Second
+	// clockSlack is what two clocks differ by at most over a lease: the
+	// worker's may run 2% slow, and so may ours.
+	clockSlack = 0.04
+	// callTimeout bounds an order to the worker, which is on the same machine
+	// and answers within milliseconds.
+	callTimeout = 800 * time.Millisecond
+	// holdWait is how long a look at the worker waits for an end. Leases are
+	// renewed once in each.
+	holdWait = time.Second
+	// pacedHoldWait is the same where the tails of serving tasks are watched.
+	pacedHoldWait = 400 * time.Millisecond
+	// unseenPause keeps looks apart while ends wait to be made durable: a
+	// worker that has ends to tell answers at once.
+	unseenPause = 40 * time.Millisecond
+	// failedPause keeps looks at a worker that does not answer apart.
+	failedPause = 150 * time.Millisecond
+	// stopBefore is how long before the end of an owner's grant its runs are
+	// stopped: a stop takes up to half a second, and one may have to be sent
+	// twice.
+	stopBefore = 1200 * time.Millisecond
+	// unclaimedMost is how long an agent that has just started waits for the
+	// owner of a run that it found.
+	unclaimedMost = 2500 * time.Millisecond
+	// tokenStep goes above the token of an earlier agent whose clock was ahead.
+	tokenStep = int64(time.Hour / time.Millisecond)
+)
+
+// Options sets up an Agent.
+type Options struct {
+	// Name is the node's name, for logs.
+	Name string
+	// Shards is how many shards jobs are spread over.
+	Shards int
+	// FirstToken is the first fencing token: the wall clock in milliseconds,
+	// so that it is above those of earlier agents on this machine.
+	FirstToken int64
+	// Connect returns a client of one incarnation of the worker.
+	Connect func(address, incarnation string) *platform.Worker
+	Clock   clockwork.Clock
+	Events  *event.Logger
+}
+
+// Agent takes care of the worker on its machine.
+type Agent struct {
+	options   Options
+	id        string
+	decisions *loop.Loop
+	started   time.Time
+
+	worker *workerState // nil until one has sent a heartbeat
+	gone   map[string]bool
+	lost   []*wire.RunEnd // ends of runs whose incarnation is over
+	owners map[*session]bool
+	claims map[int32]*claim
+	paced  pacing
+	ctx    context.Context // ends the calls to the worker with the agent
+}
+
+// claim is what the agent knows of the owner of one shard.
+type claim struct {
+	epoch int64
+	owner *session
+	// until is when the owner's last grant ends.
+	until time.Time
+}
+
+// New returns an agent that does nothing until Run.
+func New(options Options) *Agent {
+	return &Agent{
+		options:   options,
+		id:        uuid.NewString(),
+		decisions: loop.New(options.Clock),
+		started:   options.Clock.Now(),
+		gone:      map[string]bool{},
+		owners:    map[*session]bool{},
+		claims:    map[int32]*claim{},
+		paced:     newPacing(),
+	}
+}
+
+// Run takes care of the worker until ctx ends.
+func (agent *Agent) Run(ctx context.Context) {
+	agent.ctx = ctx
+	agent.decisions.Run(ctx, stepEvery, agent.step)
+}
+
+// step does what is due.
+func (agent *Agent) step(now time.Time) {
+	if agent.worker != nil {
+		agent.stopUnowned(now)
+		agent.giveUpLost(now)
+		agent.look(now)
+	}
+	agent.tellOwners(now)
+}
+
+// uptime is the clock that grants are given in.
+func (agent *Agent) uptime(now time.Time) time.Duration { return now.Sub(agent.started) }
+
+// Beat implements platform.Beats.
+func (agent *Agent) Beat(beat platform.Heartbeat) {
+	agent.decisions.Post(func(now time.Time) { agent.noteBeat(beat, now) })
+}
+
+// Left implements platform.Beats.
+func (agent *Agent) Left(incarnation string) {
+	agent.decisions.Post(func(now time.Time) {
+		agent.options.Events.Log(agent.ctx, event.WorkerLeft, slog.String("worker", incarnation))
+		agent.endIncarnation(incarnation, now)
+	})
+}
+
+func (agent *Agent) noteBeat(beat platform.Heartbeat, now time.Time) {
+	if agent.gone[beat.Incarnation] {
+		return
+	}
+	current := agent.worker
+	if current != nil && current.beat.Incarnation == beat.Incarnation {
+		if beat.Sequence < current.beat.Sequence {
+			return
+		}
+		changed := current.beat.Draining != beat.Draining
+		current.beat = beat
+		current.beatAt = now
+		if changed {
+			agent.logWorker(beat)
+			agent.statusChanged()
+		}
+		return
+	}
+	if current != nil {
+		// One worker stands on a machine: a new incarnation at its address
+		// means that the one before it has ended.
+		agent.endIncarnation(current.beat.Incarnation, now)
+	}
+	agent.logWorker(beat)
+	agent.worker = newWorkerState(beat, agent.options.Connect(beat.Address, beat.Incarnation), agent.options.FirstToken, now)
+	agent.statusChanged()
+}
+
+func (agent *Agent) logWorker(beat platform.Heartbeat) {
+	agent.options.Events.Log(agent.ctx, event.WorkerSeen,
+		slog.String("worker", beat.Incarnation), slog.String("service", beat.Service), slog.String("address", beat.Address),
+		slog.Bool("draining", beat.Draining), slog.Int64("milli_cpu", beat.MilliCPU), slog.Int64("memory_mb", beat.MemoryMB),
+		slog.Duration("remaining", beat.Remaining))
+}
+
+// endIncarnation notes that an incarnation is over: what ran there has ended.
+func (agent *Agent) endIncarnation(incarnation string, now time.Time) {
+	agent.gone[incarnation] = true
+	ended := agent.worker
+	if ended == nil || ended.beat.Incarnation != incarnation {
+		return
+	}
+	agent.worker = nil
+	agent.options.Events.Log(agent.ctx, event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)))
+	for _, run := range ended.runs {
+		agent.tellLost(ended, run)
+	}
+	for _, end := range ended.ends {
+		// Its worker can't be told any more, the owners still can.
+		end.Number = 0
+		agent.lost = append(agent.lost, end)
+	}
+	agent.statusChanged()
+}
+
+// tellLost tells the run's owner that it is over without an end.
+func (agent *Agent) tellLost(on *workerState, run *runState) {
+	end := &wire.RunEnd{Worker: on.beat.Incarnation, Task: run.task, Attempt: run.attempt, Reason: wire.EndReason_END_LOST, Checkpoint: run.checkpoint}
+	agent.options.Events.Log(agent.ctx, event.RunLost, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.String("worker", end.GetWorker()))
+	agent.sendEnd(end)
+}
+
+// shardOf returns the shard of a task's job, or -1 for a name that is none.
+func (agent *Agent) shardOf(task string) int32 {
+	ref, err := job.ParseRef(task)
+	if err != nil {
+		agent.options.Events.Log(agent.ctx, event.RecordUnreadable, slog.String("task", task), slog.Any("error", err))
+		return -1
+	}
+	return int32(job.ShardOf(ref.Job, agent.options.Shards))
+}
--- /dev/null
+++ b/agent/order.go
@@ -0,0 +1,172 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// stopAgain is when a stop whose run has not ended is sent once more.
+	stopAgain = 700 * time.Millisecond
+	// startTries bounds how often a start is sent that the worker refused for
+	// its token or its lease, which the agent renews in between.
+	startTries = 3
+)
+
+// noteStart decides on an order to start a run.
+func (agent *Agent) noteStart(owner *session, order *wire.StartOrder, now time.Time) {
+	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting}
+	state := agent.worker
+	outcome := agent.judge(order, now)
+	if outcome != wire.StartOutcome_START_STARTED {
+		agent.options.Events.Log(agent.ctx, event.OrderRefused, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.String("outcome", outcome.String()))
+		owner.results = append(owner.results, &wire.StartResult{Task: run.task, Attempt: run.attempt, Worker: order.GetWorker(), Outcome: outcome})
+		return
+	}
+	state.runs[run.task] = run
+	agent.statusChanged()
+	agent.sendStart(state, run, order, 1, now)
+}
+
+// judge returns START_STARTED for an order that may go to the worker.
+func (agent *Agent) judge(order *wire.StartOrder, now time.Time) wire.StartOutcome {
+	state := agent.worker
+	held, claimed := agent.claims[order.GetShard()]
+	switch {
+	case state == nil || state.beat.Incarnation != order.GetWorker():
+		return wire.StartOutcome_START_WRONG_WORKER
+	case !claimed || order.GetEpoch() != held.epoch:
+		return wire.StartOutcome_START_STALE
+	case !state.ready() || !held.until.After(now.Add(stopBefore)):
+		return wire.StartOutcome_START_NOT_READY
+	case state.beat.Draining:
+		return wire.StartOutcome_START_DRAINING
+	case state.runs[order.GetTask()] != nil || !state.room().fits(order.GetDemand()):
+		return wire.StartOutcome_START_NO_ROOM
+	}
+	return wire.StartOutcome_START_STARTED
+}
+
+func (agent *Agent) sendStart(state *workerState, run *runState, order *wire.StartOrder, try int, now time.Time) {
+	leaseEnd := state.leaseEnd(now, agent.leaseUntil(now))
+	state.extended(leaseEnd)
+	start := platform.Start{
+		Task: run.task, Attempt: run.attempt, Spec: order.GetSpec(), Checkpoint: order.GetCheckpoint(),
+		Ticket: order.GetTicket(), LeaseEnd: leaseEnd, Token: state.token,
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
+		defer cancel()
+		clock, err := state.calls.Start(ctx, start)
+		agent.decisions.Post(func(now time.Time) {
+			if agent.worker != state || state.runs[run.task] != run {
+				return
+			}
+			state.noteClock(clock, now)
+			agent.noteStarted(state, run, order, try, err, now)
+		})
+	}()
+}
+
+func (agent *Agent) noteStarted(state *workerState, run *runState, order *wire.StartOrder, try int, err error, now time.Time) {
+	if err == nil {
+		run.phase = phaseRunning
+		run.confirmedAt = now
+		agent.sendResult(state, run, wire.StartOutcome_START_STARTED)
+		return
+	}
+	var refused *platform.StartError
+	var failed *platform.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		again := refused.Reason() == platform.RefusedFence || refused.Reason() == platform.RefusedLate
+		if again && try < startTries && run.phase == phaseStarting {
+			agent.sendStart(state, run, order, try+1, now)
+			return
+		}
+		agent.notStarted(state, run, refusedOutcome(refused.Reason()), err)
+	case errors.As(err, &failed):
+		agent.notStarted(state, run, wire.StartOutcome_START_WORKER_FAILED, err)
+	default:
+		agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.Any("error", err))
+		run.phase = phaseUnsettled
+		state.unsettled++
+		state.token++
+		state.lookAt = now
+	}
+}
+
+func refusedOutcome(reason platform.StartRefusal) wire.StartOutcome {
+	switch reason {
+	case platform.RefusedRoom:
+		return wire.StartOutcome_START_NO_ROOM
+	case platform.RefusedTicket:
+		return wire.StartOutcome_START_TICKET
+	case platform.RefusedOld:
+		return wire.StartOutcome_START_STALE
+	case platform.RefusedFence, platform.RefusedLate:
+		return wire.StartOutcome_START_NOT_READY
+	}
+	return wire.StartOutcome_START_WORKER_FAILED
+}
+
+func (agent *Agent) notStarted(state *workerState, run *runState, outcome wire.StartOutcome, err error) {
+	agent.options.Events.Log(agent.ctx, event.OrderRefused, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)),
+		slog.String("outcome", outcome.String()), slog.Any("error", err))
+	delete(state.runs, run.task)
+	agent.sendResult(state, run, outcome)
+	agent.statusChanged()
+}
+
+// noteStop decides on an order to stop a run.
+func (agent *Agent) noteStop(order *wire.StopOrder, now time.Time) {
+	state := agent.worker
+	held, claimed := agent.claims[order.GetShard()]
+	if state == nil || state.beat.Incarnation != order.GetWorker() || !claimed || order.GetEpoch() < held.epoch {
+		return
+	}
+	run, found := state.runs[order.GetTask()]
+	if !found || run.attempt != order.GetAttempt() {
+		return
+	}
+	agent.stopRun(state, run, now)
+}
+
+// stopRun sends a stop. The run's end is listed by the worker.
+func (agent *Agent) stopRun(state *workerState, run *runState, now time.Time) {
+	if now.Sub(run.stopSentAt) < stopAgain {
+		return
+	}
+	run.stopSentAt = now
+	if run.phase == phaseRunning {
+		run.phase = phaseStopping
+	}
+	agent.options.Events.Log(agent.ctx, event.RunStopOrdered, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)))
+	token := state.token
+	go func() {
+		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
+		defer cancel()
+		clock, err := state.calls.Stop(ctx, run.task, run.attempt, token)
+		agent.decisions.Post(func(now time.Time) {
+			if agent.worker != state {
+				return
+			}
+			if err == nil {
+				state.noteClock(clock, now)
+				return
+			}
+			// Sent again after stopAgain, while the run is listed.
+			if run.phase == phaseStopping {
+				run.phase = phaseRunning
+			}
+			agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "stop"), slog.Any("error", err))
+		})
+	}()
+}
--- /dev/null
+++ b/agent/session.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	outboxLength = 64
+	// statusEvery is how often an owner hears from the agent at least.
+	statusEvery = 500 * time.Millisecond
+	// runsEvery is how often the owner is told all runs, with checkpoints.
+	runsEvery = time.Second
+	// statusSettle gathers changes of the room into one message.
+	statusSettle = 15 * time.Millisecond
+)
+
+// session is one owner's stream.
+type session struct {
+	name    string
+	outbox  chan *wire.AgentMessage
+	closed  chan struct{}
+	handled int64
+
+	results   []*wire.StartResult
+	ends      []*wire.RunEnd
+	changed   bool
+	wholeDue  bool
+	sentAt    time.Time
+	runsSent  time.Time
+	changedAt time.Time
+}
+
+// Attach implements wire.DRPCAgentServer.
+func (agent *Agent) Attach(stream wire.DRPCAgent_AttachStream) error {
+	owner := &session{outbox: make(chan *wire.AgentMessage, outboxLength), closed: make(chan struct{}), changed: true, wholeDue: true}
+	failed := make(chan error, 1)
+	go func() { failed <- agent.receive(stream, owner) }()
+	defer agent.decisions.Post(func(now time.Time) { agent.detach(owner) })
+	for {
+		select {
+		case message := <-owner.outbox:
+			if err := stream.Send(message); err != nil {
+				return err
+			}
+		case <-owner.closed:
+			return nil
+		case err := <-failed:
+			return err
+		}
+	}
+}
+
+func (agent *Agent) receive(stream wire.DRPCAgent_AttachStream, owner *session) error {
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		agent.decisions.Post(func(now time.Time) { agent.noteOwner(owner, message, now) })
+	}
+}
+
+func (agent *Agent) detach(owner *session) {
+	if !agent.owners[owner] {
+		return
+	}
+	delete(agent.owners, owner)
+	agent.options.Events.Log(agent.ctx, event.OwnerLost, slog.String("owner", owner.name))
+}
+
+func (agent *Agent) noteOwner(owner *session, message *wire.OwnerMessage, now time.Time) {
+	if !agent.owners[owner] {
+		agent.owners[owner] = true
+		owner.name = message.GetOwner()
+		agent.options.Events.Log(agent.ctx, event.OwnerAttached, slog.String("owner", owner.name))
+	}
+	if message.GetOwned() {
+		agent.noteClaims(owner, message)
+	}
+	agent.noteGrant(owner, message, now)
+	for _, description := range message.GetRuns() {
+		agent.noteDescription(description)
+	}
+	for _, order := range message.GetStops() {
+		agent.noteStop(order, now)
+	}
+	for _, order := range message.GetStarts() {
+		agent.noteStart(owner, order, now)
+	}
+	for _, seen := range message.GetSeen() {
+		agent.noteSeen(seen, now)
+	}
+	owner.handled = message.GetSequence()
+}
+
+// noteClaims takes note of the shards that an owner owns. A claim of an epoch
+// below the highest one heard comes from an owner that has been replaced.
+func (agent *Agent) noteClaims(owner *session, message *wire.OwnerMessage) {
+	for _, shard := range message.GetShards() {
+		held, found := agent.claims[shard.GetShard()]
+		if found && held.epoch > shard.GetEpoch() {
+			continue
+		}
+		if !found {
+			held = &claim{until: agent.started}
+			agent.claims[shard.GetShard()] = held
+		}
+		if held.epoch != shard.GetEpoch() || held.owner != owner {
+			agent.options.Events.Log(agent.ctx, event.ShardClaimed, slog.String("owner", owner.name),
+				slog.Int("shard", int(shard.GetShard())), slog.Int64("epoch", shard.GetEpoch()))
+			agent.resendEnds(owner, shard.GetShard())
+		}
+		held.epoch = shard.GetEpoch()
+		held.owner = owner
+	}
+	owner.wholeDue = true
+}
+
+func (agent *Agent) noteGrant(owner *session, message *wire.OwnerMessage, now time.Time) {
+	if message.GetGrantUntilNanos() == 0 {
+		return
+	}
+	until := agent.started.Add(time.Duration(message.GetGrantUntilNanos()))
+	for _, held := range agent.claims {
+		if held.owner == owner && until.After(held.until) {
+			held.until = until
+		}
+	}
+}
+
+func (agent *Agent) noteDescription(description *wire.RunDescription) {
+	if agent.worker == nil {
+		return
+	}
+	run, found := agent.worker.runs[description.GetTask()]
+	if found && run.attempt == description.GetAttempt() && run.demand == nil {
+		run.demand = description.GetDemand()
+		agent.statusChanged()
+	}
+}
+
+// noteSeen lets the worker forget the ends that are durable, in their order.
+func (agent *Agent) noteSeen(seen *wire.EndSeen, now time.Time) {
+	state := agent.worker
+	if state == nil || state.beat.Incarnation != seen.GetWorker() {
+		return
+	}
+	if seen.GetNumber() <= state.seen {
+		return
+	}
+	delete(state.ends, seen.GetNumber())
+	state.durable[seen.GetNumber()] = true
+	for state.durable[state.seen+1] {
+		state.seen++
+		delete(state.durable, state.seen)
+	}
+	if len(state.ends) == 0 {
+		state.lookAt = now
+	}
+}
+
+// sendEnd tells an end to the owner of its shard.
+func (agent *Agent) sendEnd(end *wire.RunEnd) {
+	held, claimed := agent.claims[agent.shardOf(end.GetTask())]
+	if end.GetNumber() == 0 {
+		agent.lost = append(agent.lost, end)
+	}
+	if claimed && agent.owners[held.owner] {
+		held.owner.ends = append(held.owner.ends, end)
+	}
+}
+
+// resendEnds tells a new owner the ends of its shard.
+func (agent *Agent) resendEnds(owner *session, shard int32) {
+	if agent.worker != nil {
+		for _, end := range agent.worker.ends {
+			if agent.shardOf(end.GetTask()) == shard {
+				owner.ends = append(owner.ends, end)
+			}
+		}
+	}
+	for _, end := range agent.lost {
+		if agent.shardOf(end.GetTask()) == shard {
+			owner.ends = append(owner.ends, end)
+		}
+	}
+}
+
+func (agent *Agent) sendResult(state *workerState, run *runState, outcome wire.StartOutcome) {
+	held, claimed := agent.claims[run.shard]
+	if !claimed || !agent.owners[held.owner] {
+		return
+	}
+	held.owner.results = append(held.owner.results, &wire.StartResult{
+		Task: run.task, Attempt: run.attempt, Worker: state.beat.Incarnation, Outcome: outcome,
+	})
+}
+
+// statusChanged has all owners told what is free.
+func (agent *Agent) statusChanged() {
+	for owner := range agent.owners {
+		owner.changed = true
+	}
+}
+
+// tellOwners sends each owner what it has not been told.
+func (agent *Agent) tellOwners(now time.Time) {
+	for owner := range agent.owners {
+		if !owner.due(now) {
+			continue
+		}
+		message := agent.message(owner, now)
+		select {
+		case owner.outbox <- message:
+		default:
+			// The owner does not read: it is as good as gone. It attaches
+			// anew and is told everything.
+			delete(agent.owners, owner)
+			close(owner.closed)
+		}
+	}
+}
+
+func (owner *session) due(now time.Time) bool {
+	if len(owner.results) > 0 || len(owner.ends) > 0 || owner.wholeDue {
+		return true
+	}
+	since := now.Sub(owner.sentAt)
+	return since >= statusEvery || owner.changed && since >= statusSettle
+}
+
+func (agent *Agent) message(owner *session, now time.Time) *wire.AgentMessage {
+	message := &wire.AgentMessage{
+		Agent: agent.id, UptimeNanos: int64(agent.uptime(now)), Status: agent.status(),
+		Results: owner.results, Ends: owner.ends, Handled: owner.handled,
+	}
+	if owner.wholeDue || now.Sub(owner.runsSent) >= runsEvery {
+		message.Complete = true
+		message.Runs = agent.runStatus(owner)
+		owner.runsSent = now
+	}
+	owner.results, owner.ends = nil, nil
+	owner.changed, owner.wholeDue = false, false
+	owner.sentAt = now
+	return message
+}
+
+// runStatus lists the runs of the owner's shards, and those that nobody owns.
+func (agent *Agent) runStatus(owner *session) []*wire.RunStatus {
+	var listed []*wire.RunStatus
+	if agent.worker == nil {
+		return nil
+	}
+	for _, run := range agent.worker.runs {
+		if held, claimed := agent.claims[run.shard]; claimed && held.owner != owner {
+			continue
+		}
+		listed = append(listed, &wire.RunStatus{
+			Task: run.task, Attempt: run.attempt, Checkpoint: run.checkpoint, Percent: run.percent, Figure: run.figure,
+		})
+	}
+	return listed
+}
+
+func (agent *Agent) status() *wire.WorkerStatus {
+	state := agent.worker
+	if state == nil {
+		return &wire.WorkerStatus{}
+	}
+	free := state.room()
+	return &wire.WorkerStatus{
+		Worker: state.beat.Incarnation, Service: state.beat.Service, FailureDomain: state.beat.FailureDomain,
+		Labels: state.beat.Labels, Machine: state.beat.Machine,
+		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
+		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
+		FreeMilliCpu: free.milliCPU, FreeMemoryMb: free.memoryMB, FreeAccelerators: free.accelerators,
+		FillMilliCpu: free.fillMilliCPU, Ready: state.ready(),
+	}
+}
--- a/command/command.go
+++ b/command/command.go
@@ -123,7 +123,7 @@
 			&cli.DurationFlag{Name: "timeout", Usage: "how long an operator's command may take", Value: defaultTimeout, Sources: env("TIMEOUT")},
 		},
 		Commands: []*cli.Command{
-			entryCommand(), guardCommand(), standinCommand(), demoCommand(),
+			entryCommand(), guardCommand(), gatewayCommand(), agentCommand(), standinCommand(), demoCommand(),
 			submitCommand(), cancelCommand(), tasksCommand(), taskCommand(), resultCommand(), explainCommand(), throttleCommand(),
 			workersCommand(), drainCommand(),
 			configCommand(), policyCommand(), inForceCommand(),
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"ambertiller.example/ambertiller/agent"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/gateway"
+	"ambertiller.example/ambertiller/kernel"
+	"ambertiller.example/ambertiller/owner"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// Names of the services that only the platform's roles have.
+const (
+	ServiceOwner     = "owner"
+	ServiceReadiness = "readiness"
+	ServiceBeats     = "beats"
+)
+
+// Which of the free ports is used for what; both roles may run on one machine.
+const (
+	gatewayPort = 0
+	agentPort   = 1
+)
+
+// metricsPort is where figures are served: the port that OpenTelemetry's
+// exporter for Prometheus uses by default. deploy/system.toml names it too.
+const metricsPort = 9464
+
+const (
+	// gatewayLeave is how long a gateway that stops takes clients after it has
+	// said that it is not ready: the platform asks once a second and acts on
+	// the second answer.
+	gatewayLeave = 2300 * time.Millisecond
+	// ownerSilent is the least time without a join after which shards pass on.
+	// It is a compromise: the shorter, the sooner another entry takes over,
+	// and the fewer joins may fail in a row; joins go out every 350 ms.
+	ownerSilent = 1500 * time.Millisecond
+)
+
+// Gateway is the process on an entry's machine: it answers clients and owns
+// shards.
+type Gateway struct {
+	Daemon
+	front *gateway.Gateway
+}
+
+// NewGateway puts the services of a gateway together.
+func NewGateway(ctx context.Context, settings platform.Settings, events *event.Logger) (*Gateway, error) {
+	events = events.With("role", "gateway", "name", settings.Name())
+	metering, err := telemetry.New(ctx, telemetry.Options{Role: "gateway", Name: settings.Name()})
+	if err != nil {
+		return nil, err
+	}
+	clock := clockwork.NewRealClock()
+	address := settings.InternalAddress(gatewayPort)
+	pool := rpc.NewPool(nil)
+	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
+	owning := owner.New(owner.Options{
+		Name: settings.Name(), Address: address, Shards: settings.Parts(),
+		Grant: settings.LeaseMost(), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
+		Store: store, Dial: dialStream, Clock: clock, Events: events,
+	})
+	front := gateway.New(gateway.Options{
+		Name: settings.Name(), Shards: settings.Parts(), Store: store, Owner: owning,
+		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: clock, Events: events,
+	})
+	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: events}, front: front}
+	return running, registerAll(running.kern,
+		metricsService(metering),
+		kernel.Service{Name: ServicePool, Provides: pool, Stop: func(context.Context) error { return pool.Close() }},
+		runService(ServiceOwner, owning.Run, owning, ServicePool),
+		roleService(front.Run, front, ServiceOwner, ServiceMetrics),
+		rpcService(address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, owning) }),
+		httpService(ServiceHTTP, []string{ServiceRole}, settings.FrontAddress(), front),
+		httpService(ServiceReadiness, []string{ServiceRole}, settings.ReadyAddress(), readyHandler(front.Ready)),
+		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(metering, front.Ready)),
+		gatewayDrainService(front, owning),
+	)
+}
+
+// dialStream opens a connection of its own, for a stream that lasts.
+func dialStream(ctx context.Context, address string) (drpc.Conn, error) {
+	return rpc.DialOne(ctx, address)
+}
+
+func runService(name string, run func(ctx context.Context), provides any, needs ...string) kernel.Service {
+	loop := &background{}
+	return kernel.Service{
+		Name:     name,
+		Needs:    needs,
+		Provides: provides,
+		Start:    func(context.Context) error { loop.start(run); return nil },
+		Stop:     loop.stop,
+	}
+}
+
+func readyHandler(ready func() bool) http.Handler {
+	return http.HandlerFunc(func(answer http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			answer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		answer.WriteHeader(http.StatusOK)
+	})
+}
+
+// gatewayDrainService hands the shards to other entries at once, and lets the
+// platform send clients elsewhere before the listener closes.
+func gatewayDrainService(front *gateway.Gateway, owning *owner.Owner) kernel.Service {
+	return kernel.Service{
+		Name:  ServiceDrain,
+		Needs: []string{ServiceRPC, ServiceHTTP, ServiceReadiness},
+		Stop: func(ctx context.Context) error {
+			front.Leave()
+			err := owning.Leave(ctx)
+			pause(ctx, gatewayLeave)
+			return err
+		},
+	}
+}
+
+// Agent is the process beside a worker.
+type Agent struct {
+	Daemon
+}
+
+// NewAgent puts the services of an agent together.
+func NewAgent(ctx context.Context, settings platform.Settings, events *event.Logger) (*Agent, error) {
+	events = events.With("role", "agent", "name", settings.Name())
+	metering, err := telemetry.New(ctx, telemetry.Options{Role: "agent", Name: settings.Name()})
+	if err != nil {
+		return nil, err
+	}
+	clock := clockwork.NewRealClock()
+	transport := platform.Transport()
+	address := settings.InternalAddress(agentPort)
+	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
+	beside := agent.New(agent.Options{
+		Name: settings.Name(), Shards: settings.Parts(), FirstToken: clock.Now().UnixMilli(),
+		Connect: func(address, incarnation string) *platform.Worker {
+			return platform.NewWorker(address, incarnation, transport)
+		},
+		Clock: clock, Events: events,
+	})
+	running := &Agent{Daemon: Daemon{kern: kernel.New(), events: events}}
+	return running, registerAll(running.kern,
+		metricsService(metering),
+		roleService(beside.Run, beside, ServiceMetrics),
+		rpcService(address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterAgent(mux, beside) }),
+		runService("register", func(ctx context.Context) { beside.Register(ctx, store, address) }, nil, ServiceRPC),
+		httpService(ServiceBeats, []string{ServiceRole}, settings.BeatAddress(), platform.BeatHandler(beside)),
+		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(metering, func() bool { return true })),
+	)
+}
+
+// ReloadSettings reads the settings file again and says whether it is sound.
+func (running *Daemon) ReloadSettings(ctx context.Context, path string) error {
+	_, err := platform.LoadSettings(path)
+	if err != nil {
+		running.events.Log(ctx, event.SettingsRefused, slog.Any("error", err))
+		return errors.Wrap(err, "reload the settings")
+	}
+	running.events.Log(ctx, event.SettingsReloaded, slog.String("path", path))
+	return nil
+}
--- /dev/null
+++ b/event/async.go
@@ -0,0 +1,100 @@
+package event
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const (
+	// asyncBytes bounds the lines that wait for their reader.
+	asyncBytes = 256 << 10
+	// asyncPerSecond bounds the bytes written in a second, so that a flood of
+	// lines does not use up the process's share of a core.
+	asyncPerSecond = 512 << 10
+)
+
+// AsyncWriter passes lines on without making whoever logs wait for the reader.
+// Lines that don't fit are left out and counted.
+type AsyncWriter struct {
+	out io.Writer
+
+	mu      sync.Mutex
+	pending bytes.Buffer
+	dropped int
+	budget  int
+	second  time.Time
+	now     func() time.Time
+	wake    chan struct{}
+}
+
+// NewAsyncWriter returns a writer that passes nothing on until Run. now is the
+// clock that bounds the lines of a second.
+func NewAsyncWriter(out io.Writer, now func() time.Time) *AsyncWriter {
+	return &AsyncWriter{out: out, now: now, wake: make(chan struct{}, 1)}
+}
+
+// Write implements io.Writer for one line. It never waits and never fails.
+func (writer *AsyncWriter) Write(line []byte) (int, error) {
+	writer.mu.Lock()
+	defer writer.mu.Unlock()
+	now := writer.now()
+	if now.Sub(writer.second) >= time.Second {
+		writer.second, writer.budget = now, asyncPerSecond
+	}
+	if writer.pending.Len()+len(line) > asyncBytes || writer.budget < len(line) {
+		writer.dropped++
+		return len(line), nil
+	}
+	writer.budget -= len(line)
+	writer.pending.Write(line)
+	select {
+	case writer.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were left out since it was last asked.
+func (writer *AsyncWriter) Dropped() int {
+	writer.mu.Lock()
+	defer writer.mu.Unlock()
+	count := writer.dropped
+	writer.dropped = 0
+	return count
+}
+
+// Run passes lines on until ctx ends, then what is left.
+func (writer *AsyncWriter) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			writer.passOn()
+			return
+		case <-writer.wake:
+			writer.passOn()
+		}
+	}
+}
+
+func (writer *AsyncWriter) passOn() {
+	writer.mu.Lock()
+	lines := bytes.Clone(writer.pending.Bytes())
+	writer.pending.Reset()
+	writer.mu.Unlock()
+	if len(lines) == 0 {
+		return
+	}
+	// A log that can't be written has nowhere to say so.
+	_, _ = writer.out.Write(lines)
+}
+
+// LogDropped writes a line that says how many were left out, if any were.
+func (writer *AsyncWriter) LogDropped(ctx context.Context, logger *Logger) {
+	if count := writer.Dropped(); count > 0 {
+		logger.Log(ctx, LinesDropped, slog.Int("count", count))
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -11,6 +11,8 @@
 	ProcessStarted Code = 100 + iota
 	ProcessStopping
 	ProcessStopped
+	SettingsReloaded
+	SettingsRefused
 )
 
 // Routing decisions.
@@ -76,6 +78,62 @@
 	TaskThrottled
 )
 
+// The store of the platform and the ownership of shards.
+const (
+	StoreLost Code = 700 + iota
+	StoreBack
+	ShardTaken
+	ShardLoaded
+	ShardGivenUp
+	AppendRetried
+	TailRestarted
+	RecordUnreadable
+	ConfigurationInForce
+	ConfigurationRefused
+)
+
+// Jobs: handed in, decided on, ended.
+const (
+	JobAccepted Code = 800 + iota
+	JobRefused
+	JobUnsettled
+	JobCancelAccepted
+	JobAsked
+	JobTaken
+	JobEnded
+	RunPlaced
+	RunOrdered
+	RunStarted
+	RunNotStarted
+	RunEnded
+	RunLost
+	RunStopOrdered
+)
+
+// Agents and their workers.
+const (
+	AgentAttached Code = 900 + iota
+	AgentLost
+	WorkerSeen
+	WorkerLeft
+	WorkerLost
+	WorkerSilent
+	WorkerBack
+	OwnerAttached
+	OwnerLost
+	ShardClaimed
+	OrderRefused
+	OrderUnsettled
+	OrderSettled
+	RunAdopted
+	RunUnowned
+	FillsPaced
+	AgentRegistered
+)
+
+// Logs themselves.
+const LinesDropped Code = 190
+
 // Entry describes one event.
 type Entry struct {
 	Code  Code
@@ -85,13 +143,18 @@
 	Since string
 }
 
-const firstRelease = "0.1"
+const (
+	firstRelease    = "0.1"
+	platformRelease = "0.2"
+)
 
 // catalogue is the single source of docs/EVENTS.md.
 var catalogue = []Entry{
 	{ProcessStarted, slog.LevelInfo, "process started", "The process has started all its services. The attributes give its role, name and addresses.", firstRelease},
 	{ProcessStopping, slog.LevelInfo, "process stopping", "A planned stop has begun: new work is refused and work in flight is finished within the stated bound.", firstRelease},
 	{ProcessStopped, slog.LevelInfo, "process stopped", "The planned stop has ended.", firstRelease},
+	{SettingsReloaded, slog.LevelInfo, "settings reloaded", "The settings file was read again.", platformRelease},
+	{SettingsRefused, slog.LevelError, "settings refused", "The settings file has changed and has faults. The settings before it stay in force.", platformRelease},
 
 	{RequestRouted, slog.LevelInfo, "request routed", "A request was sent to a backend server and its whole answer was passed on. The attributes give the worker, what its load was believed to be, how many workers were considered and which were rejected and why.", firstRelease},
 	{RequestNotRun, slog.LevelInfo, "request not run", "A request was given up and proved not to have run. The attribute reason says why, retry_after when to come back.", firstRelease},
@@ -140,6 +203,52 @@
 	{WorkerUnreachable, slog.LevelWarn, "worker unreachable", "The worker's interface did not answer the guard.", firstRelease},
 	{LeaseLapsed, slog.LevelWarn, "lease lapsed", "A task's lease ended without renewal and the worker stopped it.", firstRelease},
 	{TaskThrottled, slog.LevelInfo, "task throttled", "An attempt was bounded to a share of its processors.", firstRelease},
+
+	{LinesDropped, slog.LevelWarn, "log lines dropped", "Whoever reads the log was too slow, or lines came faster than the bound. The attribute count says how many lines were left out since the last one.", platformRelease},
+
+	{StoreLost, slog.LevelWarn, "store lost", "Calls to the platform's store fail. What needs it waits or is refused as not run.", platformRelease},
+	{StoreBack, slog.LevelInfo, "store back", "The platform's store answers again. The attribute after says how long it did not.", platformRelease},
+	{ShardTaken, slog.LevelInfo, "shard taken", "The store dealt this entry a shard. It writes under the stated epoch from here on, and earlier owners can't.", platformRelease},
+	{ShardLoaded, slog.LevelInfo, "shard loaded", "The shard's jobs have been read and are scheduled by this entry.", platformRelease},
+	{ShardGivenUp, slog.LevelInfo, "shard given up", "This entry no longer owns the shard. The attribute reason says why.", platformRelease},
+	{AppendRetried, slog.LevelWarn, "append retried", "An append to the store failed or was not answered and is sent again with the same sequence number.", platformRelease},
+	{TailRestarted, slog.LevelInfo, "tail restarted", "A topic is read anew from the newest record of each key, because records that had not been read were removed.", platformRelease},
+	{RecordUnreadable, slog.LevelError, "record unreadable", "A record in the store could not be decoded and was passed over.", platformRelease},
+	{ConfigurationInForce, slog.LevelInfo, "configuration in force", "This process decides by this version of the configuration from here on.", platformRelease},
+	{ConfigurationRefused, slog.LevelError, "configuration refused", "A version of the configuration can't be decoded. The version before it stays in force.", platformRelease},
+
+	{JobAccepted, slog.LevelInfo, "job accepted", "A job is in the store and its client was told so.", platformRelease},
+	{JobRefused, slog.LevelInfo, "job refused", "A job was not taken and will never run from this request. The attributes give the reason and when to come back.", platformRelease},
+	{JobUnsettled, slog.LevelWarn, "job unsettled", "The store did not say in time whether it took the job. The client was told neither yes nor no and hands the job in again.", platformRelease},
+	{JobCancelAccepted, slog.LevelInfo, "job cancellation accepted", "The cancellation is in the store and the client was told so.", platformRelease},
+	{JobAsked, slog.LevelDebug, "job asked for", "A client asked for a job's state.", platformRelease},
+	{JobTaken, slog.LevelInfo, "job taken up", "The owner of the job's shard has read the job and schedules it.", platformRelease},
+	{JobEnded, slog.LevelInfo, "job ended", "The job is completed, failed or cancelled, and that is in the store.", platformRelease},
+	{RunPlaced, slog.LevelInfo, "run placed", "A place was chosen for a task. The attributes give the worker, what was believed to be free there and the age of that belief.", platformRelease},
+	{RunOrdered, slog.LevelDebug, "run ordered", "The start is in the store and the order went to the agent.", platformRelease},
+	{RunStarted, slog.LevelDebug, "run started", "The agent confirmed that the run has started.", platformRelease},
+	{RunNotStarted, slog.LevelInfo, "run not started", "The agent proved that the run has not started and never will. The task waits for another place.", platformRelease},
+	{RunEnded, slog.LevelInfo, "run ended", "A worker listed the end of a run.", platformRelease},
+	{RunLost, slog.LevelWarn, "run lost", "A run is over for certain although no end was listed: its worker's incarnation ended, or its lease must have run out. The task waits again.", platformRelease},
+	{RunStopOrdered, slog.LevelInfo, "run stop ordered", "The agent was told to stop a run.", platformRelease},
+
+	{AgentAttached, slog.LevelInfo, "agent attached", "This owner's connection to an agent is up.", platformRelease},
+	{AgentLost, slog.LevelWarn, "agent lost", "The connection to an agent is gone. Its runs go on until their lease ends.", platformRelease},
+	{WorkerSeen, slog.LevelInfo, "worker seen", "A worker's incarnation sent its first heartbeat, or a changed one.", platformRelease},
+	{WorkerLeft, slog.LevelInfo, "worker left", "A worker said that it ends.", platformRelease},
+	{WorkerLost, slog.LevelWarn, "worker lost", "A worker's incarnation is over for certain; everything that ran on it has ended.", platformRelease},
+	{WorkerSilent, slog.LevelWarn, "worker silent", "The worker does not answer its agent.", platformRelease},
+	{WorkerBack, slog.LevelInfo, "worker back", "The worker answers its agent again.", platformRelease},
+	{OwnerAttached, slog.LevelInfo, "owner attached", "An owner's connection to this agent is up.", platformRelease},
+	{OwnerLost, slog.LevelWarn, "owner lost", "An owner's connection to this agent is gone. Its runs go on until its last grant ends.", platformRelease},
+	{ShardClaimed, slog.LevelDebug, "shard claimed", "An owner told the agent that it owns shards from here on.", platformRelease},
+	{OrderRefused, slog.LevelInfo, "order refused", "A start was refused before or by the worker, which has not started it.", platformRelease},
+	{OrderUnsettled, slog.LevelWarn, "order unsettled", "The worker gave no answer to a start. The fencing token is raised so that it can't take effect later, and the worker is asked what runs.", platformRelease},
+	{OrderSettled, slog.LevelInfo, "order settled", "It is known whether a start without an answer took effect.", platformRelease},
+	{RunAdopted, slog.LevelInfo, "run adopted", "An agent that has just started found a run on its worker.", platformRelease},
+	{RunUnowned, slog.LevelWarn, "run unowned", "The owner of a run has been silent until its grant was nearly over; the run is stopped.", platformRelease},
+	{FillsPaced, slog.LevelInfo, "fills paced", "The tasks that fill a worker were slowed down or let go on, because of the tail of the tasks that serve there.", platformRelease},
+	{AgentRegistered, slog.LevelInfo, "agent registered", "The agent's address is in the store, where owners find it.", platformRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- /dev/null
+++ b/gateway/append.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// appendTimeout is how long the store is waited for before the same record
+	// is sent again on another connection.
+	appendTimeout = 900 * time.Millisecond
+	relayTimeout  = 600 * time.Millisecond
+	appendPause   = 60 * time.Millisecond
+	// refusalsBeforeRelay is how often the store may turn an append away
+	// before a peer is asked: a single refusal may be its rate limit.
+	refusalsBeforeRelay = 1
+)
+
+type appendKind int
+
+const (
+	unsure appendKind = iota
+	appended
+	refused
+)
+
+// outcome says what became of an append.
+type outcome struct {
+	kind   appendKind
+	reason string
+	by     string // the entry that the store took it from
+}
+
+// append puts a record of a job into the store. The record is the same however
+// often it is sent, so one that was not answered is sent again.
+func (gateway *Gateway) append(ctx context.Context, id, key string, value []byte) outcome {
+	shard := job.ShardOf(id, gateway.options.Shards)
+	add := platform.Append{Topic: job.TopicJobs, Part: shard, Records: []platform.Record{{Key: key, Value: value}}}
+	doubt := false // whether an earlier try may have taken effect
+	reason := "the client's time is over"
+	for tries := 1; ctx.Err() == nil; tries++ {
+		err := gateway.appendOnce(ctx, add)
+		if err == nil {
+			return outcome{kind: appended, by: gateway.options.Name}
+		}
+		reason = err.Error()
+		doubt = doubt || !platform.IsRefused(err)
+		if tries >= refusalsBeforeRelay {
+			relayed := gateway.directory.relay(ctx, &wire.RelayRequest{Shard: int32(shard), Key: key, Value: value})
+			if relayed.kind == appended {
+				return relayed
+			}
+			doubt = doubt || relayed.kind == unsure
+		}
+		if !doubt {
+			break
+		}
+		gateway.pause(ctx, appendPause)
+	}
+	if doubt {
+		return outcome{kind: unsure, reason: reason}
+	}
+	return outcome{kind: refused, reason: reason}
+}
+
+func (gateway *Gateway) appendOnce(ctx context.Context, add platform.Append) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := gateway.options.Store.Append(ctx, add)
+	return err
+}
+
+func (gateway *Gateway) pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-gateway.options.Clock.After(length):
+	}
+}
--- /dev/null
+++ b/gateway/directory.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// ownersFresh is how long what the store said of owners is gone by.
+	ownersFresh = 2 * time.Second
+	// ownersAgain keeps questions to the store apart while an owner is sought.
+	ownersAgain    = 150 * time.Millisecond
+	ownersTimeout  = 800 * time.Millisecond
+	peerTimeout    = 700 * time.Millisecond
+	pendingFresh   = 500 * time.Millisecond
+	peerPause      = 80 * time.Millisecond
+)
+
+// directory knows which entry owns which shard.
+type directory struct {
+	options Options
+
+	mu      sync.Mutex
+	owners  map[int]string
+	readAt  time.Time
+	reading bool
+	counts  map[string]pendingCount
+}
+
+type pendingCount struct {
+	count int64
+	at    time.Time
+}
+
+func newDirectory(options Options) *directory {
+	return &directory{options: options, owners: map[int]string{}, counts: map[string]pendingCount{}}
+}
+
+// address returns where the process of a member is reached.
+func address(member string) string {
+	_, found, _ := strings.Cut(member, "|")
+	return found
+}
+
+// refresh asks the store for the owners unless that was done within age.
+func (directory *directory) refresh(ctx context.Context, age time.Duration) {
+	now := directory.options.Clock.Now()
+	directory.mu.Lock()
+	if directory.reading || now.Sub(directory.readAt) < age {
+		directory.mu.Unlock()
+		return
+	}
+	directory.reading = true
+	directory.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownersTimeout)
+	defer cancel()
+	owners, err := directory.options.Store.Owners(ctx, job.OwnersGroup)
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	directory.reading = false
+	directory.readAt = directory.options.Clock.Now()
+	if err == nil {
+		directory.owners = owners
+	}
+}
+
+func (directory *directory) ownerOf(shard int) string {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	return directory.owners[shard]
+}
+
+// peers returns the other entries that own shards.
+func (directory *directory) peers() []string {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	var members []string
+	for _, member := range directory.owners {
+		if member != directory.options.Self && !slices.Contains(members, member) {
+			members = append(members, member)
+		}
+	}
+	slices.Sort(members)
+	return members
+}
+
+func (directory *directory) peer(member string) wire.DRPCPeerClient {
+	var conn drpc.Conn = directory.options.Pool.Conn(address(member))
+	return wire.NewDRPCPeerClient(conn)
+}
+
+// jobState asks the owner of the job's shard, and goes on asking while the shard
+// passes from one entry to another, until ctx ends.
+func (directory *directory) jobState(ctx context.Context, id string) (*wire.JobStateReply, error) {
+	shard := job.ShardOf(id, directory.options.Shards)
+	request := &wire.JobStateRequest{Id: id, Shard: int32(shard)}
+	var last error
+	for ctx.Err() == nil {
+		reply, err := directory.options.Owner.JobState(ctx, request)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+		directory.refresh(ctx, ownersFresh)
+		member := directory.ownerOf(shard)
+		if member != "" && member != directory.options.Self {
+			reply, err = directory.askState(ctx, member, request)
+			if err == nil {
+				return reply, nil
+			}
+			last = err
+		}
+		directory.refresh(ctx, ownersAgain)
+		directory.pause(ctx)
+	}
+	if last == nil {
+		last = ctx.Err()
+	}
+	return nil, errors.Wrap(last, "ask the owner of the job's shard")
+}
+
+func (directory *directory) askState(ctx context.Context, member string, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return directory.peer(member).JobState(ctx, request)
+}
+
+func (directory *directory) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-directory.options.Clock.After(peerPause):
+	}
+}
+
+// pending returns how many jobs of a queue wait, over all shards. It fails
+// rather than leave a shard out.
+func (directory *directory) pending(ctx context.Context, queue string) (int64, error) {
+	now := directory.options.Clock.Now()
+	directory.mu.Lock()
+	known, found := directory.counts[queue]
+	directory.mu.Unlock()
+	if found && now.Sub(known.at) < pendingFresh {
+		return known.count, nil
+	}
+	var last error
+	for ctx.Err() == nil {
+		count, err := directory.countPending(ctx, queue)
+		if err == nil {
+			directory.mu.Lock()
+			directory.counts[queue] = pendingCount{count: count, at: now}
+			directory.mu.Unlock()
+			return count, nil
+		}
+		last = err
+		directory.refresh(ctx, ownersAgain)
+		directory.pause(ctx)
+	}
+	return 0, errors.Wrap(last, "ask the owners of all shards")
+}
+
+func (directory *directory) countPending(ctx context.Context, queue string) (int64, error) {
+	directory.refresh(ctx, ownersFresh)
+	request := &wire.PendingRequest{Queue: queue}
+	counted := map[int32]bool{}
+	total := int64(0)
+	note := func(reply *wire.PendingReply) {
+		total += reply.GetPending()
+		for _, shard := range reply.GetShards() {
+			counted[shard] = true
+		}
+	}
+	own, err := directory.options.Owner.Pending(ctx, request)
+	if err != nil {
+		return 0, err
+	}
+	note(own)
+	for _, member := range directory.peers() {
+		reply, err := directory.askPending(ctx, member, request)
+		if err != nil {
+			return 0, err
+		}
+		note(reply)
+	}
+	if len(counted) < directory.options.Shards {
+		return 0, errors.Errorf("%d of %d shards have an owner that answers", len(counted), directory.options.Shards)
+	}
+	return total, nil
+}
+
+func (directory *directory) askPending(ctx context.Context, member string, request *wire.PendingRequest) (*wire.PendingReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return directory.peer(member).Pending(ctx, request)
+}
+
+// relay has a peer append a record that the store does not take from here.
+func (directory *directory) relay(ctx context.Context, request *wire.RelayRequest) outcome {
+	result := outcome{kind: refused, reason: "the store refuses, and no peer answers"}
+	for _, member := range directory.peers() {
+		if ctx.Err() != nil {
+			return result
+		}
+		reply, err := directory.askRelay(ctx, member, request)
+		switch {
+		case err == nil && reply.GetAppended():
+			return outcome{kind: appended, by: member}
+		case err == nil && !reply.GetUnsure():
+			continue
+		}
+		var dial *rpc.DialError
+		if err != nil && errors.As(err, &dial) {
+			continue
+		}
+		result = outcome{kind: unsure, reason: "a peer did not say whether the store took the record"}
+	}
+	return result
+}
+
+func (directory *directory) askRelay(ctx context.Context, member string, request *wire.RelayRequest) (*wire.RelayReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return directory.peer(member).Relay(ctx, request)
+}
--- /dev/null
+++ b/job/keys.go
@@ -0,0 +1,32 @@
+package job
+
+import "strings"
+
+// The topics that hold jobs. Entries write jobs and cancellations, the owner of
+// a shard writes runs; only the owner reads the first from end to end, so its own
+// records don't wake it.
+const (
+	TopicJobs   = "keyed.jobs"
+	TopicRuns   = "keyed.runs"
+	TopicAgents = "keyed.agents"
+)
+
+// OwnersGroup is the group that deals shards to entries.
+const OwnersGroup = "owners"
+
+const (
+	submissionPrefix   = "j"
+	cancellationPrefix = "c"
+)
+
+// SubmissionKey returns the key of a job's submission.
+func SubmissionKey(id string) string { return submissionPrefix + id }
+
+// CancellationKey returns the key of a job's cancellation.
+func CancellationKey(id string) string { return cancellationPrefix + id }
+
+// IsSubmissionKey reports whether the key holds a submission.
+func IsSubmissionKey(key string) bool { return strings.HasPrefix(key, submissionPrefix) }
+
+// IsCancellationKey reports whether the key holds a cancellation.
+func IsCancellationKey(key string) bool { return strings.HasPrefix(key, cancellationPrefix) }
--- /dev/null
+++ b/job/progress.go
@@ -0,0 +1,76 @@
+package job
+
+import "time"
+
+// Progress returns the record of what has become of the job.
+func (made *Job) Progress() *Progress {
+	kept := &Progress{Id: made.ID(), State: made.state}
+	if !made.endedAt.IsZero() {
+		kept.EndedMs = made.endedAt.UnixMilli()
+	}
+	if !made.begunAt.IsZero() {
+		kept.BegunMs = made.begunAt.UnixMilli()
+	}
+	places := map[Place]int32{}
+	for _, task := range made.tasks {
+		if task.attempt == 0 && task.state == TaskState_TASK_WAITING {
+			continue
+		}
+		kept.Tasks = append(kept.Tasks, task.progress(kept, places))
+	}
+	return kept
+}
+
+func (task *Task) progress(kept *Progress, places map[Place]int32) *TaskProgress {
+	record := &TaskProgress{
+		Round: task.round, Step: task.step, Index: task.index,
+		Attempt: task.attempt, Failures: task.failures, State: task.state,
+	}
+	if task.state == TaskState_TASK_DONE {
+		return record
+	}
+	record.Checkpoint = task.checkpoint
+	if task.state != TaskState_TASK_STARTED {
+		return record
+	}
+	if places[task.place] == 0 {
+		kept.Workers = append(kept.Workers, task.place.Worker)
+		kept.Agents = append(kept.Agents, task.place.Agent)
+		places[task.place] = int32(len(kept.Workers))
+	}
+	record.Worker = places[task.place]
+	return record
+}
+
+// Restore brings a job that has just been made to the state of a record.
+func (made *Job) Restore(kept *Progress, now time.Time) {
+	made.state = kept.GetState()
+	if kept.GetEndedMs() > 0 {
+		made.endedAt = time.UnixMilli(kept.GetEndedMs())
+	}
+	if kept.GetBegunMs() > 0 {
+		made.begunAt = time.UnixMilli(kept.GetBegunMs())
+	}
+	for _, record := range kept.GetTasks() {
+		task := made.Task(Ref{Job: made.ID(), Round: record.GetRound(), Step: record.GetStep(), Index: record.GetIndex()})
+		if task == nil {
+			continue
+		}
+		made.restoreTask(task, record, kept, now)
+	}
+}
+
+func (made *Job) restoreTask(task *Task, record *TaskProgress, kept *Progress, now time.Time) {
+	task.attempt = record.GetAttempt()
+	task.failures = record.GetFailures()
+	task.checkpoint = record.GetCheckpoint()
+	if record.GetState() == TaskState_TASK_DONE {
+		made.markDone(task)
+		return
+	}
+	task.state = record.GetState()
+	if at := int(record.GetWorker()); at > 0 && at <= len(kept.GetWorkers()) && at <= len(kept.GetAgents()) {
+		task.place = Place{Worker: kept.GetWorkers()[at-1], Agent: kept.GetAgents()[at-1]}
+		task.startedAt = now
+	}
+}
--- /dev/null
+++ b/job/task.go
@@ -0,0 +1,96 @@
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Place is where a run was ordered.
+type Place struct {
+	// Worker is the incarnation of the worker.
+	Worker string
+	// Agent is the address of the agent beside it.
+	Agent string
+}
+
+// Task is one task of a job.
+type Task struct {
+	job        *Job
+	round      int32
+	step       int32
+	index      int32
+	state      TaskState
+	attempt    int32
+	failures   int32
+	place      Place
+	checkpoint string
+	startedAt  time.Time
+	retryAt    time.Time
+}
+
+// Job returns the job that the task belongs to.
+func (task *Task) Job() *Job { return task.job }
+
+// Spec returns what all tasks of the step have in common.
+func (task *Task) Spec() *StepSpec { return task.job.submission.GetSteps()[task.step] }
+
+// State returns the task's state.
+func (task *Task) State() TaskState { return task.state }
+
+// Attempt counts the starts of the task.
+func (task *Task) Attempt() int32 { return task.attempt }
+
+// Place returns where the task was last started.
+func (task *Task) Place() Place { return task.place }
+
+// Checkpoint returns the newest saved progress, empty for none.
+func (task *Task) Checkpoint() string { return task.checkpoint }
+
+// StartedAt returns when the present run was decided on.
+func (task *Task) StartedAt() time.Time { return task.startedAt }
+
+// Round returns the round of a scheduled job, 0 otherwise.
+func (task *Task) Round() int32 { return task.round }
+
+// Step returns the number of the task's step.
+func (task *Task) Step() int32 { return task.step }
+
+// Name returns the task's name towards workers: job, round, step and index.
+func (task *Task) Name() string {
+	return fmt.Sprintf("%s.%d.%d.%d", task.job.ID(), task.round, task.step, task.index)
+}
+
+// Ref names a task.
+type Ref struct {
+	Job   string
+	Round int32
+	Step  int32
+	Index int32
+}
+
+const refParts = 4
+
+// ParseRef reads a task's name.
+func ParseRef(name string) (Ref, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != refParts {
+		return Ref{}, errors.Errorf("the task name %q does not have the form job.round.step.index", name)
+	}
+	numbers := [refParts - 1]int32{}
+	for position, text := range parts[1:] {
+		number, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return Ref{}, errors.Wrapf(err, "number in the task name %q", name)
+		}
+		numbers[position] = int32(number)
+	}
+	return Ref{Job: parts[0], Round: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// ShardOf returns the shard that a job belongs to.
+func ShardOf(id string, shards int) int { return int(xxhash.Sum64String(id) % uint64(shards)) }
--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,93 @@
+// Package loop runs the decisions of a process one after another on one
+// goroutine, so that what they decide on needs no locks.
+//
+// # Usage
+//
+//	decisions := loop.New(clockwork.NewRealClock())
+//	go decisions.Run(ctx, 100*time.Millisecond, func(now time.Time) { ... })
+//	decisions.Post(func(now time.Time) { state.note(answer, now) })
+//
+// A posted function must not block: what takes time runs on a goroutine of its
+// own and posts what came of it.
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	queueLength = 4096
+	// batchMost bounds how many functions run before step does.
+	batchMost = 256
+)
+
+// Loop is a queue of functions that run one after another.
+type Loop struct {
+	clock clockwork.Clock
+	queue chan func(now time.Time)
+	done  chan struct{}
+}
+
+// New returns a loop that runs nothing yet.
+func New(clock clockwork.Clock) *Loop {
+	return &Loop{clock: clock, queue: make(chan func(now time.Time), queueLength), done: make(chan struct{})}
+}
+
+// Post queues a function. It waits while the queue is full, and does nothing
+// once the loop has ended.
+func (decisions *Loop) Post(run func(now time.Time)) {
+	select {
+	case decisions.queue <- run:
+	case <-decisions.done:
+	}
+}
+
+// Ask runs a function on the loop and waits for it. It reports false when the
+// loop or ctx ended first.
+func (decisions *Loop) Ask(ctx context.Context, run func(now time.Time)) bool {
+	answered := make(chan struct{})
+	decisions.Post(func(now time.Time) {
+		run(now)
+		close(answered)
+	})
+	select {
+	case <-answered:
+		return true
+	case <-decisions.done:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// Run runs what is posted until ctx ends, and step after each batch and at
+// least once every interval.
+func (decisions *Loop) Run(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	defer close(decisions.done)
+	ticker := decisions.clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		case run := <-decisions.queue:
+			run(decisions.clock.Now())
+			decisions.drain()
+		}
+		step(decisions.clock.Now())
+	}
+}
+
+func (decisions *Loop) drain() {
+	for range batchMost {
+		select {
+		case run := <-decisions.queue:
+			run(decisions.clock.Now())
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/owner/membership.go
@@ -0,0 +1,111 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+)
+
+const (
+	// joinEvery renews the membership three times before it would run out.
+	joinEvery   = 350 * time.Millisecond
+	joinTimeout = 700 * time.Millisecond
+)
+
+// keepMembership joins the group, and again and again, until ctx ends.
+func (owner *Owner) keepMembership(ctx context.Context) {
+	heard := int64(0)
+	lost := time.Time{}
+	for ctx.Err() == nil {
+		sent := owner.options.Clock.Now()
+		deal, err := owner.join(ctx, heard)
+		if err != nil {
+			lost = owner.noteStoreLost(ctx, lost, sent, err)
+			owner.pause(ctx, joinEvery)
+			continue
+		}
+		lost = owner.noteStoreBack(ctx, lost, sent)
+		changed := deal.Generation != heard
+		heard = deal.Generation
+		if !owner.decisions.Ask(ctx, func(now time.Time) { owner.noteDeal(deal, sent, now) }) {
+			return
+		}
+		if changed {
+			// Naming the new generation hands over what is no longer held.
+			continue
+		}
+		owner.pause(ctx, joinEvery)
+	}
+}
+
+func (owner *Owner) join(ctx context.Context, heard int64) (platform.Deal, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	member := Member(owner.options.Name, owner.options.Address)
+	return owner.options.Store.Join(ctx, job.OwnersGroup, member, job.TopicJobs, owner.options.Silent, heard)
+}
+
+func (owner *Owner) noteStoreLost(ctx context.Context, lost, now time.Time, err error) time.Time {
+	if !lost.IsZero() {
+		return lost
+	}
+	owner.options.Events.Log(ctx, event.StoreLost, slog.Any("error", err))
+	return now
+}
+
+func (owner *Owner) noteStoreBack(ctx context.Context, lost, now time.Time) time.Time {
+	if !lost.IsZero() {
+		owner.options.Events.Log(ctx, event.StoreBack, slog.Duration("after", now.Sub(lost)))
+	}
+	return time.Time{}
+}
+
+func (owner *Owner) pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-owner.joins:
+	case <-owner.options.Clock.After(length):
+	}
+}
+
+// noteDeal takes up the shards that are dealt to this entry and gives up others.
+func (owner *Owner) noteDeal(deal platform.Deal, sent, now time.Time) {
+	owner.generation = deal.Generation
+	owner.joinedAt = sent
+	dealt := map[int]bool{}
+	for _, number := range deal.Parts {
+		dealt[number] = true
+	}
+	for number, held := range owner.shards {
+		if !dealt[number] {
+			owner.giveUp(held, "dealt to another entry", now)
+		}
+	}
+	if owner.leaving {
+		return
+	}
+	for number := range dealt {
+		_, owned := owner.shards[number]
+		if !owned && deal.Generation > owner.fenced[number] {
+			owner.take(number, deal.Generation, now)
+		}
+	}
+}
+
+// Leave gives all shards up, so that others take them at once.
+func (owner *Owner) Leave(ctx context.Context) error {
+	owner.decisions.Ask(ctx, func(now time.Time) {
+		owner.leaving = true
+		for _, held := range owner.shards {
+			owner.giveUp(held, "the process stops", now)
+		}
+	})
+	err := owner.options.Store.Leave(ctx, job.OwnersGroup, Member(owner.options.Name, owner.options.Address))
+	return errors.Wrap(err, "leave the group of owners")
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,143 @@
+// Package owner schedules the jobs of the shards that the platform's store deals
+// to this entry.
+//
+// A shard is a partition of the jobs' topics. Any entry appends jobs to it; its
+// owner reads them, decides where each task runs, and appends what becomes of
+// them. The store deals shards to entries and fences their writes by epoch, so
+// an owner that has been replaced can't write, and what it has not written it
+// does not do:
+//
+//   - a start is in the store before the order goes to an agent;
+//   - an end is in the store before the worker is told to forget it, and before
+//     a job is shown as completed.
+//
+// # Silent agents
+//
+// An owner grants its runs time on the agent's clock. When an agent is silent
+// the runs there are taken for over once the last grant must have ended, and not
+// before.
+//
+// # Usage
+//
+//	scheduling := owner.New(owner.Options{Name: "edge-1", Store: store, ...})
+//	go scheduling.Run(ctx)
+//	wire.DRPCRegisterPeer(mux, scheduling)
+//	scheduling.Leave(ctx)
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"storj.io/drpc"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/loop"
+	"ambertiller.example/ambertiller/platform"
+)
+
+const (
+	stepEvery = 100 * time.Millisecond
+	// clockSlack is what two clocks differ by at most over a grant.
+	clockSlack = 0.04
+	// grantMargin is added to the end of a grant before runs are taken for
+	// over: a stop takes up to half a second.
+	grantMargin = 600 * time.Millisecond
+	// grantEvery renews grants well within their length.
+	grantEvery = 500 * time.Millisecond
+	// grantAlone is how long an owner goes on granting without hearing from
+	// the store that it still owns: longer than the store's usual outages of
+	// under 10 s, so that they don't stop what runs.
+	grantAlone = 10 * time.Second
+)
+
+// Options sets up an Owner.
+type Options struct {
+	// Name and Address are how other processes know this entry.
+	Name    string
+	Address string
+	// Shards is how many shards there are.
+	Shards int
+	// Grant is how long runs go on without word from their owner.
+	Grant time.Duration
+	// Silent is after how long without a join the store deals a member's
+	// shards to others.
+	Silent time.Duration
+	// StatusKept is how long an ended job is known.
+	StatusKept time.Duration
+	Store      *platform.Store
+	// Dial connects to an agent.
+	Dial   func(ctx context.Context, address string) (drpc.Conn, error)
+	Clock  clockwork.Clock
+	Events *event.Logger
+}
+
+// Owner schedules the jobs of its shards.
+type Owner struct {
+	options   Options
+	decisions *loop.Loop
+	ctx       context.Context // ends the calls of the owner with it
+	joins     chan struct{}   // wakes the membership
+
+	generation int64
+	joinedAt   time.Time
+	leaving    bool
+	shards     map[int]*shard
+	fenced     map[int]int64
+	agents     map[string]*agentView
+	placeDue   bool
+}
+
+// New returns an owner that owns nothing until Run.
+func New(options Options) *Owner {
+	return &Owner{
+		options:   options,
+		decisions: loop.New(options.Clock),
+		joins:     make(chan struct{}, 1),
+		shards:    map[int]*shard{},
+		fenced:    map[int]int64{},
+		agents:    map[string]*agentView{},
+	}
+}
+
+// Run schedules until ctx ends.
+func (owner *Owner) Run(ctx context.Context) {
+	owner.ctx = ctx
+	go owner.keepMembership(ctx)
+	go owner.followAgents(ctx)
+	owner.decisions.Run(ctx, stepEvery, owner.step)
+}
+
+// Member is the name under which the entry joins the group: its address tells
+// others where to reach it.
+func Member(name, address string) string { return name + "|" + address }
+
+func (owner *Owner) step(now time.Time) {
+	for _, held := range owner.shards {
+		owner.tend(held, now)
+	}
+	for _, view := range owner.agents {
+		owner.giveUpSilent(view, now)
+	}
+	if owner.placeDue {
+		owner.placeDue = false
+		owner.place(now)
+	}
+	for _, held := range owner.shards {
+		owner.flush(held, now)
+	}
+	for _, view := range owner.agents {
+		owner.tell(view, now)
+	}
+}
+
+// jobOf returns the job if its shard is owned and loaded.
+func (owner *Owner) jobOf(id string) (*shard, *job.Job) {
+	held, owned := owner.shards[job.ShardOf(id, owner.options.Shards)]
+	if !owned || !held.active {
+		return nil, nil
+	}
+	return held, held.jobs[id]
+}
--- /dev/null
+++ b/owner/peer.go
@@ -0,0 +1,110 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// NotOwnedError says that this entry does not own the shard, or has not read it
+// yet.
+type NotOwnedError struct{ shard int }
+
+// Error implements error.
+func (missing *NotOwnedError) Error() string {
+	return "this entry does not own the job's shard; ask its owner"
+}
+
+// JobState implements wire.DRPCPeerServer. An unknown job is reported as such
+// only after the shard has been read to its end.
+func (owner *Owner) JobState(ctx context.Context, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
+	reply, held, next := owner.lookUp(ctx, request.GetId())
+	if held == nil {
+		return nil, &NotOwnedError{shard: int(request.GetShard())}
+	}
+	if reply.GetKnown() {
+		return reply, nil
+	}
+	tail, err := owner.options.Store.Read(ctx, job.TopicJobs, held.number, next, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the shard to its end")
+	}
+	owner.decisions.Ask(ctx, func(now time.Time) { owner.noteTail(held, tail, now) })
+	reply, held, _ = owner.lookUp(ctx, request.GetId())
+	if held == nil {
+		return nil, &NotOwnedError{shard: int(request.GetShard())}
+	}
+	return reply, nil
+}
+
+func (owner *Owner) lookUp(ctx context.Context, id string) (*wire.JobStateReply, *shard, int64) {
+	reply := &wire.JobStateReply{}
+	var found *shard
+	next := int64(0)
+	asked := owner.decisions.Ask(ctx, func(time.Time) {
+		held, made := owner.jobOf(id)
+		if held == nil {
+			return
+		}
+		found, next = held, held.next
+		if made != nil {
+			reply.Known = true
+			reply.State = held.shown(made)
+		}
+	})
+	if !asked {
+		return reply, nil, 0
+	}
+	return reply, found, next
+}
+
+// shown returns the state that a client may be told: an end only once it is in
+// the store.
+func (held *shard) shown(made *job.Job) job.State {
+	if made.Ended() && !held.durable[made.ID()] {
+		return job.State_STATE_RUNNING
+	}
+	return made.State()
+}
+
+// Pending implements wire.DRPCPeerServer: the jobs of a queue, in the shards that
+// this entry owns, none of whose tasks has begun.
+func (owner *Owner) Pending(ctx context.Context, request *wire.PendingRequest) (*wire.PendingReply, error) {
+	reply := &wire.PendingReply{}
+	asked := owner.decisions.Ask(ctx, func(time.Time) {
+		for _, held := range owner.shards {
+			if !held.active {
+				continue
+			}
+			reply.Shards = append(reply.Shards, int32(held.number))
+			for _, made := range held.live {
+				if made.Submission().GetQueue() == request.GetQueue() && made.State() == job.State_STATE_QUEUED {
+					reply.Pending++
+				}
+			}
+		}
+	})
+	if !asked {
+		return nil, errors.New("the entry stops; ask again")
+	}
+	return reply, nil
+}
+
+// Relay implements wire.DRPCPeerServer: it appends a record for an entry that the
+// store turns away.
+func (owner *Owner) Relay(ctx context.Context, request *wire.RelayRequest) (*wire.RelayReply, error) {
+	add := platform.Append{
+		Topic: job.TopicJobs, Part: int(request.GetShard()),
+		Records: []platform.Record{{Key: request.GetKey(), Value: request.GetValue()}},
+	}
+	_, err := owner.options.Store.Append(ctx, add)
+	if err == nil {
+		return &wire.RelayReply{Appended: true}, nil
+	}
+	return &wire.RelayReply{Unsure: !platform.IsRefused(err)}, nil
+}
--- /dev/null
+++ b/owner/place.go
@@ -0,0 +1,169 @@
+package owner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// rackLabel begins the label that names a worker's rack.
+	rackLabel = "r"
+	// fillShare is how much of what it asks for a filling task should find
+	// unused, lest it holds memory without getting on.
+	fillShare = 0.8
+	// farWait is how long a task waits for room near its data.
+	farWait = 400 * time.Millisecond
+)
+
+// place starts the tasks that may start, the most urgent job first.
+func (owner *Owner) place(now time.Time) {
+	workers := owner.candidates(now)
+	if len(workers) == 0 {
+		return
+	}
+	for _, made := range owner.urgent(now) {
+		for _, task := range made.Ready(now) {
+			owner.placeTask(task, workers, now)
+		}
+	}
+}
+
+// urgent returns the jobs with tasks to start: by priority, then by how much
+// time is left for the work that is left.
+func (owner *Owner) urgent(now time.Time) []*job.Job {
+	var waiting []*job.Job
+	for _, held := range owner.shards {
+		if !held.active {
+			continue
+		}
+		for _, made := range held.live {
+			if !made.Ended() {
+				waiting = append(waiting, made)
+			}
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *job.Job) int {
+		if byPriority := int(a.Submission().GetPriority()) - int(b.Submission().GetPriority()); byPriority != 0 {
+			return byPriority
+		}
+		if byTime := a.Objective().Compare(b.Objective()); byTime != 0 {
+			return byTime
+		}
+		return strings.Compare(a.ID(), b.ID())
+	})
+	return waiting
+}
+
+// candidate is a worker that may be given starts, with what is free there after
+// those that are on their way.
+type candidate struct {
+	view                             *agentView
+	milliCPU, memoryMB, accelerators int64
+	fillMilliCPU                     int64
+	trial                            bool
+}
+
+func (owner *Owner) candidates(now time.Time) []*candidate {
+	var workers []*candidate
+	for _, view := range owner.agents {
+		status := view.status
+		if view.link == nil || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) || now.Sub(view.heardAt) > 2*grantEvery {
+			continue
+		}
+		worker := &candidate{
+			view: view, milliCPU: status.GetFreeMilliCpu(), memoryMB: status.GetFreeMemoryMb(),
+			accelerators: status.GetFreeAccelerators(), fillMilliCPU: status.GetFillMilliCpu(),
+			trial: view.failures >= failuresBeforeDoubt,
+		}
+		for _, entry := range view.runs {
+			if !entry.reflected {
+				worker.take(entry.demand)
+			}
+		}
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
+func (worker *candidate) take(demand *wire.Demand) {
+	worker.memoryMB -= demand.GetMemoryMb()
+	worker.accelerators -= demand.GetAccelerators()
+	if demand.GetFills() {
+		worker.fillMilliCPU += demand.GetMilliCpu()
+		return
+	}
+	worker.milliCPU -= demand.GetMilliCpu()
+}
+
+// idle is what neither serving nor filling tasks use of the processors.
+func (worker *candidate) idle() int64 { return worker.milliCPU - worker.fillMilliCPU }
+
+func (worker *candidate) fits(task *job.Task) bool {
+	spec := task.Spec()
+	status := worker.view.status
+	switch {
+	case status.GetService() != task.Job().Submission().GetService():
+		return false
+	case spec.GetMemoryMb() > worker.memoryMB || spec.GetAccelerators() > worker.accelerators:
+		return false
+	case spec.GetLabel() != "" && !slices.Contains(status.GetLabels(), spec.GetLabel()):
+		return false
+	case spec.GetMostPerWorker() > 0 && worker.holding(task) >= spec.GetMostPerWorker():
+		return false
+	case worker.trial && len(worker.view.runs) > 0:
+		return false
+	}
+	if spec.GetFills() {
+		return float64(worker.idle()) >= fillShare*float64(spec.GetMilliCpu())
+	}
+	return spec.GetMilliCpu() <= worker.milliCPU
+}
+
+// holding counts the tasks of the same step and round that the worker has.
+func (worker *candidate) holding(task *job.Task) int32 {
+	count := int32(0)
+	for _, member := range task.Job().Members(task) {
+		if member.State() == job.TaskState_TASK_STARTED && member.Place().Worker == worker.view.status.GetWorker() {
+			count++
+		}
+	}
+	return count
+}
+
+// near reports whether the worker stands in the rack that holds the task's data.
+func (worker *candidate) near(task *job.Task) bool {
+	rack := task.Spec().GetAffinity()
+	return rack == "" || slices.Contains(worker.view.status.GetLabels(), rack)
+}
+
+// placeTask starts a task on the best worker there is, if any.
+func (owner *Owner) placeTask(task *job.Task, workers []*candidate, now time.Time) {
+	var best *candidate
+	for _, worker := range workers {
+		if worker.fits(task) && (best == nil || better(task, worker, best)) {
+			best = worker
+		}
+	}
+	if best == nil {
+		return
+	}
+	owner.start(task, best.view, now)
+	best.take(best.view.runs[task.Name()].demand)
+}
+
+// better prefers a worker near the data, then the one with the most idle
+// processors, which both keeps tasks that serve apart from those that fill and
+// leaves room everywhere.
+func better(task *job.Task, a, b *candidate) bool {
+	if a.near(task) != b.near(task) {
+		return a.near(task)
+	}
+	if a.idle() != b.idle() {
+		return a.idle() > b.idle()
+	}
+	return a.view.address < b.view.address
+}
--- /dev/null
+++ b/owner/runs.go
@@ -0,0 +1,157 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// failuresBeforeDoubt is how many runs in a row fail before a worker is
+	// given only trials: one failure is often the task's own.
+	failuresBeforeDoubt = 2
+	// doubtLength is how long only trials are placed on a worker in doubt.
+	doubtLength = 1500 * time.Millisecond
+	// refusedPause keeps a worker that refused a start from being asked again
+	// at once.
+	refusedPause = 150 * time.Millisecond
+)
+
+// start decides that a task runs at an agent's worker. The order goes out once
+// the decision is in the store.
+func (owner *Owner) start(task *job.Task, view *agentView, now time.Time) {
+	made := task.Job()
+	held := owner.shards[made.Shard()]
+	made.Start(task, job.Place{Worker: view.status.GetWorker(), Agent: view.address}, now)
+	entry := newEntry(held, task)
+	view.runs[entry.name] = entry
+	owner.options.Events.Log(owner.ctx, event.RunPlaced, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+		slog.String("worker", entry.place.Worker), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
+		slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()), slog.Duration("age", now.Sub(view.heardAt)))
+	owner.changed(held, made)
+	held.after = append(held.after, func(now time.Time) { owner.order(view, entry, now) })
+}
+
+// order sends the order for a run whose start is in the store.
+func (owner *Owner) order(view *agentView, entry *runEntry, now time.Time) {
+	if view.runs[entry.name] != entry {
+		return
+	}
+	if view.link == nil || view.status.GetWorker() != entry.place.Worker || entry.task.Job().Ended() {
+		// Never ordered, so it never ran.
+		owner.release(view, entry, "its place went away before the order", now)
+		return
+	}
+	made := entry.task.Job()
+	view.message.Starts = append(view.message.Starts, &wire.StartOrder{
+		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
+		Spec: made.Submission().GetSpec(), Checkpoint: entry.task.Checkpoint(), Demand: entry.demand,
+	})
+	entry.sequence = view.sequence + 1
+	entry.prior = false
+}
+
+// noteResult takes in whether a run has started.
+func (owner *Owner) noteResult(view *agentView, result *wire.StartResult, now time.Time) {
+	entry, found := view.runs[result.GetTask()]
+	if !found || entry.attempt != result.GetAttempt() || entry.place.Worker != result.GetWorker() {
+		return
+	}
+	if result.GetOutcome() == wire.StartOutcome_START_STARTED {
+		entry.confirmed = true
+		return
+	}
+	delete(view.runs, entry.name)
+	if entry.task.Attempt() != entry.attempt {
+		return
+	}
+	owner.options.Events.Log(owner.ctx, event.RunNotStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+		slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
+	made := entry.task.Job()
+	made.Release(entry.task, now)
+	owner.changed(entry.held, made)
+	owner.noteRefusal(view, result.GetOutcome(), now)
+}
+
+func (owner *Owner) noteRefusal(view *agentView, outcome wire.StartOutcome, now time.Time) {
+	pause := refusedPause
+	if outcome == wire.StartOutcome_START_WORKER_FAILED {
+		pause = doubtLength
+	}
+	if until := now.Add(pause); until.After(view.avoidUntil) {
+		view.avoidUntil = until
+	}
+}
+
+// noteEnd takes in the end of a run, and lets the worker forget it once it is in
+// the store.
+func (owner *Owner) noteEnd(view *agentView, end *wire.RunEnd, now time.Time) {
+	ref, err := job.ParseRef(end.GetTask())
+	if err != nil {
+		owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("task", end.GetTask()), slog.Any("error", err))
+		return
+	}
+	held, made := owner.jobOf(ref.Job)
+	if held == nil {
+		return
+	}
+	if made != nil {
+		owner.applyEnd(view, held, made, ref, end, now)
+	}
+	if end.GetNumber() == 0 {
+		return
+	}
+	held.after = append(held.after, func(time.Time) {
+		view.message.Seen = append(view.message.Seen, &wire.EndSeen{Worker: end.GetWorker(), Number: end.GetNumber()})
+	})
+}
+
+func (owner *Owner) applyEnd(view *agentView, held *shard, made *job.Job, ref job.Ref, end *wire.RunEnd, now time.Time) {
+	task := made.Task(ref)
+	if task == nil {
+		return
+	}
+	entry, found := view.runs[end.GetTask()]
+	if found && entry.attempt == end.GetAttempt() {
+		delete(view.runs, end.GetTask())
+	}
+	ended := made.Ended()
+	if !made.End(task, end.GetAttempt(), endReason(end.GetReason()), end.GetCheckpoint(), now) {
+		held.settleLive(made)
+		return
+	}
+	owner.options.Events.Log(owner.ctx, event.RunEnded, slog.String("task", end.GetTask()), slog.Int("attempt", int(end.GetAttempt())),
+		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())))
+	view.noteOutcome(end.GetReason(), now)
+	owner.changed(held, made)
+	if made.Ended() && !ended {
+		owner.logEnded(held, made)
+	}
+	held.settleLive(made)
+}
+
+// noteOutcome judges a worker by what becomes of its runs.
+func (view *agentView) noteOutcome(reason wire.EndReason, now time.Time) {
+	switch reason {
+	case wire.EndReason_END_DONE:
+		view.failures = 0
+	case wire.EndReason_END_FAILED:
+		view.failures++
+		if view.failures >= failuresBeforeDoubt {
+			view.avoidUntil = now.Add(doubtLength)
+		}
+	}
+}
+
+func endReason(reason wire.EndReason) job.EndReason {
+	switch reason {
+	case wire.EndReason_END_DONE:
+		return job.EndDone
+	case wire.EndReason_END_FAILED:
+		return job.EndFailed
+	}
+	return job.EndInterrupted
+}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -45,7 +45,6 @@
 	poolCapacity      = 4096
 	poolAddressMost   = 128
 	softCancelGrace   = 100 * time.Millisecond
-	keepAliveInterval = 15 * time.Second
 	writerBufferBytes = 16 << 10
 	splitFrameBytes   = 64 << 10
 )
@@ -86,7 +85,7 @@
 // NewPool returns an empty pool of TCP connections. With a nil configuration
 // they are plain.
 func NewPool(client *tls.Config) *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	dialer := Dialer()
 	return NewPoolDialing(func(ctx context.Context, address string) (net.Conn, error) {
 		if client == nil {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -154,6 +153,15 @@
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// DialOne opens a connection that belongs to its caller, for a stream that lasts.
+func DialOne(ctx context.Context, address string) (drpc.Conn, error) {
+	raw, err := Dialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &DialError{address: address, cause: err}
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
 // Server accepts calls on one address.
 type Server struct {
 	listener net.Listener
