Owners that come back take a new epoch; silent workers are not renewed

(2) After a leave the membership went on joining. (3) A worker that had gone for good was renewed by every failing look, so its runs were never given up. (4) Runs of an earlier owner were released as soon as the claim was sent instead of after its exposure (TWICE). (5) A job counted as begun when a start was decided, not when it was confirmed. (6) After history was dropped the newest records came in the order of keys, a cancellation before its job (UNASKED).

--- a/agent/worker.go
+++ b/agent/worker.go
@@ -173,7 +173,12 @@
 	if !state.known || state.unsettled > 0 || state.failures > 0 {
 		wait = 0
 	}
-	leaseEnd := state.leaseEnd(now, agent.leaseUntil(now))
+	leaseEnd := time.Duration(0)
+	if state.failures == 0 {
+		// A worker that does not answer is not renewed: its runs are over
+		// once the lease that it may have is.
+		leaseEnd = state.leaseEnd(now, agent.leaseUntil(now))
+	}
 	if leaseEnd > 0 {
 		state.extended(leaseEnd)
 	}
@@ -244,6 +249,11 @@
 	if end.Number <= state.listed {
 		return
 	}
+	if state.listed == 0 {
+		// The worker lists ends in order: it has forgotten those before the
+		// first, at the word of an earlier agent.
+		state.seen = end.Number - 1
+	}
 	state.listed = end.Number
 	told := &wire.RunEnd{
 		Worker: state.beat.Incarnation, Number: end.Number, Task: end.Task, Attempt: end.Attempt,
@@ -372,8 +382,10 @@
 			continue
 		}
 		until := agent.grantOf(run.shard).Add(-stopBefore)
-		if _, claimed := agent.claims[run.shard]; !claimed {
-			until = agent.started.Add(unclaimedMost)
+		if least := agent.started.Add(unclaimedMost); until.Before(least) {
+			// The run was here before this agent: its owner, or a new one,
+			// is still to attach and to grant.
+			until = least
 		}
 		if now.Before(until) {
 			continue
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -19,11 +19,11 @@
 	// ownersFresh is how long what the store said of owners is gone by.
 	ownersFresh = 2 * time.Second
 	// ownersAgain keeps questions to the store apart while an owner is sought.
-	ownersAgain    = 150 * time.Millisecond
-	ownersTimeout  = 800 * time.Millisecond
-	peerTimeout    = 700 * time.Millisecond
-	pendingFresh   = 500 * time.Millisecond
-	peerPause      = 80 * time.Millisecond
+	ownersAgain   = 150 * time.Millisecond
+	ownersTimeout = 800 * time.Millisecond
+	peerTimeout   = 700 * time.Millisecond
+	pendingFresh  = 500 * time.Millisecond
+	peerPause     = 80 * time.Millisecond
 )
 
 // directory knows which entry owns which shard.
--- a/job/job.go
+++ b/job/job.go
@@ -206,10 +206,17 @@
 	task.state = TaskState_TASK_STARTED
 	task.place = place
 	task.startedAt = now
-	if made.state == State_STATE_QUEUED {
-		made.state = State_STATE_RUNNING
-		made.begunAt = now
+}
+
+// Begin notes that a run has started for certain and reports whether it is the
+// job's first.
+func (made *Job) Begin(now time.Time) bool {
+	if made.state != State_STATE_QUEUED {
+		return false
 	}
+	made.state = State_STATE_RUNNING
+	made.begunAt = now
+	return true
 }
 
 func (made *Job) nextAttempt(task *Task) int32 {
@@ -260,6 +267,7 @@
 	if checkpoint != "" && present {
 		task.checkpoint = checkpoint
 	}
+	made.Begin(now)
 	switch reason {
 	case EndDone:
 		return made.done(task, present, now)
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -63,8 +63,11 @@
 	demand  *wire.Demand
 	// sequence is that of the message with the order: 0 before it is sent.
 	sequence int64
-	// prior marks a run that was ordered before this owner took the shard.
-	prior     bool
+	// prior marks a run whose order went out on an earlier connection, or by
+	// an earlier owner.
+	prior bool
+	// inherited marks a run of an earlier owner until an agent has listed it.
+	inherited bool
 	confirmed bool
 	// over is when the run must have ended although its agent says nothing of
 	// its worker any more; zero while it does.
@@ -288,7 +291,8 @@
 }
 
 func (owner *Owner) noteListed(view *agentView, entry *runEntry, run *wire.RunStatus) {
-	entry.confirmed, entry.reflected = true, true
+	owner.confirm(entry)
+	entry.inherited, entry.reflected = false, true
 	entry.over = time.Time{}
 	entry.task.Job().Saved(entry.task, run.GetAttempt(), run.GetCheckpoint())
 	if !view.status.GetReady() {
@@ -352,7 +356,7 @@
 			continue
 		}
 		until := view.grantEnd.Add(grantMargin)
-		if _, claimed := view.claimSeq[entry.held.number]; entry.prior && !claimed {
+		if entry.inherited {
 			// The owner before may have granted until it gave up.
 			until = entry.held.takenAt.Add(grantAlone + owner.exposure())
 		}
@@ -385,8 +389,7 @@
 				continue
 			}
 			entry := newEntry(held, task)
-			entry.prior = true
-			entry.reflected = true
+			entry.prior, entry.inherited, entry.reflected = true, true, true
 			view.runs[entry.name] = entry
 		}
 	}
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -20,10 +20,19 @@
 
 // keepMembership joins the group, and again and again, until ctx ends.
 func (owner *Owner) keepMembership(ctx context.Context) {
+	defer close(owner.joined)
 	heard := int64(0)
 	lost := time.Time{}
 	for ctx.Err() == nil {
 		sent := owner.options.Clock.Now()
+		if owner.renew.Load() {
+			if err := owner.leaveGroup(ctx); err != nil {
+				lost = owner.noteStoreLost(ctx, lost, sent, err)
+				owner.pause(ctx, joinEvery)
+				continue
+			}
+			owner.renew.Store(false)
+		}
 		deal, err := owner.join(ctx, heard)
 		if err != nil {
 			lost = owner.noteStoreLost(ctx, lost, sent, err)
@@ -69,7 +78,6 @@
 func (owner *Owner) pause(ctx context.Context, length time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-owner.joins:
 	case <-owner.options.Clock.After(length):
 	}
 }
@@ -100,12 +108,22 @@
 
 // Leave gives all shards up, so that others take them at once.
 func (owner *Owner) Leave(ctx context.Context) error {
+	// No join may reach the store after the leave: it would bring shards back
+	// to an entry that no longer schedules them.
+	owner.stopJoining()
+	<-owner.joined
 	owner.decisions.Ask(ctx, func(now time.Time) {
 		owner.leaving = true
 		for _, held := range owner.shards {
 			owner.giveUp(held, "the process stops", now)
 		}
 	})
+	return owner.leaveGroup(ctx)
+}
+
+func (owner *Owner) leaveGroup(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
 	err := owner.options.Store.Leave(ctx, job.OwnersGroup, Member(owner.options.Name, owner.options.Address))
 	return errors.Wrap(err, "leave the group of owners")
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -27,6 +27,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -79,7 +80,15 @@
 	options   Options
 	decisions *loop.Loop
 	ctx       context.Context // ends the calls of the owner with it
-	joins     chan struct{}   // wakes the membership
+	// joining ends the membership, joined is closed once it has ended.
+	joining     context.Context
+	stopJoining context.CancelFunc
+	joined      chan struct{}
+	// renew has the membership leave the group before it joins. A process that
+	// comes back before it was missed would else be dealt its shards under the
+	// epoch that it wrote with before, and a late append of its earlier life
+	// could take the place of one of its own.
+	renew atomic.Bool
 
 	generation int64
 	joinedAt   time.Time
@@ -92,22 +101,28 @@
 
 // New returns an owner that owns nothing until Run.
 func New(options Options) *Owner {
-	return &Owner{
-		options:   options,
-		decisions: loop.New(options.Clock),
-		joins:     make(chan struct{}, 1),
-		shards:    map[int]*shard{},
-		fenced:    map[int]int64{},
-		agents:    map[string]*agentView{},
+	joining, stopJoining := context.WithCancel(context.Background())
+	made := &Owner{
+		options:     options,
+		decisions:   loop.New(options.Clock),
+		joining:     joining,
+		stopJoining: stopJoining,
+		joined:      make(chan struct{}),
+		shards:      map[int]*shard{},
+		fenced:      map[int]int64{},
+		agents:      map[string]*agentView{},
 	}
+	made.renew.Store(true)
+	return made
 }
 
 // Run schedules until ctx ends.
 func (owner *Owner) Run(ctx context.Context) {
 	owner.ctx = ctx
-	go owner.keepMembership(ctx)
+	go owner.keepMembership(owner.joining)
 	go owner.followAgents(ctx)
 	owner.decisions.Run(ctx, stepEvery, owner.step)
+	owner.stopJoining()
 }
 
 // Member is the name under which the entry joins the group: its address tells
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -29,7 +29,8 @@
 	entry := newEntry(held, task)
 	view.runs[entry.name] = entry
 	owner.options.Events.Log(owner.ctx, event.RunPlaced, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
+		slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
+		slog.Bool("fills", entry.demand.GetFills()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
 		slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()), slog.Duration("age", now.Sub(view.heardAt)))
 	owner.changed(held, made)
 	held.after = append(held.after, func(now time.Time) { owner.order(view, entry, now) })
@@ -54,6 +55,14 @@
 	entry.prior = false
 }
 
+// confirm notes that a run has started.
+func (owner *Owner) confirm(entry *runEntry) {
+	entry.confirmed = true
+	if entry.task.Job().Begin(owner.options.Clock.Now()) {
+		owner.changed(entry.held, entry.task.Job())
+	}
+}
+
 // noteResult takes in whether a run has started.
 func (owner *Owner) noteResult(view *agentView, result *wire.StartResult, now time.Time) {
 	entry, found := view.runs[result.GetTask()]
@@ -61,7 +70,7 @@
 		return
 	}
 	if result.GetOutcome() == wire.StartOutcome_START_STARTED {
-		entry.confirmed = true
+		owner.confirm(entry)
 		return
 	}
 	delete(view.runs, entry.name)
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -44,6 +44,9 @@
 	after    []func(now time.Time) // to be done once what is dirty is in the store
 	writing  bool
 	sequence int64
+	// cancelled holds the jobs with a cancellation, which may be read before
+	// the job: the newest records come in the order of their keys.
+	cancelled map[string]bool
 	// durable holds the jobs whose end is in the store.
 	durable map[string]bool
 }
@@ -54,7 +57,7 @@
 	held := &shard{
 		number: number, epoch: epoch, takenAt: now, ctx: ctx, cancel: cancel,
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
-		durable: map[string]bool{},
+		durable: map[string]bool{}, cancelled: map[string]bool{},
 	}
 	owner.shards[number] = held
 	owner.options.Events.Log(owner.ctx, event.ShardTaken, slog.Int("shard", number), slog.Int64("epoch", epoch))
@@ -197,6 +200,9 @@
 	made := job.New(submission, held.number)
 	held.jobs[made.ID()] = made
 	held.live[made.ID()] = made
+	if held.cancelled[made.ID()] {
+		owner.cancelJob(held, made, now)
+	}
 	if held.active {
 		owner.options.Events.Log(owner.ctx, event.JobTaken, slog.String("job", made.ID()), slog.String("queue", submission.GetQueue()),
 			slog.Int("tasks", len(made.Tasks())), slog.Duration("age", now.Sub(time.UnixMilli(submission.GetSubmittedMs()))),
@@ -237,8 +243,14 @@
 		owner.unreadable(held, record, err)
 		return
 	}
-	made, found := held.jobs[cancellation.GetId()]
-	if !found || !made.Cancel(now) {
+	held.cancelled[cancellation.GetId()] = true
+	if made, found := held.jobs[cancellation.GetId()]; found {
+		owner.cancelJob(held, made, now)
+	}
+}
+
+func (owner *Owner) cancelJob(held *shard, made *job.Job, now time.Time) {
+	if !made.Cancel(now) {
 		return
 	}
 	owner.changed(held, made)
@@ -348,6 +360,10 @@
 		return
 	}
 	owner.fenced[held.number] = held.epoch
+	if !refused.Fenced() {
+		// Somebody wrote under this very epoch: only another one helps.
+		owner.renew.Store(true)
+	}
 	owner.giveUp(held, refused.Error(), now)
 }
 
