Reads that wait are short, so that a dropped history hides nothing for long

The owner's read had waited 8 s and heard nothing while the store dropped its history. Ruled out: a late order (the owner had placed it 4 s after), a lost record (it was read in the end). Change: jobs are read with waits of 1 s, the configuration with 0.8 s.

--- a/agent/session.go
+++ b/agent/session.go
@@ -278,6 +278,6 @@
 		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
 		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
 		FreeMilliCpu: free.milliCPU, FreeMemoryMb: free.memoryMB, FreeAccelerators: free.accelerators,
-		FillMilliCpu: free.fillMilliCPU, Ready: state.ready(),
+		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
 	}
 }
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -90,6 +90,7 @@
 type room struct {
 	milliCPU, memoryMB, accelerators int64
 	fillMilliCPU                     int64
+	servingMilliCPU                  int64
 }
 
 func (state *workerState) room() room {
@@ -102,6 +103,9 @@
 			free.fillMilliCPU += demand.GetMilliCpu()
 			continue
 		}
+		if demand.GetTargetMs() > 0 {
+			free.servingMilliCPU += demand.GetMilliCpu()
+		}
 		free.milliCPU -= demand.GetMilliCpu()
 	}
 	return free
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -11,9 +11,11 @@
 
 const (
 	operatorPart = 0
-	// configurationWait is how long a read waits for a new configuration.
-	configurationWait = 8 * time.Second
-	configurationOver = time.Second
+	// configurationWait is how long a read waits for a new configuration. One
+	// that waits while the store drops its history hears nothing until it is
+	// asked anew, and a configuration has to be in force within 2 s.
+	configurationWait = 800 * time.Millisecond
+	configurationOver = 700 * time.Millisecond
 	configurationSoon = 100 * time.Millisecond
 	newestTimeout     = 1500 * time.Millisecond
 )
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	agentsPart   = 0
-	mailLength   = 64
+	agentsPart = 0
+	mailLength = 64
+	// agentsWait is how long a read waits for an agent to register.
+	agentsWait   = 4 * time.Second
 	dialTimeout  = time.Second
 	attachPause  = 200 * time.Millisecond
 	attachSlower = 2 * time.Second
@@ -99,12 +101,12 @@
 }
 
 func (owner *Owner) readAgents(ctx context.Context, next int64) (platform.Tail, error) {
-	ctx, cancel := context.WithTimeout(ctx, tailWait+tailOver)
+	ctx, cancel := context.WithTimeout(ctx, agentsWait+tailOver)
 	defer cancel()
 	if next < 0 {
 		return owner.options.Store.Newest(ctx, job.TopicAgents, agentsPart)
 	}
-	return owner.options.Store.Read(ctx, job.TopicAgents, agentsPart, next, tailWait)
+	return owner.options.Store.Read(ctx, job.TopicAgents, agentsPart, next, agentsWait)
 }
 
 func (owner *Owner) noteAgents(tail platform.Tail) {
@@ -404,7 +406,7 @@
 		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
 		demand: &wire.Demand{
 			MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
-			Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(),
+			Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
 		},
 	}
 }
--- a/owner/place.go
+++ b/owner/place.go
@@ -15,6 +15,9 @@
 	// fillShare is how much of what it asks for a filling task should find
 	// unused, lest it holds memory without getting on.
 	fillShare = 0.8
+	// servingUnused is the part of what serving tasks hold that they leave
+	// unused on average: their load is about two fifths of it and swings.
+	servingUnused = 0.5
 	// farWait is how long a task waits for room near its data.
 	farWait = 400 * time.Millisecond
 )
@@ -64,6 +67,7 @@
 	view                             *agentView
 	milliCPU, memoryMB, accelerators int64
 	fillMilliCPU                     int64
+	servingMilliCPU                  int64
 	trial                            bool
 }
 
@@ -76,7 +80,7 @@
 		}
 		worker := &candidate{
 			view: view, milliCPU: status.GetFreeMilliCpu(), memoryMB: status.GetFreeMemoryMb(),
-			accelerators: status.GetFreeAccelerators(), fillMilliCPU: status.GetFillMilliCpu(),
+			accelerators: status.GetFreeAccelerators(), fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
 			trial: view.failures >= failuresBeforeDoubt,
 		}
 		for _, entry := range view.runs {
@@ -99,8 +103,11 @@
 	worker.milliCPU -= demand.GetMilliCpu()
 }
 
-// idle is what neither serving nor filling tasks use of the processors.
-func (worker *candidate) idle() int64 { return worker.milliCPU - worker.fillMilliCPU }
+// idle is what is expected to be unused of the processors: tasks that serve use
+// only part of what they hold.
+func (worker *candidate) idle() int64 {
+	return worker.milliCPU + int64(servingUnused*float64(worker.servingMilliCPU)) - worker.fillMilliCPU
+}
 
 func (worker *candidate) fits(task *job.Task) bool {
 	spec := task.Spec()
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -19,9 +19,10 @@
 	storeTimeout = 1500 * time.Millisecond
 	// storePause keeps tries apart while the store fails.
 	storePause = 100 * time.Millisecond
-	// tailWait is how long a read waits for a record. A read whose path is cut
-	// in silence ends a second later.
-	tailWait = 8 * time.Second
+	// tailWait is how long a read waits for a record. A read that waits while
+	// the store drops its history hears nothing until it is asked anew, and a
+	// cancellation has to be heard within 3 s.
+	tailWait = time.Second
 	tailOver = time.Second
 	producer = "owner"
 )
