Fills are placed by learned interference, held back only while a target is missed

Samples of tails and paces: with the uniform pace most fills stood at 5 to 25 percent, held their share of the processors in the account and so kept others from starting; 65 cores were used where 150 would have been. What disturbs what, by regression over samples: pairs of images either hardly matter or multiply the tail by 1.2 to 1.35 for each core. Paced fills count by their pace.

--- a/agent/order.go
+++ b/agent/order.go
@@ -15,6 +15,9 @@
 const (
 	// stopAgain is when a stop whose run has not ended is sent once more.
 	stopAgain = 700 * time.Millisecond
+	// paceAfter is how long a worker takes no pace for a run that has just
+	// started, which goes at full speed until then.
+	paceAfter = 110 * time.Millisecond
 	// startTries bounds how often a start is sent that the worker refused for
 	// its token or its lease, which the agent renews in between.
 	startTries = 3
@@ -22,7 +25,7 @@
 
 // noteStart decides on an order to start a run.
 func (agent *Agent) noteStart(owner *session, order *wire.StartOrder, now time.Time) {
-	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting}
+	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent}
 	state := agent.worker
 	outcome := agent.judge(order, now)
 	if outcome != wire.StartOutcome_START_STARTED {
@@ -79,6 +82,13 @@
 	if err == nil {
 		run.phase = phaseRunning
 		run.confirmedAt = now
+		agent.options.Clock.AfterFunc(paceAfter, func() {
+			agent.decisions.Post(func(time.Time) {
+				if agent.worker == state && state.runs[run.task] == run {
+					agent.pace(state, false)
+				}
+			})
+		})
 		agent.sendResult(state, run, wire.StartOutcome_START_STARTED)
 		return
 	}
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -3,35 +3,35 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/interference"
+	"ambertiller.example/ambertiller/wire"
 )
 
 const (
-	// paceEvery keeps changes apart: a run's figure is taken over half a
-	// second, so an earlier change would judge the pace before the last one.
-	paceEvery = 500 * time.Millisecond
-	// slowAbove and freeBelow are shares of a serving task's target tail. The
-	// gap between them keeps the pace from swinging.
-	slowAbove = 0.85
-	freeBelow = 0.6
-	// overFactor cuts the pace at once when a target is missed.
-	overFactor  = 0.4
-	slowFactor  = 0.75
-	freeStep    = 15
+	// fasterStep is the most by which a pace rises from one look to the next.
+	// A reading is taken over half a second, so a larger step would not be
+	// seen before the next one.
+	fasterStep = 30
+	// paceChange is the least change that is sent.
+	paceChange  = 4
 	fullPercent = 100
-	leastPace   = 5
+	// unboundedTolerance stands for a worker without serving tasks.
+	unboundedTolerance = -1
+	milli              = 1000
 )
 
 // pacing slows the tasks that fill a worker while they disturb those that serve.
 type pacing struct {
-	percent   int32
-	changedAt time.Time
-	sent      map[string]int32
+	model *interference.Model
 }
 
-func newPacing() pacing { return pacing{percent: fullPercent, sent: map[string]int32{}} }
+func newPacing() pacing {
+	return pacing{model: interference.New()}
+}
 
 // watching reports whether tails of serving tasks are to be looked at closely.
 func (paced *pacing) watching(state *workerState) bool {
@@ -43,58 +43,53 @@
 	return serving && filling
 }
 
-// decide returns the pace for the worst share of a target, with hysteresis.
-func (paced *pacing) decide(worst float64, now time.Time) int32 {
-	if now.Sub(paced.changedAt) < paceEvery {
-		return paced.percent
-	}
-	percent := paced.percent
-	switch {
-	case worst >= 1:
-		percent = int32(float64(percent) * overFactor)
-	case worst > slowAbove:
-		percent = int32(float64(percent) * slowFactor)
-	case worst < freeBelow:
-		percent += freeStep
+// sharing returns the runs that serve and those that fill.
+func (state *workerState) sharing() ([]interference.Serving, []interference.Fill) {
+	var servings []interference.Serving
+	var fills []interference.Fill
+	for _, run := range state.runs {
+		demand := run.demand
+		if demand.GetTargetMs() > 0 {
+			servings = append(servings, interference.Serving{
+				Task: run.task, Image: demand.GetImage(), Tail: float64(run.figure), Target: float64(demand.GetTargetMs()),
+			})
+		}
+		if demand.GetFills() {
+			fills = append(fills, interference.Fill{
+				Task: run.task, Image: demand.GetImage(), Cores: float64(demand.GetMilliCpu()) / milli, Used: float64(run.figure) / milli,
+			})
+		}
 	}
-	return min(max(percent, leastPace), fullPercent)
+	return servings, fills
 }
 
 // pace adapts the pace of the filling runs to the tails of the serving ones.
-func (agent *Agent) pace(state *workerState, now time.Time) {
-	worst := 0.0
-	for _, run := range state.runs {
-		if target := run.demand.GetTargetMs(); target > 0 {
-			worst = max(worst, float64(run.figure)/float64(target))
-		}
-	}
-	percent := agent.paced.decide(worst, now)
-	if percent != agent.paced.percent {
-		agent.options.Events.Log(agent.ctx, event.FillsPaced, slog.Int("percent", int(percent)), slog.Float64("tail_of_target", worst))
-		agent.paced.percent = percent
-		agent.paced.changedAt = now
+func (agent *Agent) pace(state *workerState, looked bool) {
+	servings, fills := state.sharing()
+	if looked {
+		agent.paced.model.Observe(servings, fills, agent.options.Clock.Now())
 	}
+	paces := agent.paced.model.Paces(servings, fills)
 	for _, run := range state.runs {
 		if run.demand.GetFills() && run.phase == phaseRunning {
-			agent.paceRun(state, run, percent)
-		}
-	}
-	for task := range agent.paced.sent {
-		if state.runs[task] == nil {
-			delete(agent.paced.sent, task)
+			agent.paceRun(state, run, int32(math.Round(paces[run.task]*fullPercent)), looked)
 		}
 	}
 }
 
-func (agent *Agent) paceRun(state *workerState, run *runState, percent int32) {
-	before, sent := agent.paced.sent[run.task]
-	if !sent {
-		before = fullPercent
+func (agent *Agent) paceRun(state *workerState, run *runState, percent int32, looked bool) {
+	before := run.pace
+	if percent > before {
+		if !looked {
+			return
+		}
+		percent = min(percent, before+fasterStep)
 	}
-	if before == percent {
+	if change := percent - before; change > -paceChange && change < paceChange && percent != fullPercent || change == 0 {
 		return
 	}
-	agent.paced.sent[run.task] = percent
+	run.pace = percent
+	agent.options.Events.Log(agent.ctx, event.FillsPaced, slog.String("task", run.task), slog.Int("percent", int(percent)), slog.Int("before", int(before)))
 	token := state.token
 	go func() {
 		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
@@ -103,10 +98,48 @@
 		if err == nil {
 			return
 		}
-		agent.decisions.Post(func(now time.Time) {
+		agent.decisions.Post(func(time.Time) {
 			agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "pace"), slog.Any("error", err))
 			// Sent again with the next look.
-			delete(agent.paced.sent, run.task)
+			run.pace = before
 		})
 	}()
 }
+
+// tolerances tells how many more cores of each image the serving runs bear.
+func (agent *Agent) tolerances(state *workerState, status *wire.WorkerStatus) {
+	servings, fills := state.sharing()
+	tolerated := func(image string) int64 {
+		cores := agent.paced.model.Tolerance(servings, fills, image)
+		if math.IsInf(cores, 1) {
+			return unboundedTolerance
+		}
+		return int64(cores * milli)
+	}
+	status.ToleratedMilliCpu = tolerated("")
+	for _, serving := range servings {
+		status.ServingImages = append(status.ServingImages, serving.Image)
+	}
+	for _, image := range agent.paced.model.Images() {
+		status.Tolerances = append(status.Tolerances, &wire.Tolerance{Image: image, MilliCpu: tolerated(image)})
+	}
+}
+
+// learned lists what this worker's readings have taught.
+func (paced *pacing) learned() []*wire.Interference {
+	var told []*wire.Interference
+	for pair, known := range paced.model.Estimates() {
+		if known.Readings > 0 {
+			told = append(told, &wire.Interference{Serving: pair.Serving, Fill: pair.Fill, Weight: known.Weight, Readings: int32(known.Readings)})
+		}
+	}
+	return told
+}
+
+// share takes in what other workers' readings have taught.
+func (paced *pacing) share(told []*wire.Interference) {
+	for _, known := range told {
+		paced.model.Share(interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()},
+			interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())})
+	}
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -16,6 +16,9 @@
 	runsEvery = time.Second
 	// statusSettle gathers changes of the room into one message.
 	statusSettle = 15 * time.Millisecond
+	// sharedShard is the shard whose owner puts together what the agents have
+	// learned of interference, so that one of the owners does.
+	sharedShard = 0
 )
 
 // session is one owner's stream.
@@ -85,6 +88,7 @@
 	for _, description := range message.GetRuns() {
 		agent.noteDescription(description)
 	}
+	agent.paced.share(message.GetLearned())
 	for _, order := range message.GetStops() {
 		agent.noteStop(order, now)
 	}
@@ -241,6 +245,9 @@
 	if owner.wholeDue || now.Sub(owner.runsSent) >= runsEvery {
 		message.Complete = true
 		message.Runs = agent.runStatus(owner)
+		if held, found := agent.claims[sharedShard]; found && held.owner == owner {
+			message.Learned = agent.paced.learned()
+		}
 		owner.runsSent = now
 	}
 	owner.results, owner.ends = nil, nil
@@ -272,7 +279,7 @@
 		return &wire.WorkerStatus{}
 	}
 	free := state.room()
-	return &wire.WorkerStatus{
+	status := &wire.WorkerStatus{
 		Worker: state.beat.Incarnation, Service: state.beat.Service, FailureDomain: state.beat.FailureDomain,
 		Labels: state.beat.Labels, Machine: state.beat.Machine,
 		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
@@ -280,4 +287,6 @@
 		FreeMilliCpu: free.milliCPU, FreeMemoryMb: free.memoryMB, FreeAccelerators: free.accelerators,
 		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
 	}
+	agent.tolerances(state, status)
+	return status
 }
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -49,6 +49,7 @@
 	percent     int32
 	figure      int64
 	phase       runPhase
+	pace        int32 // percent that the worker was last told, of a run that fills
 	confirmedAt time.Time
 	stopSentAt  time.Time
 	missed      int
@@ -100,7 +101,7 @@
 		free.memoryMB -= demand.GetMemoryMb()
 		free.accelerators -= demand.GetAccelerators()
 		if demand.GetFills() {
-			free.fillMilliCPU += demand.GetMilliCpu()
+			free.fillMilliCPU += demand.GetMilliCpu() * int64(run.pace) / fullPercent
 			continue
 		}
 		if demand.GetTargetMs() > 0 {
@@ -232,7 +233,7 @@
 		state.known = true
 		agent.statusChanged()
 	}
-	agent.pace(state, now)
+	agent.pace(state, true)
 }
 
 func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
@@ -307,7 +308,7 @@
 func (agent *Agent) noteRun(state *workerState, listed platform.Run, now time.Time) {
 	run, found := state.runs[listed.Task]
 	if !found {
-		run = &runState{task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, confirmedAt: now}
+		run = &runState{task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, pace: fullPercent, confirmedAt: now}
 		state.runs[listed.Task] = run
 		agent.options.Events.Log(agent.ctx, event.RunAdopted, slog.String("task", listed.Task), slog.Int("attempt", int(listed.Attempt)))
 		agent.statusChanged()
--- a/job/job.go
+++ b/job/job.go
@@ -79,6 +79,37 @@
 	return longest
 }
 
+// Slack returns the share of its spare time that the job has left: 1 when it has
+// just been handed in, 0 once even undisturbed work would end after its objective.
+func (made *Job) Slack(now time.Time) float64 {
+	left := made.objective.Sub(now) - time.Duration(made.chainLeft())*time.Millisecond
+	spare := made.allowed() - time.Duration(made.Chain())*time.Millisecond
+	if spare <= 0 || left <= 0 {
+		return 0
+	}
+	return min(float64(left)/float64(spare), 1)
+}
+
+// chainLeft returns the estimated milliseconds of the longest chain of steps that
+// are not done.
+func (made *Job) chainLeft() int64 {
+	steps := made.submission.GetSteps()
+	ends := make([]int64, len(steps))
+	longest := int64(0)
+	for number, step := range steps {
+		for _, before := range step.GetAfter() {
+			if int(before) < number {
+				ends[number] = max(ends[number], ends[before])
+			}
+		}
+		if made.left[number] > 0 {
+			ends[number] += step.GetEstimateMs()
+		}
+		longest = max(longest, ends[number])
+	}
+	return longest
+}
+
 // ID returns the job's ID.
 func (made *Job) ID() string { return made.submission.GetId() }
 
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -42,6 +42,11 @@
 	claimed  bool // the present shards are in message, or were sent
 	claimSeq map[int]int64
 
+	// learned is what the agent's readings have taught of interference, sharedAt
+	// is when it was last told what those of all agents have.
+	learned  []*wire.Interference
+	sharedAt time.Time
+
 	runs map[string]*runEntry
 	// failures counts runs that failed in a row, avoidUntil is how long nothing
 	// more than a trial is placed there.
@@ -256,6 +261,9 @@
 	if message.GetComplete() {
 		owner.reconcile(view, message, now)
 	}
+	if len(message.GetLearned()) > 0 {
+		view.learned = message.GetLearned()
+	}
 }
 
 func roomGrew(before, after *wire.WorkerStatus) bool {
@@ -426,6 +434,7 @@
 		return
 	}
 	owner.grant(view, now)
+	owner.share(view, now)
 	view.sequence++
 	message.Sequence = view.sequence
 	view.message = &wire.OwnerMessage{}
--- a/owner/place.go
+++ b/owner/place.go
@@ -15,6 +15,13 @@
 	// fillShare is how much of what it asks for a filling task should find
 	// unused, lest it holds memory without getting on.
 	fillShare = 0.8
+	// tolerableShare is how much of what it asks for a filling task should be
+	// able to use without harm to serving tasks, while its job has time to wait
+	// for such a place. It sinks with the time that the job has left.
+	tolerableShare = 0.6
+	// patientSlack is the share of its spare time that a job has left from
+	// which on the whole of tolerableShare is asked for.
+	patientSlack = 0.6
 	// servingUnused is the part of what serving tasks hold that they leave
 	// unused on average: their load is about two fifths of it and swings.
 	servingUnused = 0.5
@@ -29,6 +36,10 @@
 		return
 	}
 	for _, made := range owner.urgent(now) {
+		patience := tolerableShare * min(made.Slack(now)/patientSlack, 1)
+		for _, worker := range workers {
+			worker.patience = patience
+		}
 		for _, task := range made.Ready(now) {
 			owner.placeTask(task, workers, now)
 		}
@@ -68,7 +79,12 @@
 	milliCPU, memoryMB, accelerators int64
 	fillMilliCPU                     int64
 	servingMilliCPU                  int64
-	trial                            bool
+	// addedFill is what has been placed since the agent's last word.
+	addedFill int64
+	trial     bool
+	// patience is the share that a filling task of the present job should find
+	// tolerated.
+	patience float64
 }
 
 func (owner *Owner) candidates(now time.Time) []*candidate {
@@ -98,6 +114,7 @@
 	worker.accelerators -= demand.GetAccelerators()
 	if demand.GetFills() {
 		worker.fillMilliCPU += demand.GetMilliCpu()
+		worker.addedFill += demand.GetMilliCpu()
 		return
 	}
 	worker.milliCPU -= demand.GetMilliCpu()
@@ -125,11 +142,41 @@
 		return false
 	}
 	if spec.GetFills() {
-		return float64(worker.idle()) >= fillShare*float64(spec.GetMilliCpu())
+		return float64(worker.idle()) >= fillShare*float64(spec.GetMilliCpu()) &&
+			float64(worker.tolerates(spec.GetImage())) >= worker.patience*float64(spec.GetMilliCpu())
 	}
 	return spec.GetMilliCpu() <= worker.milliCPU
 }
 
+// tolerates returns how many more processors of a filling image the worker's
+// serving tasks bear; without serving tasks, whatever is idle.
+func (worker *candidate) tolerates(image string) int64 {
+	status := worker.view.status
+	tolerated := status.GetToleratedMilliCpu()
+	for _, known := range status.GetTolerances() {
+		if known.GetImage() == image {
+			tolerated = known.GetMilliCpu()
+		}
+	}
+	if tolerated < 0 {
+		return worker.idle()
+	}
+	return min(worker.idle(), tolerated-worker.addedFill)
+}
+
+// strangers counts the worker's serving tasks of other images. Which filling
+// images disturb depends on the serving one, so a worker with few kinds of them
+// bears more kinds of filling ones.
+func (worker *candidate) strangers(image string) int {
+	count := 0
+	for _, serving := range worker.view.status.GetServingImages() {
+		if serving != image {
+			count++
+		}
+	}
+	return count
+}
+
 // holding counts the tasks of the same step and round that the worker has.
 func (worker *candidate) holding(task *job.Task) int32 {
 	count := int32(0)
@@ -169,6 +216,15 @@
 	if a.near(task) != b.near(task) {
 		return a.near(task)
 	}
+	image := task.Spec().GetImage()
+	if task.Spec().GetTargetMs() > 0 && a.strangers(image) != b.strangers(image) {
+		return a.strangers(image) < b.strangers(image)
+	}
+	if task.Spec().GetFills() {
+		if a.tolerates(image) != b.tolerates(image) {
+			return a.tolerates(image) > b.tolerates(image)
+		}
+	}
 	if a.idle() != b.idle() {
 		return a.idle() > b.idle()
 	}
