--- a/loop/loop.go
+++ b/loop/loop.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// RunOne waits for one function and runs it, for tests that make the decisions of
+// a loop themselves.
+func (decisions *Loop) RunOne(now time.Time) {
+	run := <-decisions.queue
+	run(now)
+}
+
 func (decisions *Loop) drain() {
 	for range batchMost {
 		select {
--- /dev/null
+++ b/standin/wireworker/wireworker.go
@@ -0,0 +1,357 @@
+// Package wireworker is a small stand-in for a worker of the users' platform: it
+// takes starts, stops and looks over HTTP, keeps a lease on its own clock, and
+// lists ends until it is told that they have been seen. It is for tests. Runs
+// end when the test says so, or when the lease does.
+//
+// # Usage
+//
+//	worker := wireworker.New("i-1", clock)
+//	server := httptest.NewServer(worker)
+//	worker.End("0123456789abcdef.0.0.0", "done")
+package wireworker
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Fault is what befalls one order.
+type Fault int
+
+// The faults of an order.
+const (
+	FaultNone  Fault = iota
+	FaultLost        // carried out, and the connection broken off
+	FaultReset       // not carried out, and the connection broken off
+	FaultLate        // the connection broken off; carried out by CarryOut
+)
+
+// Start is a start as it arrived.
+type Start struct {
+	Task         string `json:"task"`
+	Attempt      int32  `json:"attempt"`
+	DeadlineMs   int64  `json:"deadline_ms"`
+	FencingToken int64  `json:"fencing_token"`
+	Checkpoint   string `json:"checkpoint"`
+}
+
+type run struct {
+	attempt    int32
+	checkpoint string
+	figure     int64
+	percent    int32
+}
+
+type end struct {
+	number  int64
+	task    string
+	attempt int32
+	how     string
+}
+
+// Worker is the stand-in. It is an http.Handler.
+type Worker struct {
+	incarnation string
+	clocks      clockwork.Clock
+
+	mu       sync.Mutex
+	began    time.Time
+	running  map[string]*run
+	highest  map[string]int32 // attempts that ended or were stopped
+	ends     []end
+	numbered int64
+	deadline int64
+	token    int64
+	fault    func(path string) Fault
+	late     []Start
+	starts   []Start
+	looks    int
+	seen     int64
+	changed  chan struct{}
+}
+
+// New returns a worker that runs nothing.
+func New(incarnation string, clocks clockwork.Clock) *Worker {
+	return &Worker{
+		incarnation: incarnation, clocks: clocks, began: clocks.Now(),
+		running: map[string]*run{}, highest: map[string]int32{}, changed: make(chan struct{}),
+	}
+}
+
+// Fail has fault decide what befalls each call from here on.
+func (worker *Worker) Fail(fault func(path string) Fault) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.fault = fault
+}
+
+// Running reports whether a task runs, and under which attempt.
+func (worker *Worker) Running(task string) (int32, bool) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.lapse()
+	if known, found := worker.running[task]; found {
+		return known.attempt, true
+	}
+	return 0, false
+}
+
+// Starts returns the starts that were carried out.
+func (worker *Worker) Starts() []Start {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return append([]Start(nil), worker.starts...)
+}
+
+// Looks returns how often the worker was asked what runs, and the number of the
+// last end that it was told to forget.
+func (worker *Worker) Looks() (count int, seen int64) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return worker.looks, worker.seen
+}
+
+// LeaseEnd returns when everything ends, on the worker's clock.
+func (worker *Worker) LeaseEnd() time.Duration {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return time.Duration(worker.deadline) * time.Millisecond
+}
+
+// Clock returns the worker's clock.
+func (worker *Worker) Clock() time.Duration {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return time.Duration(worker.clock()) * time.Millisecond
+}
+
+// Put has a task run that nobody ordered in this test, with a lease.
+func (worker *Worker) Put(task string, attempt int32, lease time.Duration) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.running[task] = &run{attempt: attempt}
+	worker.deadline = max(worker.deadline, worker.clock()+lease.Milliseconds())
+}
+
+// Number has ends counted from a number on, as if earlier ones were forgotten.
+func (worker *Worker) Number(last int64) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.numbered = last
+}
+
+// End ends a run.
+func (worker *Worker) End(task, how string) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.end(task, how)
+}
+
+func (worker *Worker) end(task, how string) {
+	known, found := worker.running[task]
+	if !found {
+		return
+	}
+	delete(worker.running, task)
+	worker.highest[task] = max(worker.highest[task], known.attempt)
+	worker.numbered++
+	worker.ends = append(worker.ends, end{worker.numbered, task, known.attempt, how})
+	close(worker.changed)
+	worker.changed = make(chan struct{})
+}
+
+// CarryOut carries out the orders that were late.
+func (worker *Worker) CarryOut() {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	for _, start := range worker.late {
+		worker.start(start)
+	}
+	worker.late = nil
+}
+
+func (worker *Worker) clock() int64 { return worker.clocks.Now().Sub(worker.began).Milliseconds() + 1000 }
+
+func (worker *Worker) lapse() {
+	if worker.clock() < worker.deadline {
+		return
+	}
+	for task := range worker.running {
+		worker.end(task, "lapsed")
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (worker *Worker) ServeHTTP(answer http.ResponseWriter, request *http.Request) {
+	if request.Header.Get("X-Ambertiller-Expect-Instance") != worker.incarnation {
+		answer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	worker.mu.Lock()
+	fault := FaultNone
+	if worker.fault != nil {
+		fault = worker.fault(request.URL.Path)
+	}
+	worker.mu.Unlock()
+	if fault == FaultReset {
+		panic(http.ErrAbortHandler)
+	}
+	switch request.URL.Path {
+	case "/v1/run-start":
+		worker.serveStart(answer, request, fault)
+	case "/v1/run-stop":
+		worker.serveStop(answer, request)
+	case "/v1/hold":
+		worker.serveHold(answer, request)
+	case "/v1/pace":
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		worker.reply(answer, http.StatusOK, "")
+	default:
+		answer.WriteHeader(http.StatusNotFound)
+	}
+}
+
+type clockBody struct {
+	ClockMs int64  `json:"clock_ms"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+func (worker *Worker) reply(answer http.ResponseWriter, status int, reason string) {
+	answer.Header().Set("Content-Type", "application/json")
+	answer.WriteHeader(status)
+	_ = json.NewEncoder(answer).Encode(clockBody{worker.clock(), reason})
+}
+
+func (worker *Worker) serveStart(answer http.ResponseWriter, request *http.Request, fault Fault) {
+	var body Start
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		answer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if fault == FaultLate {
+		worker.late = append(worker.late, body)
+		panic(http.ErrAbortHandler)
+	}
+	reason := worker.start(body)
+	if fault == FaultLost {
+		panic(http.ErrAbortHandler)
+	}
+	if reason != "" {
+		worker.reply(answer, http.StatusConflict, reason)
+		return
+	}
+	worker.reply(answer, http.StatusOK, "")
+}
+
+// start carries out a start and returns why it does not.
+func (worker *Worker) start(order Start) string {
+	worker.lapse()
+	known, found := worker.running[order.Task]
+	switch {
+	case order.FencingToken < worker.token:
+		return "fence"
+	case order.DeadlineMs <= worker.clock():
+		return "late"
+	case found && known.attempt == order.Attempt:
+		return ""
+	case found || order.Attempt <= worker.highest[order.Task]:
+		return "old"
+	}
+	worker.token = order.FencingToken
+	worker.deadline = max(worker.deadline, order.DeadlineMs)
+	worker.running[order.Task] = &run{attempt: order.Attempt, checkpoint: order.Checkpoint}
+	worker.starts = append(worker.starts, order)
+	return ""
+}
+
+func (worker *Worker) serveStop(answer http.ResponseWriter, request *http.Request) {
+	var body Start
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		answer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if body.FencingToken < worker.token {
+		worker.reply(answer, http.StatusConflict, "fence")
+		return
+	}
+	if known, found := worker.running[body.Task]; found && known.attempt == body.Attempt {
+		worker.end(body.Task, "stopped")
+	}
+	worker.reply(answer, http.StatusOK, "")
+}
+
+type holdBody struct {
+	DeadlineMs   int64 `json:"deadline_ms"`
+	FencingToken int64 `json:"fencing_token"`
+	LastSeen     int64 `json:"last_seen"`
+	WaitMs       int64 `json:"wait_ms"`
+}
+
+func (worker *Worker) serveHold(answer http.ResponseWriter, request *http.Request) {
+	var body holdBody
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		answer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	worker.mu.Lock()
+	worker.lapse()
+	if body.FencingToken < worker.token {
+		worker.reply(answer, http.StatusConflict, "fence")
+		worker.mu.Unlock()
+		return
+	}
+	worker.looks++
+	worker.token = body.FencingToken
+	worker.deadline = max(worker.deadline, body.DeadlineMs)
+	worker.forget(body.LastSeen)
+	changed, waits := worker.changed, len(worker.ends) == 0 && body.WaitMs > 0
+	worker.mu.Unlock()
+	if waits {
+		select {
+		case <-changed:
+		case <-worker.clocks.After(time.Duration(body.WaitMs) * time.Millisecond):
+		case <-request.Context().Done():
+			return
+		}
+	}
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.list(answer)
+}
+
+func (worker *Worker) forget(seen int64) {
+	worker.seen = max(worker.seen, seen)
+	kept := worker.ends[:0]
+	for _, one := range worker.ends {
+		if one.number > seen {
+			kept = append(kept, one)
+		}
+	}
+	worker.ends = kept
+}
+
+func (worker *Worker) list(answer http.ResponseWriter) {
+	worker.lapse()
+	running, ended := [][]any{}, [][]any{}
+	for task, known := range worker.running {
+		running = append(running, []any{task, known.attempt, known.checkpoint, known.percent, known.figure})
+	}
+	for _, one := range worker.ends {
+		ended = append(ended, []any{one.number, one.task, one.attempt, one.how, ""})
+	}
+	answer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(answer).Encode(struct {
+		ClockMs  int64   `json:"clock_ms"`
+		Running  [][]any `json:"running"`
+		Finished [][]any `json:"finished_at"`
+	}{worker.clock(), running, ended})
+}
