--- a/agent/agent.go
+++ b/agent/agent.go
@@ -83,6 +83,8 @@
 	// FirstToken is the first fencing token: the wall clock in milliseconds,
 	// so that it is above those of earlier agents on this machine.
 	FirstToken int64
+	// HarmAfter is how long a serving task may miss its target on end.
+	HarmAfter time.Duration
 	// Connect returns a client of one incarnation of the worker.
 	Connect func(address, incarnation string) *platform.Worker
 	Clock   clockwork.Clock
@@ -123,7 +125,7 @@
 		gone:      map[string]bool{},
 		owners:    map[*session]bool{},
 		claims:    map[int32]*claim{},
-		paced:     newPacing(),
+		paced:     newPacing(options.HarmAfter),
 	}
 }
 
--- a/agent/order.go
+++ b/agent/order.go
@@ -83,9 +83,9 @@
 		run.phase = phaseRunning
 		run.confirmedAt = now
 		agent.options.Clock.AfterFunc(paceAfter, func() {
-			agent.decisions.Post(func(time.Time) {
+			agent.decisions.Post(func(now time.Time) {
 				if agent.worker == state && state.runs[run.task] == run {
-					agent.pace(state, false)
+					agent.pace(state, false, now)
 				}
 			})
 		})
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"time"
 
 	"ambertiller.example/ambertiller/event"
@@ -16,6 +17,12 @@
 	// A reading is taken over half a second, so a larger step would not be
 	// seen before the next one.
 	fasterStep = 30
+	// evictEvery keeps evictions from a worker apart, so that what one brought
+	// shows before the next.
+	evictEvery = 500 * time.Millisecond
+	// evictAfter is how long a run is left where it is at least: it has begun
+	// to save its progress by then.
+	evictAfter = 600 * time.Millisecond
 	// paceChange is the least change that is sent.
 	paceChange  = 4
 	fullPercent = 100
@@ -26,11 +33,12 @@
 
 // pacing slows the tasks that fill a worker while they disturb those that serve.
 type pacing struct {
-	model *interference.Model
+	model     *interference.Model
+	evictedAt time.Time
 }
 
-func newPacing() pacing {
-	return pacing{model: interference.New()}
+func newPacing(harmAfter time.Duration) pacing {
+	return pacing{model: interference.New(harmAfter)}
 }
 
 // watching reports whether tails of serving tasks are to be looked at closely.
@@ -64,12 +72,15 @@
 }
 
 // pace adapts the pace of the filling runs to the tails of the serving ones.
-func (agent *Agent) pace(state *workerState, looked bool) {
+func (agent *Agent) pace(state *workerState, looked bool, now time.Time) {
 	servings, fills := state.sharing()
 	if looked {
-		agent.paced.model.Observe(servings, fills, agent.options.Clock.Now())
+		agent.paced.model.Observe(servings, fills, now)
 	}
 	paces := agent.paced.model.Paces(servings, fills)
+	if looked {
+		agent.evictWorst(state, servings, fills, now)
+	}
 	for _, run := range state.runs {
 		if run.demand.GetFills() && run.phase == phaseRunning {
 			agent.paceRun(state, run, int32(math.Round(paces[run.task]*fullPercent)), looked)
@@ -77,6 +88,25 @@
 	}
 }
 
+// evictWorst stops the run that disturbs most, if it goes on elsewhere from its
+// checkpoint: its owner finds a worker that bears it. One that does not save its
+// progress is only slowed.
+func (agent *Agent) evictWorst(state *workerState, servings []interference.Serving, fills []interference.Fill, now time.Time) {
+	movable := slices.DeleteFunc(slices.Clone(fills), func(fill interference.Fill) bool {
+		run := state.runs[fill.Task]
+		return !run.demand.GetSaves() || run.phase != phaseRunning || now.Sub(run.confirmedAt) < evictAfter
+	})
+	worst, found := agent.paced.model.Worst(servings, movable)
+	if !found || now.Sub(agent.paced.evictedAt) < evictEvery {
+		return
+	}
+	agent.paced.evictedAt = now
+	run := state.runs[worst]
+	agent.options.Events.Log(agent.ctx, event.RunEvicted, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)),
+		slog.String("image", run.demand.GetImage()), slog.Int("percent_done", int(run.percent)))
+	agent.stopRun(state, run, now)
+}
+
 func (agent *Agent) paceRun(state *workerState, run *runState, percent int32, looked bool) {
 	before := run.pace
 	if percent > before {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -233,7 +233,7 @@
 		state.known = true
 		agent.statusChanged()
 	}
-	agent.pace(state, true)
+	agent.pace(state, true, now)
 }
 
 func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -149,7 +149,7 @@
 	address := settings.InternalAddress(agentPort)
 	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	beside := agent.New(agent.Options{
-		Name: settings.Name(), Shards: settings.Parts(), FirstToken: clock.Now().UnixMilli(),
+		Name: settings.Name(), Shards: settings.Parts(), FirstToken: clock.Now().UnixMilli(), HarmAfter: settings.HarmAfter(),
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, transport)
 		},
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -129,6 +129,7 @@
 	RunUnowned
 	FillsPaced
 	AgentRegistered
+	RunEvicted
 )
 
 // Logs themselves.
@@ -249,6 +250,7 @@
 	{RunUnowned, slog.LevelWarn, "run unowned", "The owner of a run has been silent until its grant was nearly over; the run is stopped.", platformRelease},
 	{FillsPaced, slog.LevelInfo, "fills paced", "The tasks that fill a worker were slowed down or let go on, because of the tail of the tasks that serve there.", platformRelease},
 	{AgentRegistered, slog.LevelInfo, "agent registered", "The agent's address is in the store, where owners find it.", platformRelease},
+	{RunEvicted, slog.LevelInfo, "run evicted", "A filling run was stopped because a serving one beside it has missed its target for long; it goes on elsewhere from its checkpoint.", platformRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -11,8 +11,8 @@
 //
 // # Usage
 //
-//	model := interference.New()
-//	model.Observe(servings, fills)
+//	model := interference.New(4 * time.Second)
+//	model.Observe(servings, fills, now)
 //	paces := model.Paces(servings, fills)
 //	room := model.Tolerance(servings, fills, image)
 //
@@ -59,9 +59,12 @@
 	leastPace = 0.05
 	// noiseWeight is below what the readings of pairs that don't disturb teach.
 	noiseWeight = 0.1
-	// overAllowed is how long a target may be missed before disturbers are held
-	// back: their work is worth more than a second of a late tail.
-	overAllowed = 2000 * time.Millisecond
+	// heldShare and stoppedShare are shares of the time that a target may be
+	// missed for: after the first, what disturbs is held back, after the second
+	// all filling work is. A reading looks back over half a second, and a tail
+	// takes up to a second more to sink.
+	heldShare    = 0.4
+	stoppedShare = 0.55
 	// suspectWeight is from which weight a filling task is held back while a
 	// target is missed, whatever the sum says, and cutAtMiss is how far.
 	suspectWeight = 0.06
@@ -92,21 +95,24 @@
 
 // Model learns from the readings of one worker.
 type Model struct {
-	pairs map[Pair]*Estimate
-	tasks map[string]*servingState
+	allowed time.Duration
+	pairs   map[Pair]*Estimate
+	tasks   map[string]*servingState
 }
 
 // servingState is what is known of one serving task.
 type servingState struct {
 	overSince time.Time // when its tail went over the target, zero while below
-	held      bool      // its disturbers are held back until the tail is well below
+	held      bool      // its disturbers are held back until the tail is below
+	stopped   bool      // everything that fills is held back until then
 	quiet     float64   // logarithm of the tail that it has by itself
 	lastTail  float64
 }
 
-// New returns a model that has learned nothing.
-func New() *Model {
-	return &Model{pairs: map[Pair]*Estimate{}, tasks: map[string]*servingState{}}
+// New returns a model that has learned nothing. A target may be missed for the
+// allowed time on end.
+func New(allowed time.Duration) *Model {
+	return &Model{allowed: allowed, pairs: map[Pair]*Estimate{}, tasks: map[string]*servingState{}}
 }
 
 func (model *Model) weight(serving, fill string) float64 {
@@ -134,7 +140,7 @@
 		present[serving.Task] = true
 		if serving.Tail > 0 && serving.Target > 0 {
 			model.observe(serving, used)
-			model.tasks[serving.Task].noteTail(serving, now)
+			model.tasks[serving.Task].noteTail(serving, model.allowed, now)
 		}
 	}
 	for task := range model.tasks {
@@ -191,18 +197,19 @@
 
 // noteTail decides whether the disturbers of a serving task are held back: from
 // when it has been over its target for a while until it is well below.
-func (state *servingState) noteTail(serving Serving, now time.Time) {
+func (state *servingState) noteTail(serving Serving, allowed time.Duration, now time.Time) {
 	if serving.Tail < serving.Target {
 		state.overSince = time.Time{}
 	} else if state.overSince.IsZero() {
 		state.overSince = now
 	}
-	if !state.overSince.IsZero() && now.Sub(state.overSince) >= overAllowed {
-		state.held = true
-	}
-	if serving.Tail < serving.Target {
-		state.held = false
+	if state.overSince.IsZero() {
+		state.held, state.stopped = false, false
+		return
 	}
+	over := now.Sub(state.overSince)
+	state.held = over >= time.Duration(heldShare*float64(allowed))
+	state.stopped = over >= time.Duration(stoppedShare*float64(allowed))
 }
 
 func (state *servingState) bound(target float64) {
@@ -240,13 +247,37 @@
 		paces[fill.Task] = 1
 	}
 	for _, serving := range servings {
-		if state, known := model.tasks[serving.Task]; known && state.held {
+		state, known := model.tasks[serving.Task]
+		if known && state.held {
 			model.slow(serving, fills, paces)
 		}
+		if known && state.stopped {
+			for task := range paces {
+				paces[task] = leastPace
+			}
+		}
 	}
 	return paces
 }
 
+// Worst returns the filling task that disturbs the serving tasks that have been
+// over their target for long the most, and false if there is none to blame.
+func (model *Model) Worst(servings []Serving, fills []Fill) (string, bool) {
+	task, most := "", 0.0
+	for _, fill := range fills {
+		blame := 0.0
+		for _, serving := range servings {
+			if state, known := model.tasks[serving.Task]; known && state.held {
+				blame += model.disturbance(serving.Image, fill.Image) * fill.Cores
+			}
+		}
+		if blame > most {
+			task, most = fill.Task, blame
+		}
+	}
+	return task, most > 0
+}
+
 // slow lowers paces until the serving task is expected to keep its target.
 func (model *Model) slow(serving Serving, fills []Fill, paces map[string]float64) {
 	over := -model.budget(serving)
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -414,7 +414,7 @@
 		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
 		demand: &wire.Demand{
 			MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
-			Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
+			Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(), Saves: spec.GetCheckpointing(),
 		},
 	}
 }
--- a/owner/place.go
+++ b/owner/place.go
@@ -21,7 +21,7 @@
 	tolerableShare = 0.6
 	// patientSlack is the share of its spare time that a job has left from
 	// which on the whole of tolerableShare is asked for.
-	patientSlack = 0.6
+	patientSlack = 0.3
 	// servingUnused is the part of what serving tasks hold that they leave
 	// unused on average: their load is about two fifths of it and swings.
 	servingUnused = 0.5
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -30,7 +30,7 @@
 	view.runs[entry.name] = entry
 	owner.options.Events.Log(owner.ctx, event.RunPlaced, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
-		slog.Bool("fills", entry.demand.GetFills()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
+		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
 		slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()), slog.Duration("age", now.Sub(view.heardAt)))
 	owner.changed(held, made)
 	held.after = append(held.after, func(now time.Time) { owner.order(view, entry, now) })
