--- a/owner/place.go
+++ b/owner/place.go
@@ -79,6 +79,8 @@
 	milliCPU, memoryMB, accelerators int64
 	fillMilliCPU                     int64
 	servingMilliCPU                  int64
+	// serving lists the images of the tasks that serve there.
+	serving []string
 	// addedFill is what has been placed since the agent's last word.
 	addedFill int64
 	trial     bool
@@ -97,7 +99,8 @@
 		worker := &candidate{
 			view: view, milliCPU: status.GetFreeMilliCpu(), memoryMB: status.GetFreeMemoryMb(),
 			accelerators: status.GetFreeAccelerators(), fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
-			trial: view.failures >= failuresBeforeDoubt,
+			serving: slices.Clone(status.GetServingImages()),
+			trial:   view.failures >= failuresBeforeDoubt,
 		}
 		for _, entry := range view.runs {
 			if !entry.reflected {
@@ -118,6 +121,10 @@
 		return
 	}
 	worker.milliCPU -= demand.GetMilliCpu()
+	if demand.GetTargetMs() > 0 {
+		worker.serving = append(worker.serving, demand.GetImage())
+		worker.servingMilliCPU += demand.GetMilliCpu()
+	}
 }
 
 // idle is what is expected to be unused of the processors: tasks that serve use
@@ -164,13 +171,30 @@
 	return min(worker.idle(), tolerated-worker.addedFill)
 }
 
-// strangers counts the worker's serving tasks of other images. Which filling
-// images disturb depends on the serving one, so a worker with few kinds of them
-// bears more kinds of filling ones.
+// betterToServe keeps serving tasks of one image together, on as few workers as
+// hold them. Which filling images disturb depends on the serving one, so a worker
+// with one kind bears more kinds of filling ones, and one without any bears all.
+func betterToServe(image string, a, b *candidate) bool {
+	if a.serves(image) != b.serves(image) {
+		return a.serves(image)
+	}
+	if a.strangers(image) != b.strangers(image) {
+		return a.strangers(image) < b.strangers(image)
+	}
+	if a.milliCPU != b.milliCPU {
+		return a.milliCPU < b.milliCPU
+	}
+	return a.view.address < b.view.address
+}
+
+// serves reports whether the worker has a serving task of the image.
+func (worker *candidate) serves(image string) bool { return slices.Contains(worker.serving, image) }
+
+// strangers counts the kinds of the worker's serving tasks of other images.
 func (worker *candidate) strangers(image string) int {
 	count := 0
-	for _, serving := range worker.view.status.GetServingImages() {
-		if serving != image {
+	for index, other := range worker.serving {
+		if other != image && !slices.Contains(worker.serving[:index], other) {
 			count++
 		}
 	}
@@ -217,8 +241,8 @@
 		return a.near(task)
 	}
 	image := task.Spec().GetImage()
-	if task.Spec().GetTargetMs() > 0 && a.strangers(image) != b.strangers(image) {
-		return a.strangers(image) < b.strangers(image)
+	if task.Spec().GetTargetMs() > 0 {
+		return betterToServe(image, a, b)
 	}
 	if task.Spec().GetFills() {
 		if a.tolerates(image) != b.tolerates(image) {
