Another incarnation at a machine ends the runs of the one before at once

Cause: after all machines had lost power, lasting tasks of smcw waited up to 21 s (exposure of an earlier owner's grants at 10 s) although a new incarnation stood where they had run. A machine has one worker, so that is proof enough. Change: such runs are released when the agent names another incarnation; grants last 5 s at most instead of the platform's 6 and 10.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -48,6 +48,10 @@
 	// It is a compromise: the shorter, the sooner another entry takes over,
 	// and the fewer joins may fail in a row; joins go out every 350 ms.
 	ownerSilent = 1500 * time.Millisecond
+	// grantMost is the longest time that runs go on without word from an
+	// owner. Work on a machine that is lost moves after it, and another owner
+	// has to take over well within it, which takes up to 2.5 s.
+	grantMost = 5 * time.Second
 )
 
 // Gateway is the process on an entry's machine: it answers clients and owns
@@ -70,7 +74,7 @@
 	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, Shards: settings.Parts(),
-		Grant: settings.LeaseMost(), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
+		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
 		Store: store, Dial: dialStream, Clock: clock, Events: events,
 	})
 	front := gateway.New(gateway.Options{
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -76,9 +76,6 @@
 	// inherited marks a run of an earlier owner until an agent has listed it.
 	inherited bool
 	confirmed bool
-	// over is when the run must have ended although its agent says nothing of
-	// its worker any more; zero while it does.
-	over      time.Time
 	stopAt    time.Time
 	reflected bool // the agent's account of its room includes the run
 }
@@ -303,7 +300,6 @@
 func (owner *Owner) noteListed(view *agentView, entry *runEntry, run *wire.RunStatus) {
 	owner.confirm(entry)
 	entry.inherited, entry.reflected = false, true
-	entry.over = time.Time{}
 	entry.task.Job().Saved(entry.task, run.GetAttempt(), run.GetCheckpoint())
 	if !view.status.GetReady() {
 		view.message.Runs = append(view.message.Runs, &wire.RunDescription{Task: entry.name, Attempt: entry.attempt, Demand: entry.demand})
@@ -312,12 +308,13 @@
 
 // noteUnlisted looks at a run that its agent does not list.
 func (owner *Owner) noteUnlisted(view *agentView, entry *runEntry, worker string, now time.Time) {
+	if worker == "" {
+		return
+	}
 	if worker != entry.place.Worker {
-		// Another incarnation, or none, stands there now. The agent tells
-		// what it knows to be over; one that has been replaced knows nothing.
-		if entry.over.IsZero() {
-			entry.over = now.Add(owner.exposure())
-		}
+		// A machine has one worker: another incarnation there means that the
+		// one before it has ended, with all that it ran.
+		owner.release(view, entry, "its worker's incarnation is over", now)
 		return
 	}
 	handled := entry.sequence > 0 && entry.sequence <= view.handled
@@ -358,10 +355,6 @@
 // last grant must have ended.
 func (owner *Owner) giveUpSilent(view *agentView, now time.Time) {
 	for _, entry := range view.runs {
-		if !entry.over.IsZero() && now.After(entry.over) {
-			owner.release(view, entry, "its worker has gone", now)
-			continue
-		}
 		if view.link != nil && now.Sub(view.heardAt) < 2*grantEvery {
 			continue
 		}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -273,6 +273,24 @@
 	}
 }
 
+// TestAnotherIncarnationEndsTheRuns: the case that forced it left lasting tasks
+// waiting for twenty seconds after all machines had lost power.
+func TestAnotherIncarnationEndsTheRuns(t *testing.T) {
+	made := newBench(t)
+	of := made.submit()
+	of.Start(of.Tasks()[0], job.Place{Worker: "i-0", Agent: agentAt}, made.clock.Now())
+	made.owner.adoptRuns(made.held, made.clock.Now())
+	made.attach()
+	made.hear(&wire.AgentMessage{Complete: true, Status: &wire.WorkerStatus{}})
+	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released while the agent knows of no worker")
+	}
+	made.hear(&wire.AgentMessage{Complete: true})
+	if of.Tasks()[0].State() != job.TaskState_TASK_WAITING {
+		t.Error("not released although another incarnation stands there")
+	}
+}
+
 func TestNoGrantOnceOwnershipMayBeGone(t *testing.T) {
 	made := newBench(t)
 	made.attach()
--- a/owner/place.go
+++ b/owner/place.go
@@ -14,14 +14,14 @@
 	rackLabel = "r"
 	// fillShare is how much of what it asks for a filling task should find
 	// unused, lest it holds memory without getting on.
-	fillShare = 0.8
+	fillShare = 0.6
 	// tolerableShare is how much of what it asks for a filling task should be
 	// able to use without harm to serving tasks, while its job has time to wait
 	// for such a place. It sinks with the time that the job has left.
-	tolerableShare = 0.6
+	tolerableShare = 1.0
 	// patientSlack is the share of its spare time that a job has left from
 	// which on the whole of tolerableShare is asked for.
-	patientSlack = 0.3
+	patientSlack = 0.2
 	// servingUnused is the part of what serving tasks hold that they leave
 	// unused on average: their load is about two fifths of it and swings.
 	servingUnused = 0.5
