A failure that is told again counts once

Ends are told again until the owner has said that they are in the store; after a change of owner the failed end of attempt 1 was told again while attempt 2 ran, and counted as a second failure. Change: a task keeps the attempts that failed, each once, in its record too. Seen failing first (TestFailureToldAgain). A worker whose serving tasks are disturbed now bears no further fills.

--- a/interference/interference.go
+++ b/interference/interference.go
@@ -318,6 +318,10 @@
 		if serving.Target <= 0 {
 			continue
 		}
+		if state, known := model.tasks[serving.Task]; known && state.held {
+			// Something disturbs it now; more would hide what does.
+			return 0
+		}
 		left := model.budget(serving)
 		for _, fill := range fills {
 			left -= model.disturbance(serving.Image, fill.Image) * fill.Cores
--- a/job/job.go
+++ b/job/job.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 )
 
@@ -303,6 +304,11 @@
 	case EndDone:
 		return made.done(task, present, now)
 	case EndFailed:
+		if slices.Contains(task.failed, attempt) {
+			// Ends are told again until they are known to be in the store.
+			return false
+		}
+		task.failed = append(task.failed, attempt)
 		made.failed(task, present, now)
 		return true
 	case EndInterrupted:
@@ -356,7 +362,6 @@
 }
 
 func (made *Job) failed(task *Task, present bool, now time.Time) {
-	task.failures++
 	if present {
 		made.Release(task, now)
 		task.retryAt = now.Add(failureBackoff)
@@ -365,7 +370,7 @@
 		task.retryAt = now.Add(lastingBackoff)
 		return
 	}
-	if made.gangFailures(task) < max(1, made.submission.GetAttempts()) {
+	if made.gangFailures(task) < max(1, int(made.submission.GetAttempts())) {
 		return
 	}
 	task.state = TaskState_TASK_FAILED
@@ -375,15 +380,16 @@
 }
 
 // gangFailures counts the failures of the task, or of its gang.
-func (made *Job) gangFailures(task *Task) int32 {
+func (made *Job) gangFailures(task *Task) int {
 	if !task.Spec().GetGang() {
-		return task.failures
+		return len(task.failed)
 	}
-	total := int32(0)
+	var attempts []int32
 	for _, member := range made.Members(task) {
-		total += member.failures
+		attempts = append(attempts, member.failed...)
 	}
-	return total
+	slices.Sort(attempts)
+	return len(slices.Compact(attempts))
 }
 
 // Cancel notes that the client cancelled the job and reports whether that
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// TestFailureToldAgain: ends are told again until they are known to be in the
+// store. The case that forced it: after a change of owner the first failure counted
+// twice and a job that could be done was shown as failed.
+func TestFailureToldAgain(t *testing.T) {
+	of := made(nil)
+	task := of.Tasks()[0]
+	run(of, task, job.EndFailed, now)
+	of.Start(task, place, now)
+	of.End(task, 1, job.EndFailed, "", now)
+	if of.State() == job.State_STATE_FAILED {
+		t.Fatal("one failure counted twice")
+	}
+	again := made(nil)
+	again.Restore(of.Progress(), now)
+	again.End(again.Tasks()[0], 1, job.EndFailed, "", now)
+	if again.State() == job.State_STATE_FAILED {
+		t.Error("one failure counted twice after a change of owner")
+	}
+}
+
 // TestBegunOnlyOnceARunHasStarted: a job whose starts are all refused waits. The
 // case that forced it: such jobs were left out of their queue's pending count.
 func TestBegunOnlyOnceARunHasStarted(t *testing.T) {
--- a/job/progress.go
+++ b/job/progress.go
@@ -24,7 +24,7 @@
 func (task *Task) progress(kept *Progress, places map[Place]int32) *TaskProgress {
 	record := &TaskProgress{
 		Round: task.round, Step: task.step, Index: task.index,
-		Attempt: task.attempt, Failures: task.failures, State: task.state,
+		Attempt: task.attempt, Failed: task.failed, State: task.state,
 	}
 	if task.state == TaskState_TASK_DONE {
 		return record
@@ -62,7 +62,7 @@
 
 func (made *Job) restoreTask(task *Task, record *TaskProgress, kept *Progress, now time.Time) {
 	task.attempt = record.GetAttempt()
-	task.failures = record.GetFailures()
+	task.failed = record.GetFailed()
 	task.checkpoint = record.GetCheckpoint()
 	if record.GetState() == TaskState_TASK_DONE {
 		made.markDone(task)
--- a/job/task.go
+++ b/job/task.go
@@ -26,7 +26,7 @@
 	index      int32
 	state      TaskState
 	attempt    int32
-	failures   int32
+	failed     []int32 // the attempts that ended failed, each once
 	place      Place
 	checkpoint string
 	startedAt  time.Time
