Gangs whole or not at all, advice and tickets, runs that stand still move on

Change: a gang is placed all at once, on one rack where it asks for that, under one checkpoint; a queue with advice asks one question at a time and starts with its ticket; a run without progress for 2.5 s and a quarter of its estimate is stopped and goes on elsewhere.

--- a/command/platform.go
+++ b/command/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -104,7 +105,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			writer.LogDropped(ctx, events)
+			if count := writer.Dropped(); count > 0 {
+				events.Log(ctx, event.LinesDropped, slog.Int("count", count))
+			}
 		}
 	}
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -75,7 +75,7 @@
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, Shards: settings.Parts(),
 		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
-		Store: store, Dial: dialStream, Clock: clock, Events: events,
+		Store: store, Advisor: advisor(settings), Dial: dialStream, Clock: clock, Events: events,
 	})
 	front := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Parts(), Store: store, Owner: owning,
@@ -95,6 +95,14 @@
 	)
 }
 
+// advisor returns a client of the advice service where there is one.
+func advisor(settings platform.Settings) *platform.Advisor {
+	if settings.AdviceAddress() == "" {
+		return nil
+	}
+	return platform.NewAdvisor(settings.AdviceAddress(), platform.Transport())
+}
+
 // dialStream opens a connection of its own, for a stream that lasts.
 func dialStream(ctx context.Context, address string) (drpc.Conn, error) {
 	return rpc.DialOne(ctx, address)
--- a/event/async.go
+++ b/event/async.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"log/slog"
 	"sync"
 	"time"
 )
@@ -91,10 +90,3 @@
 	// A log that can't be written has nowhere to say so.
 	_, _ = writer.out.Write(lines)
 }
-
-// LogDropped writes a line that says how many were left out, if any were.
-func (writer *AsyncWriter) LogDropped(ctx context.Context, logger *Logger) {
-	if count := writer.Dropped(); count > 0 {
-		logger.Log(ctx, LinesDropped, slog.Int("count", count))
-	}
-}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -108,6 +108,8 @@
 	RunEnded
 	RunLost
 	RunStopOrdered
+	AdviceTaken
+	AdviceFailed
 )
 
 // Agents and their workers.
@@ -232,6 +234,8 @@
 	{RunEnded, slog.LevelInfo, "run ended", "A worker listed the end of a run.", platformRelease},
 	{RunLost, slog.LevelWarn, "run lost", "A run is over for certain although no end was listed: its worker's incarnation ended, or its lease must have run out. The task waits again.", platformRelease},
 	{RunStopOrdered, slog.LevelInfo, "run stop ordered", "The agent was told to stop a run.", platformRelease},
+	{AdviceTaken, slog.LevelInfo, "advice taken", "The service that knows which workers may run a step answered.", platformRelease},
+	{AdviceFailed, slog.LevelWarn, "advice failed", "The service that knows which workers may run a step did not answer; it is asked again.", platformRelease},
 
 	{AgentAttached, slog.LevelInfo, "agent attached", "This owner's connection to an agent is up.", platformRelease},
 	{AgentLost, slog.LevelWarn, "agent lost", "The connection to an agent is gone. Its runs go on until their lease ends.", platformRelease},
--- a/job/job.go
+++ b/job/job.go
@@ -284,6 +284,20 @@
 	return true
 }
 
+// CheckpointOf returns the checkpoint that a start of the task brings: its own,
+// or for a gang the one that all members bring. Checkpoints begin with the work
+// done, so the greatest is the newest.
+func (made *Job) CheckpointOf(task *Task) string {
+	if !task.Spec().GetGang() {
+		return task.checkpoint
+	}
+	newest := ""
+	for _, member := range made.Members(task) {
+		newest = max(newest, member.checkpoint)
+	}
+	return newest
+}
+
 // End notes that a run ended and reports whether anything changed. The end of
 // an earlier run than the present one counts where it can't be doubted: a
 // failure counts against the attempts, and a task that waits and turns out to be
--- /dev/null
+++ b/owner/advice.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+)
+
+const (
+	// askedMost bounds the workers of one question: each takes time, and a
+	// step needs only some.
+	askedMost = 30
+	// adviceOver is added to the time that the service says it takes.
+	adviceOver = 2 * time.Second
+	// adviceMargin is left of a ticket's time for the order's way.
+	adviceMargin = 300 * time.Millisecond
+	// adviceAgain keeps questions for a step apart whose answer named no
+	// worker with room.
+	adviceAgain = 500 * time.Millisecond
+)
+
+// stepAdvice is what is known of the workers that may run a step.
+type stepAdvice struct {
+	terms   *job.Advice
+	service string
+	tickets map[string]string
+	asked   map[string]bool
+	until   time.Time
+	askedAt time.Time
+	waiting bool
+}
+
+// adviceQueue asks for advice, one question at a time, as the service takes them.
+type adviceQueue struct {
+	steps  map[string]*stepAdvice
+	queue  []string
+	asking bool
+}
+
+func stepName(task *job.Task) string {
+	return fmt.Sprintf("%s.%d.%d", task.Job().ID(), task.Round(), task.Step())
+}
+
+// ticket returns the ticket for a start at a worker, and whether it may run the
+// task at all. Without advice every worker may.
+func (owner *Owner) ticket(task *job.Task, worker string, now time.Time) (string, bool) {
+	if task.Job().Submission().GetAdvice() == nil {
+		return "", true
+	}
+	known, found := owner.advised.steps[stepName(task)]
+	if !found || now.After(known.until.Add(-adviceMargin)) {
+		return "", false
+	}
+	ticket, good := known.tickets[worker]
+	return ticket, good
+}
+
+// wantAdvice queues a question for the step of a task that found no place.
+func (owner *Owner) wantAdvice(task *job.Task, now time.Time) {
+	if task.Job().Submission().GetAdvice() == nil || owner.options.Advisor == nil {
+		return
+	}
+	name := stepName(task)
+	known, found := owner.advised.steps[name]
+	if !found {
+		known = &stepAdvice{terms: task.Job().Submission().GetAdvice(), service: task.Job().Submission().GetService()}
+		owner.advised.steps[name] = known
+	}
+	if known.waiting || now.Sub(known.askedAt) < adviceAgain {
+		return
+	}
+	known.waiting = true
+	owner.advised.queue = append(owner.advised.queue, name)
+	owner.askNext(now)
+}
+
+// askNext asks the next question of the queue, if none is on its way.
+func (owner *Owner) askNext(now time.Time) {
+	if owner.advised.asking || len(owner.advised.queue) == 0 {
+		return
+	}
+	name := owner.advised.queue[0]
+	owner.advised.queue = owner.advised.queue[1:]
+	known := owner.advised.steps[name]
+	workers := owner.workersToAsk(known)
+	known.askedAt = now
+	if len(workers) == 0 {
+		known.waiting = false
+		known.asked = nil
+		return
+	}
+	owner.advised.asking = true
+	limit := time.Duration(known.terms.GetDecideMs()+known.terms.GetEachMs()*int64(len(workers)))*time.Millisecond + adviceOver
+	go func() {
+		ctx, cancel := context.WithTimeout(owner.ctx, limit)
+		defer cancel()
+		advice, err := owner.options.Advisor.Advise(ctx, name, workers)
+		owner.decisions.Post(func(now time.Time) {
+			owner.advised.asking = false
+			known.waiting = false
+			owner.noteAdvice(name, known, workers, advice, err, now)
+			owner.askNext(now)
+		})
+	}()
+}
+
+// workersToAsk returns workers of the service that were not asked about.
+func (owner *Owner) workersToAsk(known *stepAdvice) []string {
+	var workers []string
+	for _, view := range owner.agents {
+		status := view.status
+		if view.link == nil || !status.GetReady() || status.GetDraining() || status.GetService() != known.service || known.asked[status.GetWorker()] {
+			continue
+		}
+		workers = append(workers, status.GetWorker())
+		if len(workers) == askedMost {
+			break
+		}
+	}
+	return workers
+}
+
+func (owner *Owner) noteAdvice(name string, known *stepAdvice, workers []string, advice platform.Advice, err error, now time.Time) {
+	if err != nil {
+		owner.options.Events.Log(owner.ctx, event.AdviceFailed, slog.String("step", name), slog.Any("error", err))
+		return
+	}
+	if known.asked == nil || now.After(known.until) {
+		known.asked, known.tickets = map[string]bool{}, map[string]string{}
+	}
+	for _, worker := range workers {
+		known.asked[worker] = true
+	}
+	for worker, ticket := range advice.Tickets {
+		known.tickets[worker] = ticket
+	}
+	// All tickets end with the earliest: those of this answer.
+	known.until = now.Add(advice.Valid)
+	owner.placeDue = true
+	owner.options.Events.Log(owner.ctx, event.AdviceTaken, slog.String("step", name), slog.Int("asked", len(workers)),
+		slog.Int("good", len(advice.Tickets)), slog.Duration("valid", advice.Valid))
+}
+
+// dropAdvice forgets the tickets of a step that a worker did not take.
+func (owner *Owner) dropAdvice(task *job.Task) {
+	delete(owner.advised.steps, stepName(task))
+}
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -68,6 +68,7 @@
 	attempt int32
 	place   job.Place
 	demand  *wire.Demand
+	ticket  string
 	// sequence is that of the message with the order: 0 before it is sent.
 	sequence int64
 	// prior marks a run whose order went out on an earlier connection, or by
@@ -76,6 +77,9 @@
 	// inherited marks a run of an earlier owner until an agent has listed it.
 	inherited bool
 	confirmed bool
+	// percent is the progress last told, movedAt when it last changed.
+	percent   int32
+	movedAt   time.Time
 	stopAt    time.Time
 	reflected bool // the agent's account of its room includes the run
 }
@@ -288,6 +292,7 @@
 		run, found := listed[name]
 		if found && run.GetAttempt() == entry.attempt && worker == entry.place.Worker {
 			owner.noteListed(view, entry, run)
+			owner.noteProgressOf(view, entry, run, now)
 			continue
 		}
 		owner.noteUnlisted(view, entry, worker, now)
@@ -405,10 +410,14 @@
 	spec := task.Spec()
 	return &runEntry{
 		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
-		demand: &wire.Demand{
-			MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
-			Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(), Saves: spec.GetCheckpointing(),
-		},
+		demand: demandOf(spec),
+	}
+}
+
+func demandOf(spec *job.StepSpec) *wire.Demand {
+	return &wire.Demand{
+		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
+		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(), Saves: spec.GetCheckpointing(),
 	}
 }
 
--- /dev/null
+++ b/owner/gang.go
@@ -0,0 +1,87 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// placeGang starts all members of a gang or none: a member that waits for others
+// that don't come holds room for nothing.
+func (owner *Owner) placeGang(members []*job.Task, workers []*candidate, now time.Time) {
+	for _, among := range owner.gangChoices(members[0], workers) {
+		if chosen := owner.chooseGang(members, among, now); chosen != nil {
+			for index, member := range members {
+				owner.start(member, chosen[index].view, now)
+				chosen[index].take(chosen[index].view.runs[member.Name()].demand)
+			}
+			return
+		}
+	}
+	owner.wantAdvice(members[0], now)
+}
+
+// gangChoices returns the sets of workers to try: each rack by itself for a gang
+// that should not be spread, then all of them.
+func (owner *Owner) gangChoices(member *job.Task, workers []*candidate) [][]*candidate {
+	var choices [][]*candidate
+	if member.Spec().GetSameRack() {
+		racks := map[string][]*candidate{}
+		for _, worker := range workers {
+			racks[worker.rack()] = append(racks[worker.rack()], worker)
+		}
+		for _, among := range racks {
+			choices = append(choices, among)
+		}
+	}
+	return append(choices, workers)
+}
+
+// chooseGang returns a worker for each member, or nil if they don't all fit.
+func (owner *Owner) chooseGang(members []*job.Task, workers []*candidate, now time.Time) []*candidate {
+	trial := make(map[*candidate]*candidate, len(workers))
+	copies := make([]*candidate, 0, len(workers))
+	for _, worker := range workers {
+		copied := *worker
+		trial[&copied] = worker
+		copies = append(copies, &copied)
+	}
+	var chosen []*candidate
+	held := map[*candidate]int32{}
+	for _, member := range members {
+		best := owner.bestOf(member, copies, now)
+		most := member.Spec().GetMostPerWorker()
+		if best == nil || most > 0 && held[best] >= most {
+			return nil
+		}
+		held[best]++
+		best.take(demandOf(member.Spec()))
+		chosen = append(chosen, trial[best])
+	}
+	return chosen
+}
+
+// stopGang stops the other members of a gang one of whose members did not start.
+func (owner *Owner) stopGang(task *job.Task, held *shard) {
+	if !task.Spec().GetGang() {
+		return
+	}
+	for _, member := range task.Job().Members(task) {
+		view, found := owner.agents[member.Place().Agent]
+		if member == task || !found {
+			continue
+		}
+		entry, running := view.runs[member.Name()]
+		if !running || entry.attempt != member.Attempt() {
+			continue
+		}
+		owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+			slog.String("reason", "another member of the gang did not start"))
+		view.message.Stops = append(view.message.Stops, &wire.StopOrder{
+			Shard: int32(held.number), Epoch: held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
+		})
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -69,6 +69,8 @@
 	// StatusKept is how long an ended job is known.
 	StatusKept time.Duration
 	Store      *platform.Store
+	// Advisor tells which workers may run what; nil where nothing is to be asked.
+	Advisor *platform.Advisor
 	// Dial connects to an agent.
 	Dial   func(ctx context.Context, address string) (drpc.Conn, error)
 	Clock  clockwork.Clock
@@ -97,6 +99,7 @@
 	fenced     map[int]int64
 	agents     map[string]*agentView
 	placeDue   bool
+	advised    adviceQueue
 }
 
 // New returns an owner that owns nothing until Run.
@@ -111,6 +114,7 @@
 		shards:      map[int]*shard{},
 		fenced:      map[int]int64{},
 		agents:      map[string]*agentView{},
+		advised:     adviceQueue{steps: map[string]*stepAdvice{}},
 	}
 	made.renew.Store(true)
 	return made
--- a/owner/place.go
+++ b/owner/place.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// rackLabel begins the label that names a worker's rack.
-	rackLabel = "r"
+	// rackLabel is the place of the rack among a worker's labels.
+	rackLabel = 1
 	// fillShare is how much of what it asks for a filling task should find
 	// unused, lest it holds memory without getting on.
 	fillShare = 0.6
@@ -25,8 +25,6 @@
 	// servingUnused is the part of what serving tasks hold that they leave
 	// unused on average: their load is about two fifths of it and swings.
 	servingUnused = 0.5
-	// farWait is how long a task waits for room near its data.
-	farWait = 400 * time.Millisecond
 )
 
 // place starts the tasks that may start, the most urgent job first.
@@ -40,9 +38,7 @@
 		for _, worker := range workers {
 			worker.patience = patience
 		}
-		for _, task := range made.Ready(now) {
-			owner.placeTask(task, workers, now)
-		}
+		owner.placeJob(made, workers, now)
 	}
 }
 
@@ -231,21 +227,53 @@
 	return count
 }
 
+// rack returns the worker's rack, which is its second label.
+func (worker *candidate) rack() string {
+	if labels := worker.view.status.GetLabels(); len(labels) > rackLabel {
+		return labels[rackLabel]
+	}
+	return ""
+}
+
 // near reports whether the worker stands in the rack that holds the task's data.
 func (worker *candidate) near(task *job.Task) bool {
 	rack := task.Spec().GetAffinity()
 	return rack == "" || slices.Contains(worker.view.status.GetLabels(), rack)
 }
 
-// placeTask starts a task on the best worker there is, if any.
-func (owner *Owner) placeTask(task *job.Task, workers []*candidate, now time.Time) {
+// placeJob starts the tasks of a job that may start.
+func (owner *Owner) placeJob(made *job.Job, workers []*candidate, now time.Time) {
+	ready := made.Ready(now)
+	for _, task := range ready {
+		if !task.Spec().GetGang() {
+			owner.placeTask(task, workers, now)
+			continue
+		}
+		if members := gangOf(task, ready); members != nil && members[0] == task {
+			owner.placeGang(members, workers, now)
+		}
+	}
+}
+
+// bestOf returns the best worker for a task, or nil.
+func (owner *Owner) bestOf(task *job.Task, workers []*candidate, now time.Time) *candidate {
 	var best *candidate
 	for _, worker := range workers {
-		if worker.fits(task) && (best == nil || better(task, worker, best)) {
+		if !worker.fits(task) || best != nil && !better(task, worker, best) {
+			continue
+		}
+		if _, allowed := owner.ticket(task, worker.view.status.GetWorker(), now); allowed {
 			best = worker
 		}
 	}
+	return best
+}
+
+// placeTask starts a task on the best worker there is, if any.
+func (owner *Owner) placeTask(task *job.Task, workers []*candidate, now time.Time) {
+	best := owner.bestOf(task, workers, now)
 	if best == nil {
+		owner.wantAdvice(task, now)
 		return
 	}
 	owner.start(task, best.view, now)
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -27,6 +27,7 @@
 	held := owner.shards[made.Shard()]
 	made.Start(task, job.Place{Worker: view.status.GetWorker(), Agent: view.address}, now)
 	entry := newEntry(held, task)
+	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
 	owner.options.Events.Log(owner.ctx, event.RunPlaced, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
@@ -49,14 +50,20 @@
 	made := entry.task.Job()
 	view.message.Starts = append(view.message.Starts, &wire.StartOrder{
 		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
-		Spec: made.Submission().GetSpec(), Checkpoint: entry.task.Checkpoint(), Demand: entry.demand,
+		Spec: made.Submission().GetSpec(), Checkpoint: made.CheckpointOf(entry.task), Ticket: entry.ticket, Demand: entry.demand,
 	})
 	entry.sequence = view.sequence + 1
 	entry.prior = false
+	owner.options.Events.Log(owner.ctx, event.RunOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+		slog.String("worker", entry.place.Worker), slog.Int64("message", entry.sequence))
 }
 
 // confirm notes that a run has started.
 func (owner *Owner) confirm(entry *runEntry) {
+	if !entry.confirmed {
+		owner.options.Events.Log(owner.ctx, event.RunStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+			slog.String("worker", entry.place.Worker))
+	}
 	entry.confirmed = true
 	if entry.task.Job().Begin(owner.options.Clock.Now()) {
 		owner.changed(entry.held, entry.task.Job())
@@ -80,6 +87,10 @@
 	owner.options.Events.Log(owner.ctx, event.RunNotStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
 	made := entry.task.Job()
+	if result.GetOutcome() == wire.StartOutcome_START_TICKET {
+		owner.dropAdvice(entry.task)
+	}
+	owner.stopGang(entry.task, entry.held)
 	made.Release(entry.task, now)
 	owner.changed(entry.held, made)
 	owner.noteRefusal(view, result.GetOutcome(), now)
--- /dev/null
+++ b/owner/stall.go
@@ -0,0 +1,61 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// stallLeast is how long a run may show no progress at least. Agents tell
+	// progress once a second, in whole percent.
+	stallLeast = 2500 * time.Millisecond
+	// stallShare adds this share of the estimate: a long task that is slowed
+	// takes long for one percent.
+	stallShare  = 0.25
+	fullPercent = 100
+)
+
+// noteProgressOf stops a run that stands still, so that its task goes on at
+// another worker.
+func (owner *Owner) noteProgressOf(view *agentView, entry *runEntry, run *wire.RunStatus, now time.Time) {
+	if run.GetPercent() != entry.percent || entry.movedAt.IsZero() {
+		entry.percent = run.GetPercent()
+		entry.movedAt = now
+		return
+	}
+	spec := entry.task.Spec()
+	if spec.GetLasting() && run.GetPercent() >= fullPercent || spec.GetGang() {
+		return
+	}
+	limit := stallLeast + time.Duration(stallShare*float64(spec.GetEstimateMs()))*time.Millisecond
+	if now.Sub(entry.movedAt) < limit || now.Sub(entry.stopAt) < stopAgain {
+		return
+	}
+	entry.stopAt = now
+	view.avoidUntil = now.Add(doubtLength)
+	view.failures = max(view.failures, failuresBeforeDoubt)
+	owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+		slog.String("worker", entry.place.Worker), slog.String("reason", "it stands still"), slog.Duration("since", now.Sub(entry.movedAt)))
+	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
+		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
+	})
+}
+
+// gangOf returns the members of a ready task's gang if all of them are ready.
+func gangOf(task *job.Task, ready []*job.Task) []*job.Task {
+	members := task.Job().Members(task)
+	count := 0
+	for _, other := range ready {
+		if other.Round() == task.Round() && other.Step() == task.Step() {
+			count++
+		}
+	}
+	if count < len(members) {
+		return nil
+	}
+	return members
+}
