The store is told of workers that have ended for certain

Ruled out: the end being told again (there was no agent left to tell it). Change: an agent that hears its worker leave, or sees another incarnation in its place, adds it to its record in the store; owners release such runs at once, in whichever order they read. An owner without word from the store grants for 6 s instead of 10.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -101,10 +101,13 @@
 	worker *workerState // nil until one has sent a heartbeat
 	gone   map[string]bool
 	lost   []*wire.RunEnd // ends of runs whose incarnation is over
-	owners map[*session]bool
-	claims map[int32]*claim
-	paced  pacing
-	ctx    context.Context // ends the calls to the worker with the agent
+	ended  []string       // incarnations that have ended for certain
+	// endedNews wakes the registration.
+	endedNews chan struct{}
+	owners    map[*session]bool
+	claims    map[int32]*claim
+	paced     pacing
+	ctx       context.Context // ends the calls to the worker with the agent
 }
 
 // claim is what the agent knows of the owner of one shard.
@@ -123,6 +126,7 @@
 		decisions: loop.New(options.Clock),
 		started:   options.Clock.Now(),
 		gone:      map[string]bool{},
+		endedNews: make(chan struct{}, 1),
 		owners:    map[*session]bool{},
 		claims:    map[int32]*claim{},
 		paced:     newPacing(options.HarmAfter),
@@ -198,7 +202,10 @@
 
 // endIncarnation notes that an incarnation is over: what ran there has ended.
 func (agent *Agent) endIncarnation(incarnation string, now time.Time) {
-	agent.gone[incarnation] = true
+	if !agent.gone[incarnation] {
+		agent.gone[incarnation] = true
+		agent.noteEnded(incarnation)
+	}
 	ended := agent.worker
 	if ended == nil || ended.beat.Incarnation != incarnation {
 		return
--- a/agent/register.go
+++ b/agent/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,22 +17,44 @@
 	registerPart    = 0
 	registerTimeout = 1500 * time.Millisecond
 	registerPause   = 200 * time.Millisecond
+	// endedKept bounds the incarnations of one machine that the store is told
+	// of; runs of earlier ones have long been given up.
+	endedKept = 8
 )
 
-// Register puts the agent's address into the store, where owners find it. It
-// tries until the store has taken it or ctx ends.
+// Register puts the agent's address into the store, where owners find it, and
+// again whenever an incarnation of the worker has ended. It tries until the store
+// has taken it or ctx ends.
 func (agent *Agent) Register(ctx context.Context, store *platform.Store, address string) {
-	value, err := proto.Marshal(&job.AgentRecord{Name: agent.options.Name, Address: address})
+	for ctx.Err() == nil {
+		var ended []string
+		if !agent.decisions.Ask(ctx, func(time.Time) { ended = slices.Clone(agent.ended) }) {
+			return
+		}
+		agent.registerOnce(ctx, store, &job.AgentRecord{Name: agent.options.Name, Address: address, Ended: ended})
+		select {
+		case <-ctx.Done():
+		case <-agent.endedNews:
+		}
+	}
+}
+
+func (agent *Agent) registerOnce(ctx context.Context, store *platform.Store, record *job.AgentRecord) {
+	value, err := proto.Marshal(record)
 	if err != nil {
+		// A message that was just built always encodes.
 		agent.options.Events.Log(ctx, event.RecordUnreadable, slog.Any("error", err))
 		return
 	}
 	add := platform.Append{Topic: job.TopicAgents, Part: registerPart, Records: []platform.Record{{Key: agent.options.Name, Value: value}}}
 	for tries := 1; ctx.Err() == nil; tries++ {
-		if err := appendOnce(ctx, store, add); err == nil {
-			agent.options.Events.Log(ctx, event.AgentRegistered, slog.String("address", address), slog.Int("tries", tries))
+		err := appendOnce(ctx, store, add)
+		if err == nil {
+			agent.options.Events.Log(ctx, event.AgentRegistered, slog.String("address", record.GetAddress()),
+				slog.Int("ended", len(record.GetEnded())), slog.Int("tries", tries))
 			return
-		} else if tries == 1 {
+		}
+		if tries == 1 {
 			agent.options.Events.Log(ctx, event.StoreLost, slog.Any("error", err))
 		}
 		select {
@@ -41,6 +64,18 @@
 	}
 }
 
+// noteEnded has the store told that an incarnation has ended for certain.
+func (agent *Agent) noteEnded(incarnation string) {
+	agent.ended = append(agent.ended, incarnation)
+	if len(agent.ended) > endedKept {
+		agent.ended = agent.ended[1:]
+	}
+	select {
+	case agent.endedNews <- struct{}{}:
+	default:
+	}
+}
+
 func appendOnce(ctx context.Context, store *platform.Store, add platform.Append) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -48,6 +48,8 @@
 	sharedAt time.Time
 
 	runs map[string]*runEntry
+	// ended holds the incarnations that have ended for certain.
+	ended map[string]bool
 	// failures counts runs that failed in a row, avoidUntil is how long nothing
 	// more than a trial is placed there.
 	failures   int
@@ -95,7 +97,7 @@
 			continue
 		}
 		next = tail.Next
-		owner.decisions.Post(func(now time.Time) { owner.noteAgents(tail) })
+		owner.decisions.Post(func(now time.Time) { owner.noteAgents(tail, now) })
 	}
 }
 
@@ -115,14 +117,28 @@
 	return owner.options.Store.Read(ctx, job.TopicAgents, agentsPart, next, agentsWait)
 }
 
-func (owner *Owner) noteAgents(tail platform.Tail) {
+func (owner *Owner) noteAgents(tail platform.Tail, now time.Time) {
 	for _, record := range tail.Records {
 		registered := &job.AgentRecord{}
 		if err := proto.Unmarshal(record.Value, registered); err != nil {
 			owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("key", record.Key), slog.Any("error", err))
 			continue
 		}
-		owner.agentAt(registered.GetAddress())
+		if view := owner.agentAt(registered.GetAddress()); view != nil {
+			owner.noteEndedWorkers(view, registered.GetEnded(), now)
+		}
+	}
+}
+
+// noteEndedWorkers releases the runs of incarnations that have ended for certain.
+func (owner *Owner) noteEndedWorkers(view *agentView, ended []string, now time.Time) {
+	for _, worker := range ended {
+		view.ended[worker] = true
+	}
+	for _, entry := range view.runs {
+		if view.ended[entry.place.Worker] {
+			owner.release(view, entry, "its worker's incarnation is over", now)
+		}
 	}
 }
 
@@ -134,7 +150,7 @@
 	}
 	view := &agentView{
 		address: address, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
-		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{},
+		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
 	}
 	owner.agents[address] = view
 	go owner.keepAttached(view)
@@ -399,6 +415,9 @@
 			entry := newEntry(held, task)
 			entry.prior, entry.inherited, entry.reflected = true, true, true
 			view.runs[entry.name] = entry
+			if view.ended[entry.place.Worker] {
+				owner.release(view, entry, "its worker's incarnation is over", now)
+			}
 		}
 	}
 	for _, view := range owner.agents {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -49,9 +49,10 @@
 	// grantEvery renews grants well within their length.
 	grantEvery = 500 * time.Millisecond
 	// grantAlone is how long an owner goes on granting without hearing from
-	// the store that it still owns: longer than the store's usual outages of
-	// under 10 s, so that they don't stop what runs.
-	grantAlone = 10 * time.Second
+	// the store that it still owns. Together with the grant it is what an
+	// outage of the store may last without stopping what runs, 11 s, and what
+	// a run on a machine that is gone waits after a change of owner.
+	grantAlone = 6 * time.Second
 )
 
 // Options sets up an Owner.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -66,7 +66,7 @@
 	made.owner.shards[number] = made.held
 	made.view = &agentView{
 		address: agentAt, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
-		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{},
+		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
 	}
 	made.owner.agents[agentAt] = made.view
 	return made
@@ -219,7 +219,7 @@
 	of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
 	made.owner.adoptRuns(made.held, made.clock.Now())
 	made.step()
-	made.clock.Advance(10 * time.Second)
+	made.clock.Advance(grantAlone)
 	made.owner.joinedAt = made.clock.Now()
 	made.step()
 	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
@@ -291,6 +291,31 @@
 	}
 }
 
+// TestWorkerThatTheStoreSaysHasEnded: the case that forced it is a worker that left
+// with its machine while its owner was cut off from the store; the next owner
+// waited 17 s for lasting tasks to be over.
+func TestWorkerThatTheStoreSaysHasEnded(t *testing.T) {
+	tests := map[string]bool{"read before the shard": true, "read after the shard": false}
+	for name, before := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			of := made.submit()
+			of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
+			registered := platform.Tail{Records: []platform.Record{record(t, "side-1", &job.AgentRecord{Name: "side-1", Address: agentAt, Ended: []string{life}})}}
+			if before {
+				made.owner.noteAgents(registered, made.clock.Now())
+			}
+			made.owner.adoptRuns(made.held, made.clock.Now())
+			if !before {
+				made.owner.noteAgents(registered, made.clock.Now())
+			}
+			if of.Tasks()[0].State() != job.TaskState_TASK_WAITING {
+				t.Error("not released")
+			}
+		})
+	}
+}
+
 func TestNoGrantOnceOwnershipMayBeGone(t *testing.T) {
 	made := newBench(t)
 	made.attach()
