--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,7 @@
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
@@ -89,6 +90,8 @@
 	Connect func(address, incarnation string) *platform.Worker
 	Clock   clockwork.Clock
 	Events  *event.Logger
+	// Meters makes the instruments; nil for none.
+	Meters metric.MeterProvider
 }
 
 // Agent takes care of the worker on its machine.
@@ -107,7 +110,10 @@
 	owners    map[*session]bool
 	claims    map[int32]*claim
 	paced     pacing
-	ctx       context.Context // ends the calls to the worker with the agent
+	meters    meters
+	// gaugedAt is when the gauges were last set.
+	gaugedAt time.Time
+	ctx      context.Context // ends the calls to the worker with the agent
 }
 
 // claim is what the agent knows of the owner of one shard.
@@ -129,6 +135,7 @@
 		endedNews: make(chan struct{}, 1),
 		owners:    map[*session]bool{},
 		claims:    map[int32]*claim{},
+		meters:    newMeters(options.Meters),
 		paced:     newPacing(options.HarmAfter),
 	}
 }
@@ -147,6 +154,7 @@
 		agent.look(now)
 	}
 	agent.tellOwners(now)
+	agent.gauge(now)
 }
 
 // uptime is the clock that grants are given in.
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -101,6 +101,7 @@
 		return
 	}
 	agent.paced.evictedAt = now
+	agent.meters.evicted.Add(agent.ctx, 1)
 	run := state.runs[worst]
 	agent.options.Events.Log(agent.ctx, event.RunEvicted, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)),
 		slog.String("image", run.demand.GetImage()), slog.Int("percent_done", int(run.percent)))
@@ -119,6 +120,7 @@
 		return
 	}
 	run.pace = percent
+	agent.meters.paced.Add(agent.ctx, 1)
 	agent.options.Events.Log(agent.ctx, event.FillsPaced, slog.String("task", run.task), slog.Int("percent", int(percent)), slog.Int("before", int(before)))
 	token := state.token
 	go func() {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -270,6 +270,7 @@
 	}
 	agent.options.Events.Log(agent.ctx, event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
 		slog.String("how", string(end.How)), slog.Int64("number", end.Number))
+	agent.meters.ended.Add(agent.ctx, 1, by("how", string(end.How)))
 	agent.sendEnd(told)
 	agent.statusChanged()
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -75,11 +75,11 @@
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, Shards: settings.Parts(),
 		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
-		Store: store, Advisor: advisor(settings), Dial: dialStream, Clock: clock, Events: events,
+		Store: store, Advisor: advisor(settings), Dial: dialStream, Clock: clock, Events: events, Meters: metering.Provider(),
 	})
 	front := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Parts(), Store: store, Owner: owning,
-		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: clock, Events: events,
+		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: clock, Events: events, Meters: metering.Provider(),
 	})
 	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: events}, front: front}
 	return running, registerAll(running.kern,
@@ -165,7 +165,7 @@
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, transport)
 		},
-		Clock: clock, Events: events,
+		Clock: clock, Events: events, Meters: metering.Provider(),
 	})
 	running := &Agent{Daemon: Daemon{kern: kernel.New(), events: events}}
 	return running, registerAll(running.kern,
--- a/gateway/append.go
+++ b/gateway/append.go
@@ -28,6 +28,18 @@
 	refused
 )
 
+// String names the kind in metrics.
+func (kind appendKind) String() string {
+	switch kind {
+	case appended:
+		return "appended"
+	case refused:
+		return "refused"
+	case unsure:
+	}
+	return "unsure"
+}
+
 // outcome says what became of an append.
 type outcome struct {
 	kind   appendKind
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -70,5 +70,6 @@
 		return
 	}
 	gateway.configuration.Store(parsed)
+	gateway.meters.configuration.Record(ctx, parsed.Version())
 	gateway.options.Events.Log(ctx, event.ConfigurationInForce, slog.Int64("version", parsed.Version()))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
@@ -32,6 +33,7 @@
 	"ambertiller.example/ambertiller/owner"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/wire"
 )
 
 const (
@@ -58,6 +60,8 @@
 	Pool   *rpc.Pool
 	Clock  clockwork.Clock
 	Events *event.Logger
+	// Meters makes the instruments; nil for none.
+	Meters metric.MeterProvider
 }
 
 // Gateway answers clients. It is an http.Handler.
@@ -66,11 +70,12 @@
 	configuration atomic.Pointer[platform.Configuration]
 	directory     *directory
 	stopping      atomic.Bool
+	meters        meters
 }
 
 // New returns a gateway that refuses clients until Run has read a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, directory: newDirectory(options)}
+	return &Gateway{options: options, directory: newDirectory(options), meters: newMeters(options.Meters)}
 }
 
 // Ready reports whether the gateway takes clients.
@@ -157,6 +162,7 @@
 
 func (gateway *Gateway) answerAppend(answer http.ResponseWriter, request *http.Request, outcome outcome, id string, accepted event.Code, version int64, began time.Time) {
 	took := gateway.options.Clock.Now().Sub(began)
+	gateway.meters.answered(request.Context(), request.Method, outcome.kind.String(), took)
 	switch outcome.kind {
 	case appended:
 		gateway.options.Events.Log(request.Context(), accepted, slog.String("job", id), slog.Duration("took", took),
@@ -179,7 +185,9 @@
 }
 
 func (gateway *Gateway) answerState(answer http.ResponseWriter, request *http.Request, id string) {
+	began := gateway.options.Clock.Now()
 	reply, err := gateway.directory.jobState(request.Context(), id)
+	gateway.meters.answered(request.Context(), request.Method, stateOutcome(reply, err), gateway.options.Clock.Since(began))
 	gateway.options.Events.Log(request.Context(), event.JobAsked, slog.String("job", id), slog.String("state", reply.GetState().String()),
 		slog.Bool("known", reply.GetKnown()), slog.Any("error", err))
 	switch {
@@ -193,6 +201,16 @@
 	}
 }
 
+func stateOutcome(reply *wire.JobStateReply, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case !reply.GetKnown():
+		return "unknown"
+	}
+	return "told"
+}
+
 func (gateway *Gateway) answerPending(answer http.ResponseWriter, request *http.Request, queue *platform.Queue) {
 	count, err := gateway.directory.pending(request.Context(), queue.Name())
 	if err != nil {
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -399,6 +399,7 @@
 	made := entry.task.Job()
 	owner.options.Events.Log(owner.ctx, event.RunLost, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())))
+	owner.meters.lost.Add(owner.ctx, 1, by("reason", reason))
 	made.Release(entry.task, now)
 	owner.changed(entry.held, made)
 	entry.held.settleLive(made)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"storj.io/drpc"
 
 	"ambertiller.example/ambertiller/event"
@@ -76,6 +77,8 @@
 	Dial   func(ctx context.Context, address string) (drpc.Conn, error)
 	Clock  clockwork.Clock
 	Events *event.Logger
+	// Meters makes the instruments; nil for none.
+	Meters metric.MeterProvider
 }
 
 // Owner schedules the jobs of its shards.
@@ -101,6 +104,8 @@
 	agents     map[string]*agentView
 	placeDue   bool
 	advised    adviceQueue
+	meters     meters
+	gaugedAt   time.Time
 }
 
 // New returns an owner that owns nothing until Run.
@@ -115,6 +120,7 @@
 		shards:      map[int]*shard{},
 		fenced:      map[int]int64{},
 		agents:      map[string]*agentView{},
+		meters:      newMeters(options.Meters),
 		advised:     adviceQueue{steps: map[string]*stepAdvice{}},
 	}
 	made.renew.Store(true)
@@ -151,6 +157,7 @@
 	for _, view := range owner.agents {
 		owner.tell(view, now)
 	}
+	owner.gauge(now)
 }
 
 // jobOf returns the job if its shard is owned and loaded.
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -65,7 +65,9 @@
 			slog.String("worker", entry.place.Worker))
 	}
 	entry.confirmed = true
-	if entry.task.Job().Begin(owner.options.Clock.Now()) {
+	now := owner.options.Clock.Now()
+	if entry.task.Job().Begin(now) {
+		owner.meters.waited.Record(owner.ctx, now.Sub(time.UnixMilli(entry.task.Job().Submission().GetSubmittedMs())).Seconds())
 		owner.changed(entry.held, entry.task.Job())
 	}
 }
@@ -86,6 +88,7 @@
 	}
 	owner.options.Events.Log(owner.ctx, event.RunNotStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
+	owner.meters.refused.Add(owner.ctx, 1, by("outcome", result.GetOutcome().String()))
 	made := entry.task.Job()
 	if result.GetOutcome() == wire.StartOutcome_START_TICKET {
 		owner.dropAdvice(entry.task)
@@ -145,6 +148,7 @@
 	}
 	owner.options.Events.Log(owner.ctx, event.RunEnded, slog.String("task", end.GetTask()), slog.Int("attempt", int(end.GetAttempt())),
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())))
+	owner.meters.ended.Add(owner.ctx, 1, by("reason", end.GetReason().String()))
 	view.noteOutcome(end.GetReason(), now)
 	owner.changed(held, made)
 	if made.Ended() && !ended {
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -273,6 +273,7 @@
 func (owner *Owner) logEnded(held *shard, made *job.Job) {
 	held.after = append(held.after, func(now time.Time) {
 		held.durable[made.ID()] = true
+		owner.meters.jobEnded(owner.ctx, made)
 		owner.options.Events.Log(owner.ctx, event.JobEnded, slog.String("job", made.ID()), slog.String("state", made.State().String()),
 			slog.Duration("took", made.EndedAt().Sub(time.UnixMilli(made.Submission().GetSubmittedMs()))),
 			slog.Duration("past_objective", made.EndedAt().Sub(made.Objective())))
@@ -334,11 +335,13 @@
 		Topic: job.TopicRuns, Part: held.number, Records: records,
 		Producer: producer, Epoch: held.epoch, Sequence: held.sequence,
 	}
+	began := owner.options.Clock.Now()
 	for tries := 1; held.ctx.Err() == nil; tries++ {
 		ctx, cancel := context.WithTimeout(held.ctx, storeTimeout)
 		_, err := owner.options.Store.Append(ctx, add)
 		cancel()
 		if err == nil {
+			owner.meters.appends.Record(owner.ctx, owner.options.Clock.Since(began).Seconds())
 			return true
 		}
 		var refused *platform.RefusedError
