--- a/standin/wirestore/wirestore.go
+++ b/standin/wirestore/wirestore.go
@@ -80,13 +80,15 @@
 	group map[string]*group
 	fault func(call string) Fault
 	calls map[string]int
+	// topicFaults decide what befalls appends, by topic.
+	topicFaults map[string]func() Fault
 }
 
 // New returns an empty store whose topics have so many partitions.
 func New(parts int, now func() time.Time) *Store {
 	return &Store{
 		parts: parts, now: now, kept: map[topicPart]*partition{}, grown: make(chan struct{}),
-		group: map[string]*group{}, calls: map[string]int{},
+		group: map[string]*group{}, calls: map[string]int{}, topicFaults: map[string]func() Fault{},
 	}
 }
 
@@ -97,6 +99,13 @@
 	store.fault = fault
 }
 
+// FailTopic has fault decide what befalls each append to a topic from here on.
+func (store *Store) FailTopic(topic string, fault func() Fault) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.topicFaults[topic] = fault
+}
+
 // Calls returns how often a call was made.
 func (store *Store) Calls(call string) int {
 	store.mu.Lock()
@@ -154,7 +163,7 @@
 
 // ServeHTTP implements http.Handler.
 func (store *Store) ServeHTTP(answer http.ResponseWriter, request *http.Request) {
-	fault := store.noteCall(request.URL.Path)
+	fault := store.noteCall(request.URL.Path, request.URL.Query().Get("topic"))
 	switch fault {
 	case FaultBusy:
 		answer.WriteHeader(http.StatusServiceUnavailable)
@@ -172,10 +181,13 @@
 	store.route(answer, request)
 }
 
-func (store *Store) noteCall(call string) Fault {
+func (store *Store) noteCall(call, topic string) Fault {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	store.calls[call]++
+	if fault, found := store.topicFaults[topic]; found && call == "/v1/log-append" {
+		return fault()
+	}
 	if store.fault == nil {
 		return FaultNone
 	}
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -174,7 +174,9 @@
 	worker.late = nil
 }
 
-func (worker *Worker) clock() int64 { return worker.clocks.Now().Sub(worker.began).Milliseconds() + 1000 }
+func (worker *Worker) clock() int64 {
+	return worker.clocks.Now().Sub(worker.began).Milliseconds() + 1000
+}
 
 func (worker *Worker) lapse() {
 	if worker.clock() < worker.deadline {
