What waits is placed without another event; the trace command

The owner looked for places only after events, and the look just before the end of the task's pause found it not ready. Ruled out: doubt about workers (its end is checked in the same look). Change: places are looked for at least every 100 ms; Job.NextDue and its check in the test of rounds go with it, as nothing asks for it any more. Seen failing first (TestTaskThatWaitsIsPlacedWithoutAnotherEvent). ambertiller trace ID puts the log lines of several processes about one job in order.

--- /dev/null
+++ b/command/trace.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"ambertiller.example/ambertiller/trace"
+)
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "show the life of one job, or request, from the logs of several processes",
+		ArgsUsage: "ID [LOG...]",
+		Description: "Reads the named log files, or standard input, and prints what they say about the ID in order of time, " +
+			"with silences of a second or more. docs/OPERATIONS.md shows how to read it.",
+		Action: func(_ context.Context, from *cli.Command) error {
+			if from.Args().Len() == 0 {
+				return usage("trace needs the ID of a job or request; see `ambertiller help trace`")
+			}
+			return printTrace(from.Root().Writer, from.Root().Reader, from.Args().First(), from.Args().Tail())
+		},
+	}
+}
+
+func printTrace(out io.Writer, input io.Reader, id string, paths []string) error {
+	logs := []io.Reader{input}
+	if len(paths) > 0 {
+		logs = nil
+	}
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return errors.Wrap(err, "open the log")
+		}
+		defer file.Close() //nolint:errcheck // it was only read.
+		logs = append(logs, file)
+	}
+	life, err := trace.Read(id, logs...)
+	if err != nil {
+		return err
+	}
+	if life.Empty() {
+		return &exitError{code: ExitNotFound, cause: errors.Errorf("the logs say nothing about %s; are those of all gateways and agents there?", id)}
+	}
+	for _, line := range life.Lines() {
+		if _, err := fmt.Fprintln(out, line); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return nil
+}
--- a/job/job.go
+++ b/job/job.go
@@ -210,27 +210,6 @@
 	return time.UnixMilli(made.submission.GetFirstDueMs() + int64(round)*made.submission.GetIntervalMs())
 }
 
-// NextDue returns the earliest time after now at which a task may become ready
-// without another event, and false if there is none.
-func (made *Job) NextDue(now time.Time) (time.Time, bool) {
-	var next time.Time
-	consider := func(at time.Time) {
-		if at.After(now) && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
-	}
-	if made.Ended() {
-		return next, false
-	}
-	for _, task := range made.tasks {
-		if task.state == TaskState_TASK_WAITING {
-			consider(task.retryAt)
-			consider(made.due(task.round))
-		}
-	}
-	return next, !next.IsZero()
-}
-
 // Start notes that a task is started at a place, under the next attempt. The
 // members of a gang are started one after another under the attempt of the first.
 func (made *Job) Start(task *Task, place Place, now time.Time) {
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -198,9 +198,6 @@
 	if got := of.Ready(now); len(got) != 0 {
 		t.Fatalf("ready before its time: %v", names(got))
 	}
-	if next, waits := of.NextDue(now); !waits || !next.Equal(now.Add(time.Second)) {
-		t.Errorf("next due %v %v", next, waits)
-	}
 	if got := of.Ready(now.Add(time.Second)); len(got) != 2 || got[0].Round() != 0 {
 		t.Errorf("ready at the first time: %v", names(got))
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -103,6 +103,7 @@
 	fenced     map[int]int64
 	agents     map[string]*agentView
 	placeDue   bool
+	placedAt   time.Time
 	advised    adviceQueue
 	meters     meters
 	gaugedAt   time.Time
@@ -147,8 +148,10 @@
 	for _, view := range owner.agents {
 		owner.giveUpSilent(view, now)
 	}
-	if owner.placeDue {
+	if owner.placeDue || now.Sub(owner.placedAt) >= stepEvery {
+		// Also without an event: pauses end, and doubts about workers do.
 		owner.placeDue = false
+		owner.placedAt = now
 		owner.place(now)
 	}
 	for _, held := range owner.shards {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -341,6 +341,33 @@
 	}
 }
 
+// TestTaskThatWaitsIsPlacedWithoutAnotherEvent: the case that forced it is a lasting
+// task that failed when nothing else went on; it was looked at just before its
+// pause was over, and not again.
+func TestTaskThatWaitsIsPlacedWithoutAnotherEvent(t *testing.T) {
+	made := newBench(t)
+	handed := submission()
+	handed.Steps[0].Lasting = true
+	made.read(record(t, job.SubmissionKey(jobID), handed))
+	of := made.held.jobs[jobID]
+	made.attach()
+	made.step()
+	made.settle()
+	made.step()
+	made.sent()
+	made.hear(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: life, Number: 1, Task: taskOne, Attempt: 1, Reason: wire.EndReason_END_FAILED}}})
+	for range 8 {
+		made.step()
+		made.settle()
+		made.clock.Advance(95 * time.Millisecond)
+		made.owner.joinedAt = made.clock.Now()
+		made.view.heardAt = made.clock.Now()
+	}
+	if got := of.Tasks()[0].Attempt(); got != 2 {
+		t.Errorf("after 0.8 s it is at attempt %d", got)
+	}
+}
+
 func TestNoGrantOnceOwnershipMayBeGone(t *testing.T) {
 	made := newBench(t)
 	made.attach()
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -421,16 +421,10 @@
 	}
 }
 
-// tend does what is due for a shard: stops what ended jobs still run, and
-// forgets jobs that ended long ago.
+// tend does what is due for a shard.
 func (owner *Owner) tend(held *shard, now time.Time) {
 	if !held.active {
 		return
 	}
 	owner.forgetOld(held, now)
-	for _, made := range held.live {
-		if next, waits := made.NextDue(now); waits && next.Sub(now) <= stepEvery {
-			owner.placeDue = true
-		}
-	}
 }
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,131 @@
+// Package trace puts the lines that several processes logged about one job or
+// request in order, so that an on-call engineer sees its life on one page.
+//
+// # Usage
+//
+//	life, err := trace.Read("0123456789abcdef", files...)
+//	for _, line := range life.Lines() { fmt.Println(line) }
+//
+// A line belongs to a job when it names the job or one of its tasks. Text before
+// the JSON object on a line is passed over, and so are lines that hold none.
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	lineBytesMost = 1 << 20
+	// gapLeast is from which time on a silence is named.
+	gapLeast = time.Second
+)
+
+// event is one line of a log.
+type event struct {
+	at    time.Time
+	node  string
+	title string
+	rest  []string
+}
+
+// Life is what happened to one job, in order.
+type Life struct {
+	id     string
+	events []event
+}
+
+// Read finds the lines about an ID in logs.
+func Read(id string, logs ...io.Reader) (Life, error) {
+	life := Life{id: id}
+	for _, log := range logs {
+		if err := life.read(log); err != nil {
+			return Life{}, err
+		}
+	}
+	slices.SortStableFunc(life.events, func(a, b event) int { return a.at.Compare(b.at) })
+	return life, nil
+}
+
+func (life *Life) read(log io.Reader) error {
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, lineBytesMost)
+	for lines.Scan() {
+		begin := strings.IndexByte(lines.Text(), '{')
+		if begin < 0 || !strings.Contains(lines.Text(), life.id) {
+			continue
+		}
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(lines.Text()[begin:]), &fields); err != nil {
+			// A line that was cut off, or is not a log's.
+			continue
+		}
+		if life.concerns(fields) {
+			life.events = append(life.events, decode(fields))
+		}
+	}
+	return errors.Wrap(lines.Err(), "read the log")
+}
+
+func (life *Life) concerns(fields map[string]any) bool {
+	for _, key := range []string{"job", "request", "request_id"} {
+		if fields[key] == life.id {
+			return true
+		}
+	}
+	task, isText := fields["task"].(string)
+	return isText && (task == life.id || strings.HasPrefix(task, life.id+"."))
+}
+
+func decode(fields map[string]any) event {
+	found := event{title: fmt.Sprint(fields["msg"]), node: fmt.Sprint(fields["name"])}
+	if text, isText := fields["time"].(string); isText {
+		// A time that can't be read sorts first, where it is seen.
+		found.at, _ = time.Parse(time.RFC3339Nano, text)
+	}
+	for key, value := range fields {
+		if slices.Contains([]string{"time", "level", "msg", "role", "name", "event", "job"}, key) {
+			continue
+		}
+		found.rest = append(found.rest, key+"="+show(key, value))
+	}
+	slices.Sort(found.rest)
+	return found
+}
+
+// durations names the attributes that hold nanoseconds.
+var durations = []string{"took", "age", "after", "ran", "retry_after", "since", "past_objective", "held", "valid"}
+
+func show(key string, value any) string {
+	number, isNumber := value.(float64)
+	if isNumber && slices.Contains(durations, key) {
+		return time.Duration(number).Round(time.Millisecond).String()
+	}
+	return fmt.Sprint(value)
+}
+
+// Empty reports whether no line was found.
+func (life *Life) Empty() bool { return len(life.events) == 0 }
+
+// Lines returns a line for each event, with the time since the first one, and one
+// for each silence of a second or more.
+func (life *Life) Lines() []string {
+	var lines []string
+	for index, one := range life.events {
+		if index > 0 {
+			if gap := one.at.Sub(life.events[index-1].at); gap >= gapLeast {
+				lines = append(lines, fmt.Sprintf("%10s  nothing was logged for %s", "", gap.Round(time.Millisecond)))
+			}
+		}
+		since := one.at.Sub(life.events[0].at).Round(time.Millisecond)
+		lines = append(lines, strings.TrimRight(fmt.Sprintf("%10s  %-18s %-22s %s", since, one.node, one.title, strings.Join(one.rest, " ")), " "))
+	}
+	return lines
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,58 @@
+package trace_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"ambertiller.example/ambertiller/trace"
+)
+
+// TestLives: the logs of several processes in a folder give the page beside it.
+func TestLives(t *testing.T) {
+	folders, err := filepath.Glob("testdata/*/")
+	if err != nil || len(folders) == 0 {
+		t.Fatal(folders, err)
+	}
+	for _, folder := range folders {
+		name := filepath.Base(folder)
+		t.Run(name, func(t *testing.T) {
+			life := read(t, folder)
+			goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, name, []byte(strings.Join(life.Lines(), "\n")+"\n"))
+		})
+	}
+}
+
+func read(t *testing.T, folder string) trace.Life {
+	id, err := os.ReadFile(filepath.Join(folder, "id"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text []string
+	for _, log := range logs {
+		content, err := os.ReadFile(log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(text, string(content))
+	}
+	life, err := trace.Read(strings.TrimSpace(string(id)), strings.NewReader(strings.Join(text, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return life
+}
+
+func TestNothingFound(t *testing.T) {
+	life, err := trace.Read("0123456789abcdef", strings.NewReader("{\"msg\":\"run placed\",\"task\":\"ffffffffffffffff.0.0.0\"}\nnot a log\n{cut off 0123456789abcdef"))
+	if err != nil || !life.Empty() {
+		t.Errorf("got %v, %v", life.Lines(), err)
+	}
+}
