--- a/agent/pace.go
+++ b/agent/pace.go
@@ -94,7 +94,7 @@
 func (agent *Agent) evictWorst(state *workerState, servings []interference.Serving, fills []interference.Fill, now time.Time) {
 	movable := slices.DeleteFunc(slices.Clone(fills), func(fill interference.Fill) bool {
 		run := state.runs[fill.Task]
-		return !run.demand.GetSaves() || run.phase != phaseRunning || now.Sub(run.confirmedAt) < evictAfter
+		return !run.demand.GetMovable() || run.phase != phaseRunning || now.Sub(run.confirmedAt) < evictAfter
 	})
 	worst, found := agent.paced.model.Worst(servings, movable)
 	if !found || now.Sub(agent.paced.evictedAt) < evictEvery {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -90,6 +90,7 @@
 	RecordUnreadable
 	ConfigurationInForce
 	ConfigurationRefused
+	StoreSlow
 )
 
 // Jobs: handed in, decided on, ended.
@@ -220,6 +221,8 @@
 	{ConfigurationInForce, slog.LevelInfo, "configuration in force", "This process decides by this version of the configuration from here on.", platformRelease},
 	{ConfigurationRefused, slog.LevelError, "configuration refused", "A version of the configuration can't be decoded. The version before it stays in force.", platformRelease},
 
+	{StoreSlow, slog.LevelWarn, "store slow", "An append took much longer than the store usually does. The attribute took says how long; all that waits for the store waits as long.", platformRelease},
+
 	{JobAccepted, slog.LevelInfo, "job accepted", "A job is in the store and its client was told so.", platformRelease},
 	{JobRefused, slog.LevelInfo, "job refused", "A job was not taken and will never run from this request. The attributes give the reason and when to come back.", platformRelease},
 	{JobUnsettled, slog.LevelWarn, "job unsettled", "The store did not say in time whether it took the job. The client was told neither yes nor no and hands the job in again.", platformRelease},
--- a/job/job.go
+++ b/job/job.go
@@ -308,6 +308,7 @@
 		if !present {
 			return false
 		}
+		task.interrupted++
 		made.Release(task, now)
 		return true
 	}
--- a/job/task.go
+++ b/job/task.go
@@ -29,8 +29,10 @@
 	failed     []int32 // the attempts that ended failed, each once
 	place      Place
 	checkpoint string
-	startedAt  time.Time
-	retryAt    time.Time
+	// interrupted counts runs that were stopped or lost under this owner.
+	interrupted int
+	startedAt   time.Time
+	retryAt     time.Time
 }
 
 // Job returns the job that the task belongs to.
@@ -51,6 +53,10 @@
 // Checkpoint returns the newest saved progress, empty for none.
 func (task *Task) Checkpoint() string { return task.checkpoint }
 
+// Interrupted counts the task's runs that were stopped or lost while its shard was
+// with its present owner.
+func (task *Task) Interrupted() int { return task.interrupted }
+
 // StartedAt returns when the present run was decided on.
 func (task *Task) StartedAt() time.Time { return task.startedAt }
 
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -427,17 +427,22 @@
 }
 
 func newEntry(held *shard, task *job.Task) *runEntry {
-	spec := task.Spec()
 	return &runEntry{
 		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
-		demand: demandOf(spec),
+		demand: demandOf(task),
 	}
 }
 
-func demandOf(spec *job.StepSpec) *wire.Demand {
+// movedMost is how often a task is moved for the sake of serving ones before it
+// is left where it is, and only slowed: each move costs what it has not saved.
+const movedMost = 8
+
+func demandOf(task *job.Task) *wire.Demand {
+	spec := task.Spec()
 	return &wire.Demand{
 		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
-		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(), Saves: spec.GetCheckpointing(),
+		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
+		Movable: spec.GetCheckpointing() && task.Interrupted() < movedMost,
 	}
 }
 
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -58,7 +58,7 @@
 			return nil
 		}
 		held[best]++
-		best.take(demandOf(member.Spec()))
+		best.take(demandOf(member))
 		chosen = append(chosen, trial[best])
 	}
 	return chosen
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -345,7 +345,7 @@
 		_, err := owner.options.Store.Append(ctx, add)
 		cancel()
 		if err == nil {
-			owner.meters.appends.Record(owner.ctx, owner.options.Clock.Since(began).Seconds())
+			owner.noteAppended(held, add, owner.options.Clock.Since(began))
 			return true
 		}
 		var refused *platform.RefusedError
@@ -362,6 +362,17 @@
 	return false
 }
 
+// slowAppend is what an append takes at least to be logged: the store's usual
+// answer comes within 10 ms.
+const slowAppend = 200 * time.Millisecond
+
+func (owner *Owner) noteAppended(held *shard, add platform.Append, took time.Duration) {
+	owner.meters.appends.Record(owner.ctx, took.Seconds())
+	if took >= slowAppend {
+		owner.options.Events.Log(owner.ctx, event.StoreSlow, slog.Int("shard", held.number), slog.Int64("sequence", add.Sequence), slog.Duration("took", took))
+	}
+}
+
 // noteFenced gives up a shard that another owner has written to.
 func (owner *Owner) noteFenced(held *shard, refused *platform.RefusedError, now time.Time) {
 	if owner.shards[held.number] != held {
