Lasting jobs go first, and tasks of one image find the same empty worker

Their jobs' objectives lie in the past, so they went after everything that could still be on time; and three owners that had not heard of each other yet filled different empty workers with the same image. Change: within a priority lasting jobs go first, and have all the patience there is; empty workers are ranked for an image by a hash that all owners compute alike.

--- a/job/job.go
+++ b/job/job.go
@@ -83,6 +83,10 @@
 // Slack returns the share of its spare time that the job has left: 1 when it has
 // just been handed in, 0 once even undisturbed work would end after its objective.
 func (made *Job) Slack(now time.Time) float64 {
+	if made.Lasting() {
+		// It is worth something as long as it runs.
+		return 1
+	}
 	left := made.objective.Sub(now) - time.Duration(made.chainLeft())*time.Millisecond
 	spare := made.allowed() - time.Duration(made.Chain())*time.Millisecond
 	if spare <= 0 || left <= 0 {
@@ -138,6 +142,11 @@
 // Scheduled reports whether the job runs at times of its own.
 func (made *Job) Scheduled() bool { return made.submission.GetRounds() > 0 }
 
+// Lasting reports whether the job has tasks that run until it is cancelled.
+func (made *Job) Lasting() bool {
+	return slices.ContainsFunc(made.submission.GetSteps(), (*StepSpec).GetLasting)
+}
+
 // Ended reports whether nothing of the job will start again.
 func (made *Job) Ended() bool {
 	return made.state == State_STATE_COMPLETED || made.state == State_STATE_FAILED || made.state == State_STATE_CANCELLED
--- a/owner/place.go
+++ b/owner/place.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -52,8 +54,8 @@
 	return tolerableShare * min(slack/patientSlack, 1)
 }
 
-// urgent returns the jobs with tasks to start: by priority, then those that can
-// still meet their objective, then by objective.
+// urgent returns the jobs with tasks to start: by priority, then those that last,
+// then those that can still meet their objective, then by objective.
 func (owner *Owner) urgent(now time.Time) []*job.Job {
 	var waiting []*job.Job
 	for _, held := range owner.shards {
@@ -74,6 +76,12 @@
 		if byPriority := int(a.Submission().GetPriority()) - int(b.Submission().GetPriority()); byPriority != 0 {
 			return byPriority
 		}
+		if a.Lasting() != b.Lasting() {
+			if a.Lasting() {
+				return -1
+			}
+			return 1
+		}
 		if late[a] != late[b] {
 			if late[a] {
 				return 1
@@ -197,12 +205,21 @@
 	if a.strangers(image) != b.strangers(image) {
 		return a.strangers(image) < b.strangers(image)
 	}
+	if len(a.serving) == 0 && len(b.serving) == 0 {
+		// Owners that place tasks of one image at the same moment choose the
+		// same empty worker without having spoken.
+		return a.rankFor(image) > b.rankFor(image)
+	}
 	if a.milliCPU != b.milliCPU {
 		return a.milliCPU < b.milliCPU
 	}
 	return a.view.address < b.view.address
 }
 
+func (worker *candidate) rankFor(image string) uint64 {
+	return xxhash.Sum64String(image + " " + worker.view.address)
+}
+
 // serves reports whether the worker has a serving task of the image.
 func (worker *candidate) serves(image string) bool { return slices.Contains(worker.serving, image) }
 
