--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/wire"
@@ -50,7 +51,7 @@
 	leaseLength = 4 * time.Second
 	// clockSlack is what two clocks differ by at most over a lease: the
 	// worker's may run 2% slow, and so may ours.
-	clockSlack = 0.04
+	clockSlack = 2 * lease.ClockRateBound
 	// callTimeout bounds an order to the worker, which is on the same machine
 	// and answers within milliseconds.
 	callTimeout = 800 * time.Millisecond
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/metric/noop"
+
+	"ambertiller.example/ambertiller/telemetry"
 )
 
 // meters are the agent's instruments.
@@ -22,10 +22,7 @@
 // newMeters makes the instruments. Their names are constants that the library
 // accepts, so its errors can't occur.
 func newMeters(provider metric.MeterProvider) meters {
-	if provider == nil {
-		provider = noop.NewMeterProvider()
-	}
-	meter := provider.Meter("ambertiller/agent")
+	meter := telemetry.Meter(provider, "agent")
 	var made meters
 	made.orders, _ = meter.Int64Counter("ambertiller.order.judged", metric.WithDescription("Starts that owners ordered, by outcome."))
 	made.ended, _ = meter.Int64Counter("ambertiller.worker.ends", metric.WithDescription("Ends that the worker listed, by how."))
@@ -37,10 +34,6 @@
 	return made
 }
 
-func by(key, value string) metric.MeasurementOption {
-	return metric.WithAttributes(attribute.String(key, value))
-}
-
 // gaugeEvery is how often the gauges are set: metrics are read every few seconds.
 const gaugeEvery = time.Second
 
--- a/agent/order.go
+++ b/agent/order.go
@@ -9,6 +9,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -28,7 +29,7 @@
 	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent}
 	state := agent.worker
 	outcome := agent.judge(order, now)
-	agent.meters.orders.Add(agent.ctx, 1, by("outcome", outcome.String()))
+	agent.meters.orders.Add(agent.ctx, 1, telemetry.By("outcome", outcome.String()))
 	if outcome != wire.StartOutcome_START_STARTED {
 		agent.options.Events.Log(agent.ctx, event.OrderRefused, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.String("outcome", outcome.String()))
 		owner.results = append(owner.results, &wire.StartResult{Task: run.task, Attempt: run.attempt, Worker: order.GetWorker(), Outcome: outcome})
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -9,6 +9,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -270,7 +271,7 @@
 	}
 	agent.options.Events.Log(agent.ctx, event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
 		slog.String("how", string(end.How)), slog.Int64("number", end.Number))
-	agent.meters.ended.Add(agent.ctx, 1, by("how", string(end.How)))
+	agent.meters.ended.Add(agent.ctx, 1, telemetry.By("how", string(end.How)))
 	agent.sendEnd(told)
 	agent.statusChanged()
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,7 +6,8 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/metric/noop"
+
+	"ambertiller.example/ambertiller/telemetry"
 )
 
 // meters are the gateway's instruments.
@@ -19,10 +20,7 @@
 // newMeters makes the instruments. Their names are constants that the library
 // accepts, so its errors can't occur.
 func newMeters(provider metric.MeterProvider) meters {
-	if provider == nil {
-		provider = noop.NewMeterProvider()
-	}
-	meter := provider.Meter("ambertiller/gateway")
+	meter := telemetry.Meter(provider, "gateway")
 	var made meters
 	made.answers, _ = meter.Int64Counter("ambertiller.request.answered", metric.WithDescription("Clients' requests, by kind and outcome."))
 	made.duration, _ = meter.Float64Histogram("ambertiller.request.duration", metric.WithUnit("s"), metric.WithDescription("Time to the answer, by kind."))
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -11,6 +11,7 @@
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -399,7 +400,7 @@
 	made := entry.task.Job()
 	owner.options.Events.Log(owner.ctx, event.RunLost, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())))
-	owner.meters.lost.Add(owner.ctx, 1, by("reason", reason))
+	owner.meters.lost.Add(owner.ctx, 1, telemetry.By("reason", reason))
 	made.Release(entry.task, now)
 	owner.changed(entry.held, made)
 	entry.held.settleLive(made)
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/metric/noop"
 
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/telemetry"
 )
 
 // meters are the owner's instruments.
@@ -28,10 +27,7 @@
 // newMeters makes the instruments. Their names are constants that the library
 // accepts, so its errors can't occur.
 func newMeters(provider metric.MeterProvider) meters {
-	if provider == nil {
-		provider = noop.NewMeterProvider()
-	}
-	meter := provider.Meter("ambertiller/owner")
+	meter := telemetry.Meter(provider, "owner")
 	var made meters
 	made.ended, _ = meter.Int64Counter("ambertiller.run.ended", metric.WithDescription("Runs that ended, by reason."))
 	made.refused, _ = meter.Int64Counter("ambertiller.run.not_started", metric.WithDescription("Starts that were refused, by outcome."))
@@ -46,13 +42,9 @@
 	return made
 }
 
-func by(key, value string) metric.MeasurementOption {
-	return metric.WithAttributes(attribute.String(key, value))
-}
-
 func (made *meters) jobEnded(ctx context.Context, of *job.Job) {
-	made.jobs.Add(ctx, 1, by("state", of.State().String()))
-	made.ran.Record(ctx, of.EndedAt().Sub(time.UnixMilli(of.Submission().GetSubmittedMs())).Seconds(), by("queue", of.Submission().GetQueue()))
+	made.jobs.Add(ctx, 1, telemetry.By("state", of.State().String()))
+	made.ran.Record(ctx, of.EndedAt().Sub(time.UnixMilli(of.Submission().GetSubmittedMs())).Seconds(), telemetry.By("queue", of.Submission().GetQueue()))
 }
 
 // gaugeEvery is how often the gauges are set: metrics are read every few seconds.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -36,6 +36,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/platform"
 )
@@ -43,7 +44,7 @@
 const (
 	stepEvery = 100 * time.Millisecond
 	// clockSlack is what two clocks differ by at most over a grant.
-	clockSlack = 0.04
+	clockSlack = 2 * lease.ClockRateBound
 	// grantMargin is added to the end of a grant before runs are taken for
 	// over: a stop takes up to half a second.
 	grantMargin = 600 * time.Millisecond
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -6,6 +6,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -88,7 +89,7 @@
 	}
 	owner.options.Events.Log(owner.ctx, event.RunNotStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
 		slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
-	owner.meters.refused.Add(owner.ctx, 1, by("outcome", result.GetOutcome().String()))
+	owner.meters.refused.Add(owner.ctx, 1, telemetry.By("outcome", result.GetOutcome().String()))
 	made := entry.task.Job()
 	if result.GetOutcome() == wire.StartOutcome_START_TICKET {
 		owner.dropAdvice(entry.task)
@@ -148,7 +149,7 @@
 	}
 	owner.options.Events.Log(owner.ctx, event.RunEnded, slog.String("task", end.GetTask()), slog.Int("attempt", int(end.GetAttempt())),
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())))
-	owner.meters.ended.Add(owner.ctx, 1, by("reason", end.GetReason().String()))
+	owner.meters.ended.Add(owner.ctx, 1, telemetry.By("reason", end.GetReason().String()))
 	view.noteOutcome(end.GetReason(), now)
 	owner.changed(held, made)
 	if made.Ended() && !ended {
