The owner of a shard is told of what the store has taken

Change: after the append the gateway tells the owner, which takes the record up as if read; one that is not told reads it. Test: one job, however it comes.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -201,6 +201,21 @@
 	return directory.peer(member).Pending(ctx, request)
 }
 
+// taken tells the owner of a shard what the store has taken. It is an economy of
+// time only: an owner that is not told reads it.
+func (directory *directory) taken(request *wire.TakenRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	directory.refresh(ctx, ownersFresh)
+	member := directory.ownerOf(int(request.GetShard()))
+	if member == directory.options.Self || member == "" {
+		// Only a shard that is not owned here is passed over in silence.
+		_, _ = directory.options.Owner.Taken(ctx, request)
+		return
+	}
+	_, _ = directory.peer(member).Taken(ctx, request)
+}
+
 // relay has a peer append a record that the store does not take from here.
 func (directory *directory) relay(ctx context.Context, request *wire.RelayRequest) outcome {
 	result := outcome{kind: refused, reason: "the store refuses, and no peer answers"}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -368,6 +368,33 @@
 	}
 }
 
+// TestTakenIsTakenUpOnce: what a gateway tells and what the store's read brings is
+// one job, and a cancellation that is told stops it.
+func TestTakenIsTakenUpOnce(t *testing.T) {
+	made := newBench(t)
+	tell := func(handed platform.Record) {
+		request := &wire.TakenRequest{Shard: int32(made.held.number), Key: handed.Key, Value: handed.Value}
+		if _, err := made.owner.Taken(context.Background(), request); err != nil {
+			t.Fatal(err)
+		}
+		made.owner.decisions.RunOne(made.clock.Now())
+	}
+	handed := record(t, job.SubmissionKey(jobID), submission())
+	tell(handed)
+	first := made.held.jobs[jobID]
+	if first == nil {
+		t.Fatal("not taken up")
+	}
+	made.read(handed)
+	if made.held.jobs[jobID] != first {
+		t.Error("taken up twice")
+	}
+	tell(record(t, job.CancellationKey(jobID), &job.Cancellation{Id: jobID}))
+	if first.State() != job.State_STATE_CANCELLED {
+		t.Errorf("state %v", first.State())
+	}
+}
+
 func TestNoGrantOnceOwnershipMayBeGone(t *testing.T) {
 	made := newBench(t)
 	made.attach()
--- a/owner/peer.go
+++ b/owner/peer.go
@@ -95,6 +95,20 @@
 	return reply, nil
 }
 
+// Taken implements wire.DRPCPeerServer: it takes up a record that is in the store
+// already. An owner that does not own the shard, or has not read it yet, passes it
+// over and reads it there.
+func (owner *Owner) Taken(_ context.Context, request *wire.TakenRequest) (*wire.TakenReply, error) {
+	record := platform.Record{Key: request.GetKey(), Value: request.GetValue()}
+	owner.decisions.Post(func(now time.Time) {
+		held, owned := owner.shards[int(request.GetShard())]
+		if owned && held.active {
+			owner.noteTail(held, platform.Tail{Records: []platform.Record{record}}, now)
+		}
+	})
+	return &wire.TakenReply{}, nil
+}
+
 // Relay implements wire.DRPCPeerServer: it appends a record for an entry that the
 // store turns away.
 func (owner *Owner) Relay(ctx context.Context, request *wire.RelayRequest) (*wire.RelayReply, error) {
