A job has nothing running for 1.5 s at most while there is room

Late jobs have all patience, and nothing bounded it. Change: a job with nothing running for 1.5 s takes any place that has room. Seen failing first (TestFillDoesNotWaitForEver).

--- a/job/job.go
+++ b/job/job.go
@@ -36,6 +36,8 @@
 	endedAt   time.Time
 	submitted time.Time
 	objective time.Time
+	// idleSince is when nothing of the job was first seen running.
+	idleSince time.Time
 }
 
 // New returns a job none of whose tasks has started.
@@ -80,6 +82,19 @@
 	return longest
 }
 
+// IdleFor returns for how long nothing of the job has been running, as far as it
+// was asked.
+func (made *Job) IdleFor(now time.Time) time.Duration {
+	if len(made.Running()) > 0 {
+		made.idleSince = time.Time{}
+		return 0
+	}
+	if made.idleSince.IsZero() {
+		made.idleSince = now
+	}
+	return now.Sub(made.idleSince)
+}
+
 // Slack returns the share of its spare time that the job has left: 1 when it has
 // just been handed in, 0 once even undisturbed work would end after its objective.
 func (made *Job) Slack(now time.Time) float64 {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -395,6 +395,36 @@
 	}
 }
 
+// TestFillDoesNotWaitForEver: the case that forced it is a late job whose only task
+// found no worker that bore it, and stood still although the workers were free.
+func TestFillDoesNotWaitForEver(t *testing.T) {
+	made := newBench(t)
+	handed := submission()
+	handed.Steps[0].Fills, handed.Steps[0].Image = true, "loud"
+	made.read(record(t, job.SubmissionKey(jobID), handed))
+	made.attach()
+	status := &wire.WorkerStatus{
+		Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 4000,
+		Tolerances: []*wire.Tolerance{{Image: "loud", MilliCpu: 0}},
+	}
+	hear := func() {
+		made.owner.joinedAt = made.clock.Now()
+		made.hear(&wire.AgentMessage{Status: status})
+		made.step()
+	}
+	hear()
+	if len(made.view.runs) != 0 {
+		t.Fatal("placed at once where it is not borne")
+	}
+	for range 4 {
+		made.clock.Advance(500 * time.Millisecond)
+		hear()
+	}
+	if len(made.view.runs) != 1 {
+		t.Error("still waits after 2 s")
+	}
+}
+
 func TestNoGrantOnceOwnershipMayBeGone(t *testing.T) {
 	made := newBench(t)
 	made.attach()
--- a/owner/place.go
+++ b/owner/place.go
@@ -24,6 +24,9 @@
 	// patientSlack is the share of its spare time that a job has left from
 	// which on the whole of tolerableShare is asked for.
 	patientSlack = 0.2
+	// idleMost is how long a job may have nothing running for want of a place
+	// that bears it; a job must not stand still for 3 s while there is room.
+	idleMost = 1500 * time.Millisecond
 	// servingUnused is the part of what serving tasks hold that they leave
 	// unused on average: their load is about two fifths of it. 0.5 was
 	// measured too, and left processors unused.
@@ -38,6 +41,9 @@
 	}
 	for _, made := range owner.urgent(now) {
 		patience := patienceOf(made.Slack(now))
+		if made.IdleFor(now) >= idleMost {
+			patience = 0
+		}
 		for _, worker := range workers {
 			worker.patience = patience
 		}
