--- /dev/null
+++ b/cmd/ambertiller/platform_test.go
@@ -0,0 +1,187 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wirestore"
+	"ambertiller.example/ambertiller/standin/wireworker"
+)
+
+const (
+	platformJob  = "0123456789abcdef"
+	platformTask = platformJob + ".0.0.0"
+	platformLife = "i-1"
+	published    = `{"version":7,"routes":[{"name":"r-1","host":"q.example","path_prefix":"/q/","service":"verbale","attempts":2,"extension":1.5}]}`
+	handedIn     = `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":900}]}`
+)
+
+// site is the platform's part of a deployment, and the processes that run on it.
+type site struct {
+	t      *testing.T
+	binary string
+	store  *wirestore.Store
+	worker *wireworker.Worker
+	at     string // the store's address
+	app    string // the worker's
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "ambertiller")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	made := &site{t: t, binary: binary, store: wirestore.New(8, time.Now), worker: wireworker.New(platformLife, clockwork.NewRealClock())}
+	made.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, []byte(published))
+	made.at = made.serve(made.store)
+	made.app = made.serve(made.worker)
+	return made
+}
+
+func (made *site) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	made.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// start runs a role on an address of the loopback network, and returns the process
+// and where it listens.
+func (made *site) start(role, ip string) *exec.Cmd {
+	made.t.Helper()
+	text := fmt.Sprintf(`
+node_name = "%s-%s"
+ip = "%s"
+zone = "milano-a"
+internal_ports = [7720, 7735]
+app = "%s"
+[listen_addrs]
+frontend = "%s"
+readiness = "%s"
+control = "%s"
+[bounds]
+max_hold_ms = 6000
+grace_s = 6
+status_s = 120
+harm_ms = 4000
+[platform]
+address = "%s"
+parts = 8
+ttl_min_ms = 1000
+`, role, ip, ip, made.app, front(ip), net.JoinHostPort(ip, "8167"), control(ip), made.at)
+	path := filepath.Join(made.t.TempDir(), "local.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		made.t.Fatal(err)
+	}
+	started := exec.Command(made.binary, role)
+	started.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	var log bytes.Buffer
+	started.Stdout, started.Stderr = &log, &log
+	if err := started.Start(); err != nil {
+		made.t.Fatal(err)
+	}
+	made.t.Cleanup(func() {
+		_ = started.Process.Kill()
+		_ = started.Wait()
+		if made.t.Failed() {
+			made.t.Logf("%s: %s", role, log.String())
+		}
+	})
+	return started
+}
+
+func front(ip string) string   { return net.JoinHostPort(ip, "8161") }
+func control(ip string) string { return net.JoinHostPort(ip, "8166") }
+
+// until repeats a step until it holds.
+func (made *site) until(what string, holds func() bool) {
+	made.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for !holds() {
+		if ctx.Err() != nil {
+			made.t.Fatalf("%s did not come about", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (made *site) ask(method, url, body string) (status int, text string) {
+	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	request.Host = "q.example"
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close() //nolint:errcheck // it has been read.
+	var read bytes.Buffer
+	if _, err := read.ReadFrom(answer.Body); err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, read.String()
+}
+
+func (made *site) beat(ip string) bool {
+	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"seq":1}`, made.app)
+	status, _ := made.ask(http.MethodPut, "http://"+control(ip)+"/v1/instances/"+platformLife, body)
+	return status == http.StatusOK
+}
+
+// TestPlatformPath hands a job in at a gateway that then is killed: another one
+// takes its shard over and shows the job as completed once its task has ended, and
+// both stop as told.
+func TestPlatformPath(t *testing.T) {
+	made := newSite(t)
+	network := fmt.Sprintf("127.%d", 200+os.Getpid()%50)
+	first, second, side := network+".0.1", network+".0.2", network+".0.3"
+	killed := made.start("gateway", first)
+	agent := made.start("agent", side)
+	made.until("the agent's answer to a heartbeat", func() bool { return made.beat(side) })
+	url := "http://" + front(first) + "/q/" + platformJob
+	made.until("the job's acceptance", func() bool {
+		status, _ := made.ask(http.MethodPost, url, handedIn)
+		return status == http.StatusOK
+	})
+	made.until("the task's start", func() bool { _, runs := made.worker.Running(platformTask); return runs })
+	stays := made.start("gateway", second)
+	if err := killed.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	made.worker.End(platformTask, "done")
+	url = "http://" + front(second) + "/q/" + platformJob
+	made.until("the job's completion", func() bool {
+		_, text := made.ask(http.MethodGet, url, "")
+		return strings.Contains(text, "completed")
+	})
+	if got := len(made.worker.Starts()); got != 1 {
+		t.Errorf("%d starts", got)
+	}
+	for _, process := range []*exec.Cmd{stays, agent} {
+		if err := process.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := process.Wait(); err != nil {
+			t.Errorf("%s ended with %v", process.Args[1], err)
+		}
+	}
+}
