The owner's files are split by concern

owner/agents.go held the connection, the account of an agent, reconciling and telling; owner/shard.go the records, writing and forgetting; the tests stood in one file. Each concern has a file now, with its tests beside it. Declarations are only moved, four constants got their line of comment, and no behaviour changes.

--- /dev/null
+++ b/owner/bench_test.go
@@ -0,0 +1,147 @@
+package owner
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wirestore"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	jobID   = "0123456789abcdef"
+	taskOne = jobID + ".0.0.0"
+	agentAt = "10.0.0.1:7001"
+	life    = "i-1"
+)
+
+// bench is an owner whose decisions the test makes itself: it has taken the
+// job's shard, and one agent is attached.
+type bench struct {
+	t      *testing.T
+	clock  *clockwork.FakeClock
+	store  *wirestore.Store
+	owner  *Owner
+	held   *shard
+	view   *agentView
+	agentN int64
+}
+
+func newOwner(t *testing.T, clock clockwork.Clock, store *wirestore.Store) *Owner {
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return New(Options{
+		Name: "edge-1", Address: "10.0.0.9:7000", Shards: 8, Grant: 6 * time.Second, Silent: 1500 * time.Millisecond,
+		Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.Transport()), Clock: clock, Events: event.Discard(),
+	})
+}
+
+func newBench(t *testing.T) *bench {
+	clock := clockwork.NewFakeClock()
+	store := wirestore.New(8, clock.Now)
+	made := &bench{t: t, clock: clock, store: store, owner: newOwner(t, clock, store)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	made.owner.ctx = ctx
+	made.owner.joinedAt = clock.Now()
+	number := job.ShardOf(jobID, 8)
+	shardCtx, cancelShard := context.WithCancel(ctx)
+	made.held = &shard{
+		number: number, epoch: 3, takenAt: clock.Now(), ctx: shardCtx, cancel: cancelShard, active: true,
+		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
+		durable: map[string]bool{}, cancelled: map[string]bool{},
+	}
+	made.owner.shards[number] = made.held
+	made.view = &agentView{
+		address: agentAt, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
+		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
+	}
+	made.owner.agents[agentAt] = made.view
+	return made
+}
+
+func submission() *job.Submission {
+	return &job.Submission{
+		Id: jobID, Queue: "r-1", Service: "verbale", Attempts: 2, Extension: 2,
+		Steps: []*job.StepSpec{{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000}},
+	}
+}
+
+func record(t *testing.T, key string, message proto.Message) platform.Record {
+	value, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Record{Key: key, Value: value}
+}
+
+func (made *bench) read(records ...platform.Record) {
+	made.owner.noteTail(made.held, platform.Tail{Records: records}, made.clock.Now())
+}
+
+func (made *bench) submit() *job.Job {
+	made.read(record(made.t, job.SubmissionKey(jobID), submission()))
+	return made.held.jobs[jobID]
+}
+
+func (made *bench) attach() {
+	made.owner.noteAttached(made.view, &link{outbox: make(chan *wire.OwnerMessage, 64), cancel: func() {}})
+	made.hear(&wire.AgentMessage{})
+}
+
+// hear has the agent say something, with a worker that has room.
+func (made *bench) hear(message *wire.AgentMessage) {
+	message.Agent = "agent"
+	if message.Status == nil {
+		message.Status = &wire.WorkerStatus{
+			Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 4000,
+		}
+	}
+	message.Handled = made.agentN
+	made.owner.noteAgent(made.view, made.view.link, message, made.clock.Now())
+}
+
+// sent returns what has gone out to the agent, which then has handled it.
+func (made *bench) sent() []*wire.OwnerMessage {
+	var messages []*wire.OwnerMessage
+	for {
+		select {
+		case message := <-made.view.link.outbox:
+			messages = append(messages, message)
+			made.agentN = message.GetSequence()
+		default:
+			return messages
+		}
+	}
+}
+
+func starts(messages []*wire.OwnerMessage) []*wire.StartOrder {
+	var orders []*wire.StartOrder
+	for _, message := range messages {
+		orders = append(orders, message.GetStarts()...)
+	}
+	return orders
+}
+
+// settle waits until what is on its way to the store has come back.
+func (made *bench) settle() {
+	for made.held.writing {
+		made.owner.decisions.RunOne(made.clock.Now())
+	}
+}
+
+func (made *bench) step() {
+	made.owner.step(made.clock.Now())
+}
--- /dev/null
+++ b/owner/connection.go
@@ -0,0 +1,111 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"storj.io/drpc"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// mailLength is how many messages may wait to be sent; an agent that lets
+	// more wait is connected to anew.
+	mailLength = 64
+	// dialTimeout bounds a try to connect: a machine that is off does not refuse.
+	dialTimeout = time.Second
+	// attachPause keeps tries to connect apart; it doubles with each up to
+	// attachSlower.
+	attachPause  = 200 * time.Millisecond
+	attachSlower = 2 * time.Second
+)
+
+// link is one connection to an agent.
+type link struct {
+	outbox chan *wire.OwnerMessage
+	cancel context.CancelFunc
+}
+
+// keepAttached connects to an agent, again and again.
+func (owner *Owner) keepAttached(view *agentView) {
+	pause := attachPause
+	for owner.ctx.Err() == nil {
+		if owner.attach(view) {
+			pause = attachPause
+		}
+		owner.sleep(owner.ctx, pause)
+		pause = min(pause*2, attachSlower)
+	}
+}
+
+// attach connects once and stays until the connection ends. It reports whether
+// the agent was reached.
+func (owner *Owner) attach(view *agentView) bool {
+	ctx, cancel := context.WithCancel(owner.ctx)
+	defer cancel()
+	dialled, done := context.WithTimeout(ctx, dialTimeout)
+	conn, err := owner.options.Dial(dialled, view.address)
+	done()
+	if err != nil {
+		return false
+	}
+	defer conn.Close() //nolint:errcheck // the connection has ended either way.
+	stream, err := wire.NewDRPCAgentClient(conn).Attach(ctx)
+	if err != nil {
+		return false
+	}
+	made := &link{outbox: make(chan *wire.OwnerMessage, mailLength), cancel: cancel}
+	go owner.send(ctx, made, stream, conn)
+	owner.decisions.Post(func(now time.Time) { owner.noteAttached(view, made) })
+	heard := false
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			owner.decisions.Post(func(now time.Time) { owner.noteDetached(view, made, err) })
+			return heard
+		}
+		heard = true
+		owner.decisions.Post(func(now time.Time) { owner.noteAgent(view, made, message, now) })
+	}
+}
+
+func (owner *Owner) send(ctx context.Context, made *link, stream wire.DRPCAgent_AttachClient, conn drpc.Conn) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case message := <-made.outbox:
+			if err := stream.Send(message); err != nil {
+				made.cancel()
+				// The reader reports the end of the connection.
+				_ = conn.Close()
+				return
+			}
+		}
+	}
+}
+
+func (owner *Owner) noteAttached(view *agentView, made *link) {
+	view.link = made
+	view.message = &wire.OwnerMessage{Owner: Member(owner.options.Name, owner.options.Address)}
+	view.sequence, view.handled = 0, 0
+	view.claimSeq = map[int]int64{}
+	view.claimed = false
+	view.sentAt = time.Time{}
+	for _, entry := range view.runs {
+		entry.prior = true
+		entry.sequence = 0
+	}
+	owner.options.Events.Log(owner.ctx, event.AgentAttached, slog.String("agent", view.address))
+}
+
+func (owner *Owner) noteDetached(view *agentView, made *link, err error) {
+	if view.link != made {
+		return
+	}
+	view.link = nil
+	owner.options.Events.Log(owner.ctx, event.AgentLost, slog.String("agent", view.address), slog.Int("runs", len(view.runs)), slog.Any("error", err))
+}
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -85,3 +85,18 @@
 		})
 	}
 }
+
+// gangOf returns the members of a ready task's gang if all of them are ready.
+func gangOf(task *job.Task, ready []*job.Task) []*job.Task {
+	members := task.Job().Members(task)
+	count := 0
+	for _, other := range ready {
+		if other.Round() == task.Round() && other.Step() == task.Step() {
+			count++
+		}
+	}
+	if count < len(members) {
+		return nil
+	}
+	return members
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -172,3 +172,10 @@
 	}
 	return held, held.jobs[id]
 }
+
+func (owner *Owner) sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-owner.options.Clock.After(length):
+	}
+}
--- a/owner/place.go
+++ b/owner/place.go
@@ -5,10 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ambertiller.example/ambertiller/job"
-	"ambertiller.example/ambertiller/wire"
 )
 
 const (
@@ -102,105 +99,6 @@
 	return waiting
 }
 
-// candidate is a worker that may be given starts, with what is free there after
-// those that are on their way.
-type candidate struct {
-	view                             *agentView
-	milliCPU, memoryMB, accelerators int64
-	fillMilliCPU                     int64
-	servingMilliCPU                  int64
-	// serving lists the images of the tasks that serve there.
-	serving []string
-	// addedFill is what has been placed since the agent's last word.
-	addedFill int64
-	trial     bool
-	// patience is the share that a filling task of the present job should find
-	// tolerated.
-	patience float64
-}
-
-func (owner *Owner) candidates(now time.Time) []*candidate {
-	var workers []*candidate
-	for _, view := range owner.agents {
-		status := view.status
-		if view.link == nil || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) || now.Sub(view.heardAt) > 2*grantEvery {
-			continue
-		}
-		worker := &candidate{
-			view: view, milliCPU: status.GetFreeMilliCpu(), memoryMB: status.GetFreeMemoryMb(),
-			accelerators: status.GetFreeAccelerators(), fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
-			serving: slices.Clone(status.GetServingImages()),
-			trial:   view.failures >= failuresBeforeDoubt,
-		}
-		for _, entry := range view.runs {
-			if !entry.reflected {
-				worker.take(entry.demand)
-			}
-		}
-		workers = append(workers, worker)
-	}
-	return workers
-}
-
-func (worker *candidate) take(demand *wire.Demand) {
-	worker.memoryMB -= demand.GetMemoryMb()
-	worker.accelerators -= demand.GetAccelerators()
-	if demand.GetFills() {
-		worker.fillMilliCPU += demand.GetMilliCpu()
-		worker.addedFill += demand.GetMilliCpu()
-		return
-	}
-	worker.milliCPU -= demand.GetMilliCpu()
-	if demand.GetTargetMs() > 0 {
-		worker.serving = append(worker.serving, demand.GetImage())
-		worker.servingMilliCPU += demand.GetMilliCpu()
-	}
-}
-
-// idle is what is expected to be unused of the processors: tasks that serve use
-// only part of what they hold.
-func (worker *candidate) idle() int64 {
-	return worker.milliCPU + int64(servingUnused*float64(worker.servingMilliCPU)) - worker.fillMilliCPU
-}
-
-func (worker *candidate) fits(task *job.Task) bool {
-	spec := task.Spec()
-	status := worker.view.status
-	switch {
-	case status.GetService() != task.Job().Submission().GetService():
-		return false
-	case spec.GetMemoryMb() > worker.memoryMB || spec.GetAccelerators() > worker.accelerators:
-		return false
-	case spec.GetLabel() != "" && !slices.Contains(status.GetLabels(), spec.GetLabel()):
-		return false
-	case spec.GetMostPerWorker() > 0 && worker.holding(task) >= spec.GetMostPerWorker():
-		return false
-	case worker.trial && len(worker.view.runs) > 0:
-		return false
-	}
-	if spec.GetFills() {
-		return float64(worker.idle()) >= fillShare*float64(spec.GetMilliCpu()) &&
-			float64(worker.tolerates(spec.GetImage())) >= worker.patience*float64(spec.GetMilliCpu())
-	}
-	return spec.GetMilliCpu() <= worker.milliCPU
-}
-
-// tolerates returns how many more processors of a filling image the worker's
-// serving tasks bear; without serving tasks, whatever is idle.
-func (worker *candidate) tolerates(image string) int64 {
-	status := worker.view.status
-	tolerated := status.GetToleratedMilliCpu()
-	for _, known := range status.GetTolerances() {
-		if known.GetImage() == image {
-			tolerated = known.GetMilliCpu()
-		}
-	}
-	if tolerated < 0 {
-		return worker.idle()
-	}
-	return min(worker.idle(), tolerated-worker.addedFill)
-}
-
 // betterToServe keeps serving tasks of one image together, on as few workers as
 // hold them. Which filling images disturb depends on the serving one, so a worker
 // with one kind bears more kinds of filling ones, and one without any bears all.
@@ -222,49 +120,6 @@
 	return a.view.address < b.view.address
 }
 
-func (worker *candidate) rankFor(image string) uint64 {
-	return xxhash.Sum64String(image + " " + worker.view.address)
-}
-
-// serves reports whether the worker has a serving task of the image.
-func (worker *candidate) serves(image string) bool { return slices.Contains(worker.serving, image) }
-
-// strangers counts the kinds of the worker's serving tasks of other images.
-func (worker *candidate) strangers(image string) int {
-	count := 0
-	for index, other := range worker.serving {
-		if other != image && !slices.Contains(worker.serving[:index], other) {
-			count++
-		}
-	}
-	return count
-}
-
-// holding counts the tasks of the same step and round that the worker has.
-func (worker *candidate) holding(task *job.Task) int32 {
-	count := int32(0)
-	for _, member := range task.Job().Members(task) {
-		if member.State() == job.TaskState_TASK_STARTED && member.Place().Worker == worker.view.status.GetWorker() {
-			count++
-		}
-	}
-	return count
-}
-
-// rack returns the worker's rack, which is its second label.
-func (worker *candidate) rack() string {
-	if labels := worker.view.status.GetLabels(); len(labels) > rackLabel {
-		return labels[rackLabel]
-	}
-	return ""
-}
-
-// near reports whether the worker stands in the rack that holds the task's data.
-func (worker *candidate) near(task *job.Task) bool {
-	rack := task.Spec().GetAffinity()
-	return rack == "" || slices.Contains(worker.view.status.GetLabels(), rack)
-}
-
 // placeJob starts the tasks of a job that may start.
 func (owner *Owner) placeJob(made *job.Job, workers []*candidate, now time.Time) {
 	ready := made.Ready(now)
--- /dev/null
+++ b/owner/reconcile.go
@@ -0,0 +1,148 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// noteAgent takes in what an agent tells.
+func (owner *Owner) noteAgent(view *agentView, from *link, message *wire.AgentMessage, now time.Time) {
+	if view.link != from {
+		return
+	}
+	if view.id != message.GetAgent() {
+		view.id = message.GetAgent()
+		view.failures = 0
+	}
+	view.heardAt = now
+	view.uptime = time.Duration(message.GetUptimeNanos())
+	view.handled = message.GetHandled()
+	if message.GetStatus().GetWorker() != view.status.GetWorker() {
+		view.failures, view.avoidUntil = 0, time.Time{}
+	}
+	if roomGrew(view.status, message.GetStatus()) {
+		owner.placeDue = true
+	}
+	view.status = message.GetStatus()
+	view.noteReflected()
+	for _, result := range message.GetResults() {
+		owner.noteResult(view, result, now)
+	}
+	for _, end := range message.GetEnds() {
+		owner.noteEnd(view, end, now)
+	}
+	if message.GetComplete() {
+		owner.reconcile(view, message, now)
+	}
+	if len(message.GetLearned()) > 0 {
+		view.learned = message.GetLearned()
+	}
+}
+
+func roomGrew(before, after *wire.WorkerStatus) bool {
+	return after.GetFreeMilliCpu() > before.GetFreeMilliCpu() || after.GetFreeMemoryMb() > before.GetFreeMemoryMb() ||
+		after.GetReady() && !before.GetReady() || after.GetWorker() != before.GetWorker()
+}
+
+// noteReflected marks the runs that the agent's account of its room includes.
+func (view *agentView) noteReflected() {
+	for _, entry := range view.runs {
+		if entry.sequence > 0 && entry.sequence <= view.handled {
+			entry.reflected = true
+		}
+	}
+}
+
+// reconcile compares the runs that an agent lists with those ordered there.
+func (owner *Owner) reconcile(view *agentView, message *wire.AgentMessage, now time.Time) {
+	listed := map[string]*wire.RunStatus{}
+	for _, run := range message.GetRuns() {
+		listed[run.GetTask()] = run
+	}
+	worker := message.GetStatus().GetWorker()
+	for name, entry := range view.runs {
+		run, found := listed[name]
+		if found && run.GetAttempt() == entry.attempt && worker == entry.place.Worker {
+			owner.noteListed(view, entry, run)
+			owner.noteProgressOf(view, entry, run, now)
+			continue
+		}
+		owner.noteUnlisted(view, entry, worker, now)
+	}
+	for name, run := range listed {
+		owner.noteStray(view, name, run, worker)
+	}
+}
+
+func (owner *Owner) noteListed(view *agentView, entry *runEntry, run *wire.RunStatus) {
+	owner.confirm(entry)
+	entry.inherited, entry.reflected = false, true
+	entry.task.Job().Saved(entry.task, run.GetAttempt(), run.GetCheckpoint())
+	if !view.status.GetReady() {
+		view.message.Runs = append(view.message.Runs, &wire.RunDescription{Task: entry.name, Attempt: entry.attempt, Demand: entry.demand})
+	}
+}
+
+// noteUnlisted looks at a run that its agent does not list.
+func (owner *Owner) noteUnlisted(view *agentView, entry *runEntry, worker string, now time.Time) {
+	if worker == "" {
+		return
+	}
+	if worker != entry.place.Worker {
+		// A machine has one worker: another incarnation there means that the
+		// one before it has ended, with all that it ran.
+		owner.release(view, entry, "its worker's incarnation is over", now)
+		return
+	}
+	handled := entry.sequence > 0 && entry.sequence <= view.handled
+	if entry.prior {
+		sent, claimed := view.claimSeq[entry.held.number]
+		handled = claimed && sent > 0 && sent <= view.handled
+	}
+	if handled && view.status.GetReady() {
+		owner.release(view, entry, "not listed by its agent", now)
+	}
+}
+
+// noteStray stops a run that should not be.
+func (owner *Owner) noteStray(view *agentView, name string, run *wire.RunStatus, worker string) {
+	ref, err := job.ParseRef(name)
+	if err != nil {
+		owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("task", name), slog.Any("error", err))
+		return
+	}
+	held, _ := owner.jobOf(ref.Job)
+	entry, found := view.runs[name]
+	if held == nil || found && entry.attempt == run.GetAttempt() {
+		return
+	}
+	owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", name), slog.Int("attempt", int(run.GetAttempt())), slog.String("reason", "not the task's present run"))
+	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
+		Shard: int32(held.number), Epoch: held.epoch, Task: name, Attempt: run.GetAttempt(), Worker: worker,
+	})
+}
+
+// adoptRuns takes up the runs that earlier owners ordered.
+func (owner *Owner) adoptRuns(held *shard, now time.Time) {
+	for _, made := range held.live {
+		for _, task := range made.Running() {
+			view := owner.agentAt(task.Place().Agent)
+			if view == nil {
+				continue
+			}
+			entry := newEntry(held, task)
+			entry.prior, entry.inherited, entry.reflected = true, true, true
+			view.runs[entry.name] = entry
+			if view.ended[entry.place.Worker] {
+				owner.release(view, entry, "its worker's incarnation is over", now)
+			}
+		}
+	}
+	for _, view := range owner.agents {
+		view.claimed = false
+	}
+}
--- /dev/null
+++ b/owner/reconcile_test.go
@@ -0,0 +1,149 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestInheritedRunWaitsOutItsGrant: the owner before may have granted time until
+// it gave up. The case that forced it: after all processes had been killed, tasks
+// were started a second time beside their first runs.
+func TestInheritedRunWaitsOutItsGrant(t *testing.T) {
+	made := newBench(t)
+	of := made.submit()
+	of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
+	made.owner.adoptRuns(made.held, made.clock.Now())
+	made.step()
+	made.clock.Advance(grantAlone)
+	made.owner.joinedAt = made.clock.Now()
+	made.step()
+	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released while the owner before may still have granted")
+	}
+	made.clock.Advance(7 * time.Second)
+	made.step()
+	if of.Tasks()[0].State() == job.TaskState_TASK_STARTED {
+		t.Error("not released although every grant must have ended")
+	}
+}
+
+// TestInheritedRunIsReleasedWhereItsAgentLacksIt: once the agent has heard of the
+// claim, no order of an earlier owner can start anything.
+func TestInheritedRunIsReleasedWhereItsAgentLacksIt(t *testing.T) {
+	made := newBench(t)
+	of := made.submit()
+	of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
+	made.owner.adoptRuns(made.held, made.clock.Now())
+	made.attach()
+	made.hear(&wire.AgentMessage{Complete: true})
+	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released before the agent had heard of the claim")
+	}
+	made.step()
+	made.sent()
+	made.hear(&wire.AgentMessage{Complete: true})
+	if of.Tasks()[0].State() != job.TaskState_TASK_WAITING {
+		t.Error("not released although the agent lacks it")
+	}
+}
+
+func TestSilentAgentKeepsItsRunsUntilTheGrantEnds(t *testing.T) {
+	made := newBench(t)
+	of := made.submit()
+	made.attach()
+	made.step()
+	made.settle()
+	made.step()
+	made.sent()
+	made.owner.noteDetached(made.view, made.view.link, context.Canceled)
+	made.clock.Advance(6 * time.Second)
+	made.step()
+	if of.Tasks()[0].Attempt() != 1 || of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released while its grant runs")
+	}
+	made.clock.Advance(2 * time.Second)
+	made.step()
+	if of.Tasks()[0].State() == job.TaskState_TASK_STARTED {
+		t.Error("not released although the grant must have ended")
+	}
+}
+
+// TestAnotherIncarnationEndsTheRuns: the case that forced it left lasting tasks
+// waiting for twenty seconds after all machines had lost power.
+func TestAnotherIncarnationEndsTheRuns(t *testing.T) {
+	made := newBench(t)
+	of := made.submit()
+	of.Start(of.Tasks()[0], job.Place{Worker: "i-0", Agent: agentAt}, made.clock.Now())
+	made.owner.adoptRuns(made.held, made.clock.Now())
+	made.attach()
+	made.hear(&wire.AgentMessage{Complete: true, Status: &wire.WorkerStatus{}})
+	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released while the agent knows of no worker")
+	}
+	made.hear(&wire.AgentMessage{Complete: true})
+	if of.Tasks()[0].State() != job.TaskState_TASK_WAITING {
+		t.Error("not released although another incarnation stands there")
+	}
+}
+
+// TestWorkerThatTheStoreSaysHasEnded: the case that forced it is a worker that left
+// with its machine while its owner was cut off from the store; the next owner
+// waited 17 s for lasting tasks to be over.
+func TestWorkerThatTheStoreSaysHasEnded(t *testing.T) {
+	tests := map[string]bool{"read before the shard": true, "read after the shard": false}
+	for name, before := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			of := made.submit()
+			of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
+			registered := platform.Tail{Records: []platform.Record{record(t, "side-1", &job.AgentRecord{Name: "side-1", Address: agentAt, Ended: []string{life}})}}
+			if before {
+				made.owner.noteAgents(registered, made.clock.Now())
+			}
+			made.owner.adoptRuns(made.held, made.clock.Now())
+			if !before {
+				made.owner.noteAgents(registered, made.clock.Now())
+			}
+			if of.Tasks()[0].State() != job.TaskState_TASK_WAITING {
+				t.Error("not released")
+			}
+		})
+	}
+}
+
+func TestNoGrantOnceOwnershipMayBeGone(t *testing.T) {
+	made := newBench(t)
+	made.attach()
+	made.step()
+	if got := made.sent(); len(got) == 0 || got[len(got)-1].GetGrantUntilNanos() == 0 {
+		t.Fatalf("no grant at first: %v", got)
+	}
+	made.clock.Advance(grantAlone + time.Second)
+	made.hear(&wire.AgentMessage{})
+	made.step()
+	for _, message := range made.sent() {
+		if message.GetGrantUntilNanos() != 0 {
+			t.Error("granted without word from the store for longer than another owner waits")
+		}
+	}
+}
+
+func TestStrayRunIsStopped(t *testing.T) {
+	made := newBench(t)
+	made.submit()
+	made.attach()
+	made.hear(&wire.AgentMessage{Complete: true, Runs: []*wire.RunStatus{{Task: taskOne, Attempt: 9}}})
+	made.step()
+	stops := 0
+	for _, message := range made.sent() {
+		stops += len(message.GetStops())
+	}
+	if stops != 1 {
+		t.Errorf("%d stops were ordered", stops)
+	}
+}
--- /dev/null
+++ b/owner/records.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+)
+
+func (owner *Owner) noteSubmission(held *shard, record platform.Record, now time.Time) {
+	if len(record.Value) == 0 {
+		return
+	}
+	submission := &job.Submission{}
+	if err := proto.Unmarshal(record.Value, submission); err != nil {
+		owner.unreadable(held, record, err)
+		return
+	}
+	if held.jobs[submission.GetId()] != nil {
+		return
+	}
+	made := job.New(submission, held.number)
+	held.jobs[made.ID()] = made
+	held.live[made.ID()] = made
+	if held.cancelled[made.ID()] {
+		owner.cancelJob(held, made, now)
+	}
+	if held.active {
+		owner.options.Events.Log(owner.ctx, event.JobTaken, slog.String("job", made.ID()), slog.String("queue", submission.GetQueue()),
+			slog.Int("tasks", len(made.Tasks())), slog.Duration("age", now.Sub(time.UnixMilli(submission.GetSubmittedMs()))),
+			slog.Time("objective", made.Objective()))
+	}
+}
+
+func (owner *Owner) noteProgress(held *shard, record platform.Record, now time.Time) {
+	if len(record.Value) == 0 {
+		return
+	}
+	kept := &job.Progress{}
+	if err := proto.Unmarshal(record.Value, kept); err != nil {
+		owner.unreadable(held, record, err)
+		return
+	}
+	made, found := held.jobs[kept.GetId()]
+	if !found {
+		return
+	}
+	made.Restore(kept, now)
+	if made.Ended() {
+		held.durable[made.ID()] = true
+	}
+	held.settleLive(made)
+}
+
+// settleLive keeps a job among the live ones while anything may still happen.
+func (held *shard) settleLive(made *job.Job) {
+	if made.Ended() && len(made.Running()) == 0 {
+		delete(held.live, made.ID())
+	}
+}
+
+func (owner *Owner) noteCancellation(held *shard, record platform.Record, now time.Time) {
+	cancellation := &job.Cancellation{}
+	if err := proto.Unmarshal(record.Value, cancellation); err != nil {
+		owner.unreadable(held, record, err)
+		return
+	}
+	held.cancelled[cancellation.GetId()] = true
+	if made, found := held.jobs[cancellation.GetId()]; found {
+		owner.cancelJob(held, made, now)
+	}
+}
+
+func (owner *Owner) cancelJob(held *shard, made *job.Job, now time.Time) {
+	if !made.Cancel(now) {
+		return
+	}
+	owner.changed(held, made)
+	owner.logEnded(held, made)
+	held.settleLive(made)
+}
+
+func (owner *Owner) unreadable(held *shard, record platform.Record, err error) {
+	owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.Int("shard", held.number),
+		slog.String("key", record.Key), slog.Int64("offset", record.Offset), slog.Any("error", err))
+}
+
+// changed has the job's progress written.
+func (owner *Owner) changed(held *shard, made *job.Job) {
+	held.dirty[made.ID()] = made
+	owner.placeDue = true
+}
+
+func (owner *Owner) logEnded(held *shard, made *job.Job) {
+	held.after = append(held.after, func(now time.Time) {
+		held.durable[made.ID()] = true
+		owner.meters.jobEnded(owner.ctx, made)
+		owner.options.Events.Log(owner.ctx, event.JobEnded, slog.String("job", made.ID()), slog.String("state", made.State().String()),
+			slog.Duration("took", made.EndedAt().Sub(time.UnixMilli(made.Submission().GetSubmittedMs()))),
+			slog.Duration("past_objective", made.EndedAt().Sub(made.Objective())))
+	})
+}
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -180,3 +180,62 @@
 	}
 	return job.EndInterrupted
 }
+
+// runEntry is a run that is ordered at an agent, or is about to be.
+type runEntry struct {
+	task    *job.Task
+	held    *shard
+	name    string
+	attempt int32
+	place   job.Place
+	demand  *wire.Demand
+	ticket  string
+	// sequence is that of the message with the order: 0 before it is sent.
+	sequence int64
+	// prior marks a run whose order went out on an earlier connection, or by
+	// an earlier owner.
+	prior bool
+	// inherited marks a run of an earlier owner until an agent has listed it.
+	inherited bool
+	confirmed bool
+	// percent is the progress last told, movedAt when it last changed.
+	percent   int32
+	movedAt   time.Time
+	stopAt    time.Time
+	reflected bool // the agent's account of its room includes the run
+}
+
+// release lets the task of a run that is over for certain wait again.
+func (owner *Owner) release(view *agentView, entry *runEntry, reason string, now time.Time) {
+	delete(view.runs, entry.name)
+	if entry.task.Attempt() != entry.attempt {
+		return
+	}
+	made := entry.task.Job()
+	owner.options.Events.Log(owner.ctx, event.RunLost, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+		slog.String("worker", entry.place.Worker), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())))
+	owner.meters.lost.Add(owner.ctx, 1, telemetry.By("reason", reason))
+	made.Release(entry.task, now)
+	owner.changed(entry.held, made)
+	entry.held.settleLive(made)
+}
+
+func newEntry(held *shard, task *job.Task) *runEntry {
+	return &runEntry{
+		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
+		demand: demandOf(task),
+	}
+}
+
+// movedMost is how often a task is moved for the sake of serving ones before it
+// is left where it is, and only slowed: each move costs what it has not saved.
+const movedMost = 8
+
+func demandOf(task *job.Task) *wire.Demand {
+	spec := task.Spec()
+	return &wire.Demand{
+		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
+		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
+		Movable: spec.GetCheckpointing() && task.Interrupted() < movedMost,
+	}
+}
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -44,18 +43,3 @@
 		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
 	})
 }
-
-// gangOf returns the members of a ready task's gang if all of them are ready.
-func gangOf(task *job.Task, ready []*job.Task) []*job.Task {
-	members := task.Job().Members(task)
-	count := 0
-	for _, other := range ready {
-		if other.Round() == task.Round() && other.Step() == task.Step() {
-			count++
-		}
-	}
-	if count < len(members) {
-		return nil
-	}
-	return members
-}
--- /dev/null
+++ b/owner/tell.go
@@ -0,0 +1,84 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// tell sends an agent what it has not been told.
+func (owner *Owner) tell(view *agentView, now time.Time) {
+	if view.link == nil {
+		return
+	}
+	owner.stopEnded(view, now)
+	message := view.message
+	if !view.claimed {
+		owner.claim(view)
+	}
+	grantDue := now.Sub(view.sentAt) >= grantEvery
+	if !grantDue && !message.Owned && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs) == 0 {
+		return
+	}
+	owner.grant(view, now)
+	owner.share(view, now)
+	view.sequence++
+	message.Sequence = view.sequence
+	view.message = &wire.OwnerMessage{}
+	view.sentAt = now
+	select {
+	case view.link.outbox <- message:
+	default:
+		// The agent does not read; the connection is made anew.
+		view.link.cancel()
+	}
+}
+
+// claim tells the agent which shards are owned, with the next message.
+func (owner *Owner) claim(view *agentView) {
+	view.claimed = true
+	view.message.Owned = true
+	view.message.Shards = nil
+	for number, held := range owner.shards {
+		if !held.active {
+			continue
+		}
+		view.message.Shards = append(view.message.Shards, &wire.ShardEpoch{Shard: int32(number), Epoch: held.epoch})
+		if view.claimSeq[number] == 0 {
+			view.claimSeq[number] = view.sequence + 1
+		}
+	}
+}
+
+// grant lets the runs go on, on the agent's clock, unless this owner may have
+// been replaced without having heard so.
+func (owner *Owner) grant(view *agentView, now time.Time) {
+	if view.heardAt.IsZero() || now.Sub(owner.joinedAt) > grantAlone {
+		return
+	}
+	view.message.GrantUntilNanos = int64(view.uptime + owner.options.Grant)
+	end := view.heardAt.Add(time.Duration(float64(owner.options.Grant) * (1 + clockSlack)))
+	if end.After(view.grantEnd) {
+		view.grantEnd = end
+	}
+}
+
+// stopAgain is when a stop whose run has not ended is ordered once more.
+const stopAgain = 500 * time.Millisecond
+
+// stopEnded orders stops for the runs of jobs that have ended.
+func (owner *Owner) stopEnded(view *agentView, now time.Time) {
+	for _, entry := range view.runs {
+		if !entry.task.Job().Ended() || entry.sequence == 0 && !entry.prior || now.Sub(entry.stopAt) < stopAgain {
+			continue
+		}
+		entry.stopAt = now
+		owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
+			slog.String("reason", entry.task.Job().State().String()))
+		view.message.Stops = append(view.message.Stops, &wire.StopOrder{
+			Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
+		})
+	}
+}
--- /dev/null
+++ b/owner/write.go
@@ -0,0 +1,117 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+)
+
+// flush writes what has changed. What waits for it is done once it is in the
+// store.
+func (owner *Owner) flush(held *shard, now time.Time) {
+	if !held.active || held.writing {
+		return
+	}
+	after := held.after
+	held.after = nil
+	if len(held.dirty)+len(held.dropped) == 0 {
+		for _, done := range after {
+			done(now)
+		}
+		return
+	}
+	records := owner.dirtyRecords(held)
+	held.writing = true
+	go func() {
+		if !owner.write(held, records) {
+			return
+		}
+		owner.decisions.Post(func(now time.Time) {
+			if owner.shards[held.number] != held {
+				return
+			}
+			held.writing = false
+			for _, done := range after {
+				done(now)
+			}
+		})
+	}()
+}
+
+func (owner *Owner) dirtyRecords(held *shard) []platform.Record {
+	records := held.dropped
+	held.dropped = nil
+	for id, made := range held.dirty {
+		value, err := proto.Marshal(made.Progress())
+		if err != nil {
+			// A message that was just built always encodes.
+			owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("job", id), slog.Any("error", err))
+			continue
+		}
+		records = append(records, platform.Record{Key: id, Value: value})
+	}
+	held.dirty = map[string]*job.Job{}
+	return records
+}
+
+// write appends records under the shard's epoch until the store has them. It
+// reports false when the shard is no longer owned.
+func (owner *Owner) write(held *shard, records []platform.Record) bool {
+	held.sequence++
+	add := platform.Append{
+		Topic: job.TopicRuns, Part: held.number, Records: records,
+		Producer: producer, Epoch: held.epoch, Sequence: held.sequence,
+	}
+	began := owner.options.Clock.Now()
+	for tries := 1; held.ctx.Err() == nil; tries++ {
+		ctx, cancel := context.WithTimeout(held.ctx, storeTimeout)
+		_, err := owner.options.Store.Append(ctx, add)
+		cancel()
+		if err == nil {
+			owner.noteAppended(held, add, owner.options.Clock.Since(began))
+			return true
+		}
+		var refused *platform.RefusedError
+		if errors.As(err, &refused) && !refused.Busy() {
+			owner.decisions.Post(func(now time.Time) { owner.noteFenced(held, refused, now) })
+			return false
+		}
+		if tries == 1 {
+			owner.options.Events.Log(owner.ctx, event.AppendRetried, slog.String("call", "append"), slog.Int("shard", held.number),
+				slog.Int64("sequence", add.Sequence), slog.Any("error", err))
+		}
+		owner.sleep(held.ctx, storePause)
+	}
+	return false
+}
+
+// slowAppend is what an append takes at least to be logged: the store's usual
+// answer comes within 10 ms.
+const slowAppend = 200 * time.Millisecond
+
+func (owner *Owner) noteAppended(held *shard, add platform.Append, took time.Duration) {
+	owner.meters.appends.Record(owner.ctx, took.Seconds())
+	if took >= slowAppend {
+		owner.options.Events.Log(owner.ctx, event.StoreSlow, slog.Int("shard", held.number), slog.Int64("sequence", add.Sequence), slog.Duration("took", took))
+	}
+}
+
+// noteFenced gives up a shard that another owner has written to.
+func (owner *Owner) noteFenced(held *shard, refused *platform.RefusedError, now time.Time) {
+	if owner.shards[held.number] != held {
+		return
+	}
+	owner.fenced[held.number] = held.epoch
+	if !refused.Fenced() {
+		// Somebody wrote under this very epoch: only another one helps.
+		owner.renew.Store(true)
+	}
+	owner.giveUp(held, refused.Error(), now)
+}
