The owner does each thing in one place

Stops were ordered in four places, an agent's view and a shard were made by hand in the tests too, waiting out a pause stood twice, and the owner and the agent each had their own constant for the shared shard and the partition of agents. Each has one function or constant now, and what is logged of a run begins in one place. A field that nobody read is gone. confirm takes the time of the decision, as all that decides does. Same events with the same attributes; no behaviour changes.

--- a/agent/register.go
+++ b/agent/register.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	registerPart    = 0
 	registerTimeout = 1500 * time.Millisecond
 	registerPause   = 200 * time.Millisecond
 	// endedKept bounds the incarnations of one machine that the store is told
@@ -46,7 +45,7 @@
 		agent.options.Events.Log(ctx, event.RecordUnreadable, slog.Any("error", err))
 		return
 	}
-	add := platform.Append{Topic: job.TopicAgents, Part: registerPart, Records: []platform.Record{{Key: agent.options.Name, Value: value}}}
+	add := platform.Append{Topic: job.TopicAgents, Part: job.AgentsPart, Records: []platform.Record{{Key: agent.options.Name, Value: value}}}
 	for tries := 1; ctx.Err() == nil; tries++ {
 		err := appendOnce(ctx, store, add)
 		if err == nil {
--- a/agent/session.go
+++ b/agent/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -16,9 +17,6 @@
 	runsEvery = time.Second
 	// statusSettle gathers changes of the room into one message.
 	statusSettle = 15 * time.Millisecond
-	// sharedShard is the shard whose owner puts together what the agents have
-	// learned of interference, so that one of the owners does.
-	sharedShard = 0
 )
 
 // session is one owner's stream.
@@ -244,7 +242,7 @@
 	if owner.wholeDue || now.Sub(owner.runsSent) >= runsEvery {
 		message.Complete = true
 		message.Runs = agent.runStatus(owner)
-		if held, found := agent.claims[sharedShard]; found && held.owner == owner {
+		if held, found := agent.claims[job.SharedShard]; found && held.owner == owner {
 			message.Learned = agent.paced.learned()
 		}
 		owner.runsSent = now
--- a/job/keys.go
+++ b/job/keys.go
@@ -11,6 +11,13 @@
 	TopicAgents = "keyed.agents"
 )
 
+// AgentsPart is the only partition of TopicAgents that is used.
+const AgentsPart = 0
+
+// SharedShard is the shard whose owner puts together what the agents have learned
+// of interference, so that one of the owners does.
+const SharedShard = 0
+
 // OwnersGroup is the group that deals shards to entries.
 const OwnersGroup = "owners"
 
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -127,7 +127,7 @@
 
 func (owner *Owner) noteAdvice(name string, known *stepAdvice, workers []string, advice platform.Advice, err error, now time.Time) {
 	if err != nil {
-		owner.options.Events.Log(owner.ctx, event.AdviceFailed, slog.String("step", name), slog.Any("error", err))
+		owner.log(event.AdviceFailed, slog.String("step", name), slog.Any("error", err))
 		return
 	}
 	if known.asked == nil || now.After(known.until) {
@@ -142,7 +142,7 @@
 	// All tickets end with the earliest: those of this answer.
 	known.until = now.Add(advice.Valid)
 	owner.placeDue = true
-	owner.options.Events.Log(owner.ctx, event.AdviceTaken, slog.String("step", name), slog.Int("asked", len(workers)),
+	owner.log(event.AdviceTaken, slog.String("step", name), slog.Int("asked", len(workers)),
 		slog.Int("good", len(advice.Tickets)), slog.Duration("valid", advice.Valid))
 }
 
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -13,12 +13,8 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-const (
-	// agentsPart is the only partition of the topic of agents.
-	agentsPart = 0
-	// agentsWait is how long a read waits for an agent to register.
-	agentsWait = 4 * time.Second
-)
+// agentsWait is how long a read waits for an agent to register.
+const agentsWait = 4 * time.Second
 
 // agentView is what the owner knows of one agent and its worker.
 type agentView struct {
@@ -52,6 +48,14 @@
 	avoidUntil time.Time
 }
 
+// newView returns the view of an agent that has not been heard.
+func newView(address string) *agentView {
+	return &agentView{
+		address: address, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
+		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
+	}
+}
+
 // followAgents keeps up with the agents that are registered in the store.
 func (owner *Owner) followAgents(ctx context.Context) {
 	next := int64(-1)
@@ -78,16 +82,16 @@
 	ctx, cancel := context.WithTimeout(ctx, agentsWait+tailOver)
 	defer cancel()
 	if next < 0 {
-		return owner.options.Store.Newest(ctx, job.TopicAgents, agentsPart)
+		return owner.options.Store.Newest(ctx, job.TopicAgents, job.AgentsPart)
 	}
-	return owner.options.Store.Read(ctx, job.TopicAgents, agentsPart, next, agentsWait)
+	return owner.options.Store.Read(ctx, job.TopicAgents, job.AgentsPart, next, agentsWait)
 }
 
 func (owner *Owner) noteAgents(tail platform.Tail, now time.Time) {
 	for _, record := range tail.Records {
 		registered := &job.AgentRecord{}
 		if err := proto.Unmarshal(record.Value, registered); err != nil {
-			owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("key", record.Key), slog.Any("error", err))
+			owner.log(event.RecordUnreadable, slog.String("key", record.Key), slog.Any("error", err))
 			continue
 		}
 		if view := owner.agentAt(registered.GetAddress()); view != nil {
@@ -114,10 +118,7 @@
 	if view, known := owner.agents[address]; known || address == "" {
 		return view
 	}
-	view := &agentView{
-		address: address, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
-		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
-	}
+	view := newView(address)
 	owner.agents[address] = view
 	go owner.keepAttached(view)
 	return view
--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -57,17 +57,10 @@
 	made.owner.ctx = ctx
 	made.owner.joinedAt = clock.Now()
 	number := job.ShardOf(jobID, 8)
-	shardCtx, cancelShard := context.WithCancel(ctx)
-	made.held = &shard{
-		number: number, epoch: 3, takenAt: clock.Now(), ctx: shardCtx, cancel: cancelShard, active: true,
-		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
-		durable: map[string]bool{}, cancelled: map[string]bool{},
-	}
+	made.held = newShard(ctx, number, 3, clock.Now())
+	made.held.active = true
 	made.owner.shards[number] = made.held
-	made.view = &agentView{
-		address: agentAt, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
-		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
-	}
+	made.view = newView(agentAt)
 	made.owner.agents[agentAt] = made.view
 	return made
 }
@@ -142,6 +135,24 @@
 	}
 }
 
+// attachAndStart attaches the agent and has what waits started there: the orders
+// are out.
+func (made *bench) attachAndStart() {
+	made.attach()
+	made.step()
+	made.settle()
+	made.step()
+	made.sent()
+}
+
+// inherit submits the job and takes up its run, which an earlier owner started.
+func (made *bench) inherit(worker string) *job.Job {
+	of := made.submit()
+	of.Start(of.Tasks()[0], job.Place{Worker: worker, Agent: agentAt}, made.clock.Now())
+	made.owner.adoptRuns(made.held, made.clock.Now())
+	return of
+}
+
 func (made *bench) step() {
 	made.owner.step(made.clock.Now())
 }
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -99,7 +99,7 @@
 		entry.prior = true
 		entry.sequence = 0
 	}
-	owner.options.Events.Log(owner.ctx, event.AgentAttached, slog.String("agent", view.address))
+	owner.log(event.AgentAttached, slog.String("agent", view.address))
 }
 
 func (owner *Owner) noteDetached(view *agentView, made *link, err error) {
@@ -107,5 +107,5 @@
 		return
 	}
 	view.link = nil
-	owner.options.Events.Log(owner.ctx, event.AgentLost, slog.String("agent", view.address), slog.Int("runs", len(view.runs)), slog.Any("error", err))
+	owner.log(event.AgentLost, slog.String("agent", view.address), slog.Int("runs", len(view.runs)), slog.Any("error", err))
 }
--- a/owner/forget.go
+++ b/owner/forget.go
@@ -22,7 +22,7 @@
 
 // forgetOld drops jobs that ended long ago, here and in the store.
 func (owner *Owner) forgetOld(held *shard, now time.Time) {
-	if now.Sub(held.forgotAt) < forgetEvery {
+	if !held.active || now.Sub(held.forgotAt) < forgetEvery {
 		return
 	}
 	held.forgotAt = now
@@ -52,6 +52,6 @@
 	defer cancel()
 	add := platform.Append{Topic: job.TopicJobs, Part: held.number, Records: records}
 	if _, err := owner.options.Store.Append(ctx, add); err != nil {
-		owner.options.Events.Log(owner.ctx, event.AppendRetried, slog.String("call", "drop"), slog.Int("shard", held.number), slog.Any("error", err))
+		owner.log(event.AppendRetried, slog.String("call", "drop"), slog.Int("shard", held.number), slog.Any("error", err))
 	}
 }
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -6,7 +6,6 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
-	"ambertiller.example/ambertiller/wire"
 )
 
 // placeGang starts all members of a gang or none: a member that waits for others
@@ -65,7 +64,7 @@
 }
 
 // stopGang stops the other members of a gang one of whose members did not start.
-func (owner *Owner) stopGang(task *job.Task, held *shard) {
+func (owner *Owner) stopGang(task *job.Task) {
 	if !task.Spec().GetGang() {
 		return
 	}
@@ -78,11 +77,8 @@
 		if !running || entry.attempt != member.Attempt() {
 			continue
 		}
-		owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-			slog.String("reason", "another member of the gang did not start"))
-		view.message.Stops = append(view.message.Stops, &wire.StopOrder{
-			Shard: int32(held.number), Epoch: held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
-		})
+		owner.logRun(event.RunStopOrdered, entry, slog.String("reason", "another member of the gang did not start"))
+		view.orderStop(entry.held, entry.name, entry.attempt, entry.place.Worker)
 	}
 }
 
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -28,7 +28,7 @@
 		if owner.renew.Load() {
 			if err := owner.leaveGroup(ctx); err != nil {
 				lost = owner.noteStoreLost(ctx, lost, sent, err)
-				owner.pause(ctx, joinEvery)
+				owner.sleep(ctx, joinEvery)
 				continue
 			}
 			owner.renew.Store(false)
@@ -36,7 +36,7 @@
 		deal, err := owner.join(ctx, heard)
 		if err != nil {
 			lost = owner.noteStoreLost(ctx, lost, sent, err)
-			owner.pause(ctx, joinEvery)
+			owner.sleep(ctx, joinEvery)
 			continue
 		}
 		owner.noteStoreBack(ctx, lost, sent)
@@ -50,7 +50,7 @@
 			// Naming the new generation hands over what is no longer held.
 			continue
 		}
-		owner.pause(ctx, joinEvery)
+		owner.sleep(ctx, joinEvery)
 	}
 }
 
@@ -75,16 +75,8 @@
 	}
 }
 
-func (owner *Owner) pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-owner.options.Clock.After(length):
-	}
-}
-
 // noteDeal takes up the shards that are dealt to this entry and gives up others.
 func (owner *Owner) noteDeal(deal platform.Deal, sent, now time.Time) {
-	owner.generation = deal.Generation
 	owner.joinedAt = sent
 	dealt := map[int]bool{}
 	for _, number := range deal.Parts {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -27,6 +27,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -97,17 +98,16 @@
 	// could take the place of one of its own.
 	renew atomic.Bool
 
-	generation int64
-	joinedAt   time.Time
-	leaving    bool
-	shards     map[int]*shard
-	fenced     map[int]int64
-	agents     map[string]*agentView
-	placeDue   bool
-	placedAt   time.Time
-	advised    adviceQueue
-	meters     meters
-	gaugedAt   time.Time
+	joinedAt time.Time
+	leaving  bool
+	shards   map[int]*shard
+	fenced   map[int]int64
+	agents   map[string]*agentView
+	placeDue bool
+	placedAt time.Time
+	advised  adviceQueue
+	meters   meters
+	gaugedAt time.Time
 }
 
 // New returns an owner that owns nothing until Run.
@@ -144,7 +144,7 @@
 
 func (owner *Owner) step(now time.Time) {
 	for _, held := range owner.shards {
-		owner.tend(held, now)
+		owner.forgetOld(held, now)
 	}
 	for _, view := range owner.agents {
 		owner.giveUpSilent(view, now)
@@ -164,6 +164,10 @@
 	owner.gauge(now)
 }
 
+func (owner *Owner) log(code event.Code, attributes ...slog.Attr) {
+	owner.options.Events.Log(owner.ctx, code, attributes...)
+}
+
 // jobOf returns the job if its shard is owned and loaded.
 func (owner *Owner) jobOf(id string) (*shard, *job.Job) {
 	held, owned := owner.shards[job.ShardOf(id, owner.options.Shards)]
--- a/owner/place.go
+++ b/owner/place.go
@@ -75,28 +75,32 @@
 	for _, made := range waiting {
 		late[made] = made.Slack(now) <= 0
 	}
-	slices.SortFunc(waiting, func(a, b *job.Job) int {
-		if byPriority := int(a.Submission().GetPriority()) - int(b.Submission().GetPriority()); byPriority != 0 {
-			return byPriority
-		}
-		if a.Lasting() != b.Lasting() {
-			if a.Lasting() {
-				return -1
-			}
-			return 1
-		}
-		if late[a] != late[b] {
-			if late[a] {
-				return 1
-			}
+	slices.SortFunc(waiting, func(a, b *job.Job) int { return byUrgency(a, b, late) })
+	return waiting
+}
+
+// byUrgency compares two jobs of which late tells whether they can still meet
+// their objective.
+func byUrgency(a, b *job.Job, late map[*job.Job]bool) int {
+	if byPriority := int(a.Submission().GetPriority()) - int(b.Submission().GetPriority()); byPriority != 0 {
+		return byPriority
+	}
+	if a.Lasting() != b.Lasting() {
+		if a.Lasting() {
 			return -1
 		}
-		if byTime := a.Objective().Compare(b.Objective()); byTime != 0 {
-			return byTime
+		return 1
+	}
+	if late[a] != late[b] {
+		if late[a] {
+			return 1
 		}
-		return strings.Compare(a.ID(), b.ID())
-	})
-	return waiting
+		return -1
+	}
+	if byTime := a.Objective().Compare(b.Objective()); byTime != 0 {
+		return byTime
+	}
+	return strings.Compare(a.ID(), b.ID())
 }
 
 // betterToServe keeps serving tasks of one image together, on as few workers as
--- a/owner/place_test.go
+++ b/owner/place_test.go
@@ -17,11 +17,7 @@
 	handed.Steps[0].Lasting = true
 	made.read(record(t, job.SubmissionKey(jobID), handed))
 	of := made.held.jobs[jobID]
-	made.attach()
-	made.step()
-	made.settle()
-	made.step()
-	made.sent()
+	made.attachAndStart()
 	made.hear(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: life, Number: 1, Task: taskOne, Attempt: 1, Reason: wire.EndReason_END_FAILED}}})
 	for range 8 {
 		made.step()
@@ -70,11 +66,7 @@
 func TestRefusedStartsLeaveTheJobPending(t *testing.T) {
 	made := newBench(t)
 	of := made.submit()
-	made.attach()
-	made.step()
-	made.settle()
-	made.step()
-	made.sent()
+	made.attachAndStart()
 	made.hear(&wire.AgentMessage{Results: []*wire.StartResult{{Task: taskOne, Attempt: 1, Worker: life, Outcome: wire.StartOutcome_START_NO_ROOM}}})
 	if of.State() != job.State_STATE_QUEUED || of.Tasks()[0].State() != job.TaskState_TASK_WAITING {
 		t.Errorf("job %v, task %v", of.State(), of.Tasks()[0].State())
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -51,12 +51,18 @@
 // noteReflected marks the runs that the agent's account of its room includes.
 func (view *agentView) noteReflected() {
 	for _, entry := range view.runs {
-		if entry.sequence > 0 && entry.sequence <= view.handled {
+		if view.hasHandled(entry.sequence) {
 			entry.reflected = true
 		}
 	}
 }
 
+// hasHandled reports whether the agent has handled the message with a sequence
+// number; 0 is that of a message that was not sent.
+func (view *agentView) hasHandled(sequence int64) bool {
+	return sequence > 0 && sequence <= view.handled
+}
+
 // reconcile compares the runs that an agent lists with those ordered there.
 func (owner *Owner) reconcile(view *agentView, message *wire.AgentMessage, now time.Time) {
 	listed := map[string]*wire.RunStatus{}
@@ -67,7 +73,7 @@
 	for name, entry := range view.runs {
 		run, found := listed[name]
 		if found && run.GetAttempt() == entry.attempt && worker == entry.place.Worker {
-			owner.noteListed(view, entry, run)
+			owner.noteListed(view, entry, run, now)
 			owner.noteProgressOf(view, entry, run, now)
 			continue
 		}
@@ -78,8 +84,9 @@
 	}
 }
 
-func (owner *Owner) noteListed(view *agentView, entry *runEntry, run *wire.RunStatus) {
-	owner.confirm(entry)
+// noteListed takes in what an agent tells of a run that was ordered there.
+func (owner *Owner) noteListed(view *agentView, entry *runEntry, run *wire.RunStatus, now time.Time) {
+	owner.confirm(entry, now)
 	entry.inherited, entry.reflected = false, true
 	entry.task.Job().Saved(entry.task, run.GetAttempt(), run.GetCheckpoint())
 	if !view.status.GetReady() {
@@ -98,10 +105,9 @@
 		owner.release(view, entry, "its worker's incarnation is over", now)
 		return
 	}
-	handled := entry.sequence > 0 && entry.sequence <= view.handled
+	handled := view.hasHandled(entry.sequence)
 	if entry.prior {
-		sent, claimed := view.claimSeq[entry.held.number]
-		handled = claimed && sent > 0 && sent <= view.handled
+		handled = view.hasHandled(view.claimSeq[entry.held.number])
 	}
 	if handled && view.status.GetReady() {
 		owner.release(view, entry, "not listed by its agent", now)
@@ -112,7 +118,7 @@
 func (owner *Owner) noteStray(view *agentView, name string, run *wire.RunStatus, worker string) {
 	ref, err := job.ParseRef(name)
 	if err != nil {
-		owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("task", name), slog.Any("error", err))
+		owner.log(event.RecordUnreadable, slog.String("task", name), slog.Any("error", err))
 		return
 	}
 	held, _ := owner.jobOf(ref.Job)
@@ -120,10 +126,8 @@
 	if held == nil || found && entry.attempt == run.GetAttempt() {
 		return
 	}
-	owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", name), slog.Int("attempt", int(run.GetAttempt())), slog.String("reason", "not the task's present run"))
-	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
-		Shard: int32(held.number), Epoch: held.epoch, Task: name, Attempt: run.GetAttempt(), Worker: worker,
-	})
+	owner.log(event.RunStopOrdered, slog.String("task", name), slog.Int("attempt", int(run.GetAttempt())), slog.String("reason", "not the task's present run"))
+	view.orderStop(held, name, run.GetAttempt(), worker)
 }
 
 // adoptRuns takes up the runs that earlier owners ordered.
--- a/owner/reconcile_test.go
+++ b/owner/reconcile_test.go
@@ -15,9 +15,7 @@
 // were started a second time beside their first runs.
 func TestInheritedRunWaitsOutItsGrant(t *testing.T) {
 	made := newBench(t)
-	of := made.submit()
-	of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
-	made.owner.adoptRuns(made.held, made.clock.Now())
+	of := made.inherit(life)
 	made.step()
 	made.clock.Advance(grantAlone)
 	made.owner.joinedAt = made.clock.Now()
@@ -36,9 +34,7 @@
 // claim, no order of an earlier owner can start anything.
 func TestInheritedRunIsReleasedWhereItsAgentLacksIt(t *testing.T) {
 	made := newBench(t)
-	of := made.submit()
-	of.Start(of.Tasks()[0], job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
-	made.owner.adoptRuns(made.held, made.clock.Now())
+	of := made.inherit(life)
 	made.attach()
 	made.hear(&wire.AgentMessage{Complete: true})
 	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
@@ -55,11 +51,7 @@
 func TestSilentAgentKeepsItsRunsUntilTheGrantEnds(t *testing.T) {
 	made := newBench(t)
 	of := made.submit()
-	made.attach()
-	made.step()
-	made.settle()
-	made.step()
-	made.sent()
+	made.attachAndStart()
 	made.owner.noteDetached(made.view, made.view.link, context.Canceled)
 	made.clock.Advance(6 * time.Second)
 	made.step()
@@ -77,9 +69,7 @@
 // waiting for twenty seconds after all machines had lost power.
 func TestAnotherIncarnationEndsTheRuns(t *testing.T) {
 	made := newBench(t)
-	of := made.submit()
-	of.Start(of.Tasks()[0], job.Place{Worker: "i-0", Agent: agentAt}, made.clock.Now())
-	made.owner.adoptRuns(made.held, made.clock.Now())
+	of := made.inherit("i-0")
 	made.attach()
 	made.hear(&wire.AgentMessage{Complete: true, Status: &wire.WorkerStatus{}})
 	if of.Tasks()[0].State() != job.TaskState_TASK_STARTED {
--- a/owner/records.go
+++ b/owner/records.go
@@ -30,7 +30,7 @@
 		owner.cancelJob(held, made, now)
 	}
 	if held.active {
-		owner.options.Events.Log(owner.ctx, event.JobTaken, slog.String("job", made.ID()), slog.String("queue", submission.GetQueue()),
+		owner.log(event.JobTaken, slog.String("job", made.ID()), slog.String("queue", submission.GetQueue()),
 			slog.Int("tasks", len(made.Tasks())), slog.Duration("age", now.Sub(time.UnixMilli(submission.GetSubmittedMs()))),
 			slog.Time("objective", made.Objective()))
 	}
@@ -85,7 +85,7 @@
 }
 
 func (owner *Owner) unreadable(held *shard, record platform.Record, err error) {
-	owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.Int("shard", held.number),
+	owner.log(event.RecordUnreadable, slog.Int("shard", held.number),
 		slog.String("key", record.Key), slog.Int64("offset", record.Offset), slog.Any("error", err))
 }
 
@@ -99,7 +99,7 @@
 	held.after = append(held.after, func(now time.Time) {
 		held.durable[made.ID()] = true
 		owner.meters.jobEnded(owner.ctx, made)
-		owner.options.Events.Log(owner.ctx, event.JobEnded, slog.String("job", made.ID()), slog.String("state", made.State().String()),
+		owner.log(event.JobEnded, slog.String("job", made.ID()), slog.String("state", made.State().String()),
 			slog.Duration("took", made.EndedAt().Sub(time.UnixMilli(made.Submission().GetSubmittedMs()))),
 			slog.Duration("past_objective", made.EndedAt().Sub(made.Objective())))
 	})
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -21,6 +21,12 @@
 	refusedPause = 150 * time.Millisecond
 )
 
+// logRun logs what becomes of a run.
+func (owner *Owner) logRun(code event.Code, entry *runEntry, attributes ...slog.Attr) {
+	about := []slog.Attr{slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt))}
+	owner.log(code, append(about, attributes...)...)
+}
+
 // start decides that a task runs at an agent's worker. The order goes out once
 // the decision is in the store.
 func (owner *Owner) start(task *job.Task, view *agentView, now time.Time) {
@@ -30,8 +36,7 @@
 	entry := newEntry(held, task)
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
-	owner.options.Events.Log(owner.ctx, event.RunPlaced, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
+	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
 		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
 		slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()), slog.Duration("age", now.Sub(view.heardAt)))
 	owner.changed(held, made)
@@ -55,18 +60,15 @@
 	})
 	entry.sequence = view.sequence + 1
 	entry.prior = false
-	owner.options.Events.Log(owner.ctx, event.RunOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.Int64("message", entry.sequence))
+	owner.logRun(event.RunOrdered, entry, slog.String("worker", entry.place.Worker), slog.Int64("message", entry.sequence))
 }
 
 // confirm notes that a run has started.
-func (owner *Owner) confirm(entry *runEntry) {
+func (owner *Owner) confirm(entry *runEntry, now time.Time) {
 	if !entry.confirmed {
-		owner.options.Events.Log(owner.ctx, event.RunStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-			slog.String("worker", entry.place.Worker))
+		owner.logRun(event.RunStarted, entry, slog.String("worker", entry.place.Worker))
 	}
 	entry.confirmed = true
-	now := owner.options.Clock.Now()
 	if entry.task.Job().Begin(now) {
 		owner.meters.waited.Record(owner.ctx, now.Sub(time.UnixMilli(entry.task.Job().Submission().GetSubmittedMs())).Seconds())
 		owner.changed(entry.held, entry.task.Job())
@@ -80,21 +82,20 @@
 		return
 	}
 	if result.GetOutcome() == wire.StartOutcome_START_STARTED {
-		owner.confirm(entry)
+		owner.confirm(entry, now)
 		return
 	}
 	delete(view.runs, entry.name)
 	if entry.task.Attempt() != entry.attempt {
 		return
 	}
-	owner.options.Events.Log(owner.ctx, event.RunNotStarted, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
+	owner.logRun(event.RunNotStarted, entry, slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
 	owner.meters.refused.Add(owner.ctx, 1, telemetry.By("outcome", result.GetOutcome().String()))
 	made := entry.task.Job()
 	if result.GetOutcome() == wire.StartOutcome_START_TICKET {
 		owner.dropAdvice(entry.task)
 	}
-	owner.stopGang(entry.task, entry.held)
+	owner.stopGang(entry.task)
 	made.Release(entry.task, now)
 	owner.changed(entry.held, made)
 	owner.noteRefusal(view, result.GetOutcome(), now)
@@ -115,7 +116,7 @@
 func (owner *Owner) noteEnd(view *agentView, end *wire.RunEnd, now time.Time) {
 	ref, err := job.ParseRef(end.GetTask())
 	if err != nil {
-		owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("task", end.GetTask()), slog.Any("error", err))
+		owner.log(event.RecordUnreadable, slog.String("task", end.GetTask()), slog.Any("error", err))
 		return
 	}
 	held, made := owner.jobOf(ref.Job)
@@ -147,7 +148,7 @@
 		held.settleLive(made)
 		return
 	}
-	owner.options.Events.Log(owner.ctx, event.RunEnded, slog.String("task", end.GetTask()), slog.Int("attempt", int(end.GetAttempt())),
+	owner.log(event.RunEnded, slog.String("task", end.GetTask()), slog.Int("attempt", int(end.GetAttempt())),
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())))
 	owner.meters.ended.Add(owner.ctx, 1, telemetry.By("reason", end.GetReason().String()))
 	view.noteOutcome(end.GetReason(), now)
@@ -212,8 +213,7 @@
 		return
 	}
 	made := entry.task.Job()
-	owner.options.Events.Log(owner.ctx, event.RunLost, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())))
+	owner.logRun(event.RunLost, entry, slog.String("worker", entry.place.Worker), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())))
 	owner.meters.lost.Add(owner.ctx, 1, telemetry.By("reason", reason))
 	made.Release(entry.task, now)
 	owner.changed(entry.held, made)
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
@@ -54,16 +52,22 @@
 	durable map[string]bool
 }
 
-// take begins to own a shard: earlier owners are fenced, then its jobs are read.
-func (owner *Owner) take(number int, epoch int64, now time.Time) {
-	ctx, cancel := context.WithCancel(owner.ctx)
+// newShard returns a shard whose jobs have not been read yet.
+func newShard(ctx context.Context, number int, epoch int64, now time.Time) *shard {
 	held := &shard{
-		number: number, epoch: epoch, takenAt: now, ctx: ctx, cancel: cancel,
+		number: number, epoch: epoch, takenAt: now,
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
 		durable: map[string]bool{}, cancelled: map[string]bool{},
 	}
+	held.ctx, held.cancel = context.WithCancel(ctx)
+	return held
+}
+
+// take begins to own a shard: earlier owners are fenced, then its jobs are read.
+func (owner *Owner) take(number int, epoch int64, now time.Time) {
+	held := newShard(owner.ctx, number, epoch, now)
 	owner.shards[number] = held
-	owner.options.Events.Log(owner.ctx, event.ShardTaken, slog.Int("shard", number), slog.Int64("epoch", epoch))
+	owner.log(event.ShardTaken, slog.Int("shard", number), slog.Int64("epoch", epoch))
 	go owner.load(held)
 }
 
@@ -77,7 +81,7 @@
 	for _, view := range owner.agents {
 		view.forget(held)
 	}
-	owner.options.Events.Log(owner.ctx, event.ShardGivenUp, slog.Int("shard", held.number), slog.Int64("epoch", held.epoch),
+	owner.log(event.ShardGivenUp, slog.Int("shard", held.number), slog.Int64("epoch", held.epoch),
 		slog.String("reason", reason), slog.Duration("held", now.Sub(held.takenAt)))
 }
 
@@ -111,7 +115,7 @@
 		if err == nil {
 			return found, true
 		}
-		owner.options.Events.Log(owner.ctx, event.AppendRetried, slog.String("call", "newest"), slog.Int("shard", held.number), slog.Any("error", err))
+		owner.log(event.AppendRetried, slog.String("call", "newest"), slog.Int("shard", held.number), slog.Any("error", err))
 		owner.sleep(held.ctx, storePause)
 	}
 	return platform.Tail{}, false
@@ -135,7 +139,7 @@
 	held.next = jobs.Next
 	owner.adoptRuns(held, now)
 	owner.placeDue = true
-	owner.options.Events.Log(owner.ctx, event.ShardLoaded, slog.Int("shard", held.number), slog.Int64("epoch", held.epoch),
+	owner.log(event.ShardLoaded, slog.Int("shard", held.number), slog.Int64("epoch", held.epoch),
 		slog.Int("jobs", len(held.jobs)), slog.Int("live", len(held.live)), slog.Duration("after", now.Sub(held.takenAt)))
 }
 
@@ -145,9 +149,8 @@
 		ctx, cancel := context.WithTimeout(held.ctx, tailWait+tailOver)
 		tail, err := owner.options.Store.Read(ctx, job.TopicJobs, held.number, next, tailWait)
 		cancel()
-		var refused *platform.RefusedError
-		if errors.As(err, &refused) && refused.Gone() {
-			owner.options.Events.Log(owner.ctx, event.TailRestarted, slog.Int("shard", held.number), slog.Int64("offset", next))
+		if platform.IsGone(err) {
+			owner.log(event.TailRestarted, slog.Int("shard", held.number), slog.Int64("offset", next))
 			found, ok := owner.newest(held, job.TopicJobs)
 			if !ok {
 				return
@@ -180,11 +183,3 @@
 	}
 	owner.placeDue = true
 }
-
-// tend does what is due for a shard.
-func (owner *Owner) tend(held *shard, now time.Time) {
-	if !held.active {
-		return
-	}
-	owner.forgetOld(held, now)
-}
--- a/owner/shard_test.go
+++ b/owner/shard_test.go
@@ -31,11 +31,7 @@
 func TestEndIsSeenOnlyOnceItIsInTheStore(t *testing.T) {
 	made := newBench(t)
 	of := made.submit()
-	made.attach()
-	made.step()
-	made.settle()
-	made.step()
-	made.sent()
+	made.attachAndStart()
 	made.hear(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: life, Number: 4, Task: taskOne, Attempt: 1, Reason: wire.EndReason_END_DONE}}})
 	if of.State() != job.State_STATE_COMPLETED {
 		t.Fatalf("state %v", of.State())
--- a/owner/share.go
+++ b/owner/share.go
@@ -4,20 +4,17 @@
 	"time"
 
 	"ambertiller.example/ambertiller/interference"
+	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
-const (
-	// sharedShard is the shard whose owner puts together what agents learn.
-	sharedShard = 0
-	// shareEvery is how often an agent is told: weights move over seconds, and
-	// the table takes a kilobyte.
-	shareEvery = 1500 * time.Millisecond
-)
+// shareEvery is how often an agent is told: weights move over seconds, and the
+// table takes a kilobyte.
+const shareEvery = 1500 * time.Millisecond
 
 // share tells an agent what the readings of all workers have taught.
 func (owner *Owner) share(view *agentView, now time.Time) {
-	held, owned := owner.shards[sharedShard]
+	held, owned := owner.shards[job.SharedShard]
 	if !owned || !held.active || now.Sub(view.sharedAt) < shareEvery {
 		return
 	}
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -37,9 +37,6 @@
 	entry.stopAt = now
 	view.avoidUntil = now.Add(doubtLength)
 	view.failures = max(view.failures, failuresBeforeDoubt)
-	owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.String("reason", "it stands still"), slog.Duration("since", now.Sub(entry.movedAt)))
-	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
-		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
-	})
+	owner.logRun(event.RunStopOrdered, entry, slog.String("worker", entry.place.Worker), slog.String("reason", "it stands still"), slog.Duration("since", now.Sub(entry.movedAt)))
+	view.orderStop(entry.held, entry.name, entry.attempt, entry.place.Worker)
 }
--- a/owner/stall_test.go
+++ b/owner/stall_test.go
@@ -27,11 +27,7 @@
 			handed := submission()
 			handed.Steps[0].Lasting = test.lasting
 			made.read(record(t, job.SubmissionKey(jobID), handed))
-			made.attach()
-			made.step()
-			made.settle()
-			made.step()
-			made.sent()
+			made.attachAndStart()
 			stops := 0
 			for _, percent := range test.percents {
 				made.clock.Advance(time.Second)
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// orderStop has a run stopped with the next message.
+func (view *agentView) orderStop(held *shard, task string, attempt int32, worker string) {
+	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
+		Shard: int32(held.number), Epoch: held.epoch, Task: task, Attempt: attempt, Worker: worker,
+	})
+}
+
 // stopAgain is when a stop whose run has not ended is ordered once more.
 const stopAgain = 500 * time.Millisecond
 
@@ -75,10 +82,7 @@
 			continue
 		}
 		entry.stopAt = now
-		owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-			slog.String("reason", entry.task.Job().State().String()))
-		view.message.Stops = append(view.message.Stops, &wire.StopOrder{
-			Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
-		})
+		owner.logRun(event.RunStopOrdered, entry, slog.String("reason", entry.task.Job().State().String()))
+		view.orderStop(entry.held, entry.name, entry.attempt, entry.place.Worker)
 	}
 }
--- a/owner/write.go
+++ b/owner/write.go
@@ -52,7 +52,7 @@
 		value, err := proto.Marshal(made.Progress())
 		if err != nil {
 			// A message that was just built always encodes.
-			owner.options.Events.Log(owner.ctx, event.RecordUnreadable, slog.String("job", id), slog.Any("error", err))
+			owner.log(event.RecordUnreadable, slog.String("job", id), slog.Any("error", err))
 			continue
 		}
 		records = append(records, platform.Record{Key: id, Value: value})
@@ -84,7 +84,7 @@
 			return false
 		}
 		if tries == 1 {
-			owner.options.Events.Log(owner.ctx, event.AppendRetried, slog.String("call", "append"), slog.Int("shard", held.number),
+			owner.log(event.AppendRetried, slog.String("call", "append"), slog.Int("shard", held.number),
 				slog.Int64("sequence", add.Sequence), slog.Any("error", err))
 		}
 		owner.sleep(held.ctx, storePause)
@@ -99,7 +99,7 @@
 func (owner *Owner) noteAppended(held *shard, add platform.Append, took time.Duration) {
 	owner.meters.appends.Record(owner.ctx, took.Seconds())
 	if took >= slowAppend {
-		owner.options.Events.Log(owner.ctx, event.StoreSlow, slog.Int("shard", held.number), slog.Int64("sequence", add.Sequence), slog.Duration("took", took))
+		owner.log(event.StoreSlow, slog.Int("shard", held.number), slog.Int64("sequence", add.Sequence), slog.Duration("took", took))
 	}
 }
 
