--- /dev/null
+++ b/job/outcome.go
@@ -0,0 +1,216 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// EndReason says how a run ended.
+type EndReason int
+
+// The ways in which a run ends. Only EndFailed counts against the attempts.
+const (
+	EndDone EndReason = iota + 1
+	EndFailed
+	EndInterrupted // stopped, lapsed, or lost with its worker
+)
+
+const (
+	// failureBackoff keeps a task that fails at once from being started over
+	// and over; it is short against the objectives, which are seconds.
+	failureBackoff = 50 * time.Millisecond
+	// lastingBackoff is the same for lasting tasks, which have no bound on
+	// attempts.
+	lastingBackoff = 200 * time.Millisecond
+)
+
+// Start notes that a task is started at a place, under the next attempt. The
+// members of a gang are started one after another under the attempt of the first.
+func (made *Job) Start(task *Task, place Place, now time.Time) {
+	task.attempt = made.nextAttempt(task)
+	task.state = TaskState_TASK_STARTED
+	task.place = place
+	task.startedAt = now
+}
+
+// Begin notes that a run has started for certain and reports whether it is the
+// job's first.
+func (made *Job) Begin(now time.Time) bool {
+	if made.state != State_STATE_QUEUED {
+		return false
+	}
+	made.state = State_STATE_RUNNING
+	made.begunAt = now
+	return true
+}
+
+func (made *Job) nextAttempt(task *Task) int32 {
+	if !task.Spec().GetGang() {
+		return task.attempt + 1
+	}
+	highest := int32(0)
+	for _, member := range made.Members(task) {
+		if member.state == TaskState_TASK_STARTED {
+			return member.attempt
+		}
+		highest = max(highest, member.attempt)
+	}
+	return highest + 1
+}
+
+// Release notes that the present run never was, or is over for certain without
+// an end: the task waits again.
+func (made *Job) Release(task *Task, now time.Time) {
+	if task.state != TaskState_TASK_STARTED {
+		return
+	}
+	task.state = TaskState_TASK_WAITING
+	task.retryAt = now
+}
+
+// Saved notes the newest checkpoint of the present run.
+func (made *Job) Saved(task *Task, attempt int32, checkpoint string) bool {
+	if task.attempt != attempt || checkpoint == "" || task.checkpoint == checkpoint {
+		return false
+	}
+	task.checkpoint = checkpoint
+	return true
+}
+
+// CheckpointOf returns the checkpoint that a start of the task brings: its own,
+// or for a gang the one that all members bring. Checkpoints begin with the work
+// done, so the greatest is the newest.
+func (made *Job) CheckpointOf(task *Task) string {
+	if !task.Spec().GetGang() {
+		return task.checkpoint
+	}
+	newest := ""
+	for _, member := range made.Members(task) {
+		newest = max(newest, member.checkpoint)
+	}
+	return newest
+}
+
+// End notes that a run ended and reports whether anything changed. The end of
+// an earlier run than the present one counts where it can't be doubted: a
+// failure counts against the attempts, and a task that waits and turns out to be
+// done is done.
+func (made *Job) End(task *Task, attempt int32, reason EndReason, checkpoint string, now time.Time) bool {
+	present := attempt == task.attempt
+	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
+		return false
+	}
+	if present && task.state != TaskState_TASK_STARTED && reason != EndDone {
+		return false
+	}
+	if checkpoint != "" && present {
+		task.checkpoint = checkpoint
+	}
+	made.Begin(now)
+	switch reason {
+	case EndDone:
+		return made.done(task, present, now)
+	case EndFailed:
+		if slices.Contains(task.failed, attempt) {
+			// Ends are told again until they are known to be in the store.
+			return false
+		}
+		task.failed = append(task.failed, attempt)
+		made.failed(task, present, now)
+		return true
+	case EndInterrupted:
+		if !present {
+			return false
+		}
+		task.interrupted++
+		made.Release(task, now)
+		return true
+	}
+	return false
+}
+
+func (made *Job) done(task *Task, present bool, now time.Time) bool {
+	if !present && task.state == TaskState_TASK_STARTED {
+		// The present run goes on: its own end decides.
+		return false
+	}
+	if task.Spec().GetLasting() {
+		made.Release(task, now)
+		task.retryAt = now.Add(lastingBackoff)
+		return true
+	}
+	finished := []*Task{task}
+	if task.Spec().GetGang() {
+		finished = made.Members(task)
+	}
+	for _, member := range finished {
+		made.markDone(member)
+	}
+	if made.allDone() && !made.Ended() {
+		made.finish(State_STATE_COMPLETED, now)
+	}
+	return true
+}
+
+func (made *Job) markDone(task *Task) {
+	if task.state == TaskState_TASK_DONE {
+		return
+	}
+	task.state = TaskState_TASK_DONE
+	made.left[int(task.round)*len(made.submission.GetSteps())+int(task.step)]--
+}
+
+func (made *Job) allDone() bool {
+	for _, count := range made.left {
+		if count > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (made *Job) failed(task *Task, present bool, now time.Time) {
+	if present {
+		made.Release(task, now)
+		task.retryAt = now.Add(failureBackoff)
+	}
+	if task.Spec().GetLasting() {
+		task.retryAt = now.Add(lastingBackoff)
+		return
+	}
+	if made.gangFailures(task) < max(1, int(made.submission.GetAttempts())) {
+		return
+	}
+	task.state = TaskState_TASK_FAILED
+	if !made.Ended() {
+		made.finish(State_STATE_FAILED, now)
+	}
+}
+
+// gangFailures counts the failures of the task, or of its gang.
+func (made *Job) gangFailures(task *Task) int {
+	if !task.Spec().GetGang() {
+		return len(task.failed)
+	}
+	var attempts []int32
+	for _, member := range made.Members(task) {
+		attempts = append(attempts, member.failed...)
+	}
+	slices.Sort(attempts)
+	return len(slices.Compact(attempts))
+}
+
+// Cancel notes that the client cancelled the job and reports whether that
+// changed anything.
+func (made *Job) Cancel(now time.Time) bool {
+	if made.Ended() {
+		return false
+	}
+	made.finish(State_STATE_CANCELLED, now)
+	return true
+}
+
+func (made *Job) finish(state State, now time.Time) {
+	made.state = state
+	made.endedAt = now
+}
