--- /dev/null
+++ b/agent/lease.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// noteClock takes a reading of the worker's clock that was made before now.
+func (state *workerState) noteClock(clock time.Duration, now time.Time) {
+	if clock > state.clock {
+		state.clock = clock
+		state.clockAt = now
+	}
+}
+
+// leaseEnd returns the time on the worker's clock that is surely over by until.
+func (state *workerState) leaseEnd(now, until time.Time) time.Duration {
+	left := until.Sub(now)
+	if state.clock == 0 || left <= 0 {
+		return 0
+	}
+	// The clock has moved on since it was read by no less than this.
+	atLeast := state.clock + time.Duration(float64(now.Sub(state.clockAt))*(1-clockSlack))
+	return atLeast + time.Duration(float64(left)*(1-clockSlack))
+}
+
+// extended notes that the worker may run on until a time on its clock.
+func (state *workerState) extended(leaseEnd time.Duration) {
+	lapse := state.clockAt.Add(time.Duration(float64(leaseEnd-state.clock) / (1 - clockSlack)))
+	if lapse.After(state.lapseBy) {
+		state.lapseBy = lapse
+	}
+}
+
+// leaseUntil returns the time up to which the worker's lease may be renewed.
+func (agent *Agent) leaseUntil(now time.Time) time.Time {
+	until := now.Add(leaseLength)
+	for _, run := range agent.worker.runs {
+		granted := agent.grantOf(run.shard)
+		if granted.Before(until) {
+			until = granted
+		}
+	}
+	return until
+}
+
+func (agent *Agent) grantOf(shard int32) time.Time {
+	if held, found := agent.claims[shard]; found {
+		return held.until
+	}
+	return agent.started
+}
+
+// giveUpLost ends an incarnation's runs once their lease must have ended.
+func (agent *Agent) giveUpLost(now time.Time) {
+	state := agent.worker
+	if state.failures == 0 || now.Before(state.lapseBy) || len(state.runs) == 0 {
+		return
+	}
+	for _, run := range state.runs {
+		delete(state.runs, run.task)
+		if run.phase == phaseUnsettled || run.phase == phaseStarting {
+			agent.sendResult(state, run, wire.StartOutcome_START_WORKER_FAILED)
+			continue
+		}
+		agent.tellLost(state, run)
+	}
+	// A start that is still on its way must not take effect later.
+	state.token++
+	state.known = false
+	agent.statusChanged()
+}
+
+// stopUnowned stops the runs of owners that have been silent until their grant
+// is nearly over, so that the lease of the others can be renewed.
+func (agent *Agent) stopUnowned(now time.Time) {
+	for _, run := range agent.worker.runs {
+		if run.phase != phaseRunning {
+			continue
+		}
+		until := agent.grantOf(run.shard).Add(-stopBefore)
+		if least := agent.started.Add(unclaimedMost); until.Before(least) {
+			// The run was here before this agent: its owner, or a new one,
+			// is still to attach and to grant.
+			until = least
+		}
+		if now.Before(until) {
+			continue
+		}
+		agent.options.Events.Log(agent.ctx, event.RunUnowned, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.Int("shard", int(run.shard)))
+		agent.stopRun(agent.worker, run, now)
+	}
+}
--- /dev/null
+++ b/agent/look.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// look asks the worker what runs and what has ended, and renews its lease.
+func (agent *Agent) look(now time.Time) {
+	state := agent.worker
+	if state.looking || now.Before(state.lookAt) {
+		return
+	}
+	wait := holdWait
+	if agent.paced.watching(state) {
+		wait = pacedHoldWait
+	}
+	if !state.known || state.unsettled > 0 || state.failures > 0 {
+		wait = 0
+	}
+	leaseEnd := time.Duration(0)
+	if state.failures == 0 {
+		// A worker that does not answer is not renewed: its runs are over
+		// once the lease that it may have is.
+		leaseEnd = state.leaseEnd(now, agent.leaseUntil(now))
+	}
+	if leaseEnd > 0 {
+		state.extended(leaseEnd)
+	}
+	asked := look{at: now, seen: state.seen, token: state.token, settles: state.unsettled}
+	state.looking = true
+	go func() {
+		ctx, cancel := context.WithTimeout(agent.ctx, wait+callTimeout)
+		defer cancel()
+		held, err := state.calls.Hold(ctx, leaseEnd, asked.seen, asked.token, wait)
+		agent.decisions.Post(func(now time.Time) {
+			state.looking = false
+			if agent.worker == state {
+				agent.noteLook(state, asked, held, err, now)
+			}
+		})
+	}()
+}
+
+// look is one question to the worker.
+type look struct {
+	at      time.Time
+	seen    int64
+	token   int64
+	settles int
+}
+
+func (agent *Agent) noteLook(state *workerState, asked look, held platform.Held, err error, now time.Time) {
+	if err != nil {
+		agent.noteFailedLook(state, err, now)
+		return
+	}
+	if state.failures > 0 {
+		agent.options.Events.Log(agent.ctx, event.WorkerBack, slog.String("worker", state.beat.Incarnation), slog.Int("failures", state.failures))
+		state.failures = 0
+		agent.statusChanged()
+	}
+	state.noteClock(held.Clock, now)
+	state.lookAt = now
+	for _, end := range held.Ended {
+		agent.noteEnd(state, end)
+	}
+	if len(state.ends) > 0 || state.seen > asked.seen && len(held.Ended) > 0 {
+		state.lookAt = now.Add(unseenPause)
+	}
+	agent.noteRunning(state, asked, held, now)
+	if !state.known {
+		state.known = true
+		agent.statusChanged()
+	}
+	agent.pace(state, true, now)
+}
+
+func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
+	var refused *platform.StartError
+	if errors.As(err, &refused) && refused.Reason() == platform.RefusedFence {
+		state.token += tokenStep
+		return
+	}
+	state.failures++
+	state.lookAt = now.Add(failedPause)
+	if state.failures == 1 {
+		agent.options.Events.Log(agent.ctx, event.WorkerSilent, slog.String("worker", state.beat.Incarnation), slog.Any("error", err))
+		agent.statusChanged()
+	}
+}
+
+func (agent *Agent) noteEnd(state *workerState, end platform.End) {
+	if end.Number <= state.listed {
+		return
+	}
+	if state.listed == 0 {
+		// The worker lists ends in order: it has forgotten those before the
+		// first, at the word of an earlier agent.
+		state.seen = end.Number - 1
+	}
+	state.listed = end.Number
+	told := &wire.RunEnd{
+		Worker: state.beat.Incarnation, Number: end.Number, Task: end.Task, Attempt: end.Attempt,
+		Reason: endReason(end.How), Checkpoint: end.Checkpoint,
+	}
+	state.ends[end.Number] = told
+	if run, found := state.runs[end.Task]; found && run.attempt == end.Attempt {
+		delete(state.runs, end.Task)
+	}
+	agent.options.Events.Log(agent.ctx, event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
+		slog.String("how", string(end.How)), slog.Int64("number", end.Number))
+	agent.meters.ended.Add(agent.ctx, 1, telemetry.By("how", string(end.How)))
+	agent.sendEnd(told)
+	agent.statusChanged()
+}
+
+func endReason(how platform.EndHow) wire.EndReason {
+	reasons := map[platform.EndHow]wire.EndReason{
+		platform.EndDone:    wire.EndReason_END_DONE,
+		platform.EndFailed:  wire.EndReason_END_FAILED,
+		platform.EndStopped: wire.EndReason_END_STOPPED,
+		platform.EndLapsed:  wire.EndReason_END_LAPSED,
+		platform.EndBroken:  wire.EndReason_END_BROKEN,
+		platform.EndAlone:   wire.EndReason_END_ALONE,
+	}
+	return reasons[how]
+}
