agent: what is logged of a run begins in one place; long functions split

The wait of a look, the pace of a new run and a heartbeat that is not the first have functions of their own. The time of the last heartbeat, which nobody read, is gone. Same events with the same attributes; no behaviour changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -158,6 +158,16 @@
 	agent.gauge(now)
 }
 
+func (agent *Agent) log(code event.Code, attributes ...slog.Attr) {
+	agent.options.Events.Log(agent.ctx, code, attributes...)
+}
+
+// logRun logs what becomes of a run.
+func (agent *Agent) logRun(code event.Code, run *runState, attributes ...slog.Attr) {
+	about := []slog.Attr{slog.String("task", run.task), slog.Int("attempt", int(run.attempt))}
+	agent.log(code, append(about, attributes...)...)
+}
+
 // uptime is the clock that grants are given in.
 func (agent *Agent) uptime(now time.Time) time.Duration { return now.Sub(agent.started) }
 
@@ -169,7 +179,7 @@
 // Left implements platform.Beats.
 func (agent *Agent) Left(incarnation string) {
 	agent.decisions.Post(func(time.Time) {
-		agent.options.Events.Log(agent.ctx, event.WorkerLeft, slog.String("worker", incarnation))
+		agent.log(event.WorkerLeft, slog.String("worker", incarnation))
 		agent.endIncarnation(incarnation)
 	})
 }
@@ -180,16 +190,7 @@
 	}
 	current := agent.worker
 	if current != nil && current.beat.Incarnation == beat.Incarnation {
-		if beat.Sequence < current.beat.Sequence {
-			return
-		}
-		changed := current.beat.Draining != beat.Draining
-		current.beat = beat
-		current.beatAt = now
-		if changed {
-			agent.logWorker(beat)
-			agent.statusChanged()
-		}
+		agent.noteBeatAgain(current, beat)
 		return
 	}
 	if current != nil {
@@ -202,8 +203,21 @@
 	agent.statusChanged()
 }
 
+// noteBeatAgain takes in a heartbeat of the incarnation that is known.
+func (agent *Agent) noteBeatAgain(current *workerState, beat platform.Heartbeat) {
+	if beat.Sequence < current.beat.Sequence {
+		return
+	}
+	changed := current.beat.Draining != beat.Draining
+	current.beat = beat
+	if changed {
+		agent.logWorker(beat)
+		agent.statusChanged()
+	}
+}
+
 func (agent *Agent) logWorker(beat platform.Heartbeat) {
-	agent.options.Events.Log(agent.ctx, event.WorkerSeen,
+	agent.log(event.WorkerSeen,
 		slog.String("worker", beat.Incarnation), slog.String("service", beat.Service), slog.String("address", beat.Address),
 		slog.Bool("draining", beat.Draining), slog.Int64("milli_cpu", beat.MilliCPU), slog.Int64("memory_mb", beat.MemoryMB),
 		slog.Duration("remaining", beat.Remaining))
@@ -220,7 +234,7 @@
 		return
 	}
 	agent.worker = nil
-	agent.options.Events.Log(agent.ctx, event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)))
+	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)))
 	for _, run := range ended.runs {
 		agent.tellLost(ended, run)
 	}
@@ -235,7 +249,7 @@
 // tellLost tells the run's owner that it is over without an end.
 func (agent *Agent) tellLost(on *workerState, run *runState) {
 	end := &wire.RunEnd{Worker: on.beat.Incarnation, Task: run.task, Attempt: run.attempt, Reason: wire.EndReason_END_LOST, Checkpoint: run.checkpoint}
-	agent.options.Events.Log(agent.ctx, event.RunLost, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.String("worker", end.GetWorker()))
+	agent.logRun(event.RunLost, run, slog.String("worker", end.GetWorker()))
 	agent.sendEnd(end)
 }
 
@@ -243,7 +257,7 @@
 func (agent *Agent) shardOf(task string) int32 {
 	ref, err := job.ParseRef(task)
 	if err != nil {
-		agent.options.Events.Log(agent.ctx, event.RecordUnreadable, slog.String("task", task), slog.Any("error", err))
+		agent.log(event.RecordUnreadable, slog.String("task", task), slog.Any("error", err))
 		return -1
 	}
 	return int32(job.ShardOf(ref.Job, agent.options.Shards))
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -90,7 +90,7 @@
 		if now.Before(until) {
 			continue
 		}
-		agent.options.Events.Log(agent.ctx, event.RunUnowned, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.Int("shard", int(run.shard)))
+		agent.logRun(event.RunUnowned, run, slog.Int("shard", int(run.shard)))
 		agent.stopRun(agent.worker, run, now)
 	}
 }
--- a/agent/look.go
+++ b/agent/look.go
@@ -19,13 +19,7 @@
 	if state.looking || now.Before(state.lookAt) {
 		return
 	}
-	wait := holdWait
-	if agent.paced.watching(state) {
-		wait = pacedHoldWait
-	}
-	if !state.known || state.unsettled > 0 || state.failures > 0 {
-		wait = 0
-	}
+	wait := agent.lookWait(state)
 	leaseEnd := time.Duration(0)
 	if state.failures == 0 {
 		// A worker that does not answer is not renewed: its runs are over
@@ -50,6 +44,18 @@
 	}()
 }
 
+// lookWait returns how long a look waits for an end: not at all while the agent
+// does not know what runs.
+func (agent *Agent) lookWait(state *workerState) time.Duration {
+	if !state.known || state.unsettled > 0 || state.failures > 0 {
+		return 0
+	}
+	if agent.paced.watching(state) {
+		return pacedHoldWait
+	}
+	return holdWait
+}
+
 // look is one question to the worker.
 type look struct {
 	at      time.Time
@@ -64,7 +70,7 @@
 		return
 	}
 	if state.failures > 0 {
-		agent.options.Events.Log(agent.ctx, event.WorkerBack, slog.String("worker", state.beat.Incarnation), slog.Int("failures", state.failures))
+		agent.log(event.WorkerBack, slog.String("worker", state.beat.Incarnation), slog.Int("failures", state.failures))
 		state.failures = 0
 		agent.statusChanged()
 	}
@@ -93,7 +99,7 @@
 	state.failures++
 	state.lookAt = now.Add(failedPause)
 	if state.failures == 1 {
-		agent.options.Events.Log(agent.ctx, event.WorkerSilent, slog.String("worker", state.beat.Incarnation), slog.Any("error", err))
+		agent.log(event.WorkerSilent, slog.String("worker", state.beat.Incarnation), slog.Any("error", err))
 		agent.statusChanged()
 	}
 }
@@ -116,7 +122,7 @@
 	if run, found := state.runs[end.Task]; found && run.attempt == end.Attempt {
 		delete(state.runs, end.Task)
 	}
-	agent.options.Events.Log(agent.ctx, event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
+	agent.log(event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
 		slog.String("how", string(end.How)), slog.Int64("number", end.Number))
 	agent.meters.ended.Add(agent.ctx, 1, telemetry.By("how", string(end.How)))
 	agent.sendEnd(told)
--- a/agent/order.go
+++ b/agent/order.go
@@ -31,7 +31,7 @@
 	outcome := agent.judge(order, now)
 	agent.meters.orders.Add(agent.ctx, 1, telemetry.By("outcome", outcome.String()))
 	if outcome != wire.StartOutcome_START_STARTED {
-		agent.options.Events.Log(agent.ctx, event.OrderRefused, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.String("outcome", outcome.String()))
+		agent.logRun(event.OrderRefused, run, slog.String("outcome", outcome.String()))
 		owner.results = append(owner.results, &wire.StartResult{Task: run.task, Attempt: run.attempt, Worker: order.GetWorker(), Outcome: outcome})
 		return
 	}
@@ -84,13 +84,7 @@
 	if err == nil {
 		run.phase = phaseRunning
 		run.confirmedAt = now
-		agent.options.Clock.AfterFunc(paceAfter, func() {
-			agent.decisions.Post(func(now time.Time) {
-				if agent.worker == state && state.runs[run.task] == run {
-					agent.pace(state, false, now)
-				}
-			})
-		})
+		agent.paceSoon(state, run)
 		agent.sendResult(state, run, wire.StartOutcome_START_STARTED)
 		return
 	}
@@ -107,7 +101,7 @@
 	case errors.As(err, &failed):
 		agent.notStarted(state, run, wire.StartOutcome_START_WORKER_FAILED, err)
 	default:
-		agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.Any("error", err))
+		agent.logRun(event.OrderUnsettled, run, slog.Any("error", err))
 		run.phase = phaseUnsettled
 		state.unsettled++
 		state.token++
@@ -115,6 +109,17 @@
 	}
 }
 
+// paceSoon paces a run that has just started, once its worker takes a pace for it.
+func (agent *Agent) paceSoon(state *workerState, run *runState) {
+	agent.options.Clock.AfterFunc(paceAfter, func() {
+		agent.decisions.Post(func(now time.Time) {
+			if agent.worker == state && state.runs[run.task] == run {
+				agent.pace(state, false, now)
+			}
+		})
+	})
+}
+
 func refusedOutcome(reason platform.StartRefusal) wire.StartOutcome {
 	switch reason {
 	case platform.RefusedRoom:
@@ -130,8 +135,7 @@
 }
 
 func (agent *Agent) notStarted(state *workerState, run *runState, outcome wire.StartOutcome, err error) {
-	agent.options.Events.Log(agent.ctx, event.OrderRefused, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)),
-		slog.String("outcome", outcome.String()), slog.Any("error", err))
+	agent.logRun(event.OrderRefused, run, slog.String("outcome", outcome.String()), slog.Any("error", err))
 	delete(state.runs, run.task)
 	agent.sendResult(state, run, outcome)
 	agent.statusChanged()
@@ -160,7 +164,7 @@
 	if run.phase == phaseRunning {
 		run.phase = phaseStopping
 	}
-	agent.options.Events.Log(agent.ctx, event.RunStopOrdered, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)))
+	agent.logRun(event.RunStopOrdered, run)
 	token := state.token
 	go func() {
 		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
@@ -178,7 +182,7 @@
 			if run.phase == phaseStopping {
 				run.phase = phaseRunning
 			}
-			agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "stop"), slog.Any("error", err))
+			agent.log(event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "stop"), slog.Any("error", err))
 		})
 	}()
 }
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -103,8 +103,7 @@
 	agent.paced.evictedAt = now
 	agent.meters.evicted.Add(agent.ctx, 1)
 	run := state.runs[worst]
-	agent.options.Events.Log(agent.ctx, event.RunEvicted, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)),
-		slog.String("image", run.demand.GetImage()), slog.Int("percent_done", int(run.percent)))
+	agent.logRun(event.RunEvicted, run, slog.String("image", run.demand.GetImage()), slog.Int("percent_done", int(run.percent)))
 	agent.stopRun(state, run, now)
 }
 
@@ -121,7 +120,7 @@
 	}
 	run.pace = percent
 	agent.meters.paced.Add(agent.ctx, 1)
-	agent.options.Events.Log(agent.ctx, event.FillsPaced, slog.String("task", run.task), slog.Int("percent", int(percent)), slog.Int("before", int(before)))
+	agent.log(event.FillsPaced, slog.String("task", run.task), slog.Int("percent", int(percent)), slog.Int("before", int(before)))
 	token := state.token
 	go func() {
 		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
@@ -131,7 +130,7 @@
 			return
 		}
 		agent.decisions.Post(func(time.Time) {
-			agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "pace"), slog.Any("error", err))
+			agent.log(event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "pace"), slog.Any("error", err))
 			// Sent again with the next look.
 			run.pace = before
 		})
--- a/agent/running.go
+++ b/agent/running.go
@@ -33,7 +33,7 @@
 	if !found {
 		run = &runState{task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, pace: fullPercent, confirmedAt: now}
 		state.runs[listed.Task] = run
-		agent.options.Events.Log(agent.ctx, event.RunAdopted, slog.String("task", listed.Task), slog.Int("attempt", int(listed.Attempt)))
+		agent.log(event.RunAdopted, slog.String("task", listed.Task), slog.Int("attempt", int(listed.Attempt)))
 		agent.statusChanged()
 	}
 	if run.attempt != listed.Attempt {
@@ -73,7 +73,7 @@
 }
 
 func (agent *Agent) settled(state *workerState, run *runState, runs bool) {
-	agent.options.Events.Log(agent.ctx, event.OrderSettled, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)), slog.Bool("runs", runs))
+	agent.logRun(event.OrderSettled, run, slog.Bool("runs", runs))
 	outcome := wire.StartOutcome_START_WORKER_FAILED
 	if runs {
 		run.phase = phaseRunning
--- a/agent/session.go
+++ b/agent/session.go
@@ -69,14 +69,14 @@
 		return
 	}
 	delete(agent.owners, owner)
-	agent.options.Events.Log(agent.ctx, event.OwnerLost, slog.String("owner", owner.name))
+	agent.log(event.OwnerLost, slog.String("owner", owner.name))
 }
 
 func (agent *Agent) noteOwner(owner *session, message *wire.OwnerMessage, now time.Time) {
 	if !agent.owners[owner] {
 		agent.owners[owner] = true
 		owner.name = message.GetOwner()
-		agent.options.Events.Log(agent.ctx, event.OwnerAttached, slog.String("owner", owner.name))
+		agent.log(event.OwnerAttached, slog.String("owner", owner.name))
 	}
 	if message.GetOwned() {
 		agent.noteClaims(owner, message)
@@ -111,7 +111,7 @@
 			agent.claims[shard.GetShard()] = held
 		}
 		if held.epoch != shard.GetEpoch() || held.owner != owner {
-			agent.options.Events.Log(agent.ctx, event.ShardClaimed, slog.String("owner", owner.name),
+			agent.log(event.ShardClaimed, slog.String("owner", owner.name),
 				slog.Int("shard", int(shard.GetShard())), slog.Int64("epoch", shard.GetEpoch()))
 			agent.resendEnds(owner, shard.GetShard())
 		}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -9,10 +9,9 @@
 
 // workerState is what the agent knows of one incarnation.
 type workerState struct {
-	beat   platform.Heartbeat
-	beatAt time.Time
-	calls  *platform.Worker
-	token  int64
+	beat  platform.Heartbeat
+	calls *platform.Worker
+	token int64
 
 	runs map[string]*runState
 	// ends are those that no owner has made durable yet, by number.
@@ -61,7 +60,7 @@
 
 func newWorkerState(beat platform.Heartbeat, calls *platform.Worker, token int64, now time.Time) *workerState {
 	return &workerState{
-		beat: beat, beatAt: now, calls: calls, token: token,
+		beat: beat, calls: calls, token: token,
 		runs: map[string]*runState{}, ends: map[int64]*wire.RunEnd{}, durable: map[int64]bool{},
 		clockAt: now, lapseBy: now,
 	}
