gateway: pauses and refusals in one place, constants explained

Waiting out a pause stood twice and the answer that says when to come back four times. The constants got their lines of comment. No behaviour changes.

--- a/gateway/append.go
+++ b/gateway/append.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/wire"
@@ -13,8 +15,10 @@
 	// appendTimeout is how long the store is waited for before the same record
 	// is sent again on another connection.
 	appendTimeout = 900 * time.Millisecond
-	relayTimeout  = 600 * time.Millisecond
-	appendPause   = 60 * time.Millisecond
+	// relayTimeout bounds the same by way of a peer.
+	relayTimeout = 600 * time.Millisecond
+	// appendPause keeps tries apart.
+	appendPause = 60 * time.Millisecond
 	// refusalsBeforeRelay is how often the store may turn an append away
 	// before a peer is asked: a single refusal may be its rate limit.
 	refusalsBeforeRelay = 1
@@ -72,7 +76,7 @@
 		if !doubt {
 			break
 		}
-		gateway.pause(ctx, appendPause)
+		pause(ctx, gateway.options.Clock, appendPause)
 	}
 	if doubt {
 		return outcome{kind: unsure, reason: reason}
@@ -87,9 +91,10 @@
 	return err
 }
 
-func (gateway *Gateway) pause(ctx context.Context, length time.Duration) {
+// pause waits for a while, or until ctx ends.
+func pause(ctx context.Context, clock clockwork.Clock, length time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-gateway.options.Clock.After(length):
+	case <-clock.After(length):
 	}
 }
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -10,14 +10,18 @@
 )
 
 const (
+	// operatorPart is the only partition of the operator's topic that is read.
 	operatorPart = 0
 	// configurationWait is how long a read waits for a new configuration. One
 	// that waits while the store drops its history hears nothing until it is
 	// asked anew, and a configuration has to be in force within 2 s.
 	configurationWait = 800 * time.Millisecond
+	// configurationOver is added to the wait for the way there and back.
 	configurationOver = 700 * time.Millisecond
+	// configurationSoon keeps reads apart that found nothing to go on with.
 	configurationSoon = 100 * time.Millisecond
-	newestTimeout     = 1500 * time.Millisecond
+	// newestTimeout bounds a question for the newest records.
+	newestTimeout = 1500 * time.Millisecond
 )
 
 // Run follows the configuration until ctx ends.
@@ -29,7 +33,7 @@
 			if platform.IsGone(err) {
 				next = -1
 			}
-			gateway.pause(ctx, configurationSoon)
+			pause(ctx, gateway.options.Clock, configurationSoon)
 			continue
 		}
 		next = tail.Next
@@ -42,7 +46,7 @@
 			// Records of the first configuration may be removed before they
 			// are read: ask for the newest.
 			next = -1
-			gateway.pause(ctx, configurationSoon)
+			pause(ctx, gateway.options.Clock, configurationSoon)
 		}
 	}
 }
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -18,11 +18,15 @@
 	// ownersFresh is how long what the store said of owners is gone by.
 	ownersFresh = 2 * time.Second
 	// ownersAgain keeps questions to the store apart while an owner is sought.
-	ownersAgain   = 150 * time.Millisecond
+	ownersAgain = 150 * time.Millisecond
+	// ownersTimeout bounds a question to the store.
 	ownersTimeout = 800 * time.Millisecond
-	peerTimeout   = 700 * time.Millisecond
-	pendingFresh  = 500 * time.Millisecond
-	peerPause     = 80 * time.Millisecond
+	// peerTimeout bounds a question to another entry, which may be gone.
+	peerTimeout = 700 * time.Millisecond
+	// peerPause keeps questions apart while a shard passes to another entry.
+	peerPause = 80 * time.Millisecond
+	// pendingFresh is how long a count of waiting jobs is told again.
+	pendingFresh = 500 * time.Millisecond
 )
 
 // directory knows which entry owns which shard.
@@ -119,7 +123,7 @@
 			last = err
 		}
 		directory.refresh(ctx, ownersAgain)
-		directory.pause(ctx)
+		pause(ctx, directory.options.Clock, peerPause)
 	}
 	if last == nil {
 		last = ctx.Err()
@@ -133,13 +137,6 @@
 	return directory.peer(member).JobState(ctx, request)
 }
 
-func (directory *directory) pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-directory.options.Clock.After(peerPause):
-	}
-}
-
 // pending returns how many jobs of a queue wait, over all shards. It fails
 // rather than leave a shard out.
 func (directory *directory) pending(ctx context.Context, queue string) (int64, error) {
@@ -161,7 +158,7 @@
 		}
 		last = err
 		directory.refresh(ctx, ownersAgain)
-		directory.pause(ctx)
+		pause(ctx, directory.options.Clock, peerPause)
 	}
 	return 0, errors.Wrap(last, "ask the owners of all shards")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,8 +43,11 @@
 	answerMargin = 150 * time.Millisecond
 	// comeBack tells a refused client when the store may answer again: its
 	// outages last seconds.
-	comeBack   = time.Second
-	bodyMost   = 1 << 20
+	comeBack = time.Second
+	// bodyMost bounds a job as it is handed in, unless the configuration allows
+	// for more.
+	bodyMost = 1 << 20
+	// idDigits is the length of a job's ID, in hexadecimal digits.
 	idDigits   = 16
 	retryAfter = "Retry-After"
 )
@@ -172,16 +175,20 @@
 		gateway.refuse(answer, id, outcome.reason)
 	default:
 		gateway.options.Events.Log(request.Context(), event.JobUnsettled, slog.String("job", id), slog.Duration("took", took), slog.String("reason", outcome.reason))
-		answer.Header().Set(retryAfter, strconv.Itoa(int(comeBack.Seconds())))
-		answer.WriteHeader(http.StatusGatewayTimeout)
+		sayWhen(answer, http.StatusGatewayTimeout)
 	}
 }
 
+// sayWhen answers with a status and when to come back.
+func sayWhen(answer http.ResponseWriter, status int) {
+	answer.Header().Set(retryAfter, strconv.Itoa(int(comeBack.Seconds())))
+	answer.WriteHeader(status)
+}
+
 // refuse answers that nothing was done, and when to come back.
 func (gateway *Gateway) refuse(answer http.ResponseWriter, id, reason string) {
 	gateway.options.Events.Log(context.Background(), event.JobRefused, slog.String("job", id), slog.String("reason", reason), slog.Duration("retry_after", comeBack))
-	answer.Header().Set(retryAfter, strconv.Itoa(int(comeBack.Seconds())))
-	answer.WriteHeader(http.StatusServiceUnavailable)
+	sayWhen(answer, http.StatusServiceUnavailable)
 }
 
 func (gateway *Gateway) answerState(answer http.ResponseWriter, request *http.Request, id string) {
@@ -192,8 +199,7 @@
 		slog.Bool("known", reply.GetKnown()), slog.Any("error", err))
 	switch {
 	case err != nil:
-		answer.Header().Set(retryAfter, strconv.Itoa(int(comeBack.Seconds())))
-		answer.WriteHeader(http.StatusServiceUnavailable)
+		sayWhen(answer, http.StatusServiceUnavailable)
 	case !reply.GetKnown():
 		answer.WriteHeader(http.StatusGone)
 	default:
@@ -214,8 +220,7 @@
 func (gateway *Gateway) answerPending(answer http.ResponseWriter, request *http.Request, queue *platform.Queue) {
 	count, err := gateway.directory.pending(request.Context(), queue.Name())
 	if err != nil {
-		answer.Header().Set(retryAfter, strconv.Itoa(int(comeBack.Seconds())))
-		answer.WriteHeader(http.StatusServiceUnavailable)
+		sayWhen(answer, http.StatusServiceUnavailable)
 		return
 	}
 	platform.AnswerPending(answer, count)
