--- a/standin/wirestore/group.go
+++ b/standin/wirestore/group.go
@@ -22,10 +22,18 @@
 	return store.group[name]
 }
 
+// takeBody decodes a call; one that it can't decode is answered.
+func takeBody(answer http.ResponseWriter, request *http.Request, body any) bool {
+	if err := json.NewDecoder(request.Body).Decode(body); err != nil {
+		answer.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 func (store *Store) join(answer http.ResponseWriter, request *http.Request) {
 	var body joinBody
-	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
-		answer.WriteHeader(http.StatusBadRequest)
+	if !takeBody(answer, request, &body) {
 		return
 	}
 	store.mu.Lock()
@@ -108,8 +116,7 @@
 
 func (store *Store) leave(answer http.ResponseWriter, request *http.Request) {
 	var body joinBody
-	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
-		answer.WriteHeader(http.StatusBadRequest)
+	if !takeBody(answer, request, &body) {
 		return
 	}
 	store.mu.Lock()
@@ -134,3 +141,17 @@
 		Owners [][]any `json:"owners"`
 	}{rows})
 }
+
+type member struct {
+	name    string
+	silent  time.Duration
+	heardAt time.Time
+	heard   int64
+}
+
+type group struct {
+	generation int64
+	members    []*member
+	owners     map[int]string // by partition
+	owed       map[int]string // to whom a partition goes once its owner has heard
+}
