gateway: the notice to a shard's owner takes the request's context

The notice still goes on after the request: the context is passed without its end, as the directory does elsewhere, so no behaviour changes.

--- a/gateway/append.go
+++ b/gateway/append.go
@@ -61,7 +61,7 @@
 	for tries := 1; ctx.Err() == nil; tries++ {
 		err := gateway.appendOnce(ctx, add)
 		if err == nil {
-			go gateway.directory.taken(&wire.TakenRequest{Shard: int32(shard), Key: key, Value: value})
+			go gateway.directory.taken(context.WithoutCancel(ctx), &wire.TakenRequest{Shard: int32(shard), Key: key, Value: value})
 			return outcome{kind: appended, by: gateway.options.Name}
 		}
 		reason = err.Error()
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -199,9 +199,10 @@
 }
 
 // taken tells the owner of a shard what the store has taken. It is an economy of
-// time only: an owner that is not told reads it.
-func (directory *directory) taken(request *wire.TakenRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+// time only: an owner that is not told reads it. It goes on for longer than the
+// client's request, which has been answered by then; ctx does not end with that.
+func (directory *directory) taken(ctx context.Context, request *wire.TakenRequest) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	directory.refresh(ctx, ownersFresh)
 	member := directory.ownerOf(int(request.GetShard()))
