--- a/job/job.go
+++ b/job/job.go
@@ -23,61 +23,61 @@
 
 // New returns a job none of whose tasks has started.
 func New(submission *Submission, shard int) *Job {
-	made := &Job{submission: submission, shard: shard, submitted: time.UnixMilli(submission.GetSubmittedMs())}
+	job := &Job{submission: submission, shard: shard, submitted: time.UnixMilli(submission.GetSubmittedMs())}
 	steps := submission.GetSteps()
-	made.left = make([]int, made.Rounds()*len(steps))
-	for round := range made.Rounds() {
+	job.left = make([]int, job.Rounds()*len(steps))
+	for round := range job.Rounds() {
 		for number, step := range steps {
-			made.left[round*len(steps)+number] = int(step.GetCount())
+			job.left[round*len(steps)+number] = int(step.GetCount())
 			for index := range step.GetCount() {
-				made.tasks = append(made.tasks, &Task{job: made, round: int32(round), step: int32(number), index: index})
+				job.tasks = append(job.tasks, &Task{job: job, round: int32(round), step: int32(number), index: index})
 			}
 		}
 	}
-	made.objective = made.submitted.Add(made.allowed())
-	return made
+	job.objective = job.submitted.Add(job.allowed())
+	return job
 }
 
 // ID returns the job's ID.
-func (made *Job) ID() string { return made.submission.GetId() }
+func (job *Job) ID() string { return job.submission.GetId() }
 
 // Submission returns what was handed in.
-func (made *Job) Submission() *Submission { return made.submission }
+func (job *Job) Submission() *Submission { return job.submission }
 
 // Shard returns the job's shard.
-func (made *Job) Shard() int { return made.shard }
+func (job *Job) Shard() int { return job.shard }
 
 // State returns what the job's client is told.
-func (made *Job) State() State { return made.state }
+func (job *Job) State() State { return job.state }
 
 // Tasks returns the job's tasks.
-func (made *Job) Tasks() []*Task { return made.tasks }
+func (job *Job) Tasks() []*Task { return job.tasks }
 
 // Objective returns when the job should have ended.
-func (made *Job) Objective() time.Time { return made.objective }
+func (job *Job) Objective() time.Time { return job.objective }
 
 // EndedAt returns when the job ended.
-func (made *Job) EndedAt() time.Time { return made.endedAt }
+func (job *Job) EndedAt() time.Time { return job.endedAt }
 
 // Rounds returns how many times the steps run.
-func (made *Job) Rounds() int { return max(1, int(made.submission.GetRounds())) }
+func (job *Job) Rounds() int { return max(1, int(job.submission.GetRounds())) }
 
 // Scheduled reports whether the job runs at times of its own.
-func (made *Job) Scheduled() bool { return made.submission.GetRounds() > 0 }
+func (job *Job) Scheduled() bool { return job.submission.GetRounds() > 0 }
 
 // Lasting reports whether the job has tasks that run until it is cancelled.
-func (made *Job) Lasting() bool {
-	return slices.ContainsFunc(made.submission.GetSteps(), (*StepSpec).GetLasting)
+func (job *Job) Lasting() bool {
+	return slices.ContainsFunc(job.submission.GetSteps(), (*StepSpec).GetLasting)
 }
 
 // Ended reports whether nothing of the job will start again.
-func (made *Job) Ended() bool {
-	return made.state == State_STATE_COMPLETED || made.state == State_STATE_FAILED || made.state == State_STATE_CANCELLED
+func (job *Job) Ended() bool {
+	return job.state == State_STATE_COMPLETED || job.state == State_STATE_FAILED || job.state == State_STATE_CANCELLED
 }
 
 // Task returns the task with the name, or nil.
-func (made *Job) Task(ref Ref) *Task {
-	for _, task := range made.tasks {
+func (job *Job) Task(ref Ref) *Task {
+	for _, task := range job.tasks {
 		if task.round == ref.Round && task.step == ref.Step && task.index == ref.Index {
 			return task
 		}
@@ -86,9 +86,9 @@
 }
 
 // Running returns the tasks that are started.
-func (made *Job) Running() []*Task {
+func (job *Job) Running() []*Task {
 	var running []*Task
-	for _, task := range made.tasks {
+	for _, task := range job.tasks {
 		if task.state == TaskState_TASK_STARTED {
 			running = append(running, task)
 		}
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -26,8 +26,8 @@
 
 // Start notes that a task is started at a place, under the next attempt. The
 // members of a gang are started one after another under the attempt of the first.
-func (made *Job) Start(task *Task, place Place, now time.Time) {
-	task.attempt = made.nextAttempt(task)
+func (job *Job) Start(task *Task, place Place, now time.Time) {
+	task.attempt = job.nextAttempt(task)
 	task.state = TaskState_TASK_STARTED
 	task.place = place
 	task.startedAt = now
@@ -35,21 +35,21 @@
 
 // Begin notes that a run has started for certain and reports whether it is the
 // job's first.
-func (made *Job) Begin(now time.Time) bool {
-	if made.state != State_STATE_QUEUED {
+func (job *Job) Begin(now time.Time) bool {
+	if job.state != State_STATE_QUEUED {
 		return false
 	}
-	made.state = State_STATE_RUNNING
-	made.begunAt = now
+	job.state = State_STATE_RUNNING
+	job.begunAt = now
 	return true
 }
 
-func (made *Job) nextAttempt(task *Task) int32 {
+func (job *Job) nextAttempt(task *Task) int32 {
 	if !task.Spec().GetGang() {
 		return task.attempt + 1
 	}
 	highest := int32(0)
-	for _, member := range made.Members(task) {
+	for _, member := range job.Members(task) {
 		if member.state == TaskState_TASK_STARTED {
 			return member.attempt
 		}
@@ -60,7 +60,7 @@
 
 // Release notes that the present run never was, or is over for certain without
 // an end: the task waits again.
-func (made *Job) Release(task *Task, now time.Time) {
+func (job *Job) Release(task *Task, now time.Time) {
 	if task.state != TaskState_TASK_STARTED {
 		return
 	}
@@ -69,7 +69,7 @@
 }
 
 // Saved notes the newest checkpoint of the present run.
-func (made *Job) Saved(task *Task, attempt int32, checkpoint string) bool {
+func (job *Job) Saved(task *Task, attempt int32, checkpoint string) bool {
 	if task.attempt != attempt || checkpoint == "" || task.checkpoint == checkpoint {
 		return false
 	}
@@ -80,12 +80,12 @@
 // CheckpointOf returns the checkpoint that a start of the task brings: its own,
 // or for a gang the one that all members bring. Checkpoints begin with the work
 // done, so the greatest is the newest.
-func (made *Job) CheckpointOf(task *Task) string {
+func (job *Job) CheckpointOf(task *Task) string {
 	if !task.Spec().GetGang() {
 		return task.checkpoint
 	}
 	newest := ""
-	for _, member := range made.Members(task) {
+	for _, member := range job.Members(task) {
 		newest = max(newest, member.checkpoint)
 	}
 	return newest
@@ -95,7 +95,7 @@
 // an earlier run than the present one counts where it can't be doubted: a
 // failure counts against the attempts, and a task that waits and turns out to be
 // done is done.
-func (made *Job) End(task *Task, attempt int32, reason EndReason, checkpoint string, now time.Time) bool {
+func (job *Job) End(task *Task, attempt int32, reason EndReason, checkpoint string, now time.Time) bool {
 	present := attempt == task.attempt
 	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
 		return false
@@ -106,62 +106,62 @@
 	if checkpoint != "" && present {
 		task.checkpoint = checkpoint
 	}
-	made.Begin(now)
+	job.Begin(now)
 	switch reason {
 	case EndDone:
-		return made.done(task, present, now)
+		return job.done(task, present, now)
 	case EndFailed:
 		if slices.Contains(task.failed, attempt) {
 			// Ends are told again until they are known to be in the store.
 			return false
 		}
 		task.failed = append(task.failed, attempt)
-		made.failed(task, present, now)
+		job.failed(task, present, now)
 		return true
 	case EndInterrupted:
 		if !present {
 			return false
 		}
 		task.interrupted++
-		made.Release(task, now)
+		job.Release(task, now)
 		return true
 	}
 	return false
 }
 
-func (made *Job) done(task *Task, present bool, now time.Time) bool {
+func (job *Job) done(task *Task, present bool, now time.Time) bool {
 	if !present && task.state == TaskState_TASK_STARTED {
 		// The present run goes on: its own end decides.
 		return false
 	}
 	if task.Spec().GetLasting() {
-		made.Release(task, now)
+		job.Release(task, now)
 		task.retryAt = now.Add(lastingBackoff)
 		return true
 	}
 	finished := []*Task{task}
 	if task.Spec().GetGang() {
-		finished = made.Members(task)
+		finished = job.Members(task)
 	}
 	for _, member := range finished {
-		made.markDone(member)
+		job.markDone(member)
 	}
-	if made.allDone() && !made.Ended() {
-		made.finish(State_STATE_COMPLETED, now)
+	if job.allDone() && !job.Ended() {
+		job.finish(State_STATE_COMPLETED, now)
 	}
 	return true
 }
 
-func (made *Job) markDone(task *Task) {
+func (job *Job) markDone(task *Task) {
 	if task.state == TaskState_TASK_DONE {
 		return
 	}
 	task.state = TaskState_TASK_DONE
-	made.left[int(task.round)*len(made.submission.GetSteps())+int(task.step)]--
+	job.left[int(task.round)*len(job.submission.GetSteps())+int(task.step)]--
 }
 
-func (made *Job) allDone() bool {
-	for _, count := range made.left {
+func (job *Job) allDone() bool {
+	for _, count := range job.left {
 		if count > 0 {
 			return false
 		}
@@ -169,31 +169,31 @@
 	return true
 }
 
-func (made *Job) failed(task *Task, present bool, now time.Time) {
+func (job *Job) failed(task *Task, present bool, now time.Time) {
 	if present {
-		made.Release(task, now)
+		job.Release(task, now)
 		task.retryAt = now.Add(failureBackoff)
 	}
 	if task.Spec().GetLasting() {
 		task.retryAt = now.Add(lastingBackoff)
 		return
 	}
-	if made.gangFailures(task) < max(1, int(made.submission.GetAttempts())) {
+	if job.gangFailures(task) < max(1, int(job.submission.GetAttempts())) {
 		return
 	}
 	task.state = TaskState_TASK_FAILED
-	if !made.Ended() {
-		made.finish(State_STATE_FAILED, now)
+	if !job.Ended() {
+		job.finish(State_STATE_FAILED, now)
 	}
 }
 
 // gangFailures counts the failures of the task, or of its gang.
-func (made *Job) gangFailures(task *Task) int {
+func (job *Job) gangFailures(task *Task) int {
 	if !task.Spec().GetGang() {
 		return len(task.failed)
 	}
 	var attempts []int32
-	for _, member := range made.Members(task) {
+	for _, member := range job.Members(task) {
 		attempts = append(attempts, member.failed...)
 	}
 	slices.Sort(attempts)
@@ -202,15 +202,15 @@
 
 // Cancel notes that the client cancelled the job and reports whether that
 // changed anything.
-func (made *Job) Cancel(now time.Time) bool {
-	if made.Ended() {
+func (job *Job) Cancel(now time.Time) bool {
+	if job.Ended() {
 		return false
 	}
-	made.finish(State_STATE_CANCELLED, now)
+	job.finish(State_STATE_CANCELLED, now)
 	return true
 }
 
-func (made *Job) finish(state State, now time.Time) {
-	made.state = state
-	made.endedAt = now
+func (job *Job) finish(state State, now time.Time) {
+	job.state = state
+	job.endedAt = now
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -3,16 +3,16 @@
 import "time"
 
 // Progress returns the record of what has become of the job.
-func (made *Job) Progress() *Progress {
-	kept := &Progress{Id: made.ID(), State: made.state}
-	if !made.endedAt.IsZero() {
-		kept.EndedMs = made.endedAt.UnixMilli()
+func (job *Job) Progress() *Progress {
+	kept := &Progress{Id: job.ID(), State: job.state}
+	if !job.endedAt.IsZero() {
+		kept.EndedMs = job.endedAt.UnixMilli()
 	}
-	if !made.begunAt.IsZero() {
-		kept.BegunMs = made.begunAt.UnixMilli()
+	if !job.begunAt.IsZero() {
+		kept.BegunMs = job.begunAt.UnixMilli()
 	}
 	places := map[Place]int32{}
-	for _, task := range made.tasks {
+	for _, task := range job.tasks {
 		if task.attempt == 0 && task.state == TaskState_TASK_WAITING {
 			continue
 		}
@@ -43,29 +43,29 @@
 }
 
 // Restore brings a job that has just been made to the state of a record.
-func (made *Job) Restore(kept *Progress, now time.Time) {
-	made.state = kept.GetState()
+func (job *Job) Restore(kept *Progress, now time.Time) {
+	job.state = kept.GetState()
 	if kept.GetEndedMs() > 0 {
-		made.endedAt = time.UnixMilli(kept.GetEndedMs())
+		job.endedAt = time.UnixMilli(kept.GetEndedMs())
 	}
 	if kept.GetBegunMs() > 0 {
-		made.begunAt = time.UnixMilli(kept.GetBegunMs())
+		job.begunAt = time.UnixMilli(kept.GetBegunMs())
 	}
 	for _, record := range kept.GetTasks() {
-		task := made.Task(Ref{Job: made.ID(), Round: record.GetRound(), Step: record.GetStep(), Index: record.GetIndex()})
+		task := job.Task(Ref{Job: job.ID(), Round: record.GetRound(), Step: record.GetStep(), Index: record.GetIndex()})
 		if task == nil {
 			continue
 		}
-		made.restoreTask(task, record, kept, now)
+		job.restoreTask(task, record, kept, now)
 	}
 }
 
-func (made *Job) restoreTask(task *Task, record *TaskProgress, kept *Progress, now time.Time) {
+func (job *Job) restoreTask(task *Task, record *TaskProgress, kept *Progress, now time.Time) {
 	task.attempt = record.GetAttempt()
 	task.failed = record.GetFailed()
 	task.checkpoint = record.GetCheckpoint()
 	if record.GetState() == TaskState_TASK_DONE {
-		made.markDone(task)
+		job.markDone(task)
 		return
 	}
 	task.state = record.GetState()
--- a/job/slack.go
+++ b/job/slack.go
@@ -5,26 +5,26 @@
 )
 
 // allowed returns the time that the job should take at most.
-func (made *Job) allowed() time.Duration {
-	chain := time.Duration(made.Chain()) * time.Millisecond
-	stretched := time.Duration(float64(chain) * made.submission.GetExtension())
-	return stretched + time.Duration(made.submission.GetTargetLatencyMs())*time.Millisecond
+func (job *Job) allowed() time.Duration {
+	chain := time.Duration(job.Chain()) * time.Millisecond
+	stretched := time.Duration(float64(chain) * job.submission.GetExtension())
+	return stretched + time.Duration(job.submission.GetTargetLatencyMs())*time.Millisecond
 }
 
 // Chain returns the estimated milliseconds of the longest chain of steps.
-func (made *Job) Chain() int64 {
-	return made.longestChain(func(int) bool { return true })
+func (job *Job) Chain() int64 {
+	return job.longestChain(func(int) bool { return true })
 }
 
 // chainLeft returns the same of the steps that are not done.
-func (made *Job) chainLeft() int64 {
-	return made.longestChain(func(number int) bool { return made.left[number] > 0 })
+func (job *Job) chainLeft() int64 {
+	return job.longestChain(func(number int) bool { return job.left[number] > 0 })
 }
 
 // longestChain returns the estimated milliseconds of the longest chain of the
 // steps that count.
-func (made *Job) longestChain(counts func(number int) bool) int64 {
-	steps := made.submission.GetSteps()
+func (job *Job) longestChain(counts func(number int) bool) int64 {
+	steps := job.submission.GetSteps()
 	ends := make([]int64, len(steps))
 	longest := int64(0)
 	for number, step := range steps {
@@ -43,26 +43,26 @@
 
 // IdleFor returns for how long nothing of the job has been running, as far as it
 // was asked.
-func (made *Job) IdleFor(now time.Time) time.Duration {
-	if len(made.Running()) > 0 {
-		made.idleSince = time.Time{}
+func (job *Job) IdleFor(now time.Time) time.Duration {
+	if len(job.Running()) > 0 {
+		job.idleSince = time.Time{}
 		return 0
 	}
-	if made.idleSince.IsZero() {
-		made.idleSince = now
+	if job.idleSince.IsZero() {
+		job.idleSince = now
 	}
-	return now.Sub(made.idleSince)
+	return now.Sub(job.idleSince)
 }
 
 // Slack returns the share of its spare time that the job has left: 1 when it has
 // just been handed in, 0 once even undisturbed work would end after its objective.
-func (made *Job) Slack(now time.Time) float64 {
-	if made.Lasting() {
+func (job *Job) Slack(now time.Time) float64 {
+	if job.Lasting() {
 		// It is worth something as long as it runs.
 		return 1
 	}
-	left := made.objective.Sub(now) - time.Duration(made.chainLeft())*time.Millisecond
-	spare := made.allowed() - time.Duration(made.Chain())*time.Millisecond
+	left := job.objective.Sub(now) - time.Duration(job.chainLeft())*time.Millisecond
+	spare := job.allowed() - time.Duration(job.Chain())*time.Millisecond
 	if spare <= 0 || left <= 0 {
 		return 0
 	}
--- a/job/task.go
+++ b/job/task.go
@@ -79,6 +79,7 @@
 	Index int32
 }
 
+// refParts counts the parts of a task's name.
 const refParts = 4
 
 // ParseRef reads a task's name.
