--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,6 +43,7 @@
 )
 
 const (
+	// stepEvery is how often what is due is looked for without an event.
 	stepEvery = 100 * time.Millisecond
 	// leaseLength is how long the worker runs on without its agent: long
 	// enough for an agent that was killed to come back and hear of the worker
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -24,11 +24,13 @@
 	// to save its progress by then.
 	evictAfter = 600 * time.Millisecond
 	// paceChange is the least change that is sent.
-	paceChange  = 4
+	paceChange = 4
+	// fullPercent is the pace of a run that is not slowed.
 	fullPercent = 100
 	// unboundedTolerance stands for a worker without serving tasks.
 	unboundedTolerance = -1
-	milli              = 1000
+	// milli is the number of thousandths in a core.
+	milli = 1000
 )
 
 // pacing slows the tasks that fill a worker while they disturb those that serve.
--- a/agent/register.go
+++ b/agent/register.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	// registerTimeout bounds a try, registerPause keeps tries apart.
 	registerTimeout = 1500 * time.Millisecond
 	registerPause   = 200 * time.Millisecond
 	// endedKept bounds the incarnations of one machine that the store is told
--- a/agent/session.go
+++ b/agent/session.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// outboxLength is how many messages may wait to be sent; an owner that lets
+	// more wait is taken for gone.
 	outboxLength = 64
 	// statusEvery is how often an owner hears from the agent at least.
 	statusEvery = 500 * time.Millisecond
--- a/command/platform.go
+++ b/command/platform.go
@@ -24,7 +24,8 @@
 	// collecting at the default rate costs more than the memory it saves.
 	platformGCPercent   = 200
 	platformMemoryLimit = 110 << 20
-	droppedEvery        = 5 * time.Second
+	// droppedEvery is how often log lines that were dropped are counted.
+	droppedEvery = 5 * time.Second
 )
 
 // reloadable is a role whose settings file may change while it runs.
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	// queueLength is how many functions may be queued before Post waits.
 	queueLength = 4096
 	// batchMost bounds how many functions run before step does.
 	batchMost = 256
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -14,7 +14,8 @@
 
 const (
 	// joinEvery renews the membership three times before it would run out.
-	joinEvery   = 350 * time.Millisecond
+	joinEvery = 350 * time.Millisecond
+	// joinTimeout bounds a call to join or to leave.
 	joinTimeout = 700 * time.Millisecond
 )
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -43,6 +43,7 @@
 )
 
 const (
+	// stepEvery is how often what is due is looked for without an event.
 	stepEvery = 100 * time.Millisecond
 	// clockSlack is what two clocks differ by at most over a grant.
 	clockSlack = 2 * lease.ClockRateBound
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -20,7 +20,9 @@
 	// the store drops its history hears nothing until it is asked anew, and a
 	// cancellation has to be heard within 3 s.
 	tailWait = time.Second
+	// tailOver is added to a read's wait for the way there and back.
 	tailOver = time.Second
+	// producer names owners to the store, which fences them by epoch.
 	producer = "owner"
 )
 
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -14,7 +14,8 @@
 	stallLeast = 2500 * time.Millisecond
 	// stallShare adds this share of the estimate: a long task that is slowed
 	// takes long for one percent.
-	stallShare  = 0.25
+	stallShare = 0.25
+	// fullPercent is the progress of a run at full work.
 	fullPercent = 100
 )
 
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -23,6 +23,7 @@
 )
 
 const (
+	// lineBytesMost bounds a line; reading fails at a longer one.
 	lineBytesMost = 1 << 20
 	// gapLeast is from which time on a silence is named.
 	gapLeast = time.Second
