--- a/agent/pace.go
+++ b/agent/pace.go
@@ -24,11 +24,13 @@
 	// to save its progress by then.
 	evictAfter = 600 * time.Millisecond
 	// paceChange is the least change that is sent.
-	paceChange  = 4
+	paceChange = 4
+	// fullPercent is the pace of a run that is not slowed.
 	fullPercent = 100
 	// unboundedTolerance stands for a worker without serving tasks.
 	unboundedTolerance = -1
-	milli              = 1000
+	// milli is the number of thousandths in a core.
+	milli = 1000
 )
 
 // pacing slows the tasks that fill a worker while they disturb those that serve.
@@ -103,8 +105,7 @@
 	agent.paced.evictedAt = now
 	agent.meters.evicted.Add(agent.ctx, 1)
 	run := state.runs[worst]
-	agent.options.Events.Log(agent.ctx, event.RunEvicted, slog.String("task", run.task), slog.Int("attempt", int(run.attempt)),
-		slog.String("image", run.demand.GetImage()), slog.Int("percent_done", int(run.percent)))
+	agent.logRun(event.RunEvicted, run, slog.String("image", run.demand.GetImage()), slog.Int("percent_done", int(run.percent)))
 	agent.stopRun(state, run, now)
 }
 
@@ -121,7 +122,7 @@
 	}
 	run.pace = percent
 	agent.meters.paced.Add(agent.ctx, 1)
-	agent.options.Events.Log(agent.ctx, event.FillsPaced, slog.String("task", run.task), slog.Int("percent", int(percent)), slog.Int("before", int(before)))
+	agent.log(event.FillsPaced, slog.String("task", run.task), slog.Int("percent", int(percent)), slog.Int("before", int(before)))
 	token := state.token
 	go func() {
 		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
@@ -131,7 +132,7 @@
 			return
 		}
 		agent.decisions.Post(func(time.Time) {
-			agent.options.Events.Log(agent.ctx, event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "pace"), slog.Any("error", err))
+			agent.log(event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "pace"), slog.Any("error", err))
 			// Sent again with the next look.
 			run.pace = before
 		})
--- a/agent/session.go
+++ b/agent/session.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
 const (
+	// outboxLength is how many messages may wait to be sent; an owner that lets
+	// more wait is taken for gone.
 	outboxLength = 64
 	// statusEvery is how often an owner hears from the agent at least.
 	statusEvery = 500 * time.Millisecond
@@ -16,9 +19,6 @@
 	runsEvery = time.Second
 	// statusSettle gathers changes of the room into one message.
 	statusSettle = 15 * time.Millisecond
-	// sharedShard is the shard whose owner puts together what the agents have
-	// learned of interference, so that one of the owners does.
-	sharedShard = 0
 )
 
 // session is one owner's stream.
@@ -71,14 +71,14 @@
 		return
 	}
 	delete(agent.owners, owner)
-	agent.options.Events.Log(agent.ctx, event.OwnerLost, slog.String("owner", owner.name))
+	agent.log(event.OwnerLost, slog.String("owner", owner.name))
 }
 
 func (agent *Agent) noteOwner(owner *session, message *wire.OwnerMessage, now time.Time) {
 	if !agent.owners[owner] {
 		agent.owners[owner] = true
 		owner.name = message.GetOwner()
-		agent.options.Events.Log(agent.ctx, event.OwnerAttached, slog.String("owner", owner.name))
+		agent.log(event.OwnerAttached, slog.String("owner", owner.name))
 	}
 	if message.GetOwned() {
 		agent.noteClaims(owner, message)
@@ -113,7 +113,7 @@
 			agent.claims[shard.GetShard()] = held
 		}
 		if held.epoch != shard.GetEpoch() || held.owner != owner {
-			agent.options.Events.Log(agent.ctx, event.ShardClaimed, slog.String("owner", owner.name),
+			agent.log(event.ShardClaimed, slog.String("owner", owner.name),
 				slog.Int("shard", int(shard.GetShard())), slog.Int64("epoch", shard.GetEpoch()))
 			agent.resendEnds(owner, shard.GetShard())
 		}
@@ -244,7 +244,7 @@
 	if owner.wholeDue || now.Sub(owner.runsSent) >= runsEvery {
 		message.Complete = true
 		message.Runs = agent.runStatus(owner)
-		if held, found := agent.claims[sharedShard]; found && held.owner == owner {
+		if held, found := agent.claims[job.SharedShard]; found && held.owner == owner {
 			message.Learned = agent.paced.learned()
 		}
 		owner.runsSent = now
--- /dev/null
+++ b/job/slack.go
@@ -0,0 +1,70 @@
+package job
+
+import (
+	"time"
+)
+
+// allowed returns the time that the job should take at most.
+func (job *Job) allowed() time.Duration {
+	chain := time.Duration(job.Chain()) * time.Millisecond
+	stretched := time.Duration(float64(chain) * job.submission.GetExtension())
+	return stretched + time.Duration(job.submission.GetTargetLatencyMs())*time.Millisecond
+}
+
+// Chain returns the estimated milliseconds of the longest chain of steps.
+func (job *Job) Chain() int64 {
+	return job.longestChain(func(int) bool { return true })
+}
+
+// chainLeft returns the same of the steps that are not done.
+func (job *Job) chainLeft() int64 {
+	return job.longestChain(func(number int) bool { return job.left[number] > 0 })
+}
+
+// longestChain returns the estimated milliseconds of the longest chain of the
+// steps that count.
+func (job *Job) longestChain(counts func(number int) bool) int64 {
+	steps := job.submission.GetSteps()
+	ends := make([]int64, len(steps))
+	longest := int64(0)
+	for number, step := range steps {
+		for _, before := range step.GetAfter() {
+			if int(before) < number {
+				ends[number] = max(ends[number], ends[before])
+			}
+		}
+		if counts(number) {
+			ends[number] += step.GetEstimateMs()
+		}
+		longest = max(longest, ends[number])
+	}
+	return longest
+}
+
+// IdleFor returns for how long nothing of the job has been running, as far as it
+// was asked.
+func (job *Job) IdleFor(now time.Time) time.Duration {
+	if len(job.Running()) > 0 {
+		job.idleSince = time.Time{}
+		return 0
+	}
+	if job.idleSince.IsZero() {
+		job.idleSince = now
+	}
+	return now.Sub(job.idleSince)
+}
+
+// Slack returns the share of its spare time that the job has left: 1 when it has
+// just been handed in, 0 once even undisturbed work would end after its objective.
+func (job *Job) Slack(now time.Time) float64 {
+	if job.Lasting() {
+		// It is worth something as long as it runs.
+		return 1
+	}
+	left := job.objective.Sub(now) - time.Duration(job.chainLeft())*time.Millisecond
+	spare := job.allowed() - time.Duration(job.Chain())*time.Millisecond
+	if spare <= 0 || left <= 0 {
+		return 0
+	}
+	return min(float64(left)/float64(spare), 1)
+}
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -15,7 +14,8 @@
 	stallLeast = 2500 * time.Millisecond
 	// stallShare adds this share of the estimate: a long task that is slowed
 	// takes long for one percent.
-	stallShare  = 0.25
+	stallShare = 0.25
+	// fullPercent is the progress of a run at full work.
 	fullPercent = 100
 )
 
@@ -38,24 +38,6 @@
 	entry.stopAt = now
 	view.avoidUntil = now.Add(doubtLength)
 	view.failures = max(view.failures, failuresBeforeDoubt)
-	owner.options.Events.Log(owner.ctx, event.RunStopOrdered, slog.String("task", entry.name), slog.Int("attempt", int(entry.attempt)),
-		slog.String("worker", entry.place.Worker), slog.String("reason", "it stands still"), slog.Duration("since", now.Sub(entry.movedAt)))
-	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
-		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
-	})
-}
-
-// gangOf returns the members of a ready task's gang if all of them are ready.
-func gangOf(task *job.Task, ready []*job.Task) []*job.Task {
-	members := task.Job().Members(task)
-	count := 0
-	for _, other := range ready {
-		if other.Round() == task.Round() && other.Step() == task.Step() {
-			count++
-		}
-	}
-	if count < len(members) {
-		return nil
-	}
-	return members
+	owner.logRun(event.RunStopOrdered, entry, slog.String("worker", entry.place.Worker), slog.String("reason", "it stands still"), slog.Duration("since", now.Sub(entry.movedAt)))
+	view.orderStop(entry.held, entry.name, entry.attempt, entry.place.Worker)
 }
