--- a/agent/session.go
+++ b/agent/session.go
@@ -17,6 +17,8 @@
 	statusEvery = 500 * time.Millisecond
 	// runsEvery is how often the owner is told all runs, with checkpoints.
 	runsEvery = time.Second
+	// quietEvery is the same for an owner without shards.
+	quietEvery = 3 * time.Second
 	// statusSettle gathers changes of the room into one message.
 	statusSettle = 15 * time.Millisecond
 )
@@ -213,7 +215,7 @@
 // tellOwners sends each owner what it has not been told.
 func (agent *Agent) tellOwners(now time.Time) {
 	for owner := range agent.owners {
-		if !owner.due(now) {
+		if !agent.due(owner, now) {
 			continue
 		}
 		message := agent.message(owner, now)
@@ -228,14 +230,27 @@
 	}
 }
 
-func (owner *session) due(now time.Time) bool {
+func (agent *Agent) due(owner *session, now time.Time) bool {
 	if len(owner.results) > 0 || len(owner.ends) > 0 || owner.wholeDue {
 		return true
 	}
 	since := now.Sub(owner.sentAt)
+	if !agent.ownsAny(owner) {
+		return since >= quietEvery
+	}
 	return since >= statusEvery || owner.changed && since >= statusSettle
 }
 
+// ownsAny reports whether an owner has claimed a shard.
+func (agent *Agent) ownsAny(owner *session) bool {
+	for _, held := range agent.claims {
+		if held.owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
 func (agent *Agent) message(owner *session, now time.Time) *wire.AgentMessage {
 	message := &wire.AgentMessage{
 		Agent: agent.id, UptimeNanos: int64(agent.uptime(now)), Status: agent.status(),
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -160,6 +160,9 @@
 		directory.refresh(ctx, ownersAgain)
 		pause(ctx, directory.options.Clock, peerPause)
 	}
+	if last == nil {
+		last = ctx.Err()
+	}
 	return 0, errors.Wrap(last, "ask the owners of all shards")
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// TestNoTimeLeftIsNoCount: a client whose time is over is not told that nothing
+// waits.
+func TestNoTimeLeftIsNoCount(t *testing.T) {
+	made := newBench(t, config)
+	if got := made.ask(http.MethodGet, "/q/", "", "1"); got.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, body %s", got.Code, got.Body)
+	}
+}
+
 func TestNoConfigurationRefuses(t *testing.T) {
 	made := newBench(t, "")
 	got := made.ask(http.MethodPost, "/q/"+jobID, body, "")
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -245,6 +245,30 @@
 	}
 }
 
+// TestSlackOfRounds: a scheduled job is judged by the first round that is not done,
+// from its own time.
+func TestSlackOfRounds(t *testing.T) {
+	of := made(func(submission *job.Submission) {
+		submission.Rounds = 2
+		submission.FirstDueMs = now.Add(10 * time.Second).UnixMilli()
+		submission.IntervalMs = 20_000
+	})
+	if got := of.Slack(now.Add(10 * time.Second)); got < 0.99 {
+		t.Errorf("when the first round is due: %.2f", got)
+	}
+	if got := of.Slack(now.Add(14 * time.Second)); got != 0 {
+		t.Errorf("past the first round's objective: %.2f", got)
+	}
+	for _, task := range of.Tasks() {
+		if task.Round() == 0 {
+			run(of, task, job.EndDone, now.Add(14*time.Second))
+		}
+	}
+	if got := of.Slack(now.Add(30 * time.Second)); got < 0.99 {
+		t.Errorf("when the second round is due: %.2f", got)
+	}
+}
+
 func TestParseRef(t *testing.T) {
 	tests := map[string]struct {
 		name string
--- a/job/slack.go
+++ b/job/slack.go
@@ -16,9 +16,29 @@
 	return job.longestChain(func(int) bool { return true })
 }
 
-// chainLeft returns the same of the steps that are not done.
-func (job *Job) chainLeft() int64 {
-	return job.longestChain(func(number int) bool { return job.left[number] > 0 })
+// chainLeft returns the same of the steps of a round that are not done.
+func (job *Job) chainLeft(round int) int64 {
+	first := round * len(job.submission.GetSteps())
+	return job.longestChain(func(number int) bool { return job.left[first+number] > 0 })
+}
+
+// openRound returns the first round that is not done, or the last one.
+func (job *Job) openRound() int {
+	steps := len(job.submission.GetSteps())
+	for index, count := range job.left {
+		if count > 0 {
+			return index / steps
+		}
+	}
+	return job.Rounds() - 1
+}
+
+// objectiveOf returns when a round should have ended.
+func (job *Job) objectiveOf(round int) time.Time {
+	if !job.Scheduled() {
+		return job.objective
+	}
+	return job.due(int32(round)).Add(job.allowed())
 }
 
 // longestChain returns the estimated milliseconds of the longest chain of the
@@ -61,7 +81,8 @@
 		// It is worth something as long as it runs.
 		return 1
 	}
-	left := job.objective.Sub(now) - time.Duration(job.chainLeft())*time.Millisecond
+	round := job.openRound()
+	left := job.objectiveOf(round).Sub(now) - time.Duration(job.chainLeft(round))*time.Millisecond
 	spare := job.allowed() - time.Duration(job.Chain())*time.Millisecond
 	if spare <= 0 || left <= 0 {
 		return 0
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"ambertiller.example/ambertiller/event"
@@ -32,8 +34,8 @@
 		for _, worker := range workers {
 			racks[worker.rack()] = append(racks[worker.rack()], worker)
 		}
-		for _, among := range racks {
-			choices = append(choices, among)
+		for _, rack := range slices.Sorted(maps.Keys(racks)) {
+			choices = append(choices, racks[rack])
 		}
 	}
 	return append(choices, workers)
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -18,7 +18,7 @@
 	if !view.claimed {
 		owner.claim(view)
 	}
-	grantDue := now.Sub(view.sentAt) >= grantEvery
+	grantDue := now.Sub(view.sentAt) >= owner.speakEvery()
 	if !grantDue && !message.Owned && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs) == 0 {
 		return
 	}
@@ -36,6 +36,19 @@
 	}
 }
 
+// quietEvery is how often an owner without shards speaks to agents: often enough
+// that either side notices when the other is gone. In a large deployment most
+// gateways own none.
+const quietEvery = 3 * time.Second
+
+// speakEvery is how often an agent hears from the owner at least.
+func (owner *Owner) speakEvery() time.Duration {
+	if len(owner.shards) == 0 {
+		return quietEvery
+	}
+	return grantEvery
+}
+
 // claim tells the agent which shards are owned, with the next message.
 func (owner *Owner) claim(view *agentView) {
 	view.claimed = true
