--- a/agent/agent.go
+++ b/agent/agent.go
@@ -242,7 +242,7 @@
 	for _, end := range ended.ends {
 		// Its worker can't be told any more, the owners still can.
 		end.Number = 0
-		agent.lost = append(agent.lost, end)
+		agent.keepLost(end)
 	}
 	agent.statusChanged()
 }
--- a/agent/session.go
+++ b/agent/session.go
@@ -172,13 +172,26 @@
 func (agent *Agent) sendEnd(end *wire.RunEnd) {
 	held, claimed := agent.claims[agent.shardOf(end.GetTask())]
 	if end.GetNumber() == 0 {
-		agent.lost = append(agent.lost, end)
+		agent.keepLost(end)
 	}
 	if claimed && agent.owners[held.owner] {
 		held.owner.ends = append(held.owner.ends, end)
 	}
 }
 
+// lostKept bounds the ends that are kept for later owners: a few times what a
+// worker runs at once.
+const lostKept = 512
+
+// keepLost keeps the end of a run of an incarnation that is over, which no worker
+// will list again.
+func (agent *Agent) keepLost(end *wire.RunEnd) {
+	agent.lost = append(agent.lost, end)
+	if len(agent.lost) > lostKept {
+		agent.lost = agent.lost[1:]
+	}
+}
+
 // resendEnds tells a new owner the ends of its shard.
 func (agent *Agent) resendEnds(owner *session, shard int32) {
 	if agent.worker != nil {
