A job's objective is counted on its owner's steady clock

Cause: found by reading. Change: an owner that hears of a new job counts from then, less its age within 0 and 2 s. After a change of owner the time of day is used as before. Test for clocks that are ahead and behind.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -269,6 +269,28 @@
 	}
 }
 
+// TestReceivedAge: what the clocks of two machines say of a job's age is believed
+// within bounds.
+func TestReceivedAge(t *testing.T) {
+	tests := map[string]struct {
+		submitted time.Duration // before now, by the other machine's clock
+		objective time.Duration // from now; the job is allowed 4 s
+	}{
+		"just handed in":         {100 * time.Millisecond, 3900 * time.Millisecond},
+		"a clock that is behind": {time.Minute, 2 * time.Second},
+		"a clock that is ahead":  {-time.Minute, 4 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			of := made(func(submission *job.Submission) { submission.SubmittedMs = now.Add(-test.submitted).UnixMilli() })
+			of.Received(now)
+			if got := of.Objective().Sub(now); got != test.objective {
+				t.Errorf("the objective is in %v", got)
+			}
+		})
+	}
+}
+
 func TestParseRef(t *testing.T) {
 	tests := map[string]struct {
 		name string
--- a/job/slack.go
+++ b/job/slack.go
@@ -61,6 +61,18 @@
 	return longest
 }
 
+// oldestReceived bounds the age that a job is taken to have when its shard's owner
+// first hears of it: a record is read within a second or two of its writing, and
+// clocks that jump disagree by more.
+const oldestReceived = 2 * time.Second
+
+// Received notes that the job has just been handed in, so that its objective is
+// counted on the clock that now comes from and no jump of the time of day moves it.
+func (job *Job) Received(now time.Time) {
+	age := min(max(now.Sub(job.submitted), 0), oldestReceived)
+	job.objective = now.Add(job.allowed() - age)
+}
+
 // IdleFor returns for how long nothing of the job has been running, as far as it
 // was asked.
 func (job *Job) IdleFor(now time.Time) time.Duration {
--- a/owner/records.go
+++ b/owner/records.go
@@ -26,6 +26,9 @@
 	made := job.New(submission, held.number)
 	held.jobs[made.ID()] = made
 	held.live[made.ID()] = made
+	if held.active {
+		made.Received(now)
+	}
 	if held.cancelled[made.ID()] {
 		owner.cancelJob(held, made, now)
 	}
