What disturbs is held back after 0.65 of the time that a target may be missed

Change: 0.65 and 0.9 instead of 0.4 and 0.8; the last stage, by the time that the tail needs to sink, is as it was.

--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -16,9 +16,9 @@
 	// heldShare is the share of the time that a target may be missed for after
 	// which what disturbs is held back. All filling work is when, without it,
 	// the tail would just sink below the target in time.
-	heldShare = 0.4
+	heldShare = 0.65
 	// stoppedShare is the same for the work that may disturb, by what was learned.
-	stoppedShare = 0.8
+	stoppedShare = 0.9
 	// sinkTime is what a tail takes to sink by a factor of e once nothing
 	// disturbs it: measured, it loses two fifths in 0.4 s.
 	sinkTime = 900 * time.Millisecond
