--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,7 +19,7 @@
 //
 // # Usage
 //
-//	beside := agent.New(agent.Options{Name: "side-1", Worker: connect, Events: events})
+//	beside := agent.New(agent.Options{Name: "side-1", Connect: connect, Events: events})
 //	go beside.Run(ctx)
 //	wire.DRPCRegisterAgent(mux, beside)
 //	http.Handle("/", platform.BeatHandler(beside))
--- a/agent/session.go
+++ b/agent/session.go
@@ -227,11 +227,17 @@
 
 // tellOwners sends each owner what it has not been told.
 func (agent *Agent) tellOwners(now time.Time) {
+	var status *wire.WorkerStatus
 	for owner := range agent.owners {
 		if !agent.due(owner, now) {
 			continue
 		}
-		message := agent.message(owner, now)
+		if status == nil {
+			// Performance: it is the same for all owners, and its tolerances
+			// go over all pairs of images.
+			status = agent.status()
+		}
+		message := agent.message(owner, status, now)
 		select {
 		case owner.outbox <- message:
 		default:
@@ -264,9 +270,9 @@
 	return false
 }
 
-func (agent *Agent) message(owner *session, now time.Time) *wire.AgentMessage {
+func (agent *Agent) message(owner *session, status *wire.WorkerStatus, now time.Time) *wire.AgentMessage {
 	message := &wire.AgentMessage{
-		Agent: agent.id, UptimeNanos: int64(agent.uptime(now)), Status: agent.status(),
+		Agent: agent.id, UptimeNanos: int64(agent.uptime(now)), Status: status,
 		Results: owner.results, Ends: owner.ends, Handled: owner.handled,
 	}
 	if owner.wholeDue || now.Sub(owner.runsSent) >= runsEvery {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,6 +91,18 @@
 	return nil
 }
 
+// runService runs a function from the service's start to its stop.
+func runService(name string, run func(ctx context.Context), provides any, needs ...string) kernel.Service {
+	loop := &background{}
+	return kernel.Service{
+		Name:     name,
+		Needs:    needs,
+		Provides: provides,
+		Start:    func(context.Context) error { loop.start(run); return nil },
+		Stop:     loop.stop,
+	}
+}
+
 func registerAll(kern *kernel.Kernel, services ...kernel.Service) error {
 	for _, service := range services {
 		if err := kern.Register(service); err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -75,7 +75,7 @@
 	return running, registerAll(running.kern,
 		metricsService(metering),
 		kernel.Service{Name: ServicePool, Provides: pool, Stop: func(context.Context) error { return pool.Close() }},
-		journalService(log),
+		runService(ServiceJournal, log.Run, log),
 		roleService(role.Run, role, ServicePool, ServiceJournal, ServiceMetrics),
 		entryRPCService(role, options.RPCAddress),
 		settleService(role),
@@ -84,25 +84,8 @@
 	)
 }
 
-func journalService(log *changelog.Journal) kernel.Service {
-	loop := &background{}
-	return kernel.Service{
-		Name:     ServiceJournal,
-		Provides: log,
-		Start:    func(context.Context) error { loop.start(log.Run); return nil },
-		Stop:     loop.stop,
-	}
-}
-
 func roleService(run func(ctx context.Context), role any, needs ...string) kernel.Service {
-	loop := &background{}
-	return kernel.Service{
-		Name:     ServiceRole,
-		Needs:    needs,
-		Provides: role,
-		Start:    func(context.Context) error { loop.start(run); return nil },
-		Stop:     loop.stop,
-	}
+	return runService(ServiceRole, run, role, needs...)
 }
 
 func entryRPCService(role *entry.Entry, address string) kernel.Service {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -8,7 +8,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"ambertiller.example/ambertiller/agent"
@@ -58,7 +57,6 @@
 // shards.
 type Gateway struct {
 	Daemon
-	front *gateway.Gateway
 }
 
 // NewGateway puts the services of a gateway together.
@@ -75,13 +73,13 @@
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, Shards: settings.Parts(),
 		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
-		Store: store, Advisor: advisor(settings), Dial: dialStream, Clock: clock, Events: events, Meters: metering.Provider(),
+		Store: store, Advisor: advisor(settings), Dial: rpc.DialOne, Clock: clock, Events: events, Meters: metering.Provider(),
 	})
 	front := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Parts(), Store: store, Owner: owning,
 		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: clock, Events: events, Meters: metering.Provider(),
 	})
-	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: events}, front: front}
+	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: events}}
 	return running, registerAll(running.kern,
 		metricsService(metering),
 		kernel.Service{Name: ServicePool, Provides: pool, Stop: func(context.Context) error { return pool.Close() }},
@@ -103,22 +101,6 @@
 	return platform.NewAdvisor(settings.AdviceAddress(), platform.Transport())
 }
 
-// dialStream opens a connection of its own, for a stream that lasts.
-func dialStream(ctx context.Context, address string) (drpc.Conn, error) {
-	return rpc.DialOne(ctx, address)
-}
-
-func runService(name string, run func(ctx context.Context), provides any, needs ...string) kernel.Service {
-	loop := &background{}
-	return kernel.Service{
-		Name:     name,
-		Needs:    needs,
-		Provides: provides,
-		Start:    func(context.Context) error { loop.start(run); return nil },
-		Stop:     loop.stop,
-	}
-}
-
 func readyHandler(ready func() bool) http.Handler {
 	return http.HandlerFunc(func(answer http.ResponseWriter, _ *http.Request) {
 		if !ready() {
--- a/gateway/append.go
+++ b/gateway/append.go
@@ -19,9 +19,6 @@
 	relayTimeout = 600 * time.Millisecond
 	// appendPause keeps tries apart.
 	appendPause = 60 * time.Millisecond
-	// refusalsBeforeRelay is how often the store may turn an append away
-	// before a peer is asked: a single refusal may be its rate limit.
-	refusalsBeforeRelay = 1
 )
 
 type appendKind int
@@ -58,7 +55,7 @@
 	add := platform.Append{Topic: job.TopicJobs, Part: shard, Records: []platform.Record{{Key: key, Value: value}}}
 	doubt := false // whether an earlier try may have taken effect
 	reason := "the client's time is over"
-	for tries := 1; ctx.Err() == nil; tries++ {
+	for ctx.Err() == nil {
 		err := gateway.appendOnce(ctx, add)
 		if err == nil {
 			go gateway.directory.taken(context.WithoutCancel(ctx), &wire.TakenRequest{Shard: int32(shard), Key: key, Value: value})
@@ -66,13 +63,11 @@
 		}
 		reason = err.Error()
 		doubt = doubt || !platform.IsRefused(err)
-		if tries >= refusalsBeforeRelay {
-			relayed := gateway.directory.relay(ctx, &wire.RelayRequest{Shard: int32(shard), Key: key, Value: value})
-			if relayed.kind == appended {
-				return relayed
-			}
-			doubt = doubt || relayed.kind == unsure
+		relayed := gateway.directory.relay(ctx, &wire.RelayRequest{Shard: int32(shard), Key: key, Value: value})
+		if relayed.kind == appended {
+			return relayed
 		}
+		doubt = doubt || relayed.kind == unsure
 		if !doubt {
 			break
 		}
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/owner"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -49,12 +49,6 @@
 	return &directory{options: options, owners: map[int]string{}, counts: map[string]pendingCount{}}
 }
 
-// address returns where the process of a member is reached.
-func address(member string) string {
-	_, found, _ := strings.Cut(member, "|")
-	return found
-}
-
 // refresh asks the store for the owners unless that was done within age.
 func (directory *directory) refresh(ctx context.Context, age time.Duration) {
 	now := directory.options.Clock.Now()
@@ -98,29 +92,17 @@
 }
 
 func (directory *directory) peer(member string) wire.DRPCPeerClient {
-	return wire.NewDRPCPeerClient(directory.options.Pool.Conn(address(member)))
+	return wire.NewDRPCPeerClient(directory.options.Pool.Conn(owner.MemberAddress(member)))
 }
 
-// jobState asks the owner of the job's shard, and goes on asking while the shard
-// passes from one entry to another, until ctx ends.
-func (directory *directory) jobState(ctx context.Context, id string) (*wire.JobStateReply, error) {
-	shard := job.ShardOf(id, directory.options.Shards)
-	request := &wire.JobStateRequest{Id: id, Shard: int32(shard)}
+// untilAnswered asks until there is an answer or ctx ends: shards pass from one
+// entry to another meanwhile. It fails where nothing could be asked at all.
+func (directory *directory) untilAnswered(ctx context.Context, what string, ask func() error) error {
 	var last error
 	for ctx.Err() == nil {
-		reply, err := directory.options.Owner.JobState(ctx, request)
-		if err == nil {
-			return reply, nil
-		}
-		last = err
-		directory.refresh(ctx, ownersFresh)
-		member := directory.ownerOf(shard)
-		if member != "" && member != directory.options.Self {
-			reply, err = directory.askState(ctx, member, request)
-			if err == nil {
-				return reply, nil
-			}
-			last = err
+		last = ask()
+		if last == nil {
+			return nil
 		}
 		directory.refresh(ctx, ownersAgain)
 		pause(ctx, directory.options.Clock, peerPause)
@@ -128,7 +110,37 @@
 	if last == nil {
 		last = ctx.Err()
 	}
-	return nil, errors.Wrap(last, "ask the owner of the job's shard")
+	return errors.Wrap(last, what)
+}
+
+// jobState asks the owner of the job's shard.
+func (directory *directory) jobState(ctx context.Context, id string) (*wire.JobStateReply, error) {
+	shard := job.ShardOf(id, directory.options.Shards)
+	request := &wire.JobStateRequest{Id: id, Shard: int32(shard)}
+	var reply *wire.JobStateReply
+	err := directory.untilAnswered(ctx, "ask the owner of the job's shard", func() (err error) {
+		reply, err = directory.askOwner(ctx, shard, request)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// askOwner asks this process's own owner, and the one that the store names if that
+// is another one.
+func (directory *directory) askOwner(ctx context.Context, shard int, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
+	reply, err := directory.options.Owner.JobState(ctx, request)
+	if err == nil {
+		return reply, nil
+	}
+	directory.refresh(ctx, ownersFresh)
+	member := directory.ownerOf(shard)
+	if member == "" || member == directory.options.Self {
+		return nil, err
+	}
+	return directory.askState(ctx, member, request)
 }
 
 func (directory *directory) askState(ctx context.Context, member string, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
@@ -147,23 +159,18 @@
 	if found && now.Sub(known.at) < pendingFresh {
 		return known.count, nil
 	}
-	var last error
-	for ctx.Err() == nil {
-		count, err := directory.countPending(ctx, queue)
-		if err == nil {
-			directory.mu.Lock()
-			directory.counts[queue] = pendingCount{count: count, at: now}
-			directory.mu.Unlock()
-			return count, nil
-		}
-		last = err
-		directory.refresh(ctx, ownersAgain)
-		pause(ctx, directory.options.Clock, peerPause)
-	}
-	if last == nil {
-		last = ctx.Err()
+	count := int64(0)
+	err := directory.untilAnswered(ctx, "ask the owners of all shards", func() (err error) {
+		count, err = directory.countPending(ctx, queue)
+		return err
+	})
+	if err != nil {
+		return 0, err
 	}
-	return 0, errors.Wrap(last, "ask the owners of all shards")
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	directory.counts[queue] = pendingCount{count: count, at: now}
+	return count, nil
 }
 
 func (directory *directory) countPending(ctx context.Context, queue string) (int64, error) {
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -106,9 +106,14 @@
 		view.ended[worker] = true
 	}
 	for _, entry := range view.runs {
-		if view.ended[entry.place.Worker] {
-			owner.release(view, entry, "its worker's incarnation is over", now)
-		}
+		owner.releaseEnded(view, entry, now)
+	}
+}
+
+// releaseEnded releases a run if its worker's incarnation has ended for certain.
+func (owner *Owner) releaseEnded(view *agentView, entry *runEntry, now time.Time) {
+	if view.ended[entry.place.Worker] {
+		owner.release(view, entry, "its worker's incarnation is over", now)
 	}
 }
 
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -58,8 +58,7 @@
 func (owner *Owner) join(ctx context.Context, heard int64) (platform.Deal, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	member := Member(owner.options.Name, owner.options.Address)
-	return owner.options.Store.Join(ctx, job.OwnersGroup, member, job.TopicJobs, owner.options.Silent, heard)
+	return owner.options.Store.Join(ctx, job.OwnersGroup, owner.self(), job.TopicJobs, owner.options.Silent, heard)
 }
 
 func (owner *Owner) noteStoreLost(ctx context.Context, lost, now time.Time, err error) time.Time {
@@ -117,6 +116,6 @@
 func (owner *Owner) leaveGroup(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err := owner.options.Store.Leave(ctx, job.OwnersGroup, Member(owner.options.Name, owner.options.Address))
+	err := owner.options.Store.Leave(ctx, job.OwnersGroup, owner.self())
 	return errors.Wrap(err, "leave the group of owners")
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -28,6 +28,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -141,7 +142,19 @@
 
 // Member is the name under which the entry joins the group: its address tells
 // others where to reach it.
-func Member(name, address string) string { return name + "|" + address }
+func Member(name, address string) string { return name + memberSeparator + address }
+
+// memberSeparator stands in no node's name and no address.
+const memberSeparator = "|"
+
+// MemberAddress returns where the entry with a member's name is reached.
+func MemberAddress(member string) string {
+	_, address, _ := strings.Cut(member, memberSeparator)
+	return address
+}
+
+// self is the name under which this entry joins the group.
+func (owner *Owner) self() string { return Member(owner.options.Name, owner.options.Address) }
 
 func (owner *Owner) step(now time.Time) {
 	for _, held := range owner.shards {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -141,9 +141,7 @@
 			entry := newEntry(held, task)
 			entry.prior, entry.inherited, entry.reflected = true, true, true
 			view.runs[entry.name] = entry
-			if view.ended[entry.place.Worker] {
-				owner.release(view, entry, "its worker's incarnation is over", now)
-			}
+			owner.releaseEnded(view, entry, now)
 		}
 	}
 	for _, view := range owner.agents {
