Disturbance by the share of a worker, and what is within noise is not forgotten

And what was below the bound was left out of the sum although the level had been raised by it.

No fill is slowed for a weight below 0.12, but all weights count in the sum.

--- a/agent/pace.go
+++ b/agent/pace.go
@@ -34,6 +34,9 @@
 	unboundedTolerance = int64(math.MaxInt32)
 	// milli is the number of thousandths in a core.
 	milli = 1000
+	// modelCores is the size of worker in whose cores interference is reckoned:
+	// on a worker with twice as many, a core of a fill disturbs half as much.
+	modelCores = 16
 )
 
 // pacing slows the tasks that fill a worker while they disturb those that serve.
@@ -56,8 +59,14 @@
 	return serving && filling
 }
 
+// modelScale is what a thousandth of a core counts for in the model.
+func (state *workerState) modelScale() float64 {
+	return modelCores / float64(max(state.beat.MilliCPU, milli))
+}
+
 // sharing returns the runs that serve and those that fill.
 func (state *workerState) sharing() ([]interference.Serving, []interference.Fill) {
+	scale := state.modelScale()
 	var servings []interference.Serving
 	var fills []interference.Fill
 	for _, run := range state.runs {
@@ -69,7 +78,7 @@
 		}
 		if demand.GetFills() {
 			fills = append(fills, interference.Fill{
-				Task: run.task, Image: demand.GetImage(), Cores: float64(demand.GetMilliCpu()) / milli, Used: float64(run.figure) / milli,
+				Task: run.task, Image: demand.GetImage(), Cores: float64(demand.GetMilliCpu()) * scale, Used: float64(run.figure) * scale,
 			})
 		}
 	}
@@ -154,7 +163,7 @@
 		if math.IsInf(cores, 1) {
 			return unboundedTolerance
 		}
-		return int64(cores * milli)
+		return int64(cores / state.modelScale())
 	}
 	status.ToleratedMilliCpu = tolerated("")
 	for _, serving := range servings {
--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -34,8 +34,9 @@
 	// target is missed for long, and cutAtMiss is how far.
 	suspectWeight = 0.1
 	cutAtMiss     = 0.4
-	// noiseWeight is below what the readings of pairs that don't disturb teach.
-	noiseWeight = 0.06
+	// noiseWeight is below what the readings of pairs that don't disturb teach: no
+	// fill is slowed or turned away for less.
+	noiseWeight = 0.12
 )
 
 // disturbance returns the weight that decisions go by: one that is within what
@@ -97,7 +98,8 @@
 func (model *Model) slow(serving Serving, fills []Fill, paces map[string]float64) {
 	over := -model.budget(serving)
 	for _, fill := range fills {
-		over += model.disturbance(serving.Image, fill.Image) * fill.Cores * paces[fill.Task]
+		// Also what is within noise: what it is said to take was added to the level.
+		over += model.weight(serving.Image, fill.Image) * fill.Cores * paces[fill.Task]
 	}
 	for _, fill := range model.worstFirst(serving, fills) {
 		full := model.disturbance(serving.Image, fill.Image) * fill.Cores
@@ -173,7 +175,7 @@
 		}
 		left := model.lowest(serving) - 1 - reserve
 		for _, fill := range fills {
-			left -= model.disturbance(serving.Image, fill.Image) * fill.Cores
+			left -= model.weight(serving.Image, fill.Image) * fill.Cores
 		}
 		if left <= 0 {
 			least = min(least, -weight)
