Work moves before its worker leaves; urgent tasks pre-empt

Cause: a draining worker's runs went on until it was gone.

Change: an agent stops, 1.2 s before a leaving worker's time is over, what would not end by itself by then; stops save progress and the ends reach the owners. A task that holds room and finds none has the worker that has to give up the least make room: its agent stops less urgent runs that go on elsewhere, only if that is enough.

Tests first seen failing (the three calls taken out): TestRunsLeaveBeforeTheirWorker, TestPreemption, TestPreemptsForMoreUrgentTasks.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -153,6 +153,7 @@
 	if agent.worker != nil {
 		agent.stopUnowned(now)
 		agent.giveUpLost(now)
+		agent.moveAhead(now)
 		agent.look(now)
 	}
 	agent.tellOwners(now)
@@ -191,7 +192,7 @@
 	}
 	current := agent.worker
 	if current != nil && current.beat.Incarnation == beat.Incarnation {
-		agent.noteBeatAgain(current, beat)
+		agent.noteBeatAgain(current, beat, now)
 		return
 	}
 	if current != nil {
@@ -201,16 +202,18 @@
 	}
 	agent.logWorker(beat)
 	agent.worker = newWorkerState(beat, agent.options.Connect(beat.Address, beat.Incarnation), agent.options.FirstToken, now)
+	agent.worker.noteLeaving(now)
 	agent.statusChanged()
 }
 
 // noteBeatAgain takes in a heartbeat of the incarnation that is known.
-func (agent *Agent) noteBeatAgain(current *workerState, beat platform.Heartbeat) {
+func (agent *Agent) noteBeatAgain(current *workerState, beat platform.Heartbeat, now time.Time) {
 	if beat.Sequence < current.beat.Sequence {
 		return
 	}
 	changed := current.beat.Draining != beat.Draining
 	current.beat = beat
+	current.noteLeaving(now)
 	if changed {
 		agent.logWorker(beat)
 		agent.statusChanged()
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -142,6 +142,14 @@
 	})
 }
 
+// beatLeaving has the worker say that it drains and stays for a while at least.
+func (made *bench) beatLeaving(remaining time.Duration) {
+	made.beside.Beat(platform.Heartbeat{
+		Incarnation: worker, Service: "verbale", Address: strings.TrimPrefix(made.server.URL, "http://"),
+		MilliCPU: 4000, MemoryMB: 8000, Sequence: 2, Draining: true, Remaining: remaining,
+	})
+}
+
 // attach connects an owner that claims the shard and grants it time.
 func (made *bench) attach(epoch int64) *stream {
 	owner := &stream{in: make(chan *wire.OwnerMessage, 64), ctx: made.ctx}
--- /dev/null
+++ b/agent/leave_test.go
@@ -0,0 +1,44 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestRunsLeaveBeforeTheirWorker: a run that would not end before its worker is gone
+// is stopped in time to go on elsewhere, and not before.
+func TestRunsLeaveBeforeTheirWorker(t *testing.T) {
+	tests := map[string]struct {
+		remaining time.Duration
+		percent   int32
+		demand    *wire.Demand
+		after     time.Duration
+		runs      bool
+	}{
+		"not yet":              {5 * time.Second, 10, &wire.Demand{MilliCpu: 1000}, 3 * time.Second, true},
+		"would not end":        {5 * time.Second, 10, &wire.Demand{MilliCpu: 1000}, 4500 * time.Millisecond, false},
+		"is about to end":      {5 * time.Second, 95, &wire.Demand{MilliCpu: 1000}, 4500 * time.Millisecond, true},
+		"lasts":                {5 * time.Second, 100, &wire.Demand{MilliCpu: 1000, Lasting: true}, 4500 * time.Millisecond, false},
+		"says nothing of time": {0, 10, &wire.Demand{MilliCpu: 1000}, 6 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			made.beat()
+			owner := made.attach(1)
+			made.ready(owner)
+			order := start(1)
+			order.Demand = test.demand
+			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute), Starts: []*wire.StartOrder{order}})
+			made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
+			made.worker.Progress(task, test.percent)
+			made.beatLeaving(test.remaining)
+			made.pass(test.after)
+			if _, runs := made.worker.Running(task); runs != test.runs {
+				t.Errorf("it runs: %v", runs)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/agent/preempt.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// preemptible reports whether a run may be stopped for a more urgent one: it does not
+// last and goes on elsewhere from its checkpoint.
+func (run *runState) preemptible() bool {
+	return run.phase == phaseRunning && run.demand.GetMovable() && !run.demand.GetLasting()
+}
+
+// notePreempt stops runs of less urgent tasks until a demand has room. If it would
+// not have, also without all of them, nothing is stopped.
+func (agent *Agent) notePreempt(order *wire.PreemptOrder, now time.Time) {
+	state := agent.worker
+	if state == nil || state.beat.Incarnation != order.GetWorker() || !state.ready() || state.beat.Draining {
+		return
+	}
+	wanted := order.GetDemand()
+	free := state.roomOnceStopped()
+	var chosen []*runState
+	for _, run := range state.lessUrgent(wanted.GetPriority()) {
+		if free.fits(wanted) {
+			break
+		}
+		free.give(run.demand)
+		chosen = append(chosen, run)
+	}
+	if !free.fits(wanted) {
+		return
+	}
+	for _, run := range chosen {
+		agent.logRun(event.RunPreempted, run, slog.Int("priority", int(run.demand.GetPriority())),
+			slog.Int("for_priority", int(wanted.GetPriority())), slog.Int64("memory_mb", wanted.GetMemoryMb()), slog.Int64("milli_cpu", wanted.GetMilliCpu()))
+		agent.stopRun(state, run, now)
+	}
+}
+
+// lessUrgent returns the runs that may be stopped for a priority: the least urgent
+// first, and of these the one that has got on the least.
+func (state *workerState) lessUrgent(priority int32) []*runState {
+	var runs []*runState
+	for _, run := range state.runs {
+		if run.preemptible() && run.demand.GetPriority() > priority {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *runState) int {
+		if byPriority := b.demand.GetPriority() - a.demand.GetPriority(); byPriority != 0 {
+			return int(byPriority)
+		}
+		return int(a.percent - b.percent)
+	})
+	return runs
+}
+
+// roomOnceStopped returns what is free once the runs that are being stopped are over.
+func (state *workerState) roomOnceStopped() room {
+	free := state.room()
+	for _, run := range state.runs {
+		if run.phase == phaseStopping {
+			free.give(run.demand)
+		}
+	}
+	return free
+}
+
+// reclaimable tells what the runs of each priority hold that may be stopped.
+func (state *workerState) reclaimable() []*wire.Reclaimable {
+	var told []*wire.Reclaimable
+	for _, run := range state.runs {
+		if !run.preemptible() {
+			continue
+		}
+		priority := run.demand.GetPriority()
+		at := slices.IndexFunc(told, func(known *wire.Reclaimable) bool { return known.GetPriority() == priority })
+		if at < 0 {
+			at = len(told)
+			told = append(told, &wire.Reclaimable{Priority: priority})
+		}
+		told[at].MemoryMb += run.demand.GetMemoryMb()
+		told[at].Accelerators += run.demand.GetAccelerators()
+		if !run.demand.GetFills() {
+			told[at].MilliCpu += run.demand.GetMilliCpu()
+		}
+	}
+	return told
+}
--- /dev/null
+++ b/agent/preempt_test.go
@@ -0,0 +1,54 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestPreemption: a less urgent run makes room for a more urgent demand, if that
+// is enough and nothing of it is lost.
+func TestPreemption(t *testing.T) {
+	batch := func() *wire.Demand {
+		return &wire.Demand{MilliCpu: 1000, MemoryMb: 6000, Priority: 2, Movable: true}
+	}
+	change := func(apply func(demand *wire.Demand)) *wire.Demand {
+		demand := batch()
+		apply(demand)
+		return demand
+	}
+	tests := map[string]struct {
+		there  *wire.Demand
+		wanted *wire.Demand
+		runs   bool
+	}{
+		"less urgent":                  {batch(), &wire.Demand{MilliCpu: 1000, MemoryMb: 4000}, false},
+		"as urgent":                    {batch(), &wire.Demand{MilliCpu: 1000, MemoryMb: 4000, Priority: 2}, true},
+		"there is room":                {batch(), &wire.Demand{MilliCpu: 1000, MemoryMb: 2000}, true},
+		"would not be enough":          {batch(), &wire.Demand{MilliCpu: 1000, MemoryMb: 9000}, true},
+		"its work would be lost":       {change(func(demand *wire.Demand) { demand.Movable = false }), &wire.Demand{MilliCpu: 1000, MemoryMb: 4000}, true},
+		"it lasts":                     {change(func(demand *wire.Demand) { demand.Lasting = true }), &wire.Demand{MilliCpu: 1000, MemoryMb: 4000}, true},
+		"processors, which it fills":   {change(func(demand *wire.Demand) { demand.Fills = true }), &wire.Demand{MilliCpu: 5000, MemoryMb: 100}, true},
+		"processors, which it holds":   {batch(), &wire.Demand{MilliCpu: 4000, MemoryMb: 100}, false},
+		"processors that no one has":   {batch(), &wire.Demand{MilliCpu: 5000, MemoryMb: 100}, true},
+		"accelerators that no one has": {batch(), &wire.Demand{Accelerators: 1}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			made.beat()
+			owner := made.attach(1)
+			made.ready(owner)
+			order := start(1)
+			order.Demand = test.there
+			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute), Starts: []*wire.StartOrder{order}})
+			made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
+			owner.tell(&wire.OwnerMessage{Preempts: []*wire.PreemptOrder{{Worker: worker, Demand: test.wanted}}})
+			made.pass(time.Second)
+			if _, runs := made.worker.Running(task); runs != test.runs {
+				t.Errorf("it runs: %v", runs)
+			}
+		})
+	}
+}
--- a/agent/room.go
+++ b/agent/room.go
@@ -35,3 +35,12 @@
 	}
 	return demand.GetMemoryMb() <= free.memoryMB && demand.GetAccelerators() <= free.accelerators
 }
+
+// give adds what a run gives back when it ends.
+func (free *room) give(demand *wire.Demand) {
+	free.memoryMB += demand.GetMemoryMb()
+	free.accelerators += demand.GetAccelerators()
+	if !demand.GetFills() {
+		free.milliCPU += demand.GetMilliCpu()
+	}
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -93,6 +93,9 @@
 	for _, order := range message.GetStops() {
 		agent.noteStop(order, now)
 	}
+	for _, order := range message.GetPreempts() {
+		agent.notePreempt(order, now)
+	}
 	for _, order := range message.GetStarts() {
 		agent.noteStart(owner, order, now)
 	}
@@ -319,6 +322,7 @@
 		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
 		FreeMilliCpu: free.milliCPU, FreeMemoryMb: free.memoryMB, FreeAccelerators: free.accelerators,
 		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
+		Reclaimable: state.reclaimable(),
 	}
 	agent.tolerances(state, status)
 	return status
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -30,6 +30,7 @@
 	clock     time.Duration // the worker's clock when clockAt was read
 	clockAt   time.Time
 	lapseBy   time.Time // when everything has ended if no lease is renewed
+	leavesAt  time.Time // when a draining worker may be gone; zero while not known
 	unsettled int       // starts without an answer, to be settled by the next look
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -111,6 +111,7 @@
 	RunStopOrdered
 	AdviceTaken
 	AdviceFailed
+	RunPreempted
 )
 
 // Agents and their workers.
@@ -133,6 +134,7 @@
 	FillsPaced
 	AgentRegistered
 	RunEvicted
+	RunMovedAhead
 )
 
 // LinesDropped speaks of the log itself.
@@ -150,6 +152,7 @@
 const (
 	firstRelease    = "0.1"
 	platformRelease = "0.2"
+	preemptRelease  = "0.3"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -238,6 +241,7 @@
 	{RunLost, slog.LevelWarn, "run lost", "A run is over for certain although no end was listed: its worker's incarnation ended, or its lease must have run out. The task waits again.", platformRelease},
 	{RunStopOrdered, slog.LevelInfo, "run stop ordered", "The agent was told to stop a run.", platformRelease},
 	{AdviceTaken, slog.LevelInfo, "advice taken", "The service that knows which workers may run a step answered.", platformRelease},
+	{RunPreempted, slog.LevelInfo, "run pre-empted", "A more urgent task found no room: at an owner, its agent was asked to make room; at an agent, a run was stopped, which goes on elsewhere from its checkpoint.", preemptRelease},
 	{AdviceFailed, slog.LevelWarn, "advice failed", "The service that knows which workers may run a step did not answer; it is asked again.", platformRelease},
 
 	{AgentAttached, slog.LevelInfo, "agent attached", "This owner's connection to an agent is up.", platformRelease},
@@ -257,7 +261,8 @@
 	{RunUnowned, slog.LevelWarn, "run unowned", "The owner of a run has been silent until its grant was nearly over; the run is stopped.", platformRelease},
 	{FillsPaced, slog.LevelInfo, "fills paced", "The tasks that fill a worker were slowed down or let go on, because of the tail of the tasks that serve there.", platformRelease},
 	{AgentRegistered, slog.LevelInfo, "agent registered", "The agent's address is in the store, where owners find it.", platformRelease},
-	{RunEvicted, slog.LevelInfo, "run evicted", "A filling run was stopped because a serving one beside it has missed its target for long; it goes on elsewhere from its checkpoint.", platformRelease},
+	{RunEvicted, slog.LevelInfo, "run evicted", "A filling run was stopped because serving ones beside it bear hardly any of it; it goes on elsewhere from its checkpoint.", platformRelease},
+	{RunMovedAhead, slog.LevelInfo, "run moved ahead", "A run that would not end before its worker leaves was stopped, so that it goes on elsewhere with nothing lost.", preemptRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -46,6 +46,8 @@
 	// more than a trial is placed there.
 	failures   int
 	avoidUntil time.Time
+	// preemptedAt is when the agent was last asked to make room.
+	preemptedAt time.Time
 }
 
 // newView returns the view of an agent that has not been heard.
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -71,14 +71,13 @@
 	return worker.milliCPU + int64(servingUnused*float64(worker.servingMilliCPU)) - worker.fillMilliCPU
 }
 
-func (worker *candidate) fits(task *job.Task) bool {
+// allows reports whether a task may run at the worker, if there were room.
+func (worker *candidate) allows(task *job.Task) bool {
 	spec := task.Spec()
 	status := worker.view.status
 	switch {
 	case status.GetService() != task.Job().Submission().GetService():
 		return false
-	case spec.GetMemoryMb() > worker.memoryMB || spec.GetAccelerators() > worker.accelerators:
-		return false
 	case spec.GetLabel() != "" && !slices.Contains(status.GetLabels(), spec.GetLabel()):
 		return false
 	case spec.GetMostPerWorker() > 0 && worker.holding(task) >= spec.GetMostPerWorker():
@@ -86,6 +85,15 @@
 	case worker.trial && len(worker.view.runs) > 0:
 		return false
 	}
+	return true
+}
+
+// fits reports whether a task may run at the worker and has room there.
+func (worker *candidate) fits(task *job.Task) bool {
+	spec := task.Spec()
+	if spec.GetMemoryMb() > worker.memoryMB || spec.GetAccelerators() > worker.accelerators || !worker.allows(task) {
+		return false
+	}
 	if spec.GetFills() {
 		return float64(worker.idle()) >= fillShare*float64(spec.GetMilliCpu()) &&
 			float64(worker.tolerates(spec.GetImage())) >= worker.patience*float64(spec.GetMilliCpu())
--- a/owner/place.go
+++ b/owner/place.go
@@ -157,6 +157,7 @@
 	best := owner.bestOf(task, workers, now)
 	if best == nil {
 		owner.wantAdvice(task, now)
+		owner.preemptFor(task, workers, now)
 		return
 	}
 	owner.start(task, best.view, now)
--- /dev/null
+++ b/owner/preempt_test.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestPreemptsForMoreUrgentTasks: the agent is asked to make room only for a task that
+// holds room itself, where less urgent runs hold enough, and not again at once.
+func TestPreemptsForMoreUrgentTasks(t *testing.T) {
+	tests := map[string]struct {
+		change      func(step *job.StepSpec)
+		reclaimable *wire.Reclaimable
+		asks        int
+	}{
+		"less urgent runs hold enough": {func(*job.StepSpec) {}, &wire.Reclaimable{Priority: 2, MemoryMb: 500}, 1},
+		"they hold too little":         {func(*job.StepSpec) {}, &wire.Reclaimable{Priority: 2, MemoryMb: 50}, 0},
+		"they are as urgent":           {func(*job.StepSpec) {}, &wire.Reclaimable{Priority: 0, MemoryMb: 500}, 0},
+		"a task that fills waits":      {func(step *job.StepSpec) { step.Fills = true }, &wire.Reclaimable{Priority: 2, MemoryMb: 500}, 0},
+		"the label is missing":         {func(step *job.StepSpec) { step.Label = "b" }, &wire.Reclaimable{Priority: 2, MemoryMb: 500}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			handed := submission()
+			test.change(handed.Steps[0])
+			made.read(record(t, job.SubmissionKey(jobID), handed))
+			made.attach()
+			status := &wire.WorkerStatus{
+				Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 20,
+				Reclaimable: []*wire.Reclaimable{test.reclaimable},
+			}
+			asks := 0
+			for range 4 {
+				made.owner.joinedAt = made.clock.Now()
+				made.hear(&wire.AgentMessage{Status: status})
+				made.step()
+				made.clock.Advance(100 * time.Millisecond)
+			}
+			for _, message := range made.sent() {
+				asks += len(message.GetPreempts())
+			}
+			if asks != test.asks {
+				t.Errorf("asked %d times", asks)
+			}
+		})
+	}
+}
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -19,7 +19,7 @@
 		owner.claim(view)
 	}
 	grantDue := now.Sub(view.sentAt) >= owner.speakEvery()
-	if !grantDue && !message.Owned && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs) == 0 {
+	if !grantDue && !message.Owned && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs)+len(message.Preempts) == 0 {
 		return
 	}
 	owner.grant(view, now)
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -135,6 +135,15 @@
 	worker.deadline = max(worker.deadline, worker.clock()+lease.Milliseconds())
 }
 
+// Progress sets the percent that a run shows.
+func (worker *Worker) Progress(task string, percent int32) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if known, found := worker.running[task]; found {
+		known.percent = percent
+	}
+}
+
 // Number has ends counted from a number on, as if earlier ones were forgotten.
 func (worker *Worker) Number(last int64) {
 	worker.mu.Lock()
