Questions for advice: a forgotten step neither ends the process nor stops the queue

A step whose ticket a worker refused while its next question waited was looked up without a check: a nil pointer. A question without workers to ask about left those behind it waiting until another one came. And steps were kept for ever.

Change: the queue goes on to the next question that can be asked; steps last asked about five minutes ago are dropped.

--- a/owner/advice.go
+++ b/owner/advice.go
@@ -79,14 +79,22 @@
 	owner.askNext(now)
 }
 
-// askNext asks the next question of the queue, if none is on its way.
+// askNext asks the next question of the queue that can be asked, if none is on its
+// way.
 func (owner *Owner) askNext(now time.Time) {
-	if owner.advised.asking || len(owner.advised.queue) == 0 {
-		return
+	for !owner.advised.asking && len(owner.advised.queue) > 0 {
+		name := owner.advised.queue[0]
+		owner.advised.queue = owner.advised.queue[1:]
+		// A step whose ticket a worker refused while the question waited is
+		// forgotten; it is queued anew when one of its tasks finds no place.
+		if known, wanted := owner.advised.steps[name]; wanted {
+			owner.ask(name, known, now)
+		}
 	}
-	name := owner.advised.queue[0]
-	owner.advised.queue = owner.advised.queue[1:]
-	known := owner.advised.steps[name]
+}
+
+// ask asks which workers may run a step, unless all have been asked about.
+func (owner *Owner) ask(name string, known *stepAdvice, now time.Time) {
 	workers := owner.workersToAsk(known)
 	known.askedAt = now
 	if len(workers) == 0 {
@@ -109,6 +117,19 @@
 	}()
 }
 
+// adviceKept is how long a step is remembered that no question was asked for: well
+// beyond any ticket's time.
+const adviceKept = 5 * time.Minute
+
+// forgetAdvice drops the steps that were last asked about long ago.
+func (owner *Owner) forgetAdvice(now time.Time) {
+	for name, known := range owner.advised.steps {
+		if !known.waiting && now.Sub(known.askedAt) > adviceKept && now.After(known.until) {
+			delete(owner.advised.steps, name)
+		}
+	}
+}
+
 // workersToAsk returns workers of the service that were not asked about.
 func (owner *Owner) workersToAsk(known *stepAdvice) []string {
 	var workers []string
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -176,6 +176,7 @@
 		owner.tell(view, now)
 	}
 	owner.gauge(now)
+	owner.forgetAdvice(now)
 }
 
 func (owner *Owner) log(code event.Code, attributes ...slog.Attr) {
