--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -91,6 +91,7 @@
 	ConfigurationInForce
 	ConfigurationRefused
 	StoreSlow
+	OwnersUnknown
 )
 
 // Jobs: handed in, decided on, ended.
@@ -225,6 +226,7 @@
 	{ConfigurationRefused, slog.LevelError, "configuration refused", "A version of the configuration can't be decoded. The version before it stays in force.", platformRelease},
 
 	{StoreSlow, slog.LevelWarn, "store slow", "An append took much longer than the store usually does. The attribute took says how long; all that waits for the store waits as long.", platformRelease},
+	{OwnersUnknown, slog.LevelWarn, "owners unknown", "The store does not say which entry owns which shard. The owners known before are asked on until it does.", preemptRelease},
 
 	{JobAccepted, slog.LevelInfo, "job accepted", "A job is in the store and its client was told so.", platformRelease},
 	{JobRefused, slog.LevelInfo, "job refused", "A job was not taken and will never run from this request. The attributes give the reason and when to come back.", platformRelease},
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/owner"
 	"ambertiller.example/ambertiller/rpc"
@@ -38,6 +40,8 @@
 	readAt  time.Time
 	reading bool
 	counts  map[string]pendingCount
+	// failing is set while the store does not say who owns the shards.
+	failing bool
 }
 
 type pendingCount struct {
@@ -66,9 +70,21 @@
 	defer directory.mu.Unlock()
 	directory.reading = false
 	directory.readAt = directory.options.Clock.Now()
+	directory.noteOwners(ctx, owners, err)
+}
+
+// noteOwners takes in what the store said of owners. Where it says nothing, those
+// known before are asked on: most of them still own what they did.
+func (directory *directory) noteOwners(ctx context.Context, owners map[int]string, err error) {
 	if err == nil {
 		directory.owners = owners
+		directory.failing = false
+		return
+	}
+	if !directory.failing {
+		directory.options.Events.Log(ctx, event.OwnersUnknown, slog.Int("known", len(directory.owners)), slog.Any("error", err))
 	}
+	directory.failing = true
 }
 
 func (directory *directory) ownerOf(shard int) string {
