A fault of the program leaves one line in the log

Change: event 105 (process failed) with the fault and the places that led to it, written straight to standard output before the process ends as it did.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -82,7 +82,10 @@
 func (loop *background) start(run func(ctx context.Context)) {
 	var ctx context.Context
 	ctx, loop.cancel = context.WithCancel(context.Background())
-	loop.done.Go(func() { run(ctx) })
+	loop.done.Go(func() {
+		defer logFault()
+		run(ctx)
+	})
 }
 
 func (loop *background) stop(context.Context) error {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -13,6 +13,7 @@
 	ProcessStopped
 	SettingsReloaded
 	SettingsRefused
+	ProcessFailed
 )
 
 // Routing decisions.
@@ -163,6 +164,7 @@
 	{ProcessStopped, slog.LevelInfo, "process stopped", "The planned stop has ended.", firstRelease},
 	{SettingsReloaded, slog.LevelInfo, "settings reloaded", "The settings file was read again.", platformRelease},
 	{SettingsRefused, slog.LevelError, "settings refused", "The settings file has changed and has faults. The settings before it stay in force.", platformRelease},
+	{ProcessFailed, slog.LevelError, "process failed", "The program has a fault and ends with it. The attribute fault says which, frames the places in the code that led to it, the nearest first: report both.", preemptRelease},
 
 	{RequestRouted, slog.LevelInfo, "request routed", "A request was sent to a backend server and its whole answer was passed on. The attributes give the worker, what its load was believed to be, how many workers were considered and which were rejected and why.", firstRelease},
 	{RequestNotRun, slog.LevelInfo, "request not run", "A request was given up and proved not to have run. The attribute reason says why, retry_after when to come back.", firstRelease},
