A question that was given up on never runs

JobState asks its loop three times. When the client's time ended while the second question was queued, the third look set the shard to nil, and the second question, which refers to the same variable, ran afterwards. It takes a loop that is behind, so it showed on the large deployments only; the change of interference is not its cause.

Change: a question that its caller has given up on does not run; one that runs already is waited for. This holds for all questions to loops.

--- a/loop/loop.go
+++ b/loop/loop.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -47,12 +48,18 @@
 }
 
 // Ask runs a function on the loop and waits for it. It reports false when the
-// loop or ctx ended first.
+// loop or ctx ended first; then the function never runs, so what it refers to may be
+// used again.
 func (decisions *Loop) Ask(ctx context.Context, run func(now time.Time)) bool {
 	answered := make(chan struct{})
+	// begun is set by whichever is first: the loop that runs the function, or the
+	// caller that gives it up.
+	var begun atomic.Bool
 	decisions.Post(func(now time.Time) {
-		run(now)
-		close(answered)
+		if begun.CompareAndSwap(false, true) {
+			run(now)
+			close(answered)
+		}
 	})
 	select {
 	case <-answered:
@@ -60,7 +67,11 @@
 	case <-decisions.done:
 	case <-ctx.Done():
 	}
-	return false
+	if begun.CompareAndSwap(false, true) {
+		return false
+	}
+	<-answered
+	return true
 }
 
 // Run runs what is posted until ctx ends, and step after each batch and at
