agent: its tests begin a run in one place

The same five lines, that a worker beats, an owner attaches, the worker is ready, a start is ordered and answered, stood in five test files, in two of them with a grant that was easy to overlook. attachReady, starts and startsRun say them once; every assertion stays. A start that is answered otherwise fails at once with the answer instead of after the wait.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -135,19 +135,24 @@
 	go made.beside.Run(made.ctx)
 }
 
-func (made *bench) beat() {
-	made.beside.Beat(platform.Heartbeat{
+// heartbeat is what the worker says of itself first.
+func (made *bench) heartbeat() platform.Heartbeat {
+	return platform.Heartbeat{
 		Incarnation: worker, Service: "verbale", Address: strings.TrimPrefix(made.server.URL, "http://"),
 		MilliCPU: 4000, MemoryMB: 8000, Sequence: 1,
-	})
+	}
+}
+
+// beat has the worker say that it is there.
+func (made *bench) beat() {
+	made.beside.Beat(made.heartbeat())
 }
 
 // beatLeaving has the worker say that it drains and stays for a while at least.
 func (made *bench) beatLeaving(remaining time.Duration) {
-	made.beside.Beat(platform.Heartbeat{
-		Incarnation: worker, Service: "verbale", Address: strings.TrimPrefix(made.server.URL, "http://"),
-		MilliCPU: 4000, MemoryMB: 8000, Sequence: 2, Draining: true, Remaining: remaining,
-	})
+	beat := made.heartbeat()
+	beat.Sequence, beat.Draining, beat.Remaining = 2, true, remaining
+	made.beside.Beat(beat)
 }
 
 // attach connects an owner that claims the shard and grants it time.
@@ -164,10 +169,36 @@
 	return owner
 }
 
-func (made *bench) ready(owner *stream) {
+// attachReady connects an owner to the agent of a worker that is ready.
+func (made *bench) attachReady(epoch int64) *stream {
+	made.beat()
+	owner := made.attach(epoch)
 	made.until(func() bool {
 		return owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus().GetReady() }) != nil
 	})
+	return owner
+}
+
+// starts has the owner order a start and waits until it is told what became of it.
+func (made *bench) starts(owner *stream, order *wire.StartOrder) wire.StartOutcome {
+	made.t.Helper()
+	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{order}})
+	made.until(func() bool { return owner.outcome() != wire.StartOutcome_START_UNSPECIFIED })
+	return owner.outcome()
+}
+
+// startsRun is starts for an order that has to be carried out.
+func (made *bench) startsRun(owner *stream, order *wire.StartOrder) {
+	made.t.Helper()
+	if got := made.starts(owner, order); got != wire.StartOutcome_START_STARTED {
+		made.t.Fatalf("the start was answered %v", got)
+	}
+}
+
+// runs reports whether the task runs at the worker.
+func (made *bench) runs() bool {
+	_, found := made.worker.Running(task)
+	return found
 }
 
 // until lets short steps of the clock pass until what is waited for holds.
@@ -191,6 +222,7 @@
 	}
 }
 
+// start orders a small run of the task, with a demand of its own for the test to change.
 func start(epoch int64) *wire.StartOrder {
 	return &wire.StartOrder{
 		Shard: shard, Epoch: epoch, Task: task, Attempt: 1, Worker: worker,
--- a/agent/lease_test.go
+++ b/agent/lease_test.go
@@ -13,18 +13,15 @@
 // worker that was gone for good was renewed by every look.
 func TestSilentWorkerIsGivenUp(t *testing.T) {
 	made := newBench(t)
-	made.beat()
-	owner := made.attach(1)
-	made.ready(owner)
-	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{start(1)}})
-	made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
+	owner := made.attachReady(1)
+	made.startsRun(owner, start(1))
 	made.worker.Fail(func(string) wireworker.Fault { return wireworker.FaultReset })
 	made.pass(time.Second)
 	if owner.end() != nil {
 		t.Fatal("given up while the worker's lease runs")
 	}
 	made.until(func() bool { return owner.end() != nil })
-	if _, runs := made.worker.Running(task); runs {
+	if made.runs() {
 		t.Error("given up while it runs")
 	}
 	if got := owner.end().GetReason(); got != wire.EndReason_END_LOST {
@@ -36,13 +33,10 @@
 // before the last grant does.
 func TestSilentOwnersRunsAreStopped(t *testing.T) {
 	made := newBench(t)
-	made.beat()
-	owner := made.attach(1)
-	made.ready(owner)
+	owner := made.attachReady(1)
 	granted := made.clock.Now().Add(grant)
-	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{start(1)}})
-	made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
-	made.until(func() bool { _, runs := made.worker.Running(task); return !runs })
+	made.startsRun(owner, start(1))
+	made.until(func() bool { return !made.runs() })
 	if now := made.clock.Now(); now.After(granted) {
 		t.Errorf("it ran %v beyond the grant", now.Sub(granted))
 	}
@@ -58,17 +52,17 @@
 	made.worker.Put(task, 1, 4*time.Second)
 	made.beat()
 	made.pass(time.Second)
-	if _, runs := made.worker.Running(task); !runs {
+	if !made.runs() {
 		t.Fatal("stopped before an owner could attach")
 	}
 	owner := made.attach(1)
 	made.pass(500 * time.Millisecond)
-	if _, runs := made.worker.Running(task); !runs {
+	if !made.runs() {
 		t.Fatal("stopped although its owner attached")
 	}
 	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
 	made.pass(5 * time.Second)
-	if _, runs := made.worker.Running(task); !runs {
+	if !made.runs() {
 		t.Error("its lease was not renewed")
 	}
 }
--- a/agent/leave_test.go
+++ b/agent/leave_test.go
@@ -26,17 +26,15 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			made.beat()
-			owner := made.attach(1)
-			made.ready(owner)
+			owner := made.attachReady(1)
+			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
 			order := start(1)
 			order.Demand = test.demand
-			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute), Starts: []*wire.StartOrder{order}})
-			made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
+			made.startsRun(owner, order)
 			made.worker.Progress(task, test.percent)
 			made.beatLeaving(test.remaining)
 			made.pass(test.after)
-			if _, runs := made.worker.Running(task); runs != test.runs {
+			if runs := made.runs(); runs != test.runs {
 				t.Errorf("it runs: %v", runs)
 			}
 		})
--- a/agent/order_test.go
+++ b/agent/order_test.go
@@ -9,11 +9,8 @@
 
 func TestStartUntilItsEndIsDurable(t *testing.T) {
 	made := newBench(t)
-	made.beat()
-	owner := made.attach(1)
-	made.ready(owner)
-	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{start(1)}})
-	made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
+	owner := made.attachReady(1)
+	made.startsRun(owner, start(1))
 	made.worker.End(task, "done")
 	made.until(func() bool { return owner.end() != nil })
 	if _, seen := made.worker.Looks(); seen != 0 {
@@ -38,14 +35,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			made.beat()
-			owner := made.attach(7)
-			made.ready(owner)
+			owner := made.attachReady(7)
 			order := start(7)
 			test.change(order)
-			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{order}})
-			made.until(func() bool { return owner.outcome() != wire.StartOutcome_START_UNSPECIFIED })
-			if got := owner.outcome(); got != test.want {
+			if got := made.starts(owner, order); got != test.want {
 				t.Errorf("got %v", got)
 			}
 		})
@@ -67,22 +60,18 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			made.beat()
-			owner := made.attach(1)
-			made.ready(owner)
+			owner := made.attachReady(1)
 			made.worker.Fail(func(path string) wireworker.Fault {
 				if path == "/v1/run-start" {
 					return test.fault
 				}
 				return wireworker.FaultNone
 			})
-			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{start(1)}})
-			made.until(func() bool { return owner.outcome() != wire.StartOutcome_START_UNSPECIFIED })
-			if got := owner.outcome(); got != test.want {
+			if got := made.starts(owner, start(1)); got != test.want {
 				t.Errorf("told %v", got)
 			}
 			made.worker.CarryOut()
-			if _, runs := made.worker.Running(task); runs != test.runs {
+			if runs := made.runs(); runs != test.runs {
 				t.Errorf("runs: %v", runs)
 			}
 		})
--- a/agent/preempt_test.go
+++ b/agent/preempt_test.go
@@ -37,16 +37,14 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			made.beat()
-			owner := made.attach(1)
-			made.ready(owner)
+			owner := made.attachReady(1)
+			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
 			order := start(1)
 			order.Demand = test.there
-			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute), Starts: []*wire.StartOrder{order}})
-			made.until(func() bool { return owner.outcome() == wire.StartOutcome_START_STARTED })
+			made.startsRun(owner, order)
 			owner.tell(&wire.OwnerMessage{Preempts: []*wire.PreemptOrder{{Worker: worker, Demand: test.wanted}}})
 			made.pass(time.Second)
-			if _, runs := made.worker.Running(task); runs != test.runs {
+			if runs := made.runs(); runs != test.runs {
 				t.Errorf("it runs: %v", runs)
 			}
 		})
--- a/agent/session_test.go
+++ b/agent/session_test.go
@@ -10,13 +10,9 @@
 // one's orders have no effect.
 func TestHigherEpochTakesOver(t *testing.T) {
 	made := newBench(t)
-	made.beat()
-	before := made.attach(1)
-	made.ready(before)
+	before := made.attachReady(1)
 	made.attach(2)
-	before.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{start(1)}})
-	made.until(func() bool { return before.outcome() != wire.StartOutcome_START_UNSPECIFIED })
-	if got := before.outcome(); got != wire.StartOutcome_START_STALE {
+	if got := made.starts(before, start(1)); got != wire.StartOutcome_START_STALE {
 		t.Errorf("told %v", got)
 	}
 }
