owner: its tests hand in a job and tell of a worker in one place

Handing in a changed job took three lines and the status of an empty worker five, each repeated where only one field mattered. submitChanged and emptyWorker leave the field that a test is about; every assertion stays.

--- a/owner/advice_test.go
+++ b/owner/advice_test.go
@@ -8,13 +8,14 @@
 	"ambertiller.example/ambertiller/platform"
 )
 
+// terms are those of the service that is asked for advice.
+func terms() *job.Advice { return &job.Advice{DecideMs: 100, EachMs: 10, ValidMs: 3000} }
+
 // TestAdvisedQueueStartsOnlyWithATicket: without the service's word no worker may
 // run the step.
 func TestAdvisedQueueStartsOnlyWithATicket(t *testing.T) {
 	made := newBench(t)
-	handed := submission()
-	handed.Advice = &job.Advice{DecideMs: 100, EachMs: 10, ValidMs: 3000}
-	made.read(record(t, job.SubmissionKey(jobID), handed))
+	made.submitChanged(func(handed *job.Submission) { handed.Advice = terms() })
 	made.attach()
 	made.step()
 	if len(made.view.runs) != 0 {
@@ -39,9 +40,8 @@
 	made.attach()
 	now := made.clock.Now()
 	made.owner.options.Advisor = platform.NewAdvisor("127.0.0.1:1", platform.Transport())
-	terms := &job.Advice{DecideMs: 100, EachMs: 10, ValidMs: 3000}
-	made.owner.advised.steps["no worker"] = &stepAdvice{terms: terms, service: "another", waiting: true}
-	made.owner.advised.steps["last"] = &stepAdvice{terms: terms, service: "verbale", waiting: true}
+	made.owner.advised.steps["no worker"] = &stepAdvice{terms: terms(), service: "another", waiting: true}
+	made.owner.advised.steps["last"] = &stepAdvice{terms: terms(), service: "verbale", waiting: true}
 	made.owner.advised.queue = []string{"forgotten", "no worker", "last"}
 	made.owner.askNext(now)
 	if !made.owner.advised.asking || made.owner.advised.steps["last"].askedAt != now {
--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -84,8 +84,16 @@
 	made.owner.noteTail(made.held, platform.Tail{Records: records}, made.clock.Now())
 }
 
+// submit has the owner read the job.
 func (made *bench) submit() *job.Job {
-	made.read(record(made.t, job.SubmissionKey(jobID), submission()))
+	return made.submitChanged(func(*job.Submission) {})
+}
+
+// submitChanged has the owner read the job with what the test changes of it.
+func (made *bench) submitChanged(change func(handed *job.Submission)) *job.Job {
+	handed := submission()
+	change(handed)
+	made.read(record(made.t, job.SubmissionKey(jobID), handed))
 	return made.held.jobs[jobID]
 }
 
@@ -94,13 +102,18 @@
 	made.hear(&wire.AgentMessage{})
 }
 
+// emptyWorker is the status of a ready worker on which nothing runs.
+func emptyWorker() *wire.WorkerStatus {
+	return &wire.WorkerStatus{
+		Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 4000,
+	}
+}
+
 // hear has the agent say something, with a worker that has room.
 func (made *bench) hear(message *wire.AgentMessage) {
 	message.Agent = "agent"
 	if message.Status == nil {
-		message.Status = &wire.WorkerStatus{
-			Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 4000,
-		}
+		message.Status = emptyWorker()
 	}
 	message.Handled = made.agentN
 	made.owner.noteAgent(made.view, made.view.link, message, made.clock.Now())
--- a/owner/gang_test.go
+++ b/owner/gang_test.go
@@ -20,9 +20,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			gang := submission()
-			gang.Steps = []*job.StepSpec{{Count: 3, MilliCpu: 1000, MemoryMb: 10, EstimateMs: 1000, Gang: true}}
-			made.read(record(t, job.SubmissionKey(jobID), gang))
+			made.submitChanged(func(handed *job.Submission) {
+				handed.Steps = []*job.StepSpec{{Count: 3, MilliCpu: 1000, MemoryMb: 10, EstimateMs: 1000, Gang: true}}
+			})
 			made.attach()
 			made.hear(&wire.AgentMessage{Status: &wire.WorkerStatus{
 				Worker: life, Service: "verbale", Ready: true, FreeMilliCpu: test.free, FreeMemoryMb: 4000,
--- a/owner/place_test.go
+++ b/owner/place_test.go
@@ -13,10 +13,7 @@
 // pause was over, and not again.
 func TestTaskThatWaitsIsPlacedWithoutAnotherEvent(t *testing.T) {
 	made := newBench(t)
-	handed := submission()
-	handed.Steps[0].Lasting = true
-	made.read(record(t, job.SubmissionKey(jobID), handed))
-	of := made.held.jobs[jobID]
+	of := made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Lasting = true })
 	made.attachAndStart()
 	made.hear(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: life, Number: 1, Task: taskOne, Attempt: 1, Reason: wire.EndReason_END_FAILED}}})
 	for range 8 {
@@ -35,14 +32,10 @@
 // found no worker that bore it, and stood still although the workers were free.
 func TestFillDoesNotWaitForEver(t *testing.T) {
 	made := newBench(t)
-	handed := submission()
-	handed.Steps[0].Fills, handed.Steps[0].Image = true, "loud"
-	made.read(record(t, job.SubmissionKey(jobID), handed))
+	made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Fills, handed.Steps[0].Image = true, "loud" })
 	made.attach()
-	status := &wire.WorkerStatus{
-		Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 4000,
-		Tolerances: []*wire.Tolerance{{Image: "loud", MilliCpu: 0}},
-	}
+	status := emptyWorker()
+	status.Tolerances = []*wire.Tolerance{{Image: "loud", MilliCpu: 0}}
 	hear := func() {
 		made.owner.joinedAt = made.clock.Now()
 		made.hear(&wire.AgentMessage{Status: status})
--- a/owner/preempt_test.go
+++ b/owner/preempt_test.go
@@ -25,21 +25,18 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			handed := submission()
-			test.change(handed.Steps[0])
-			made.read(record(t, job.SubmissionKey(jobID), handed))
+			made.submitChanged(func(handed *job.Submission) { test.change(handed.Steps[0]) })
 			made.attach()
-			status := &wire.WorkerStatus{
-				Worker: life, Service: "verbale", Ready: true, MilliCpu: 4000, MemoryMb: 4000, FreeMilliCpu: 4000, FreeMemoryMb: 20,
-				Reclaimable: []*wire.Reclaimable{test.reclaimable},
-			}
-			asks := 0
+			status := emptyWorker()
+			status.FreeMemoryMb = 20
+			status.Reclaimable = []*wire.Reclaimable{test.reclaimable}
 			for range 4 {
 				made.owner.joinedAt = made.clock.Now()
 				made.hear(&wire.AgentMessage{Status: status})
 				made.step()
 				made.clock.Advance(100 * time.Millisecond)
 			}
+			asks := 0
 			for _, message := range made.sent() {
 				asks += len(message.GetPreempts())
 			}
--- a/owner/stall_test.go
+++ b/owner/stall_test.go
@@ -24,9 +24,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			handed := submission()
-			handed.Steps[0].Lasting = test.lasting
-			made.read(record(t, job.SubmissionKey(jobID), handed))
+			made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Lasting = test.lasting })
 			made.attachAndStart()
 			stops := 0
 			for _, percent := range test.percents {
