owner: choosing where to pre-empt and ordering it are apart; fields of advice explained

preemptFor chose a worker, ordered and logged in one go, and that it compares memory alone could only be read from its arithmetic. What the maps, times and flags of the questions for advice mean had to be found at their uses, and adviceKept stood between functions. Behaviour stays.

--- a/owner/advice.go
+++ b/owner/advice.go
@@ -22,26 +22,30 @@
 	// adviceAgain keeps questions for a step apart whose answer named no
 	// worker with room.
 	adviceAgain = 500 * time.Millisecond
+	// adviceKept is how long a step is remembered that no question was asked for: well
+	// beyond any ticket's time.
+	adviceKept = 5 * time.Minute
 )
 
 // stepAdvice is what is known of the workers that may run a step.
 type stepAdvice struct {
 	terms   *job.Advice
 	service string
-	tickets map[string]string
-	asked   map[string]bool
-	until   time.Time
+	tickets map[string]string // by worker, of those that may run it
+	asked   map[string]bool   // the workers that the tickets' answers were about
+	until   time.Time         // when the tickets end
 	askedAt time.Time
-	waiting bool
+	waiting bool // a question is queued or on its way
 }
 
 // adviceQueue asks for advice, one question at a time, as the service takes them.
 type adviceQueue struct {
 	steps  map[string]*stepAdvice
-	queue  []string
-	asking bool
+	queue  []string // names of steps
+	asking bool     // a question is on its way
 }
 
+// stepName names the step of a task in questions.
 func stepName(task *job.Task) string {
 	return fmt.Sprintf("%s.%d.%d", task.Job().ID(), task.Round(), task.Step())
 }
@@ -103,7 +107,7 @@
 		return
 	}
 	owner.advised.asking = true
-	limit := time.Duration(known.terms.GetDecideMs()+known.terms.GetEachMs()*int64(len(workers)))*time.Millisecond + adviceOver
+	limit := known.answerTime(len(workers)) + adviceOver
 	go func() {
 		ctx, cancel := context.WithTimeout(owner.ctx, limit)
 		defer cancel()
@@ -117,9 +121,10 @@
 	}()
 }
 
-// adviceKept is how long a step is remembered that no question was asked for: well
-// beyond any ticket's time.
-const adviceKept = 5 * time.Minute
+// answerTime is how long the service says that a question about some workers takes.
+func (known *stepAdvice) answerTime(workers int) time.Duration {
+	return time.Duration(known.terms.GetDecideMs()+known.terms.GetEachMs()*int64(workers)) * time.Millisecond
+}
 
 // forgetAdvice drops the steps that were last asked about long ago.
 func (owner *Owner) forgetAdvice(now time.Time) {
@@ -146,6 +151,7 @@
 	return workers
 }
 
+// noteAdvice takes in the answer to a question about some workers.
 func (owner *Owner) noteAdvice(name string, known *stepAdvice, workers []string, advice platform.Advice, err error, now time.Time) {
 	if err != nil {
 		owner.log(event.AdviceFailed, slog.String("step", name), slog.Any("error", err))
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -19,6 +19,15 @@
 	if task.Spec().GetFills() || task.Spec().GetGang() {
 		return
 	}
+	if best := leastToStop(task, workers, now); best != nil {
+		owner.orderPreemption(task, best, now)
+	}
+}
+
+// leastToStop returns the worker that misses the least memory for a task, of those
+// where the task would fit once what is less urgent has been stopped; nil if there is
+// none.
+func leastToStop(task *job.Task, workers []*candidate, now time.Time) *candidate {
 	var best *candidate
 	least := int64(0)
 	for _, worker := range workers {
@@ -30,16 +39,19 @@
 			best, least = worker, missing
 		}
 	}
-	if best == nil {
-		return
-	}
-	view := best.view
+	return best
+}
+
+// orderPreemption has a worker's agent make room for a task, with the next message.
+func (owner *Owner) orderPreemption(task *job.Task, worker *candidate, now time.Time) {
+	view := worker.view
 	view.preemptedAt = now
 	demand := demandOf(task)
 	view.message.Preempts = append(view.message.Preempts, &wire.PreemptOrder{Worker: view.status.GetWorker(), Demand: demand})
 	owner.log(event.RunPreempted, slog.String("task", task.Name()), slog.String("worker", view.status.GetWorker()),
-		slog.Int("for_priority", int(demand.GetPriority())), slog.Int64("memory_mb", demand.GetMemoryMb()),
-		slog.Int64("free_memory_mb", best.memoryMB), slog.Int64("milli_cpu", demand.GetMilliCpu()), slog.Int64("free_milli_cpu", best.milliCPU))
+		slog.Int("for_priority", int(demand.GetPriority())),
+		slog.Int64("memory_mb", demand.GetMemoryMb()), slog.Int64("free_memory_mb", worker.memoryMB),
+		slog.Int64("milli_cpu", demand.GetMilliCpu()), slog.Int64("free_milli_cpu", worker.milliCPU))
 }
 
 // fitsOnceReclaimed reports whether a task fits once what is less urgent has been
