--- a/agent/leave.go
+++ b/agent/leave.go
@@ -29,18 +29,25 @@
 // once their lease is over.
 func (agent *Agent) moveAhead(now time.Time) {
 	state := agent.worker
-	if !state.beat.Draining || state.leavesAt.IsZero() || now.Before(state.leavesAt.Add(-leaveAhead)) {
+	if !state.leavesSoon(now) {
 		return
 	}
 	for _, run := range state.runs {
 		if run.phase != phaseRunning || run.endsBy(state.leavesAt.Add(-leaveMargin), now) {
 			continue
 		}
-		agent.logRun(event.RunMovedAhead, run, slog.Duration("left", state.leavesAt.Sub(now)), slog.Int("percent", int(run.percent)))
+		agent.logRun(event.RunMovedAhead, run,
+			slog.Duration("left", state.leavesAt.Sub(now)), slog.Int("percent", int(run.percent)))
 		agent.stopRun(state, run, now)
 	}
 }
 
+// leavesSoon reports whether a draining worker may be gone before stops that are
+// ordered later have ended.
+func (state *workerState) leavesSoon(now time.Time) bool {
+	return state.beat.Draining && !state.leavesAt.IsZero() && !now.Before(state.leavesAt.Add(-leaveAhead))
+}
+
 // endsBy reports whether a run is expected to have ended by then, at the rate at
 // which it has got on so far.
 func (run *runState) endsBy(then, now time.Time) bool {
--- a/agent/preempt.go
+++ b/agent/preempt.go
@@ -23,8 +23,22 @@
 		return
 	}
 	wanted := order.GetDemand()
+	chosen, enough := state.chooseFor(wanted)
+	if !enough {
+		return
+	}
+	for _, run := range chosen {
+		agent.logRun(event.RunPreempted, run,
+			slog.Int("priority", int(run.demand.GetPriority())), slog.Int("for_priority", int(wanted.GetPriority())),
+			slog.Int64("memory_mb", wanted.GetMemoryMb()), slog.Int64("milli_cpu", wanted.GetMilliCpu()))
+		agent.stopRun(state, run, now)
+	}
+}
+
+// chooseFor returns the runs to stop so that a demand has room, none if it has
+// already, and whether it then has.
+func (state *workerState) chooseFor(wanted *wire.Demand) (chosen []*runState, enough bool) {
 	free := state.roomOnceStopped()
-	var chosen []*runState
 	for _, run := range state.lessUrgent(wanted.GetPriority()) {
 		if free.fits(wanted) {
 			break
@@ -32,14 +46,7 @@
 		free.give(run.demand)
 		chosen = append(chosen, run)
 	}
-	if !free.fits(wanted) {
-		return
-	}
-	for _, run := range chosen {
-		agent.logRun(event.RunPreempted, run, slog.Int("priority", int(run.demand.GetPriority())),
-			slog.Int("for_priority", int(wanted.GetPriority())), slog.Int64("memory_mb", wanted.GetMemoryMb()), slog.Int64("milli_cpu", wanted.GetMilliCpu()))
-		agent.stopRun(state, run, now)
-	}
+	return chosen, free.fits(wanted)
 }
 
 // lessUrgent returns the runs that may be stopped for a priority: the least urgent
@@ -60,35 +67,24 @@
 	return runs
 }
 
-// roomOnceStopped returns what is free once the runs that are being stopped are over.
-func (state *workerState) roomOnceStopped() room {
-	free := state.room()
-	for _, run := range state.runs {
-		if run.phase == phaseStopping {
-			free.give(run.demand)
-		}
-	}
-	return free
-}
-
 // reclaimable tells what the runs of each priority hold that may be stopped.
 func (state *workerState) reclaimable() []*wire.Reclaimable {
-	var told []*wire.Reclaimable
+	held := map[int32]*room{}
 	for _, run := range state.runs {
 		if !run.preemptible() {
 			continue
 		}
 		priority := run.demand.GetPriority()
-		at := slices.IndexFunc(told, func(known *wire.Reclaimable) bool { return known.GetPriority() == priority })
-		if at < 0 {
-			at = len(told)
-			told = append(told, &wire.Reclaimable{Priority: priority})
-		}
-		told[at].MemoryMb += run.demand.GetMemoryMb()
-		told[at].Accelerators += run.demand.GetAccelerators()
-		if !run.demand.GetFills() {
-			told[at].MilliCpu += run.demand.GetMilliCpu()
+		if held[priority] == nil {
+			held[priority] = &room{}
 		}
+		held[priority].give(run.demand)
+	}
+	var told []*wire.Reclaimable
+	for priority, given := range held {
+		told = append(told, &wire.Reclaimable{
+			Priority: priority, MilliCpu: given.milliCPU, MemoryMb: given.memoryMB, Accelerators: given.accelerators,
+		})
 	}
 	return told
 }
--- a/agent/room.go
+++ b/agent/room.go
@@ -1,16 +1,17 @@
 package agent
 
-import (
-	"ambertiller.example/ambertiller/wire"
-)
+import "ambertiller.example/ambertiller/wire"
 
 // room is what is free on a worker.
 type room struct {
 	milliCPU, memoryMB, accelerators int64
-	fillMilliCPU                     int64
-	servingMilliCPU                  int64
+	// fillMilliCPU is what runs that fill use at their pace, and servingMilliCPU what
+	// runs that serve hold.
+	fillMilliCPU    int64
+	servingMilliCPU int64
 }
 
+// room returns what the worker's runs leave free.
 func (state *workerState) room() room {
 	free := room{milliCPU: state.beat.MilliCPU, memoryMB: state.beat.MemoryMB, accelerators: state.beat.Accelerators}
 	for _, run := range state.runs {
@@ -29,6 +30,19 @@
 	return free
 }
 
+// roomOnceStopped returns what is free once the runs that are being stopped are over.
+func (state *workerState) roomOnceStopped() room {
+	free := state.room()
+	for _, run := range state.runs {
+		if run.phase == phaseStopping {
+			free.give(run.demand)
+		}
+	}
+	return free
+}
+
+// fits reports whether there is room for a demand. One that fills takes what others
+// leave of the processors and holds none.
 func (free room) fits(demand *wire.Demand) bool {
 	if !demand.GetFills() && demand.GetMilliCpu() > free.milliCPU {
 		return false
