interference: files by concern, one name for what a filter knows

learning.go held the state of images and of tasks, the evidence, the readings and all their constants; pacing.go decided on paces, on holding back and on places. Each now has a file: image, serving, evidence, learning, pacing, tolerance.

--- /dev/null
+++ b/interference/evidence.go
@@ -0,0 +1,72 @@
+package interference
+
+const (
+	// mostReadings bounds what a weight is said to rest on, so that one that
+	// changes is learned anew within as many readings.
+	mostReadings = 60.0
+	// sharedShare is the share of what others rest on that is taken in each time
+	// they are heard of, about once in 1.5 s.
+	sharedShare = 0.1
+)
+
+// Estimate is a weight with the number of readings that it rests on, counted in
+// readings beside one core.
+type Estimate struct {
+	Weight   float64
+	Readings int
+}
+
+// evidence is what this worker's own readings have taught of a pair, apart from what
+// other workers' have: only what was read here is told on.
+type evidence struct {
+	// sum adds up the weights that readings spoke for, count how many they were.
+	sum, count float64
+}
+
+// weight returns the weight that the evidence speaks for.
+func (own *evidence) weight() float64 {
+	if own.count == 0 {
+		return priorWeight
+	}
+	return clampWeight(own.sum / own.count)
+}
+
+// add takes in that a reading moved a weight and lowered its variance: as many
+// readings beside one core as lower it so far, of the weight that moves it so far.
+func (own *evidence) add(before, after value) {
+	count := weightVariance * (1/after.variance - 1/before.variance)
+	if count <= 0 {
+		return
+	}
+	spokenFor := before.mean + (after.mean-before.mean)*weightVariance/(after.variance*count)
+	own.sum += count * min(max(spokenFor, -mostWeight), mostWeight)
+	own.count += count
+	if own.count > mostReadings {
+		own.sum *= mostReadings / own.count
+		own.count = mostReadings
+	}
+}
+
+// Estimates returns what this worker's own readings have taught.
+func (model *Model) Estimates() map[Pair]Estimate {
+	learned := map[Pair]Estimate{}
+	for serving, state := range model.images {
+		for fill, own := range state.own {
+			learned[Pair{serving, fill}] = Estimate{Weight: own.weight(), Readings: int(own.count)}
+		}
+	}
+	return learned
+}
+
+// Share takes in what the models of other workers have learned.
+func (model *Model) Share(pair Pair, learned Estimate) {
+	if learned.Readings <= 0 {
+		return
+	}
+	state := model.image(pair.Serving)
+	state.noteFill(pair.Fill)
+	weight := state.filter.value(weightOf(pair.Fill)).mean
+	counts := min(float64(learned.Readings), mostReadings) * sharedShare
+	state.filter.observe([]term{{weightOf(pair.Fill), 1}}, learned.Weight-weight, weightVariance/counts)
+	state.bound()
+}
--- a/interference/filter.go
+++ b/interference/filter.go
@@ -1,6 +1,6 @@
 package interference
 
-// part is what a filter knows one value of.
+// part names one of the values that a filter estimates.
 type part struct {
 	kind partKind
 	name string
@@ -14,23 +14,32 @@
 	partWeight                 // headroom that a core of the named filling image takes
 )
 
-// term is a value's factor in a sum.
+func levelOf(task string) part  { return part{partLevel, task} }
+func slopeOf(task string) part  { return part{partSlope, task} }
+func weightOf(fill string) part { return part{partWeight, fill} }
+
+// term is a part of a sum, with its factor.
 type term struct {
 	part   part
 	factor float64
 }
 
+// value is what is known of a part: it is about the mean, off by the square root of
+// the variance.
+type value struct{ mean, variance float64 }
+
 // filter is a Kalman filter: it estimates values of which only sums are read. It
 // keeps how errors go together, so that a sum which stays the same while one of its
 // parts is known to change teaches nothing about the others.
 type filter struct {
 	parts []part
 	mean  []float64
-	cov   [][]float64
+	// cov holds the covariance of each two parts.
+	cov [][]float64
 }
 
-// at returns the position of a part, or -1.
-func (known *filter) at(wanted part) int {
+// indexOf returns the position of a part, or -1.
+func (known *filter) indexOf(wanted part) int {
 	for position, has := range known.parts {
 		if has == wanted {
 			return position
@@ -39,27 +48,27 @@
 	return -1
 }
 
-// value returns the estimate of a part and its variance; the part must be known.
-func (known *filter) value(wanted part) (mean, variance float64) {
-	position := known.at(wanted)
-	return known.mean[position], known.cov[position][position]
+// value returns the estimate of a part, which must be known.
+func (known *filter) value(wanted part) value {
+	position := known.indexOf(wanted)
+	return value{known.mean[position], known.cov[position][position]}
 }
 
 // add begins to estimate a part.
-func (known *filter) add(wanted part, mean, variance float64) {
+func (known *filter) add(wanted part, first value) {
 	known.parts = append(known.parts, wanted)
-	known.mean = append(known.mean, mean)
+	known.mean = append(known.mean, first.mean)
 	for position := range known.cov {
 		known.cov[position] = append(known.cov[position], 0)
 	}
 	row := make([]float64, len(known.parts))
-	row[len(row)-1] = variance
+	row[len(row)-1] = first.variance
 	known.cov = append(known.cov, row)
 }
 
 // remove ends the estimate of a part.
 func (known *filter) remove(unwanted part) {
-	gone := known.at(unwanted)
+	gone := known.indexOf(unwanted)
 	if gone < 0 {
 		return
 	}
@@ -74,31 +83,31 @@
 // couple adds factor times one part to another, as time does to a level with a
 // slope.
 func (known *filter) couple(to, from part, factor float64) {
-	target, source := known.at(to), known.at(from)
+	target, source := known.indexOf(to), known.indexOf(from)
 	known.mean[target] += factor * known.mean[source]
-	for position := range known.parts {
-		known.cov[target][position] += factor * known.cov[source][position]
+	for other := range known.parts {
+		known.cov[target][other] += factor * known.cov[source][other]
 	}
-	for position := range known.parts {
-		known.cov[position][target] += factor * known.cov[position][source]
+	for other := range known.parts {
+		known.cov[other][target] += factor * known.cov[other][source]
 	}
 }
 
 // shrink moves a part towards zero, keeping a share of it.
 func (known *filter) shrink(wanted part, share float64) {
-	target := known.at(wanted)
+	target := known.indexOf(wanted)
 	known.mean[target] *= share
-	for position := range known.parts {
-		known.cov[target][position] *= share
+	for other := range known.parts {
+		known.cov[target][other] *= share
 	}
-	for position := range known.parts {
-		known.cov[position][target] *= share
+	for other := range known.parts {
+		known.cov[other][target] *= share
 	}
 }
 
 // blur adds to the variance of a part.
 func (known *filter) blur(wanted part, variance float64) {
-	position := known.at(wanted)
+	position := known.indexOf(wanted)
 	known.cov[position][position] += variance
 }
 
@@ -106,7 +115,7 @@
 func (known *filter) expect(sum []term) float64 {
 	expected := 0.0
 	for _, of := range sum {
-		expected += of.factor * known.mean[known.at(of.part)]
+		expected += of.factor * known.mean[known.indexOf(of.part)]
 	}
 	return expected
 }
@@ -114,16 +123,10 @@
 // observe takes in that a sum was read as surprise higher than expected, where the
 // reading itself has the variance noise.
 func (known *filter) observe(sum []term, surprise, noise float64) {
-	shared := make([]float64, len(known.parts))
+	shared := known.shared(sum)
 	total := noise
 	for _, of := range sum {
-		position := known.at(of.part)
-		for other := range shared {
-			shared[other] += of.factor * known.cov[other][position]
-		}
-	}
-	for _, of := range sum {
-		total += of.factor * shared[known.at(of.part)]
+		total += of.factor * shared[known.indexOf(of.part)]
 	}
 	for row := range shared {
 		gain := shared[row] / total
@@ -133,3 +136,15 @@
 		}
 	}
 }
+
+// shared returns the covariance of each part with a sum.
+func (known *filter) shared(sum []term) []float64 {
+	shared := make([]float64, len(known.parts))
+	for _, of := range sum {
+		position := known.indexOf(of.part)
+		for other := range shared {
+			shared[other] += of.factor * known.cov[other][position]
+		}
+	}
+	return shared
+}
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -36,13 +36,6 @@
 // Pair names a serving and a filling image.
 type Pair struct{ Serving, Fill string }
 
-// Estimate is a weight with the number of readings that it rests on, counted in
-// readings beside one core.
-type Estimate struct {
-	Weight   float64
-	Readings int
-}
-
 // Serving is a task that serves, with its newest reading.
 type Serving struct {
 	Task, Image  string
@@ -66,7 +59,7 @@
 
 // Model learns from the readings of one worker.
 type Model struct {
-	allowed time.Duration
+	allowed time.Duration // how long a target may be missed on end
 	images  map[string]*imageState
 	tasks   map[string]*servingState
 	// present holds the filling tasks of the last reading.
@@ -76,7 +69,10 @@
 // New returns a model that has learned nothing. A target may be missed for the
 // allowed time on end.
 func New(allowed time.Duration) *Model {
-	return &Model{allowed: allowed, images: map[string]*imageState{}, tasks: map[string]*servingState{}, present: map[string]bool{}}
+	return &Model{
+		allowed: allowed,
+		images:  map[string]*imageState{}, tasks: map[string]*servingState{}, present: map[string]bool{},
+	}
 }
 
 // Images returns the filling images that the model knows.
@@ -92,27 +88,3 @@
 	slices.Sort(images)
 	return images
 }
-
-// Estimates returns what this worker's own readings have taught.
-func (model *Model) Estimates() map[Pair]Estimate {
-	learned := map[Pair]Estimate{}
-	for serving, state := range model.images {
-		for fill, own := range state.own {
-			learned[Pair{serving, fill}] = Estimate{Weight: own.weight(), Readings: int(own.count)}
-		}
-	}
-	return learned
-}
-
-// Share takes in what the models of other workers have learned.
-func (model *Model) Share(pair Pair, learned Estimate) {
-	if learned.Readings <= 0 {
-		return
-	}
-	state := model.image(pair.Serving)
-	state.noteFill(pair.Fill)
-	weight, _ := state.filter.value(weightOf(pair.Fill))
-	counts := min(float64(learned.Readings), mostReadings) * sharedShare
-	state.filter.observe([]term{{weightOf(pair.Fill), 1}}, learned.Weight-weight, weightVariance/counts)
-	state.bound()
-}
--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// atTarget is the headroom of a task whose tail is its target, by definition.
+	atTarget = 1
 	// reserve is the headroom that is kept beyond the target: for the noise of
 	// readings, which is 0.2, and what a load does within their lag.
 	reserve = 0.15
@@ -18,64 +20,20 @@
 	leastPace = 0.05
 	// movedBelow is the pace below which a filling task is better off elsewhere.
 	movedBelow = 0.6
-	// heldShare is the share of the time that a target may be missed for after
-	// which everything that may disturb is held back, whatever the sum says.
-	heldShare = 0.4
-	// stoppedShare is the same for hardly working any more.
-	stoppedShare = 0.9
-	// sinkTime is what a tail takes to sink by a factor of e once nothing
-	// disturbs it: measured, it loses two fifths in 0.4 s.
-	sinkTime = 900 * time.Millisecond
-	// readingLag is what has passed before a reading shows a miss, and
-	// sinkMargin what is left besides.
-	readingLag = 600 * time.Millisecond
-	sinkMargin = 300 * time.Millisecond
 	// suspectWeight is from which weight a filling task is held back while a
 	// target is missed for long, and cutAtMiss is how far.
 	suspectWeight = 0.1
 	cutAtMiss     = 0.4
-	// noiseWeight is below what the readings of pairs that don't disturb teach: no
-	// fill is slowed or turned away for less.
-	noiseWeight = 0.12
 )
 
-// disturbance returns the weight that decisions go by: one that is within what
-// noise teaches counts as none.
-func (model *Model) disturbance(serving, fill string) float64 {
-	weight := model.weight(serving, fill)
-	if weight < noiseWeight {
-		return 0
-	}
-	return weight
-}
-
-// noteTail decides how far the disturbers of a serving task are held back that has
-// been over its target for a while, until it is below.
-func (state *servingState) noteTail(serving Serving, allowed time.Duration, now time.Time) {
-	if serving.Tail < serving.Target {
-		state.overSince = time.Time{}
-	} else if state.overSince.IsZero() {
-		state.overSince = now
-	}
-	if state.overSince.IsZero() {
-		state.held, state.stopped, state.emptied = false, false, false
-		return
-	}
-	over := now.Sub(state.overSince)
-	sinks := time.Duration(math.Log(serving.Tail/serving.Target) * float64(sinkTime))
-	state.held = state.held || over+sinks >= time.Duration(heldShare*float64(allowed))
-	state.stopped = state.stopped || over+sinks+readingLag+sinkMargin >= time.Duration(stoppedShare*float64(allowed))
-	state.emptied = state.emptied || over+sinks+readingLag+sinkMargin >= allowed
-}
-
 // budget is the headroom that filling tasks may take from a serving task now.
 func (model *Model) budget(serving Serving) float64 {
 	level := firstLevel
 	if state, known := model.tasks[serving.Task]; known {
-		now, slope := state.level()
-		level = now + min(slope, 0)*lead.Seconds()
+		present, slope := state.level()
+		level = present + min(slope, 0)*lead.Seconds()
 	}
-	return level - 1 - reserve
+	return level - atTarget - reserve
 }
 
 // Paces returns how fast each filling task may go, by task. The tasks that
@@ -148,48 +106,19 @@
 		if !fill.Movable || paces[fill.Task] >= movedBelow {
 			continue
 		}
-		blame := 0.0
-		for _, serving := range servings {
-			blame += model.disturbance(serving.Image, fill.Image) * fill.Cores
-		}
-		if blame > most {
+		if blame := model.blame(servings, fill); blame > most {
 			task, most = fill.Task, blame
 		}
 	}
 	return task, most > 0
 }
 
-// Tolerance returns how many more cores of an image the serving tasks bear, at the
-// lowest level that they had lately, beside the filling tasks that are there at
-// full pace. Below zero it tells how much a core would take from a task that bears
-// none, so that the least harmful of several workers can be told.
-func (model *Model) Tolerance(servings []Serving, fills []Fill, image string) float64 {
-	least := math.Inf(1)
+// blame returns how much headroom a filling task takes from the serving tasks at full
+// pace.
+func (model *Model) blame(servings []Serving, fill Fill) float64 {
+	blame := 0.0
 	for _, serving := range servings {
-		if serving.Target <= 0 {
-			continue
-		}
-		weight := model.disturbance(serving.Image, image)
-		if weight == 0 {
-			continue
-		}
-		left := model.lowest(serving) - 1 - reserve
-		for _, fill := range fills {
-			left -= model.weight(serving.Image, fill.Image) * fill.Cores
-		}
-		if left <= 0 {
-			least = min(least, -weight)
-			continue
-		}
-		least = min(least, left/weight)
-	}
-	return least
-}
-
-// lowest returns the lowest level that a serving task had lately.
-func (model *Model) lowest(serving Serving) float64 {
-	if state, known := model.tasks[serving.Task]; known {
-		return state.low
+		blame += model.disturbance(serving.Image, fill.Image) * fill.Cores
 	}
-	return firstLevel
+	return blame
 }
