--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -20,12 +20,13 @@
 // truth is the headroom that a core of each image takes.
 var truth = map[string]float64{"loud": 0.35, "calm": 0}
 
-// quietHeadroom is what the serving task has by itself, of the target below.
 const (
+	// quietHeadroom is what the serving task has by itself.
 	quietHeadroom = 2.5
 	servingTarget = 18.0
 )
 
+// tail returns what a reading shows of the serving task beside filling ones.
 func (made *world) tail(fills []interference.Fill) float64 {
 	headroom := quietHeadroom + 0.3*(made.draws.Float64()-0.5)
 	for _, fill := range fills {
@@ -34,6 +35,7 @@
 	return servingTarget / max(headroom, 0.05)
 }
 
+// learned returns a model that has read the world 200 times.
 func learned(seed uint64) *interference.Model {
 	made := &world{draws: rand.New(rand.NewPCG(seed, 1))}
 	model := interference.New(4 * time.Second)
@@ -50,6 +52,7 @@
 	return model
 }
 
+// TestLearnsWhatDisturbs: how much each image disturbs is learned from noisy readings.
 func TestLearnsWhatDisturbs(t *testing.T) {
 	for seed := range uint64(20) {
 		estimates := learned(seed).Estimates()
@@ -61,6 +64,7 @@
 	}
 }
 
+// TestTolerance: only what disturbs is bounded, and only where something serves.
 func TestTolerance(t *testing.T) {
 	model := learned(1)
 	servings := []interference.Serving{{Task: "s", Image: "s", Tail: 8, Target: 18}}
@@ -83,7 +87,7 @@
 	steady := func(headroom float64, readings int) []float64 {
 		return slices.Repeat([]float64{headroom}, readings)
 	}
-	cases := map[string]struct {
+	tests := map[string]struct {
 		image string
 		// levels is the headroom of the serving task by itself, one for each
 		// half second.
@@ -97,19 +101,19 @@
 		"does not disturb, over long":    {"calm", append(steady(1.8, 2), steady(0.8, 8)...), 0, 0.06},
 		"does not disturb, below again":  {"calm", append(steady(0.8, 8), 1.8, 1.8), 0.9, 1},
 	}
-	for name, made := range cases {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			model := learned(2)
-			fills := []interference.Fill{{Task: "f", Image: made.image, Cores: 4}}
+			fills := []interference.Fill{{Task: "f", Image: test.image, Cores: 4}}
 			pace := 1.0
-			for index, level := range made.levels {
+			for index, level := range test.levels {
 				fills[0].Used = 4 * pace
-				headroom := max(level-truth[made.image]*fills[0].Used, 0.05)
+				headroom := max(level-truth[test.image]*fills[0].Used, 0.05)
 				servings := []interference.Serving{{Task: "new", Image: "s", Tail: servingTarget / headroom, Target: servingTarget}}
 				model.Observe(servings, fills, now.Add(time.Hour+time.Duration(index)*500*time.Millisecond))
 				pace = model.Paces(servings, fills)["f"]
 			}
-			if pace < made.least || pace > made.most {
+			if pace < test.least || pace > test.most {
 				t.Errorf("pace %.2f", pace)
 			}
 		})
@@ -119,7 +123,7 @@
 // TestWorst: only what must be slowed much and goes on elsewhere is moved.
 func TestWorst(t *testing.T) {
 	servings := []interference.Serving{{Task: "s", Image: "s", Tail: 14, Target: servingTarget}}
-	cases := map[string]struct {
+	tests := map[string]struct {
 		fills []interference.Fill
 		want  string
 	}{
@@ -127,13 +131,13 @@
 		"does not disturb":        {[]interference.Fill{{Task: "calm", Image: "calm", Cores: 4, Movable: true}}, ""},
 		"is not movable":          {[]interference.Fill{{Task: "loud", Image: "loud", Cores: 4}}, ""},
 	}
-	for name, made := range cases {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			model := learned(3)
 			for reading := range 6 {
 				model.Observe(servings, nil, now.Add(time.Hour+time.Duration(reading)*500*time.Millisecond))
 			}
-			if got, _ := model.Worst(servings, made.fills); got != made.want {
+			if got, _ := model.Worst(servings, test.fills); got != test.want {
 				t.Errorf("got %q", got)
 			}
 		})
