loop, owner: true names and doc comments

The flag of Ask was called begun though a caller that gives up sets it too. What a trial is, and what candidates, take and rankFor are for, was not said. Behaviour stays.

--- a/loop/loop.go
+++ b/loop/loop.go
@@ -52,11 +52,11 @@
 // used again.
 func (decisions *Loop) Ask(ctx context.Context, run func(now time.Time)) bool {
 	answered := make(chan struct{})
-	// begun is set by whichever is first: the loop that runs the function, or the
+	// settled is set by whichever is first: the loop that runs the function, or the
 	// caller that gives it up.
-	var begun atomic.Bool
+	var settled atomic.Bool
 	decisions.Post(func(now time.Time) {
-		if begun.CompareAndSwap(false, true) {
+		if settled.CompareAndSwap(false, true) {
 			run(now)
 			close(answered)
 		}
@@ -67,7 +67,7 @@
 	case <-decisions.done:
 	case <-ctx.Done():
 	}
-	if begun.CompareAndSwap(false, true) {
+	if settled.CompareAndSwap(false, true) {
 		return false
 	}
 	<-answered
@@ -100,6 +100,7 @@
 	run(now)
 }
 
+// drain runs what is queued, a batch at most, so that step is not kept waiting.
 func (decisions *Loop) drain() {
 	for range batchMost {
 		select {
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -21,12 +21,15 @@
 	serving []string
 	// addedFill is what has been placed since the agent's last word.
 	addedFill int64
-	trial     bool
+	// trial is set after failures: the worker is given one run until it has shown
+	// that it does.
+	trial bool
 	// patience is the share that a filling task of the present job should find
 	// tolerated.
 	patience float64
 }
 
+// candidates returns the workers that may be given starts now.
 func (owner *Owner) candidates(now time.Time) []*candidate {
 	var workers []*candidate
 	for _, view := range owner.agents {
@@ -50,6 +53,7 @@
 	return workers
 }
 
+// take takes what a start needs from what is free.
 func (worker *candidate) take(demand *wire.Demand) {
 	worker.memoryMB -= demand.GetMemoryMb()
 	worker.accelerators -= demand.GetAccelerators()
@@ -114,6 +118,7 @@
 	return min(worker.idle(), tolerated-worker.addedFill)
 }
 
+// rankFor orders workers for an image, in the same way at each owner.
 func (worker *candidate) rankFor(image string) uint64 {
 	return xxhash.Sum64String(image + " " + worker.view.address)
 }
