--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,14 @@
 // raises its fencing token and asks the worker what runs: the worker obeys no
 // lower token from there on, so the answer settles it.
 //
+// # Runs that are stopped for others, or ahead of an end
+//
+// Tasks that fill are slowed while they disturb those that serve, and evicted where
+// they would have to be slowed much. Less urgent runs are pre-empted for a task that an
+// owner finds no room for. Only runs that go on elsewhere from a checkpoint are evicted
+// or pre-empted. What would not end before a leaving worker is gone is stopped in time,
+// whether it has a checkpoint or not: with the worker it would be lost.
+//
 // # Usage
 //
 //	beside := agent.New(agent.Options{Name: "side-1", Connect: connect, Events: events})
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -6,7 +6,8 @@
 type Code int
 
 // Codes are grouped by hundreds: 1xx process, 2xx routing, 3xx placement and
-// tasks, 4xx the log and state, 5xx configuration and policies, 6xx guards.
+// tasks, 4xx the log and state, 5xx configuration and policies, 6xx guards, 7xx the
+// platform's store, 8xx jobs, 9xx agents.
 const (
 	ProcessStarted Code = 100 + iota
 	ProcessStopping
@@ -154,7 +155,8 @@
 const (
 	firstRelease    = "0.1"
 	platformRelease = "0.2"
-	preemptRelease  = "0.3"
+	// preemptRelease is the one with pre-emption and leaving workers.
+	preemptRelease = "0.3"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -17,6 +17,17 @@
 // levels move by themselves and weights hardly, so that a load that rises is not taken
 // for the doing of what happens to run.
 //
+// A filter is moved on by the time that has passed, then takes in a reading. Only the
+// weights that a worker's own readings speak for are told to others, so that none comes
+// back as if it had been read twice.
+//
+// # Decisions
+//
+// Filling tasks are slowed, those that disturb the most for each core first, until the
+// level a moment ahead bears them. If a target is missed all the same, what is done
+// goes by how long it has been: first suspects are held back, then they hardly work,
+// then nothing that fills does. Places are judged by the lowest level lately.
+//
 // # Usage
 //
 //	model := interference.New(4 * time.Second)
@@ -25,7 +36,9 @@
 //	room := model.Tolerance(servings, fills, image)
 //
 // Cores are whole cores as a float, tails and targets are in milliseconds, paces
-// are shares from 0 to 1, weights are headroom for each core.
+// are shares from 0 to 1, weights are headroom for each core. Nothing fails: what is not
+// known is expected to be like what was measured on other pairs. Figures and ways that
+// were weighed: docs/MEASUREMENTS.md, "Rounds on interference".
 package interference
 
 import (
