--- a/interference/interference.go
+++ b/interference/interference.go
@@ -17,6 +17,17 @@
 // levels move by themselves and weights hardly, so that a load that rises is not taken
 // for the doing of what happens to run.
 //
+// A filter is moved on by the time that has passed, then takes in a reading. Only the
+// weights that a worker's own readings speak for are told to others, so that none comes
+// back as if it had been read twice.
+//
+// # Decisions
+//
+// Filling tasks are slowed, those that disturb the most for each core first, until the
+// level a moment ahead bears them. If a target is missed all the same, what is done
+// goes by how long it has been: first suspects are held back, then they hardly work,
+// then nothing that fills does. Places are judged by the lowest level lately.
+//
 // # Usage
 //
 //	model := interference.New(4 * time.Second)
@@ -25,7 +36,9 @@
 //	room := model.Tolerance(servings, fills, image)
 //
 // Cores are whole cores as a float, tails and targets are in milliseconds, paces
-// are shares from 0 to 1, weights are headroom for each core.
+// are shares from 0 to 1, weights are headroom for each core. Nothing fails: what is not
+// known is expected to be like what was measured on other pairs. Figures and ways that
+// were weighed: docs/MEASUREMENTS.md, "Rounds on interference".
 package interference
 
 import (
@@ -36,13 +49,6 @@
 // Pair names a serving and a filling image.
 type Pair struct{ Serving, Fill string }
 
-// Estimate is a weight with the number of readings that it rests on, counted in
-// readings beside one core.
-type Estimate struct {
-	Weight   float64
-	Readings int
-}
-
 // Serving is a task that serves, with its newest reading.
 type Serving struct {
 	Task, Image  string
@@ -66,7 +72,7 @@
 
 // Model learns from the readings of one worker.
 type Model struct {
-	allowed time.Duration
+	allowed time.Duration // how long a target may be missed on end
 	images  map[string]*imageState
 	tasks   map[string]*servingState
 	// present holds the filling tasks of the last reading.
@@ -76,7 +82,10 @@
 // New returns a model that has learned nothing. A target may be missed for the
 // allowed time on end.
 func New(allowed time.Duration) *Model {
-	return &Model{allowed: allowed, images: map[string]*imageState{}, tasks: map[string]*servingState{}, present: map[string]bool{}}
+	return &Model{
+		allowed: allowed,
+		images:  map[string]*imageState{}, tasks: map[string]*servingState{}, present: map[string]bool{},
+	}
 }
 
 // Images returns the filling images that the model knows.
@@ -92,27 +101,3 @@
 	slices.Sort(images)
 	return images
 }
-
-// Estimates returns what this worker's own readings have taught.
-func (model *Model) Estimates() map[Pair]Estimate {
-	learned := map[Pair]Estimate{}
-	for serving, state := range model.images {
-		for fill, own := range state.own {
-			learned[Pair{serving, fill}] = Estimate{Weight: own.weight(), Readings: int(own.count)}
-		}
-	}
-	return learned
-}
-
-// Share takes in what the models of other workers have learned.
-func (model *Model) Share(pair Pair, learned Estimate) {
-	if learned.Readings <= 0 {
-		return
-	}
-	state := model.image(pair.Serving)
-	state.noteFill(pair.Fill)
-	weight, _ := state.filter.value(weightOf(pair.Fill))
-	counts := min(float64(learned.Readings), mostReadings) * sharedShare
-	state.filter.observe([]term{{weightOf(pair.Fill), 1}}, learned.Weight-weight, weightVariance/counts)
-	state.bound()
-}
