The model of interference does not grow for ever

Cause, found by reading: a weight's variance grew without bound while its image was not read (1.8 after an hour against 0.0625 when nothing is known), so that one reading after a pause could teach anything; and each image ever heard of stayed in its filter, whose work grows with the square of their number.

Change: a weight is at most as uncertain as one that was never seen; a pair that was neither read nor told of for two hours is forgotten.

Test first seen failing: TestForgetsWhatIsNotHeardOf.

--- a/agent/learned.go
+++ b/agent/learned.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"ambertiller.example/ambertiller/interference"
 	"ambertiller.example/ambertiller/wire"
@@ -42,9 +43,9 @@
 }
 
 // share takes in what other workers' readings have taught.
-func (paced *pacing) share(told []*wire.Interference) {
+func (paced *pacing) share(told []*wire.Interference, now time.Time) {
 	for _, known := range told {
 		paced.model.Share(interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()},
-			interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())})
+			interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}, now)
 	}
 }
--- a/agent/session.go
+++ b/agent/session.go
@@ -89,7 +89,7 @@
 	for _, description := range message.GetRuns() {
 		agent.noteDescription(description)
 	}
-	agent.paced.share(message.GetLearned())
+	agent.paced.share(message.GetLearned(), now)
 	for _, order := range message.GetStops() {
 		agent.noteStop(order, now)
 	}
--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -1,5 +1,7 @@
 package interference
 
+import "time"
+
 const (
 	// mostReadings bounds what a weight is said to rest on, so that one that
 	// changes is learned anew within as many readings.
@@ -21,6 +23,8 @@
 type evidence struct {
 	// sum adds up the weights that readings spoke for, count how many they were.
 	sum, count float64
+	// heardAt is when the pair was last read here, or heard of from others.
+	heardAt time.Time
 }
 
 // weight returns the weight that the evidence speaks for.
@@ -59,12 +63,12 @@
 }
 
 // Share takes in what the models of other workers have learned.
-func (model *Model) Share(pair Pair, learned Estimate) {
+func (model *Model) Share(pair Pair, learned Estimate, now time.Time) {
 	if learned.Readings <= 0 {
 		return
 	}
 	state := model.image(pair.Serving)
-	state.noteFill(pair.Fill)
+	state.noteFill(pair.Fill, now)
 	weight := state.filter.value(weightOf(pair.Fill)).mean
 	counts := min(float64(learned.Readings), mostReadings) * sharedShare
 	state.filter.observe([]term{{weightOf(pair.Fill), 1}}, learned.Weight-weight, weightVariance/counts)
--- a/interference/filter.go
+++ b/interference/filter.go
@@ -105,10 +105,11 @@
 	}
 }
 
-// blur adds to the variance of a part.
-func (known *filter) blur(wanted part, variance float64) {
+// blur adds to the variance of a part, up to a most.
+func (known *filter) blur(wanted part, variance, most float64) {
 	position := known.indexOf(wanted)
-	known.cov[position][position] += variance
+	before := known.cov[position][position]
+	known.cov[position][position] = max(before, min(before+variance, most))
 }
 
 // expect returns what a sum is expected to be.
--- a/interference/image.go
+++ b/interference/image.go
@@ -56,12 +56,36 @@
 	return state
 }
 
-// noteFill begins to estimate the weight of a filling image.
-func (state *imageState) noteFill(fill string) {
+// noteFill begins to estimate the weight of a filling image that is new, and notes
+// that it has been heard of.
+func (state *imageState) noteFill(fill string, now time.Time) {
 	if state.own[fill] == nil {
 		state.own[fill] = &evidence{}
 		state.filter.add(weightOf(fill), value{priorWeight, weightVariance})
 	}
+	state.own[fill].heardAt = now
+}
+
+// forgetAfter is how long a pair is remembered that is not heard of. A filter's work
+// grows with the square of the images that it knows, so none is kept for ever; work
+// that comes once an hour finds what was learned of it.
+const forgetAfter = 2 * time.Hour
+
+// forgetOld ends the estimates of pairs that have not been heard of for long.
+func (model *Model) forgetOld(now time.Time) {
+	for _, state := range model.images {
+		for fill, own := range state.own {
+			if now.Sub(own.heardAt) > forgetAfter {
+				delete(state.own, fill)
+				state.filter.remove(weightOf(fill))
+			}
+		}
+	}
+	for image, state := range model.images {
+		if len(state.filter.parts) == 0 {
+			delete(model.images, image)
+		}
+	}
 }
 
 // move carries the estimates on to now.
@@ -78,12 +102,12 @@
 		switch known.kind {
 		case partLevel:
 			state.filter.couple(known, slopeOf(known.name), passed)
-			state.filter.blur(known, levelDrift*passed)
+			state.filter.blur(known, levelDrift*passed, math.Inf(1))
 		case partSlope:
 			state.filter.shrink(known, math.Pow(slopeKept, passed))
-			state.filter.blur(known, slopeDrift*passed)
+			state.filter.blur(known, slopeDrift*passed, math.Inf(1))
 		case partWeight:
-			state.filter.blur(known, weightDrift*passed)
+			state.filter.blur(known, weightDrift*passed, weightVariance)
 		}
 	}
 	state.bound()
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -148,8 +148,8 @@
 func TestSharedKnowledge(t *testing.T) {
 	servings := []interference.Serving{{Task: "s", Image: "s", Tail: 10, Target: servingTarget}}
 	model := interference.New(4 * time.Second)
-	model.Share(interference.Pair{Serving: "s", Fill: "loud"}, interference.Estimate{Weight: 0.6, Readings: 50})
-	model.Share(interference.Pair{Serving: "s", Fill: "calm"}, interference.Estimate{Weight: 0.01, Readings: 50})
+	model.Share(interference.Pair{Serving: "s", Fill: "loud"}, interference.Estimate{Weight: 0.6, Readings: 50}, now)
+	model.Share(interference.Pair{Serving: "s", Fill: "calm"}, interference.Estimate{Weight: 0.01, Readings: 50}, now)
 	if loud := model.Tolerance(servings, nil, "loud"); loud > 2.5 {
 		t.Errorf("%.1f cores of what disturbs others are tolerated", loud)
 	}
@@ -169,7 +169,7 @@
 func TestFirstReadingDoesNotUnsettle(t *testing.T) {
 	model := interference.New(4 * time.Second)
 	for range 20 {
-		model.Share(interference.Pair{Serving: "s", Fill: "loud"}, interference.Estimate{Weight: 0.6, Readings: 50})
+		model.Share(interference.Pair{Serving: "s", Fill: "loud"}, interference.Estimate{Weight: 0.6, Readings: 50}, now)
 	}
 	servings := []interference.Serving{{Task: "s", Image: "s", Tail: 10, Target: servingTarget}}
 	for reading, used := range []float64{4, 1, 4} {
@@ -181,3 +181,20 @@
 		t.Errorf("three readings made %.1f cores tolerated of what disturbs others", tolerated)
 	}
 }
+
+// TestForgetsWhatIsNotHeardOf: pairs that come no more are dropped, so that the model
+// does not grow for ever; what is heard of stays.
+func TestForgetsWhatIsNotHeardOf(t *testing.T) {
+	model := interference.New(4 * time.Second)
+	servings := []interference.Serving{{Task: "s", Image: "s", Tail: 10, Target: servingTarget}}
+	read := func(at time.Duration, fills ...interference.Fill) { model.Observe(servings, fills, now.Add(at)) }
+	read(0, interference.Fill{Task: "once", Image: "once", Cores: 2, Used: 2})
+	for hour := range 4 {
+		at := time.Duration(hour) * time.Hour
+		read(at, interference.Fill{Task: "often", Image: "often", Cores: 2, Used: 2})
+		model.Share(interference.Pair{Serving: "other", Fill: "told"}, interference.Estimate{Weight: 0.1, Readings: 5}, now.Add(at))
+	}
+	if got := model.Images(); !slices.Equal(got, []string{"often", "told"}) {
+		t.Errorf("it knows %v", got)
+	}
+}
--- a/interference/learning.go
+++ b/interference/learning.go
@@ -37,6 +37,7 @@
 		}
 	}
 	model.forgetGone(here)
+	model.forgetOld(now)
 }
 
 // forgetGone ends the estimates of serving tasks that are not here any more. What
@@ -83,7 +84,7 @@
 	}
 	state.readAt = now
 	state.image.move(now)
-	sum := state.headroomBeside(used)
+	sum := state.headroomBeside(used, now)
 	headroom := serving.headroom()
 	rising := headroom > state.last
 	state.last = headroom
@@ -117,11 +118,11 @@
 
 // headroomBeside returns the sum that a reading of the task shows beside cores that
 // filling images use.
-func (state *servingState) headroomBeside(used map[string]float64) []term {
+func (state *servingState) headroomBeside(used map[string]float64, now time.Time) []term {
 	sum := []term{{levelOf(state.task), 1}}
 	// In a fixed order, so that the same readings always teach the same.
 	for _, image := range slices.Sorted(maps.Keys(used)) {
-		state.image.noteFill(image)
+		state.image.noteFill(image, now)
 		sum = append(sum, term{weightOf(image), -used[image]})
 	}
 	return sum
