A slight miss of a target ends in time, too

A dozen fills, each too light to be blamed, took a serving task over its target. Everything is held back so long before the allowed time as the tail needs to sink, reckoned from how far it is over: nearly nothing for a slight miss. But the next look, the order and the draining of the queue take most of a second all the same.

Change: 0.7 s are left for that instead of 0.3.

--- a/interference/serving.go
+++ b/interference/serving.go
@@ -17,10 +17,11 @@
 	// sinkTime is what a tail takes to sink by a factor of e once nothing
 	// disturbs it: measured, it loses two fifths in 0.4 s.
 	sinkTime = 900 * time.Millisecond
-	// readingLag is what has passed before a reading shows a miss, and
-	// sinkMargin what is left besides.
+	// readingLag is what has passed before a reading shows a miss, and sinkMargin
+	// what is left besides: the next look, the order, and the draining of a queue
+	// whose tail is hardly over, which takes half a second too.
 	readingLag = 600 * time.Millisecond
-	sinkMargin = 300 * time.Millisecond
+	sinkMargin = 700 * time.Millisecond
 )
 
 // servingState is what is known of one serving task.
