One rule for room where pre-emption had three; paces are worked out once a look

Found by reading the change again. Whether a task fits stood in candidate.fits, in fitsOnceReclaimed and in a check for nothing missing: the second now frees what is less urgent on a copy and asks fits, the third is fits. And each look worked out all paces twice, once for the paces and once in Worst, which is now given them.

Behaviour stays: a place that is not allowed, or has room, was passed over before too; the paces given to Worst come from the same servings and fills. The tests keep their assertions; two calls of Worst have one argument more.

--- a/agent/evict.go
+++ b/agent/evict.go
@@ -20,7 +20,7 @@
 // evictWorst stops the run that disturbs most, if it goes on elsewhere from its
 // checkpoint: its owner finds a worker that bears it. One that does not save its
 // progress is only slowed.
-func (agent *Agent) evictWorst(state *workerState, servings []interference.Serving, fills []interference.Fill, now time.Time) {
+func (agent *Agent) evictWorst(state *workerState, servings []interference.Serving, fills []interference.Fill, paces map[string]float64, now time.Time) {
 	if now.Sub(agent.paced.evictedAt) < evictEvery {
 		return
 	}
@@ -28,7 +28,7 @@
 		run := state.runs[fills[index].Task]
 		fills[index].Movable = run.demand.GetMovable() && run.phase == phaseRunning && now.Sub(run.confirmedAt) >= evictAfter
 	}
-	worst, found := agent.paced.model.Worst(servings, fills)
+	worst, found := agent.paced.model.Worst(servings, fills, paces)
 	if !found {
 		return
 	}
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -87,7 +87,7 @@
 	}
 	paces := agent.paced.model.Paces(servings, fills)
 	if looked {
-		agent.evictWorst(state, servings, fills, now)
+		agent.evictWorst(state, servings, fills, paces, now)
 	}
 	for _, run := range state.runs {
 		if run.demand.GetFills() && run.phase == phaseRunning {
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -137,7 +137,7 @@
 			for reading := range 6 {
 				model.Observe(servings, nil, now.Add(time.Hour+time.Duration(reading)*500*time.Millisecond))
 			}
-			if got, _ := model.Worst(servings, test.fills); got != test.want {
+			if got, _ := model.Worst(servings, test.fills, model.Paces(servings, test.fills)); got != test.want {
 				t.Errorf("got %q", got)
 			}
 		})
--- a/interference/loop_test.go
+++ b/interference/loop_test.go
@@ -178,7 +178,7 @@
 	for task, pace := range paces {
 		made.paces[task] = min(pace, made.paces[task]+fasterStep)
 	}
-	if worst, found := made.model.Worst(made.servings, made.fills); found {
+	if worst, found := made.model.Worst(made.servings, made.fills, made.model.Paces(made.servings, made.fills)); found {
 		made.ends[worst] = made.ticks
 	}
 }
--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -98,10 +98,9 @@
 }
 
 // Worst returns the movable filling task that disturbs serving tasks the most, of
-// those that have to be slowed so far that they are better off elsewhere, and false
-// if there is none.
-func (model *Model) Worst(servings []Serving, fills []Fill) (string, bool) {
-	paces := model.Paces(servings, fills)
+// those that have to be slowed so far, by the paces that Paces returned, that they are
+// better off elsewhere, and false if there is none.
+func (model *Model) Worst(servings []Serving, fills []Fill, paces map[string]float64) (string, bool) {
 	task, most := "", 0.0
 	for _, fill := range fills {
 		if !fill.Movable || paces[fill.Task] >= movedBelow {
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -31,17 +31,15 @@
 	var best *candidate
 	least := 0.0
 	for _, worker := range workers {
-		if now.Sub(worker.view.preemptedAt) < preemptEvery || !worker.allows(task) || !worker.fitsOnceReclaimed(task) {
+		if now.Sub(worker.view.preemptedAt) < preemptEvery || worker.fits(task) || !worker.fitsOnceReclaimed(task) {
 			continue
 		}
 		if _, allowed := owner.ticket(task, worker.view.status.GetWorker(), now); !allowed {
 			continue
 		}
-		missing := worker.missing(task)
-		if missing == 0 || best != nil && missing >= least {
-			continue
+		if missing := worker.missing(task); best == nil || missing < least {
+			best, least = worker, missing
 		}
-		best, least = worker, missing
 	}
 	return best
 }
@@ -78,14 +76,13 @@
 // fitsOnceReclaimed reports whether a task fits once what is less urgent has been
 // stopped.
 func (worker *candidate) fitsOnceReclaimed(task *job.Task) bool {
-	spec := task.Spec()
-	milliCPU, memoryMB, accelerators := worker.milliCPU, worker.memoryMB, worker.accelerators
+	freed := *worker
 	for _, known := range worker.view.status.GetReclaimable() {
 		if known.GetPriority() > task.Job().Submission().GetPriority() {
-			milliCPU += known.GetMilliCpu()
-			memoryMB += known.GetMemoryMb()
-			accelerators += known.GetAccelerators()
+			freed.milliCPU += known.GetMilliCpu()
+			freed.memoryMB += known.GetMemoryMb()
+			freed.accelerators += known.GetAccelerators()
 		}
 	}
-	return spec.GetMilliCpu() <= milliCPU && spec.GetMemoryMb() <= memoryMB && spec.GetAccelerators() <= accelerators
+	return freed.fits(task)
 }
