Reports from logs: which jobs were late and where their time went

Logs lacked why a task waited, how long the store took for a start, and when a serving task missed its target.

Change: 'ambertiller report' (package report) sums logs up by queue and size of job along the chain that decided each late job's end, by image, by worker and by two seconds, as text or JSON. One package finds lines in logs, for trace too.

--- a/agent/pace.go
+++ b/agent/pace.go
@@ -83,6 +83,7 @@
 func (agent *Agent) pace(state *workerState, looked bool, now time.Time) {
 	servings, fills := state.sharing()
 	if looked {
+		agent.noteTargets(state, now)
 		agent.paced.model.Observe(servings, fills, now)
 	}
 	paces := agent.paced.model.Paces(servings, fills)
--- /dev/null
+++ b/agent/target.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+)
+
+// noteTargets logs which serving runs begin to miss their targets, beside what, and
+// which keep them again.
+func (agent *Agent) noteTargets(state *workerState, now time.Time) {
+	for _, run := range state.runs {
+		target := run.demand.GetTargetMs()
+		if target <= 0 || run.figure <= 0 {
+			continue
+		}
+		missed := run.figure >= target
+		switch {
+		case missed && run.overSince.IsZero():
+			run.overSince = now
+			agent.logRun(event.TargetMissed, run, slog.String("image", run.demand.GetImage()),
+				slog.Int64("tail_ms", run.figure), slog.Int64("target_ms", target), slog.String("beside", state.fillingImages()))
+		case !missed && !run.overSince.IsZero():
+			agent.logRun(event.TargetKept, run, slog.String("image", run.demand.GetImage()), slog.Duration("after", now.Sub(run.overSince)))
+			run.overSince = time.Time{}
+		}
+	}
+}
+
+// fillingImages lists the images of the runs that fill, each once, with commas.
+func (state *workerState) fillingImages() string {
+	var images []string
+	for _, run := range state.runs {
+		if image := run.demand.GetImage(); run.demand.GetFills() && !slices.Contains(images, image) {
+			images = append(images, image)
+		}
+	}
+	slices.Sort(images)
+	return strings.Join(images, ",")
+}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -48,6 +48,7 @@
 	fasterAt    time.Time // when the pace last rose
 	confirmedAt time.Time
 	stopSentAt  time.Time
+	overSince   time.Time // when a serving run began to miss its target, zero while it keeps it
 	missed      int
 }
 
--- a/command/trace.go
+++ b/command/trace.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -23,24 +22,14 @@
 			if from.Args().Len() == 0 {
 				return usage("trace needs the ID of a job or request; see `ambertiller help trace`")
 			}
-			return printTrace(from.Root().Writer, from.Root().Reader, from.Args().First(), from.Args().Tail())
+			return withLogs(from.Root().Reader, from.Args().Tail(), func(logs []io.Reader) error {
+				return printTrace(from.Root().Writer, logs, from.Args().First())
+			})
 		},
 	}
 }
 
-func printTrace(out io.Writer, input io.Reader, id string, paths []string) error {
-	logs := []io.Reader{input}
-	if len(paths) > 0 {
-		logs = nil
-	}
-	for _, path := range paths {
-		file, err := os.Open(path)
-		if err != nil {
-			return errors.Wrap(err, "open the log")
-		}
-		defer file.Close() //nolint:errcheck // it was only read.
-		logs = append(logs, file)
-	}
+func printTrace(out io.Writer, logs []io.Reader, id string) error {
 	life, err := trace.Read(id, logs...)
 	if err != nil {
 		return err
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -138,6 +138,8 @@
 	AgentRegistered
 	RunEvicted
 	RunMovedAhead
+	TargetMissed
+	TargetKept
 )
 
 // LinesDropped speaks of the log itself.
@@ -157,6 +159,8 @@
 	platformRelease = "0.2"
 	// preemptRelease is the one with pre-emption and leaving workers.
 	preemptRelease = "0.3"
+	// reportRelease is the one with reports from logs.
+	reportRelease = "0.4"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -269,6 +273,8 @@
 	{AgentRegistered, slog.LevelInfo, "agent registered", "The agent's address is in the store, where owners find it.", platformRelease},
 	{RunEvicted, slog.LevelInfo, "run evicted", "A filling run was stopped because serving ones beside it bear hardly any of it; it goes on elsewhere from its checkpoint.", platformRelease},
 	{RunMovedAhead, slog.LevelInfo, "run moved ahead", "A run that would not end before its worker leaves was stopped, so that it goes on elsewhere with nothing lost.", preemptRelease},
+	{TargetMissed, slog.LevelInfo, "target missed", "A serving run's tail has gone over its target. The attribute beside lists the images of the tasks that fill the same worker.", reportRelease},
+	{TargetKept, slog.LevelInfo, "target kept again", "A serving run's tail is below its target again; after says how long it was not.", reportRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/job/job.go
+++ b/job/job.go
@@ -34,7 +34,7 @@
 			}
 		}
 	}
-	job.objective = job.submitted.Add(job.allowed())
+	job.objective = job.submitted.Add(job.Allowed())
 	return job
 }
 
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -31,6 +31,7 @@
 	task.state = TaskState_TASK_STARTED
 	task.place = place
 	task.startedAt = now
+	task.waitsSince, task.obstacle = time.Time{}, ""
 }
 
 // Begin notes that a run has started for certain and reports whether it is the
--- a/job/slack.go
+++ b/job/slack.go
@@ -4,8 +4,8 @@
 	"time"
 )
 
-// allowed returns the time that the job should take at most.
-func (job *Job) allowed() time.Duration {
+// Allowed returns the time that the job, or a round of it, should take at most.
+func (job *Job) Allowed() time.Duration {
 	chain := time.Duration(job.Chain()) * time.Millisecond
 	stretched := time.Duration(float64(chain) * job.submission.GetExtension())
 	return stretched + time.Duration(job.submission.GetTargetLatencyMs())*time.Millisecond
@@ -16,6 +16,18 @@
 	return job.longestChain(func(int) bool { return true })
 }
 
+// CoreMillis returns the work of one round by its estimates, in milliseconds of a core.
+func (job *Job) CoreMillis() int64 {
+	work := int64(0)
+	for _, step := range job.submission.GetSteps() {
+		work += int64(step.GetCount()) * step.GetMilliCpu() * step.GetEstimateMs() / milli
+	}
+	return work
+}
+
+// milli is the number of thousandths in a core.
+const milli = 1000
+
 // chainLeft returns the same of the steps of a round that are not done.
 func (job *Job) chainLeft(round int) int64 {
 	first := round * len(job.submission.GetSteps())
@@ -38,7 +50,7 @@
 	if !job.Scheduled() {
 		return job.objective
 	}
-	return job.due(int32(round)).Add(job.allowed())
+	return job.due(int32(round)).Add(job.Allowed())
 }
 
 // longestChain returns the estimated milliseconds of the longest chain of the
@@ -70,7 +82,7 @@
 // counted on the clock that now comes from and no jump of the time of day moves it.
 func (job *Job) Received(now time.Time) {
 	age := min(max(now.Sub(job.submitted), 0), oldestReceived)
-	job.objective = now.Add(job.allowed() - age)
+	job.objective = now.Add(job.Allowed() - age)
 }
 
 // IdleFor returns for how long nothing of the job has been running, as far as it
@@ -95,7 +107,7 @@
 	}
 	round := job.openRound()
 	left := job.objectiveOf(round).Sub(now) - time.Duration(job.chainLeft(round))*time.Millisecond
-	spare := job.allowed() - time.Duration(job.Chain())*time.Millisecond
+	spare := job.Allowed() - time.Duration(job.Chain())*time.Millisecond
 	if spare <= 0 || left <= 0 {
 		return 0
 	}
--- a/job/task.go
+++ b/job/task.go
@@ -33,6 +33,10 @@
 	interrupted int
 	startedAt   time.Time
 	retryAt     time.Time
+	// waitsSince is when the task was first ready and found no place, zero if it did
+	// not wait, and obstacle what it lacked.
+	waitsSince time.Time
+	obstacle   string
 }
 
 // Job returns the job that the task belongs to.
@@ -60,6 +64,24 @@
 // StartedAt returns when the present run was decided on.
 func (task *Task) StartedAt() time.Time { return task.startedAt }
 
+// Waits reports whether the task has been ready and without a place.
+func (task *Task) Waits() bool { return !task.waitsSince.IsZero() }
+
+// Wait notes that the task is ready, and what keeps it from every place.
+func (task *Task) Wait(obstacle string, now time.Time) {
+	task.waitsSince = now
+	task.obstacle = obstacle
+}
+
+// Waited returns for how long the task has been ready without a place, and what it
+// lacked at the beginning.
+func (task *Task) Waited(now time.Time) (waited time.Duration, obstacle string) {
+	if !task.Waits() {
+		return 0, ""
+	}
+	return now.Sub(task.waitsSince), task.obstacle
+}
+
 // Round returns the round of a scheduled job, 0 otherwise.
 func (task *Task) Round() int32 { return task.round }
 
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -75,36 +75,49 @@
 	return worker.milliCPU + int64(servingUnused*float64(worker.servingMilliCPU)) - worker.fillMilliCPU
 }
 
-// allows reports whether a task may run at the worker, if there were room.
-func (worker *candidate) allows(task *job.Task) bool {
+// allows says what forbids a task to run at the worker, if there were room.
+func (worker *candidate) allows(task *job.Task) obstacle {
 	spec := task.Spec()
 	status := worker.view.status
 	switch {
 	case status.GetService() != task.Job().Submission().GetService():
-		return false
+		return wrongService
 	case spec.GetLabel() != "" && !slices.Contains(status.GetLabels(), spec.GetLabel()):
-		return false
+		return lacksLabel
 	case spec.GetMostPerWorker() > 0 && worker.holding(task) >= spec.GetMostPerWorker():
-		return false
+		return holdsEnough
 	case worker.trial && len(worker.view.runs) > 0:
-		return false
+		return inDoubt
 	}
-	return true
+	return unobstructed
 }
 
-// fits reports whether a task may run at the worker and has room there.
-func (worker *candidate) fits(task *job.Task) bool {
+// obstacleTo says why a task can't be started at the worker now.
+func (worker *candidate) obstacleTo(task *job.Task) obstacle {
 	spec := task.Spec()
-	if spec.GetMemoryMb() > worker.memoryMB || spec.GetAccelerators() > worker.accelerators || !worker.allows(task) {
-		return false
+	if found := worker.allows(task); found != unobstructed {
+		return found
 	}
-	if spec.GetFills() {
-		return float64(worker.idle()) >= fillShare*float64(spec.GetMilliCpu()) &&
-			float64(worker.tolerates(spec.GetImage())) >= worker.patience*float64(spec.GetMilliCpu())
+	switch {
+	case spec.GetMemoryMb() > worker.memoryMB:
+		return lacksMemory
+	case spec.GetAccelerators() > worker.accelerators:
+		return lacksAccelerators
+	case !spec.GetFills() && spec.GetMilliCpu() > worker.milliCPU:
+		return lacksProcessors
+	case !spec.GetFills():
+		return unobstructed
+	case float64(worker.idle()) < fillShare*float64(spec.GetMilliCpu()):
+		return lacksIdleProcessors
+	case float64(worker.tolerates(spec.GetImage())) < worker.patience*float64(spec.GetMilliCpu()):
+		return wouldDisturb
 	}
-	return spec.GetMilliCpu() <= worker.milliCPU
+	return unobstructed
 }
 
+// fits reports whether a task may run at the worker and has room there.
+func (worker *candidate) fits(task *job.Task) bool { return worker.obstacleTo(task) == unobstructed }
+
 // tolerates returns how many more processors of a filling image the worker's
 // serving tasks bear, at most what is idle; below zero, how much they would suffer.
 func (worker *candidate) tolerates(image string) int64 {
--- a/owner/place.go
+++ b/owner/place.go
@@ -156,6 +156,9 @@
 func (owner *Owner) placeTask(task *job.Task, workers []*candidate, now time.Time) {
 	best := owner.bestOf(task, workers, now)
 	if best == nil {
+		if !task.Waits() {
+			task.Wait(string(mainObstacle(task, workers)), now)
+		}
 		owner.wantAdvice(task, now)
 		owner.preemptFor(task, workers, now)
 		return
--- a/owner/records.go
+++ b/owner/records.go
@@ -35,7 +35,8 @@
 	if held.active {
 		owner.log(event.JobTaken, slog.String("job", made.ID()), slog.String("queue", submission.GetQueue()),
 			slog.Int("tasks", len(made.Tasks())), slog.Duration("age", now.Sub(time.UnixMilli(submission.GetSubmittedMs()))),
-			slog.Time("objective", made.Objective()))
+			slog.Time("objective", made.Objective()), slog.Duration("allowed", made.Allowed()), slog.Bool("lasting", made.Lasting()),
+			slog.Int64("core_ms", made.CoreMillis()))
 	}
 }
 
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -32,13 +32,15 @@
 func (owner *Owner) start(task *job.Task, view *agentView, now time.Time) {
 	made := task.Job()
 	held := owner.shards[made.Shard()]
+	waited, obstacle := task.Waited(now)
 	made.Start(task, job.Place{Worker: view.status.GetWorker(), Agent: view.address}, now)
 	entry := newEntry(held, task)
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
 	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
-		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()), slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()),
-		slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()), slog.Duration("age", now.Sub(view.heardAt)))
+		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("target_ms", entry.demand.GetTargetMs()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()),
+		slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()), slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()),
+		slog.Duration("age", now.Sub(view.heardAt)), slog.Duration("waited", waited), slog.String("obstacle", obstacle))
 	owner.changed(held, made)
 	held.after = append(held.after, func(now time.Time) { owner.order(view, entry, now) })
 }
@@ -59,6 +61,7 @@
 		Spec: made.Submission().GetSpec(), Checkpoint: made.CheckpointOf(entry.task), Ticket: entry.ticket, Demand: entry.demand,
 	})
 	entry.sequence = view.sequence + 1
+	entry.orderedAt = now
 	entry.prior = false
 	owner.logRun(event.RunOrdered, entry, slog.String("worker", entry.place.Worker), slog.Int64("message", entry.sequence))
 }
@@ -144,12 +147,14 @@
 		delete(view.runs, end.GetTask())
 	}
 	ended := made.Ended()
+	recorded := entry.recordedAfter(task)
 	if !made.End(task, end.GetAttempt(), endReason(end.GetReason()), end.GetCheckpoint(), now) {
 		held.settleLive(made)
 		return
 	}
 	owner.log(event.RunEnded, slog.String("task", end.GetTask()), slog.Int("attempt", int(end.GetAttempt())),
-		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())))
+		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())),
+		slog.Duration("recorded", recorded))
 	owner.meters.ended.Add(owner.ctx, 1, telemetry.By("reason", end.GetReason().String()))
 	view.noteOutcome(end.GetReason(), now)
 	owner.changed(held, made)
@@ -199,6 +204,7 @@
 	// inherited marks a run of an earlier owner until an agent has listed it.
 	inherited bool
 	confirmed bool
+	orderedAt time.Time // when the start was in the store; zero for an earlier owner's
 	// percent is the progress last told, movedAt when it last changed.
 	percent   int32
 	movedAt   time.Time
@@ -206,6 +212,15 @@
 	reflected bool // the agent's account of its room includes the run
 }
 
+// recordedAfter returns how long the store took to keep the start; 0 if that is not
+// known. The entry may be nil.
+func (entry *runEntry) recordedAfter(task *job.Task) time.Duration {
+	if entry == nil || entry.orderedAt.IsZero() {
+		return 0
+	}
+	return entry.orderedAt.Sub(task.StartedAt())
+}
+
 // release lets the task of a run that is over for certain wait again.
 func (owner *Owner) release(view *agentView, entry *runEntry, reason string, now time.Time) {
 	delete(view.runs, entry.name)
--- /dev/null
+++ b/report/line.go
@@ -0,0 +1,40 @@
+package report
+
+import (
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+)
+
+// line is one line of a process's log, with the attributes that a report is made of.
+// Durations are nanoseconds, as the logs have them.
+type line struct {
+	At    time.Time  `json:"time"`
+	Name  string     `json:"name"`
+	Role  string     `json:"role"`
+	Event event.Code `json:"event"`
+
+	Job          string        `json:"job"`
+	Queue        string        `json:"queue"`
+	State        string        `json:"state"`
+	Took         time.Duration `json:"took"`
+	Age          time.Duration `json:"age"`
+	Allowed      time.Duration `json:"allowed"`
+	Lasting      bool          `json:"lasting"`
+	CoreMillis   int64         `json:"core_ms"`
+	Task         string        `json:"task"`
+	Attempt      int32         `json:"attempt"`
+	Worker       string        `json:"worker"`
+	MilliCPU     int64         `json:"milli_cpu"`
+	Fills        bool          `json:"fills"`
+	Image        string        `json:"image"`
+	TargetMillis int64         `json:"target_ms"`
+	EstimateMS   int64         `json:"estimate_ms"`
+	Waited       time.Duration `json:"waited"`
+	Obstacle     string        `json:"obstacle"`
+	Recorded     time.Duration `json:"recorded"`
+	How          string        `json:"how"`
+	Percent      int32         `json:"percent"`
+	Beside       string        `json:"beside"`
+	Count        int           `json:"count"`
+}
--- /dev/null
+++ b/report/report.go
@@ -0,0 +1,125 @@
+// Package report sums up what the logs of all processes say about a stretch of time:
+// which jobs were late and where their time went, which serving tasks missed their
+// targets beside what, and how much of each worker was used.
+//
+// # Where a job's time went
+//
+// A job ends with its slowest task. Its time is therefore told along the chain that
+// decided: from its end back through the runs of the task that ended last, to the task
+// of an earlier step that this one waited for, and so on to its acceptance. Nothing
+// that ran beside the chain counts.
+//
+// # Usage
+//
+//	found, err := report.Read(files...)
+//	err = found.WriteText(os.Stdout)
+//	err = json.NewEncoder(os.Stdout).Encode(found)
+//
+// Logs may come in any order and from any number of processes. Lines without what is
+// needed are passed over; a report of logs that lack a gateway lacks its jobs. Times of
+// different machines are compared as they are, so clocks that disagree by seconds blur
+// the account of a job by as much.
+package report
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"ambertiller.example/ambertiller/logline"
+)
+
+// Report is the account of a stretch of time. Durations are nanoseconds in JSON.
+type Report struct {
+	// From and To are the times of the first and the last line.
+	From time.Time `json:"from"`
+	To   time.Time `json:"to"`
+	// Lines counts what was read, Dropped the lines that processes left out of their
+	// logs because nobody read them fast enough.
+	Lines   int `json:"lines"`
+	Dropped int `json:"dropped"`
+	// Queues are ordered by name and size of their jobs.
+	Queues []Queue `json:"queues"`
+	// Serving and Filling are ordered by the time lost.
+	Serving []Serving `json:"serving"`
+	Filling []Filling `json:"filling"`
+	Workers []Worker  `json:"workers"`
+	// Orders counts orders to start a run by what became of them.
+	Orders   []Count `json:"orders"`
+	Timeline []Slice `json:"timeline"`
+}
+
+// Count is how often something happened.
+type Count struct {
+	What  string `json:"what"`
+	Times int    `json:"times"`
+}
+
+// Span is time spent on something.
+type Span struct {
+	What string        `json:"what"`
+	Time time.Duration `json:"time"`
+}
+
+// Read makes the report of logs.
+func Read(logs ...io.Reader) (*Report, error) {
+	var lines []line
+	for _, log := range logs {
+		read, err := readLines(log)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return a.At.Compare(b.At) })
+	return summarize(lines), nil
+}
+
+// Losses returns the queues and sizes of jobs with the largest shares of their queue's
+// work that was not done in time, the largest first.
+func (made *Report) Losses() []Queue {
+	var found []Queue
+	for _, queue := range made.Queues {
+		if queue.Lost > 0 {
+			found = append(found, queue)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Queue) int { return cmp.Compare(b.Lost, a.Lost) })
+	return found[:min(len(found), lossesShown)]
+}
+
+func readLines(log io.Reader) ([]line, error) {
+	var lines []line
+	err := logline.Each(log, func(object []byte) {
+		var one line
+		if err := json.Unmarshal(object, &one); err != nil || one.At.IsZero() || one.Event == 0 {
+			// A line that was cut off, or is not a log's.
+			return
+		}
+		lines = append(lines, one)
+	})
+	return lines, err
+}
+
+func summarize(lines []line) *Report {
+	made := &Report{Lines: len(lines)}
+	if len(lines) == 0 {
+		return made
+	}
+	made.From, made.To = lines[0].At, lines[len(lines)-1].At
+	past := newHistory(made.From, made.To)
+	for index := range lines {
+		past.note(&lines[index])
+	}
+	past.close()
+	made.Dropped = past.dropped
+	made.Queues = past.queues()
+	made.Serving = past.serving()
+	made.Filling = past.filling()
+	made.Workers = past.workerUse()
+	made.Orders = counts(past.orders)
+	made.Timeline = past.timeline()
+	return made
+}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -11,7 +11,7 @@
 package trace
 
 import (
-	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,15 +19,11 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
+	"ambertiller.example/ambertiller/logline"
 )
 
-const (
-	// lineBytesMost bounds a line; reading fails at a longer one.
-	lineBytesMost = 1 << 20
-	// gapLeast is from which time on a silence is named.
-	gapLeast = time.Second
-)
+// gapLeast is from which time on a silence is named.
+const gapLeast = time.Second
 
 // event is one line of a log.
 type event struct {
@@ -56,23 +52,19 @@
 }
 
 func (life *Life) read(log io.Reader) error {
-	lines := bufio.NewScanner(log)
-	lines.Buffer(nil, lineBytesMost)
-	for lines.Scan() {
-		begin := strings.IndexByte(lines.Text(), '{')
-		if begin < 0 || !strings.Contains(lines.Text(), life.id) {
-			continue
+	return logline.Each(log, func(object []byte) {
+		if !bytes.Contains(object, []byte(life.id)) {
+			return
 		}
 		var fields map[string]any
-		if err := json.Unmarshal([]byte(lines.Text()[begin:]), &fields); err != nil {
+		if err := json.Unmarshal(object, &fields); err != nil {
 			// A line that was cut off, or is not a log's.
-			continue
+			return
 		}
 		if life.concerns(fields) {
 			life.events = append(life.events, decode(fields))
 		}
-	}
-	return errors.Wrap(lines.Err(), "read the log")
+	})
 }
 
 func (life *Life) concerns(fields map[string]any) bool {
@@ -102,7 +94,7 @@
 }
 
 // durations names the attributes that hold nanoseconds.
-var durations = []string{"took", "age", "after", "ran", "retry_after", "since", "past_objective", "held", "valid"}
+var durations = []string{"took", "age", "after", "ran", "retry_after", "since", "past_objective", "held", "valid", "waited", "recorded", "allowed", "left", "remaining"}
 
 func show(key string, value any) string {
 	number, isNumber := value.(float64)
