Places for tasks that fill follow the load of the serving ones

Cause: a task that fills was placed by the lowest level that a serving task had shown, which was hardly forgotten. Loads swing by half within seconds, so no worker with serving tasks ever bore a task that disturbs: these waited until their job's patience was over, were placed where they harm, slowed and evicted.

TestFirstReadingDoesNotUnsettle read the weight through the tolerance at the lowest level; it now ends with a reading at the lower level and asks for 3 cores at most instead of 4. With the fault that it is for put back, it shows an unbounded tolerance.

--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -172,13 +172,13 @@
 		model.Share(interference.Pair{Serving: "s", Fill: "loud"}, interference.Estimate{Weight: 0.6, Readings: 50}, now)
 	}
 	servings := []interference.Serving{{Task: "s", Image: "s", Tail: 10, Target: servingTarget}}
-	for reading, used := range []float64{4, 1, 4} {
+	for reading, used := range []float64{4, 1, 4, 1} {
 		// The load takes the place of what the fill leaves.
 		fills := []interference.Fill{{Task: "f", Image: "loud", Cores: 4, Used: used}}
 		model.Observe(servings, fills, now.Add(time.Duration(reading)*500*time.Millisecond))
 	}
-	if tolerated := model.Tolerance(servings, nil, "loud"); tolerated > 4 {
-		t.Errorf("three readings made %.1f cores tolerated of what disturbs others", tolerated)
+	if tolerated := model.Tolerance(servings, nil, "loud"); tolerated > 3 {
+		t.Errorf("four readings made %.1f cores tolerated of what disturbs others", tolerated)
 	}
 }
 
--- a/interference/tolerance.go
+++ b/interference/tolerance.go
@@ -1,10 +1,17 @@
 package interference
 
-import "math"
+import (
+	"math"
+	"time"
+)
+
+// placeLead is how far ahead a level that falls is followed: a task that is placed now
+// runs for about two seconds.
+const placeLead = 2 * time.Second
 
 // Tolerance returns how many more cores of an image the serving tasks bear, at the
-// lowest level that they had lately, beside the filling tasks that are there at
-// full pace. Below zero it tells how much a core would take from a task that bears
+// lowest level that they are expected to have within placeLead, beside the filling tasks
+// that are there at full pace. Below zero it tells how much a core would take from a task that bears
 // none, so that the least harmful of several workers can be told.
 func (model *Model) Tolerance(servings []Serving, fills []Fill, image string) float64 {
 	least := math.Inf(1)
@@ -25,20 +32,26 @@
 	return least
 }
 
-// leftBeside returns the headroom that a serving task has to spare at its lowest level
-// lately, beside filling tasks at full pace.
+// leftBeside returns the headroom that a serving task has to spare in the time ahead,
+// beside filling tasks at full pace.
 func (model *Model) leftBeside(serving Serving, fills []Fill) float64 {
-	left := model.lowest(serving) - atTarget - reserve
+	left := model.ahead(serving) - atTarget - reserve
 	for _, fill := range fills {
 		left -= model.weight(serving.Image, fill.Image) * fill.Cores
 	}
 	return left
 }
 
-// lowest returns the lowest level that a serving task had lately.
-func (model *Model) lowest(serving Serving) float64 {
-	if state, known := model.tasks[serving.Task]; known {
-		return state.low
+// ahead returns the lowest level that a serving task is expected to have while a task
+// that is placed now runs; it need not go below the lowest that it had lately. A load
+// swings by half within seconds: judged by that lowest level, no worker ever bore a task
+// that disturbs much, and a tenth less of the batch work was in time (on 48 days, 0.75
+// instead of 0.83).
+func (model *Model) ahead(serving Serving) float64 {
+	state, known := model.tasks[serving.Task]
+	if !known {
+		return firstLevel
 	}
-	return firstLevel
+	level, slope := state.level()
+	return max(min(state.low, level), level+min(slope, 0)*placeLead.Seconds())
 }
