--- a/command/report.go
+++ b/command/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"os"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -20,16 +21,17 @@
 			"which serving tasks missed their targets beside what, and how workers were used. docs/OPERATIONS.md shows how to read it.",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON, with durations in nanoseconds"},
+			&cli.StringFlag{Name: "page", Usage: "also write the report with plots as an HTML page to this file"},
 		},
 		Action: func(_ context.Context, from *cli.Command) error {
 			return withLogs(from.Root().Reader, from.Args().Slice(), func(logs []io.Reader) error {
-				return printReport(from.Root().Writer, logs, from.Bool("json"))
+				return printReport(from.Root().Writer, logs, from.Bool("json"), from.String("page"))
 			})
 		},
 	}
 }
 
-func printReport(out io.Writer, logs []io.Reader, asJSON bool) error {
+func printReport(out io.Writer, logs []io.Reader, asJSON bool, page string) error {
 	found, err := report.Read(logs...)
 	if err != nil {
 		return err
@@ -37,6 +39,11 @@
 	if found.Lines == 0 {
 		return &exitError{code: ExitNotFound, cause: errors.New("the logs hold no structured lines; name the files that processes wrote with their standard output")}
 	}
+	if page != "" {
+		if err := writePage(page, found); err != nil {
+			return err
+		}
+	}
 	if !asJSON {
 		return found.WriteText(out)
 	}
@@ -44,3 +51,15 @@
 	encoder.SetIndent("", "  ")
 	return errors.Wrap(encoder.Encode(found), "print")
 }
+
+func writePage(path string, found *report.Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create the page; name a file in a folder that may be written")
+	}
+	if err := found.WritePage(file); err != nil {
+		file.Close() //nolint:errcheck // the first error says more.
+		return err
+	}
+	return errors.Wrap(file.Close(), "write the page")
+}
--- a/report/history.go
+++ b/report/history.go
@@ -115,7 +115,7 @@
 		past.noteJobEnded(one)
 	case event.RunPlaced:
 		past.notePlaced(one)
-	case event.RunNotStarted:
+	case event.RunNotStarted, event.OrderRefused:
 		past.endRun(one, runRefused)
 	case event.RunEnded:
 		past.noteRunEnded(one)
