What a task holds of a worker, and whether it fits, is told in one place

The gate of package admission, the agent's room and the owner's view of a worker each added and compared processors, memory and accelerators by themselves. admission.Resources does it for all three; the reasons that it gives are the obstacles in the logs.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -62,6 +62,43 @@
 	Accelerators int64
 }
 
+// refusal says which bound keeps something from fitting into what is free; nil if none
+// does.
+func (free Resources) refusal(asked Resources) *Refusal {
+	switch {
+	case asked.MilliCPU < 0 || asked.MemoryBytes < 0 || asked.Accelerators < 0:
+		return &Refusal{reason: Invalid}
+	case asked.MilliCPU > free.MilliCPU:
+		return &Refusal{reason: NoProcessor, detail: fmt.Sprintf("asked for %dm, free %dm", asked.MilliCPU, free.MilliCPU)}
+	case asked.MemoryBytes > free.MemoryBytes:
+		return &Refusal{reason: NoMemory, detail: fmt.Sprintf("asked for %d bytes, free %d", asked.MemoryBytes, free.MemoryBytes)}
+	case asked.Accelerators > free.Accelerators:
+		return &Refusal{reason: NoAccelerator, detail: fmt.Sprintf("asked for %d, free %d", asked.Accelerators, free.Accelerators)}
+	}
+	return nil
+}
+
+// Lacks returns which bound keeps something from fitting into what is free; the empty
+// reason if none does.
+func (free Resources) Lacks(asked Resources) Reason {
+	if refusal := free.refusal(asked); refusal != nil {
+		return refusal.Reason()
+	}
+	return ""
+}
+
+// Add gives resources back.
+func (free *Resources) Add(given Resources) {
+	free.MilliCPU += given.MilliCPU
+	free.MemoryBytes += given.MemoryBytes
+	free.Accelerators += given.Accelerators
+}
+
+// Take takes resources away.
+func (free *Resources) Take(taken Resources) {
+	free.Add(Resources{MilliCPU: -taken.MilliCPU, MemoryBytes: -taken.MemoryBytes, Accelerators: -taken.Accelerators})
+}
+
 // Capacity is what a worker has.
 type Capacity struct {
 	Slots        int
@@ -179,17 +216,10 @@
 	if _, counted := gate.tasks[id]; counted {
 		return &Refusal{reason: Duplicate, detail: id}
 	}
-	if asked.MilliCPU < 0 || asked.MemoryBytes < 0 || asked.Accelerators < 0 {
-		return &Refusal{reason: Invalid}
-	}
-	if free := gate.capacity.MilliCPU - gate.used.MilliCPU; asked.MilliCPU > free {
-		return &Refusal{reason: NoProcessor, detail: fmt.Sprintf("asked for %dm, free %dm", asked.MilliCPU, free)}
-	}
-	if free := gate.capacity.MemoryBytes - gate.used.MemoryBytes; asked.MemoryBytes > free {
-		return &Refusal{reason: NoMemory, detail: fmt.Sprintf("asked for %d bytes, free %d", asked.MemoryBytes, free)}
-	}
-	if free := gate.capacity.Accelerators - gate.used.Accelerators; asked.Accelerators > free {
-		return &Refusal{reason: NoAccelerator, detail: fmt.Sprintf("asked for %d, free %d", asked.Accelerators, free)}
+	free := Resources{MilliCPU: gate.capacity.MilliCPU, MemoryBytes: gate.capacity.MemoryBytes, Accelerators: gate.capacity.Accelerators}
+	free.Take(gate.used)
+	if refusal := free.refusal(asked); refusal != nil {
+		return refusal
 	}
 	gate.count(id, asked)
 	return nil
@@ -197,9 +227,7 @@
 
 func (gate *Gate) count(id string, held Resources) {
 	gate.tasks[id] = held
-	gate.used.MilliCPU += held.MilliCPU
-	gate.used.MemoryBytes += held.MemoryBytes
-	gate.used.Accelerators += held.Accelerators
+	gate.used.Add(held)
 }
 
 // ReleaseTask gives a task's share back. A second call does nothing.
@@ -211,9 +239,7 @@
 		return
 	}
 	delete(gate.tasks, id)
-	gate.used.MilliCPU -= held.MilliCPU
-	gate.used.MemoryBytes -= held.MemoryBytes
-	gate.used.Accelerators -= held.Accelerators
+	gate.used.Take(held)
 }
 
 // Usage is what a gate carries at one moment.
--- a/agent/preempt.go
+++ b/agent/preempt.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ambertiller.example/ambertiller/admission"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -47,7 +48,7 @@
 		if free.fits(wanted) {
 			break
 		}
-		free.give(run.demand)
+		free.Add(admission.Held(run.demand))
 		chosen = append(chosen, run)
 	}
 	return chosen, free.fits(wanted)
@@ -76,21 +77,21 @@
 
 // reclaimable tells what the runs of each priority hold that may be stopped.
 func (state *workerState) reclaimable() []*wire.Reclaimable {
-	held := map[int32]*room{}
+	held := map[int32]*admission.Resources{}
 	for _, run := range state.runs {
 		if !run.preemptible() {
 			continue
 		}
 		priority := run.demand.GetPriority()
 		if held[priority] == nil {
-			held[priority] = &room{}
+			held[priority] = &admission.Resources{}
 		}
-		held[priority].give(run.demand)
+		held[priority].Add(admission.Held(run.demand))
 	}
 	var told []*wire.Reclaimable
 	for priority, given := range held {
 		told = append(told, &wire.Reclaimable{
-			Priority: priority, MilliCpu: given.milliCPU, MemoryMb: given.memoryMB, Accelerators: given.accelerators,
+			Priority: priority, MilliCpu: given.MilliCPU, MemoryMb: given.MemoryMB(), Accelerators: given.Accelerators,
 		})
 	}
 	return told
--- a/agent/session.go
+++ b/agent/session.go
@@ -320,7 +320,7 @@
 		Labels: state.beat.Labels, Machine: state.beat.Machine,
 		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
 		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
-		FreeMilliCpu: free.milliCPU, FreeMemoryMb: free.memoryMB, FreeAccelerators: free.accelerators,
+		FreeMilliCpu: free.MilliCPU, FreeMemoryMb: free.MemoryMB(), FreeAccelerators: free.Accelerators,
 		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
 		Reclaimable: state.reclaimable(),
 	}
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ambertiller.example/ambertiller/admission"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -13,10 +14,10 @@
 // candidate is a worker that may be given starts, with what is free there after
 // those that are on their way.
 type candidate struct {
-	view                             *agentView
-	milliCPU, memoryMB, accelerators int64
-	fillMilliCPU                     int64
-	servingMilliCPU                  int64
+	view            *agentView
+	free            admission.Resources
+	fillMilliCPU    int64
+	servingMilliCPU int64
 	// serving lists the images of the tasks that serve there.
 	serving []string
 	// addedFill is what has been placed since the agent's last word.
@@ -38,8 +39,8 @@
 			continue
 		}
 		worker := &candidate{
-			view: view, milliCPU: status.GetFreeMilliCpu(), memoryMB: status.GetFreeMemoryMb(),
-			accelerators: status.GetFreeAccelerators(), fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
+			view: view, free: admission.FromMessage(status.GetFreeMilliCpu(), status.GetFreeMemoryMb(), status.GetFreeAccelerators()),
+			fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
 			serving: slices.Clone(status.GetServingImages()),
 			trial:   view.failures >= failuresBeforeDoubt,
 		}
@@ -55,14 +56,12 @@
 
 // take takes what a start needs from what is free.
 func (worker *candidate) take(demand *wire.Demand) {
-	worker.memoryMB -= demand.GetMemoryMb()
-	worker.accelerators -= demand.GetAccelerators()
+	worker.free.Take(admission.Held(demand))
 	if demand.GetFills() {
 		worker.fillMilliCPU += demand.GetMilliCpu()
 		worker.addedFill += demand.GetMilliCpu()
 		return
 	}
-	worker.milliCPU -= demand.GetMilliCpu()
 	if demand.GetTargetMs() > 0 {
 		worker.serving = append(worker.serving, demand.GetImage())
 		worker.servingMilliCPU += demand.GetMilliCpu()
@@ -72,7 +71,7 @@
 // idle is what is expected to be unused of the processors: tasks that serve use
 // only part of what they hold.
 func (worker *candidate) idle() int64 {
-	return worker.milliCPU + int64(servingUnused*float64(worker.servingMilliCPU)) - worker.fillMilliCPU
+	return worker.free.MilliCPU + int64(servingUnused*float64(worker.servingMilliCPU)) - worker.fillMilliCPU
 }
 
 // allows says what forbids a task to run at the worker, if there were room.
@@ -98,13 +97,10 @@
 	if found := worker.allows(task); found != unobstructed {
 		return found
 	}
+	if lacking := worker.free.Lacks(admission.Held(spec)); lacking != "" {
+		return obstacle(lacking)
+	}
 	switch {
-	case spec.GetMemoryMb() > worker.memoryMB:
-		return lacksMemory
-	case spec.GetAccelerators() > worker.accelerators:
-		return lacksAccelerators
-	case !spec.GetFills() && spec.GetMilliCpu() > worker.milliCPU:
-		return lacksProcessors
 	case !spec.GetFills():
 		return unobstructed
 	case float64(worker.idle()) < fillShare*float64(spec.GetMilliCpu()):
--- a/owner/obstacle.go
+++ b/owner/obstacle.go
@@ -2,7 +2,8 @@
 
 import "ambertiller.example/ambertiller/job"
 
-// obstacle is why a task can't be started at a worker now. Its text stands in logs.
+// obstacle is why a task can't be started at a worker now: a reason of package admission
+// or one of those below. Its text stands in logs.
 type obstacle string
 
 const (
@@ -11,9 +12,6 @@
 	lacksLabel          obstacle = "label"
 	holdsEnough         obstacle = "spread"
 	inDoubt             obstacle = "doubt"
-	lacksMemory         obstacle = "memory"
-	lacksAccelerators   obstacle = "accelerators"
-	lacksProcessors     obstacle = "processors"
 	lacksIdleProcessors obstacle = "idle processors"
 	wouldDisturb        obstacle = "interference"
 	lacksTicket         obstacle = "advice"
--- a/owner/place.go
+++ b/owner/place.go
@@ -118,8 +118,8 @@
 		// same empty worker without having spoken.
 		return a.rankFor(image) > b.rankFor(image)
 	}
-	if a.milliCPU != b.milliCPU {
-		return a.milliCPU < b.milliCPU
+	if a.free.MilliCPU != b.free.MilliCPU {
+		return a.free.MilliCPU < b.free.MilliCPU
 	}
 	return a.view.address < b.view.address
 }
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"ambertiller.example/ambertiller/admission"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
@@ -54,17 +55,17 @@
 	})
 	owner.log(event.RunPreempted, slog.String("task", task.Name()), slog.String("worker", view.status.GetWorker()),
 		slog.Int("for_priority", int(demand.GetPriority())),
-		slog.Int64("memory_mb", demand.GetMemoryMb()), slog.Int64("free_memory_mb", worker.memoryMB),
-		slog.Int64("milli_cpu", demand.GetMilliCpu()), slog.Int64("free_milli_cpu", worker.milliCPU))
+		slog.Int64("memory_mb", demand.GetMemoryMb()), slog.Int64("free_memory_mb", worker.free.MemoryMB()),
+		slog.Int64("milli_cpu", demand.GetMilliCpu()), slog.Int64("free_milli_cpu", worker.free.MilliCPU))
 }
 
 // missing returns what a task lacks at the worker, in shares of what the worker has,
 // added up; 0 if there is room.
 func (worker *candidate) missing(task *job.Task) float64 {
 	spec, status := task.Spec(), worker.view.status
-	return lacking(spec.GetMilliCpu(), worker.milliCPU, status.GetMilliCpu()) +
-		lacking(spec.GetMemoryMb(), worker.memoryMB, status.GetMemoryMb()) +
-		lacking(spec.GetAccelerators(), worker.accelerators, status.GetAccelerators())
+	return lacking(spec.GetMilliCpu(), worker.free.MilliCPU, status.GetMilliCpu()) +
+		lacking(spec.GetMemoryMb(), worker.free.MemoryMB(), status.GetMemoryMb()) +
+		lacking(spec.GetAccelerators(), worker.free.Accelerators, status.GetAccelerators())
 }
 
 // lacking returns how much of something is wanted beyond what is free, as a share of
@@ -79,9 +80,7 @@
 	freed := *worker
 	for _, known := range worker.view.status.GetReclaimable() {
 		if known.GetPriority() > task.Job().Submission().GetPriority() {
-			freed.milliCPU += known.GetMilliCpu()
-			freed.memoryMB += known.GetMemoryMb()
-			freed.accelerators += known.GetAccelerators()
+			freed.free.Add(admission.FromMessage(known.GetMilliCpu(), known.GetMemoryMb(), known.GetAccelerators()))
 		}
 	}
 	return freed.fits(task)
