--- a/command/report.go
+++ b/command/report.go
@@ -57,9 +57,9 @@
 	if err != nil {
 		return errors.Wrap(err, "create the page; name a file in a folder that may be written")
 	}
+	defer file.Close() //nolint:errcheck // Sync has told whether it is whole.
 	if err := found.WritePage(file); err != nil {
-		file.Close() //nolint:errcheck // the first error says more.
 		return err
 	}
-	return errors.Wrap(file.Close(), "write the page")
+	return errors.Wrap(file.Sync(), "write the page")
 }
--- a/interference/learning.go
+++ b/interference/learning.go
@@ -78,7 +78,7 @@
 func (model *Model) observe(serving Serving, used map[string]float64, changed bool, now time.Time) {
 	state, known := model.tasks[serving.Task]
 	if !known {
-		state = model.newTask(serving, now)
+		state = model.newTask(serving)
 	} else if now.Sub(state.readAt) < leastGap {
 		return
 	}
@@ -106,7 +106,7 @@
 }
 
 // newTask begins to estimate the level of a serving task.
-func (model *Model) newTask(serving Serving, now time.Time) *servingState {
+func (model *Model) newTask(serving Serving) *servingState {
 	image := model.image(serving.Image)
 	image.filter.add(levelOf(serving.Task), value{firstLevel, levelVariance})
 	image.filter.add(slopeOf(serving.Task), value{0, slopeDrift})
