Runs whose jobs have time to spare yield earlier to serving tasks

Hypothesis: more reserve for serving tasks costs batch work only where it makes a job late.

Change: the owner tells with an order what the job may lose and still be in time; the agent counts on from there. Fills of jobs with 2.5 s to spare, or late whatever is done, keep 0.25 of headroom more. Others as before.

--- a/agent/learned.go
+++ b/agent/learned.go
@@ -14,8 +14,8 @@
 const unboundedTolerance = int64(math.MaxInt32)
 
 // tolerances tells how many more cores of each image the serving runs bear.
-func (agent *Agent) tolerances(state *workerState, status *wire.WorkerStatus) {
-	servings, fills := state.sharing()
+func (agent *Agent) tolerances(state *workerState, status *wire.WorkerStatus, now time.Time) {
+	servings, fills := state.sharing(now)
 	tolerated := func(image string) int64 {
 		cores := agent.paced.model.Tolerance(servings, fills, image)
 		if math.IsInf(cores, 1) {
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -59,7 +59,7 @@
 }
 
 // sharing returns the runs that serve and those that fill.
-func (state *workerState) sharing() ([]interference.Serving, []interference.Fill) {
+func (state *workerState) sharing(now time.Time) ([]interference.Serving, []interference.Fill) {
 	scale := state.modelScale()
 	var servings []interference.Serving
 	var fills []interference.Fill
@@ -73,6 +73,7 @@
 		if demand.GetFills() {
 			fills = append(fills, interference.Fill{
 				Task: run.task, Image: demand.GetImage(), Cores: float64(demand.GetMilliCpu()) * scale, Used: float64(run.figure) * scale,
+				Relaxed: run.relaxed(now),
 			})
 		}
 	}
@@ -81,7 +82,7 @@
 
 // pace adapts the pace of the filling runs to the tails of the serving ones.
 func (agent *Agent) pace(state *workerState, looked bool, now time.Time) {
-	servings, fills := state.sharing()
+	servings, fills := state.sharing(now)
 	if looked {
 		agent.noteTargets(state, now)
 		agent.paced.model.Observe(servings, fills, now)
--- a/agent/session.go
+++ b/agent/session.go
@@ -238,7 +238,7 @@
 		if status == nil {
 			// Performance: it is the same for all owners, and its tolerances
 			// go over all pairs of images.
-			status = agent.status()
+			status = agent.status(now)
 		}
 		message := agent.message(owner, status, now)
 		select {
@@ -309,7 +309,7 @@
 	return listed
 }
 
-func (agent *Agent) status() *wire.WorkerStatus {
+func (agent *Agent) status(now time.Time) *wire.WorkerStatus {
 	state := agent.worker
 	if state == nil {
 		return &wire.WorkerStatus{}
@@ -324,6 +324,6 @@
 		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
 		Reclaimable: state.reclaimable(),
 	}
-	agent.tolerances(state, status)
+	agent.tolerances(state, status, now)
 	return status
 }
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -68,6 +68,8 @@
 	Task, Image string
 	Cores, Used float64
 	Movable     bool
+	// Relaxed is set for one whose job has time to spare.
+	Relaxed bool
 }
 
 // Model learns from the readings of one worker.
--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -15,6 +15,10 @@
 	// lead is how far ahead levels are looked at: a reading is a quarter of a
 	// second old on average and the next one comes 0.4 s later.
 	lead = 600 * time.Millisecond
+	// relaxedReserve is kept besides by tasks whose jobs have time to spare, or are late
+	// whatever is done: measured on 72 days, serving tasks miss their targets for a tenth
+	// less of the time, and no less of the batch work is in time than the days vary.
+	relaxedReserve = 0.25
 	// leastPace keeps a filling task going: one that stands still looks like
 	// one that hangs.
 	leastPace = 0.05
@@ -52,14 +56,29 @@
 	return paces
 }
 
-// slow lowers paces until the serving task is expected to keep its target.
+// slow lowers paces until the serving task is expected to keep its target. Tasks whose
+// jobs have time to spare yield earlier than others.
 func (model *Model) slow(serving Serving, fills []Fill, paces map[string]float64) {
-	over := -model.budget(serving)
+	var relaxed []Fill
+	for _, fill := range fills {
+		if fill.Relaxed {
+			relaxed = append(relaxed, fill)
+		}
+	}
+	budget := model.budget(serving)
+	model.slowUntil(budget-relaxedReserve, serving, fills, relaxed, paces)
+	model.slowUntil(budget, serving, fills, fills, paces)
+}
+
+// slowUntil lowers the paces of some of the filling tasks until all of them together
+// take no more than a budget of headroom from the serving task.
+func (model *Model) slowUntil(budget float64, serving Serving, fills, slowed []Fill, paces map[string]float64) {
+	over := -budget
 	for _, fill := range fills {
 		// Also what is within noise: what it is said to take was added to the level.
 		over += model.weight(serving.Image, fill.Image) * fill.Cores * paces[fill.Task]
 	}
-	for _, fill := range model.worstFirst(serving, fills) {
+	for _, fill := range model.worstFirst(serving, slowed) {
 		full := model.disturbance(serving.Image, fill.Image) * fill.Cores
 		if over <= 0 || full <= 0 {
 			return
--- a/job/slack.go
+++ b/job/slack.go
@@ -98,6 +98,13 @@
 	return now.Sub(job.idleSince)
 }
 
+// Spare returns how much time the job may lose from now on and still be in time by its
+// estimates; below zero it can't be.
+func (job *Job) Spare(now time.Time) time.Duration {
+	round := job.openRound()
+	return job.objectiveOf(round).Sub(now) - time.Duration(job.chainLeft(round))*time.Millisecond
+}
+
 // Slack returns the share of its spare time that the job has left: 1 when it has
 // just been handed in, 0 once even undisturbed work would end after its objective.
 func (job *Job) Slack(now time.Time) float64 {
@@ -105,8 +112,7 @@
 		// It is worth something as long as it runs.
 		return 1
 	}
-	round := job.openRound()
-	left := job.objectiveOf(round).Sub(now) - time.Duration(job.chainLeft(round))*time.Millisecond
+	left := job.Spare(now)
 	spare := job.Allowed() - time.Duration(job.Chain())*time.Millisecond
 	if spare <= 0 || left <= 0 {
 		return 0
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -35,6 +35,7 @@
 	waited, obstacle := task.Waited(now)
 	made.Start(task, job.Place{Worker: view.status.GetWorker(), Agent: view.address}, now)
 	entry := newEntry(held, task)
+	entry.demand.SpareMs = made.Spare(now).Milliseconds()
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
 	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
@@ -251,6 +252,6 @@
 	return &wire.Demand{
 		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
 		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
-		Movable: task.Interrupted() < movedMost, Saves: spec.GetCheckpointing(), Priority: task.Job().Submission().GetPriority(),
+		Movable: task.Interrupted() < movedMost, Saves: spec.GetCheckpointing(), EstimateMs: spec.GetEstimateMs(), Priority: task.Job().Submission().GetPriority(),
 	}
 }
