--- a/owner/runs.go
+++ b/owner/runs.go
@@ -188,40 +188,6 @@
 	return job.EndInterrupted
 }
 
-// runEntry is a run that is ordered at an agent, or is about to be.
-type runEntry struct {
-	task    *job.Task
-	held    *shard
-	name    string
-	attempt int32
-	place   job.Place
-	demand  *wire.Demand
-	ticket  string
-	// sequence is that of the message with the order: 0 before it is sent.
-	sequence int64
-	// prior marks a run whose order went out on an earlier connection, or by
-	// an earlier owner.
-	prior bool
-	// inherited marks a run of an earlier owner until an agent has listed it.
-	inherited bool
-	confirmed bool
-	orderedAt time.Time // when the start was in the store; zero for an earlier owner's
-	// percent is the progress last told, movedAt when it last changed.
-	percent   int32
-	movedAt   time.Time
-	stopAt    time.Time
-	reflected bool // the agent's account of its room includes the run
-}
-
-// recordedAfter returns how long the store took to keep the start; 0 if that is not
-// known. The entry may be nil.
-func (entry *runEntry) recordedAfter(task *job.Task) time.Duration {
-	if entry == nil || entry.orderedAt.IsZero() {
-		return 0
-	}
-	return entry.orderedAt.Sub(task.StartedAt())
-}
-
 // release lets the task of a run that is over for certain wait again.
 func (owner *Owner) release(view *agentView, entry *runEntry, reason string, now time.Time) {
 	delete(view.runs, entry.name)
@@ -235,23 +201,3 @@
 	owner.changed(entry.held, made)
 	entry.held.settleLive(made)
 }
-
-func newEntry(held *shard, task *job.Task) *runEntry {
-	return &runEntry{
-		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
-		demand: demandOf(task),
-	}
-}
-
-// movedMost is how often a task is moved for the sake of serving ones before it
-// is left where it is, and only slowed: each move costs what it has not saved.
-const movedMost = 8
-
-func demandOf(task *job.Task) *wire.Demand {
-	spec := task.Spec()
-	return &wire.Demand{
-		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
-		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
-		Movable: task.Interrupted() < movedMost, Saves: spec.GetCheckpointing(), EstimateMs: spec.GetEstimateMs(), Priority: task.Job().Submission().GetPriority(),
-	}
-}
