An agent that has been replaced hears what a job may lose from now on

Cause: the description of a run that goes to a new agent carried what the job could lose when the run was ordered, or nothing from an owner that had adopted it; the agent took the job for late and slowed it early. Found at reading. Change: what is to spare is worked out anew for each description. Test seen failing first: -1000 ms instead of -1600 ms.

--- a/owner/entry.go
+++ b/owner/entry.go
@@ -41,10 +41,10 @@
 	return entry.orderedAt.Sub(task.StartedAt())
 }
 
-func newEntry(held *shard, task *job.Task) *runEntry {
+func newEntry(held *shard, task *job.Task, now time.Time) *runEntry {
 	return &runEntry{
 		task: task, held: held, name: task.Name(), attempt: task.Attempt(), place: task.Place(),
-		demand: demandOf(task),
+		demand: demandOf(task, now),
 	}
 }
 
@@ -52,11 +52,14 @@
 // is left where it is, and only slowed: each move costs what it has not saved.
 const movedMost = 8
 
-func demandOf(task *job.Task) *wire.Demand {
+// demandOf tells what a task takes of a worker and how it shares it, and what its job may
+// lose from now on.
+func demandOf(task *job.Task, now time.Time) *wire.Demand {
 	spec := task.Spec()
 	return &wire.Demand{
 		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
 		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
-		Movable: task.Interrupted() < movedMost, Saves: spec.GetCheckpointing(), EstimateMs: spec.GetEstimateMs(), Priority: task.Job().Submission().GetPriority(),
+		Movable: task.Interrupted() < movedMost, Saves: spec.GetCheckpointing(), Priority: task.Job().Submission().GetPriority(),
+		EstimateMs: spec.GetEstimateMs(), SpareMs: task.Job().Spare(now).Milliseconds(),
 	}
 }
--- /dev/null
+++ b/owner/entry_test.go
@@ -0,0 +1,31 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestDescriptionTellsWhatIsLeft: an agent that has been replaced hears what the job may
+// lose from now on, not what it could when the run was ordered.
+func TestDescriptionTellsWhatIsLeft(t *testing.T) {
+	made := newBench(t)
+	made.submit()
+	made.attachAndStart()
+	ordered := made.view.runs[taskOne].demand.GetSpareMs()
+	made.clock.Advance(600 * time.Millisecond)
+	unready := emptyWorker()
+	unready.Ready = false
+	made.hear(&wire.AgentMessage{Complete: true, Status: unready, Runs: []*wire.RunStatus{{Task: taskOne, Attempt: 1}}})
+	made.step()
+	for _, message := range made.sent() {
+		for _, described := range message.GetRuns() {
+			if got := described.GetDemand().GetSpareMs(); got != ordered-600 {
+				t.Errorf("%d ms to spare, %d with the order", got, ordered)
+			}
+			return
+		}
+	}
+	t.Error("the run was not described")
+}
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -59,7 +59,7 @@
 			return nil
 		}
 		held[best]++
-		best.take(demandOf(member))
+		best.take(demandOf(member, now))
 		chosen = append(chosen, trial[best])
 	}
 	return chosen
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -49,7 +49,7 @@
 func (owner *Owner) orderPreemption(task *job.Task, worker *candidate, now time.Time) {
 	view := worker.view
 	view.preemptedAt = now
-	demand := demandOf(task)
+	demand := demandOf(task, now)
 	view.message.Preempts = append(view.message.Preempts, &wire.PreemptOrder{
 		Shard: int32(task.Job().Shard()), Epoch: owner.shards[task.Job().Shard()].epoch, Worker: view.status.GetWorker(), Demand: demand,
 	})
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -90,7 +90,7 @@
 	entry.inherited, entry.reflected = false, true
 	entry.task.Job().Saved(entry.task, run.GetAttempt(), run.GetCheckpoint())
 	if !view.status.GetReady() {
-		view.message.Runs = append(view.message.Runs, &wire.RunDescription{Task: entry.name, Attempt: entry.attempt, Demand: entry.demand})
+		view.message.Runs = append(view.message.Runs, &wire.RunDescription{Task: entry.name, Attempt: entry.attempt, Demand: demandOf(entry.task, now)})
 	}
 }
 
@@ -138,7 +138,7 @@
 			if view == nil {
 				continue
 			}
-			entry := newEntry(held, task)
+			entry := newEntry(held, task, now)
 			entry.prior, entry.inherited, entry.reflected = true, true, true
 			view.runs[entry.name] = entry
 			owner.releaseEnded(view, entry, now)
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -34,8 +34,7 @@
 	held := owner.shards[made.Shard()]
 	waited, obstacle := task.Waited(now)
 	made.Start(task, job.Place{Worker: view.status.GetWorker(), Agent: view.address}, now)
-	entry := newEntry(held, task)
-	entry.demand.SpareMs = made.Spare(now).Milliseconds()
+	entry := newEntry(held, task, now)
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
 	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
