--- a/owner/entry_test.go
+++ b/owner/entry_test.go
@@ -19,13 +19,19 @@
 	unready.Ready = false
 	made.hear(&wire.AgentMessage{Complete: true, Status: unready, Runs: []*wire.RunStatus{{Task: taskOne, Attempt: 1}}})
 	made.step()
-	for _, message := range made.sent() {
-		for _, described := range message.GetRuns() {
-			if got := described.GetDemand().GetSpareMs(); got != ordered-600 {
-				t.Errorf("%d ms to spare, %d with the order", got, ordered)
-			}
-			return
-		}
+	described := descriptions(made.sent())
+	if len(described) != 1 {
+		t.Fatalf("described: %v", described)
 	}
-	t.Error("the run was not described")
+	if got := described[0].GetDemand().GetSpareMs(); got != ordered-600 {
+		t.Errorf("%d ms to spare, %d with the order", got, ordered)
+	}
+}
+
+func descriptions(messages []*wire.OwnerMessage) []*wire.RunDescription {
+	var described []*wire.RunDescription
+	for _, message := range messages {
+		described = append(described, message.GetRuns()...)
+	}
+	return described
 }
