A gang that saves nothing is not moved

Cause, found at reading: since runs that save nothing may be moved, a member of a gang could be, and all members would begin again. Test seen failing first.

--- a/owner/entry.go
+++ b/owner/entry.go
@@ -59,7 +59,14 @@
 	return &wire.Demand{
 		MilliCpu: spec.GetMilliCpu(), MemoryMb: spec.GetMemoryMb(), Accelerators: spec.GetAccelerators(),
 		Fills: spec.GetFills(), TargetMs: spec.GetTargetMs(), Lasting: spec.GetLasting(), Image: spec.GetImage(),
-		Movable: task.Interrupted() < movedMost, Saves: spec.GetCheckpointing(), Priority: task.Job().Submission().GetPriority(),
+		Movable: movable(task), Saves: spec.GetCheckpointing(), Priority: task.Job().Submission().GetPriority(),
 		EstimateMs: spec.GetEstimateMs(), SpareMs: task.Job().Spare(now).Milliseconds(),
 	}
 }
+
+// movable reports whether a task may be moved for the sake of others or of its own. The
+// members of a gang end together, so moving one that saves nothing costs the work of all.
+func movable(task *job.Task) bool {
+	spec := task.Spec()
+	return task.Interrupted() < movedMost && (spec.GetCheckpointing() || !spec.GetGang())
+}
--- a/owner/entry_test.go
+++ b/owner/entry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -28,6 +29,36 @@
 	}
 }
 
+// TestMovable: a gang that saves nothing is not moved, nor a task that was moved often.
+func TestMovable(t *testing.T) {
+	tests := map[string]struct {
+		change func(step *job.StepSpec)
+		ends   int // how often the task has been stopped
+		want   bool
+	}{
+		"saves":                     {func(step *job.StepSpec) { step.Checkpointing = true }, 0, true},
+		"saves nothing":             {func(*job.StepSpec) {}, 0, true},
+		"a gang that saves":         {func(step *job.StepSpec) { step.Gang, step.Checkpointing = true, true }, 0, true},
+		"a gang that saves nothing": {func(step *job.StepSpec) { step.Gang = true }, 0, false},
+		"was moved often":           {func(step *job.StepSpec) { step.Checkpointing = true }, movedMost, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			handed := submission()
+			test.change(handed.Steps[0])
+			of := job.New(handed, 0)
+			task := of.Tasks()[0]
+			for range test.ends {
+				of.Start(task, job.Place{Worker: life, Agent: agentAt}, time.UnixMilli(0))
+				of.End(task, task.Attempt(), job.EndInterrupted, "", time.UnixMilli(0))
+			}
+			if got := movable(task); got != test.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
+
 func descriptions(messages []*wire.OwnerMessage) []*wire.RunDescription {
 	var described []*wire.RunDescription
 	for _, message := range messages {
