An agent that has just started paces the runs that it finds anew

Cause: a run that an agent found on its worker was taken to go at full pace. One that the agent before had slowed stayed slowed to its end: the pace that the model wanted, full, seemed to be in force.

Change: the first pace of such a run is always sent, in steps from the share of its processors that it uses.

--- a/agent/pace.go
+++ b/agent/pace.go
@@ -105,6 +105,9 @@
 // since what a step does shows only in the next reading.
 func (agent *Agent) paceRun(state *workerState, run *runState, percent int32, looked bool, now time.Time) {
 	before := run.pace
+	if run.paceUnknown {
+		before = run.usedPercent()
+	}
 	if percent > before {
 		if !looked || now.Sub(run.fasterAt) < fasterEvery {
 			return
@@ -112,10 +115,10 @@
 		run.fasterAt = now
 		percent = min(percent, before+fasterStep)
 	}
-	if !worthSending(before, percent) {
+	if !run.paceUnknown && !worthSending(before, percent) {
 		return
 	}
-	run.pace = percent
+	run.pace, run.paceUnknown = percent, false
 	switch {
 	case percent >= slowedPercent:
 		run.slowedSince = time.Time{}
@@ -127,6 +130,15 @@
 	go agent.sendPace(state, run, percent, before, state.token)
 }
 
+// usedPercent estimates the pace of a run by the share of what it asks for that it uses.
+func (run *runState) usedPercent() int32 {
+	asked := run.demand.GetMilliCpu()
+	if asked <= 0 {
+		return fullPercent
+	}
+	return int32(min(max(run.figure*fullPercent/asked, 0), fullPercent))
+}
+
 // worthSending reports whether a pace differs enough from the one before. Any step to
 // full pace does, so that no run is left a little slowed.
 func worthSending(before, percent int32) bool {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -45,6 +45,7 @@
 	figure      int64
 	phase       runPhase
 	pace        int32     // percent that the worker was last told, of a run that fills
+	paceUnknown bool      // an earlier agent may have told another pace
 	fasterAt    time.Time // when the pace last rose
 	slowedSince time.Time // when the pace fell below slowedPercent, zero while above
 	confirmedAt time.Time
--- a/standin/wireworker/serve.go
+++ b/standin/wireworker/serve.go
@@ -29,9 +29,7 @@
 	case "/v1/hold":
 		worker.serveHold(answer, request)
 	case "/v1/pace":
-		worker.mu.Lock()
-		defer worker.mu.Unlock()
-		worker.reply(answer, http.StatusOK, "")
+		worker.servePace(answer, request)
 	default:
 		answer.WriteHeader(http.StatusNotFound)
 	}
@@ -96,6 +94,22 @@
 	worker.reply(answer, http.StatusOK, "")
 }
 
+func (worker *Worker) servePace(answer http.ResponseWriter, request *http.Request) {
+	var body struct {
+		Task    string `json:"task"`
+		Percent int32  `json:"percent"`
+	}
+	if !takeBody(answer, request, &body) {
+		return
+	}
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if known, found := worker.running[body.Task]; found {
+		known.pace = body.Percent
+	}
+	worker.reply(answer, http.StatusOK, "")
+}
+
 type holdBody struct {
 	DeadlineMs   int64 `json:"deadline_ms"`
 	FencingToken int64 `json:"fencing_token"`
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -37,11 +37,15 @@
 	Checkpoint   string `json:"checkpoint"`
 }
 
+// fullPace is the pace, in percent, of a run that was not slowed.
+const fullPace = 100
+
 type run struct {
 	attempt    int32
 	checkpoint string
 	figure     int64
 	percent    int32
+	pace       int32
 }
 
 type end struct {
@@ -131,7 +135,7 @@
 func (worker *Worker) Put(task string, attempt int32, lease time.Duration) {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
-	worker.running[task] = &run{attempt: attempt}
+	worker.running[task] = &run{attempt: attempt, pace: fullPace}
 	worker.deadline = max(worker.deadline, worker.clock()+lease.Milliseconds())
 }
 
@@ -144,6 +148,25 @@
 	}
 }
 
+// SetPace has a run go at a pace in percent, and use so much of the processors.
+func (worker *Worker) SetPace(task string, percent int32, milliCPU int64) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if known, found := worker.running[task]; found {
+		known.pace, known.figure = percent, milliCPU
+	}
+}
+
+// Pace returns the pace of a run in percent, 0 if it does not run.
+func (worker *Worker) Pace(task string) int32 {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if known, found := worker.running[task]; found {
+		return known.pace
+	}
+	return 0
+}
+
 // Number has ends counted from a number on, as if earlier ones were forgotten.
 func (worker *Worker) Number(last int64) {
 	worker.mu.Lock()
@@ -210,7 +233,7 @@
 	}
 	worker.token = order.FencingToken
 	worker.deadline = max(worker.deadline, order.DeadlineMs)
-	worker.running[order.Task] = &run{attempt: order.Attempt, checkpoint: order.Checkpoint}
+	worker.running[order.Task] = &run{attempt: order.Attempt, checkpoint: order.Checkpoint, pace: fullPace}
 	worker.starts = append(worker.starts, order)
 	return ""
 }
