A run that an agent finds is let go faster only after 2 s

Change: they are let go faster after 2 s, slowed at once. Kept: a run no longer stays slowed to its end because its agent was replaced.

--- a/agent/pace.go
+++ b/agent/pace.go
@@ -18,6 +18,10 @@
 	// fasterEvery keeps such steps apart where looks follow each other closely,
 	// because ends wait to be made durable.
 	fasterEvery = 300 * time.Millisecond
+	// adoptedPause is how long a run that was found is not let go faster: until then
+	// little is known of the serving runs beside it, and what others have learned is
+	// told within 1.5 s.
+	adoptedPause = 2 * time.Second
 	// paceChange is the least change that is sent.
 	paceChange = 4
 	// fullPercent is the pace of a run that is not slowed, and the progress of one
