--- a/agent/running.go
+++ b/agent/running.go
@@ -31,7 +31,10 @@
 func (agent *Agent) noteRun(state *workerState, listed platform.Run, now time.Time) {
 	run, found := state.runs[listed.Task]
 	if !found {
-		run = &runState{task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, pace: fullPercent, paceUnknown: true, fasterAt: now.Add(adoptedPause), confirmedAt: now}
+		run = &runState{
+			task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, confirmedAt: now,
+			pace: fullPercent, paceUnknown: true, fasterAt: now.Add(adoptedPause),
+		}
 		state.runs[listed.Task] = run
 		agent.log(event.RunAdopted, slog.String("task", listed.Task), slog.Int("attempt", int(listed.Attempt)))
 		agent.statusChanged()
--- a/owner/remember.go
+++ b/owner/remember.go
@@ -39,44 +39,66 @@
 	}
 	remembered := owner.decodeLearned(held, found)
 	owner.decisions.Post(func(time.Time) { owner.noteRemembered(held, remembered) })
-	var written []byte
-	for sequence := int64(1); ; {
+	record := &learnedRecord{held: held, sequence: 1}
+	for {
 		owner.sleep(held.ctx, rememberEvery)
-		var learned []*job.Interference
-		if !owner.decisions.Ask(held.ctx, func(time.Time) { learned = owner.learnedByOthers(held, nil) }) {
+		if !owner.writeLearned(record) {
 			return
 		}
-		value, err := proto.Marshal(&job.Learned{Pairs: forRemembering(learned)})
-		if err != nil {
-			// A message that was just built always encodes.
-			owner.log(event.RecordUnreadable, slog.String("key", job.LearnedKey), slog.Any("error", err))
-			return
-		}
-		if len(learned) == 0 || slices.Equal(value, written) {
-			continue
-		}
-		if err := owner.appendLearned(held, value, sequence); err != nil {
-			var refused *platform.RefusedError
-			if errors.As(err, &refused) && !refused.Busy() {
-				owner.log(event.LearnedNotKept, slog.Int64("epoch", held.epoch), slog.Any("error", err))
-				return
-			}
-			// The same sequence number is sent with the next record: if this one
-			// was taken after all, the next one is lost and the one after it is not.
-			owner.log(event.AppendRetried, slog.String("call", "append"), slog.String("key", job.LearnedKey), slog.Any("error", err))
-			continue
-		}
-		sequence++
-		written = value
 	}
 }
 
-func (owner *Owner) appendLearned(held *shard, value []byte, sequence int64) error {
+// learnedRecord is what this owner has written of interference.
+type learnedRecord struct {
+	held     *shard
+	written  []byte
+	sequence int64 // of the next append
+}
+
+// writeLearned writes what the agents have learned by now, if that has changed. It
+// reports false once this owner is not to write any more.
+func (owner *Owner) writeLearned(record *learnedRecord) bool {
+	var learned []*job.Interference
+	if !owner.decisions.Ask(record.held.ctx, func(time.Time) { learned = owner.learnedByOthers(record.held, nil) }) {
+		return false
+	}
+	value, err := proto.Marshal(&job.Learned{Pairs: forRemembering(learned)})
+	if err != nil {
+		// A message that was just built always encodes.
+		owner.log(event.RecordUnreadable, slog.String("key", job.LearnedKey), slog.Any("error", err))
+		return false
+	}
+	if len(learned) == 0 || slices.Equal(value, record.written) {
+		return true
+	}
+	if err := owner.appendLearned(record, value); err != nil {
+		return owner.noteNotWritten(record, err)
+	}
+	record.sequence++
+	record.written = value
+	return true
+}
+
+// noteNotWritten reports whether an append that failed is to be tried again. It is, under
+// the same sequence number and with what is learned by then: if the store took it after
+// all, the next one is lost and the one after it is not.
+func (owner *Owner) noteNotWritten(record *learnedRecord, err error) bool {
+	var refused *platform.RefusedError
+	if errors.As(err, &refused) && !refused.Busy() {
+		owner.log(event.LearnedNotKept, slog.Int64("epoch", record.held.epoch), slog.Any("error", err))
+		return false
+	}
+	owner.log(event.AppendRetried, slog.String("call", "append"), slog.String("key", job.LearnedKey), slog.Any("error", err))
+	return true
+}
+
+func (owner *Owner) appendLearned(record *learnedRecord, value []byte) error {
+	held := record.held
 	ctx, cancel := context.WithTimeout(held.ctx, storeTimeout)
 	defer cancel()
 	_, err := owner.options.Store.Append(ctx, platform.Append{
 		Topic: job.TopicLearned, Part: held.number, Records: []platform.Record{{Key: job.LearnedKey, Value: value}},
-		Producer: producer, Epoch: held.epoch, Sequence: sequence,
+		Producer: producer, Epoch: held.epoch, Sequence: record.sequence,
 	})
 	return err
 }
