Whether something fits is told without writing figures; the state measured, findings

Cause: the shared check of room wrote its figures out for every worker and waiting task, also where only the reason was asked for.

Change: the reason is worked out without figures; only the gate's refusal writes them.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -62,29 +62,39 @@
 	Accelerators int64
 }
 
-// refusal says which bound keeps something from fitting into what is free; nil if none
-// does.
-func (free Resources) refusal(asked Resources) *Refusal {
+// Lacks returns which bound keeps something from fitting into what is free; the empty
+// reason if none does.
+//
+// Performance: owners ask it of every worker for each task that waits, so it tells no
+// figures.
+func (free Resources) Lacks(asked Resources) Reason {
 	switch {
 	case asked.MilliCPU < 0 || asked.MemoryBytes < 0 || asked.Accelerators < 0:
-		return &Refusal{reason: Invalid}
+		return Invalid
 	case asked.MilliCPU > free.MilliCPU:
-		return &Refusal{reason: NoProcessor, detail: fmt.Sprintf("asked for %dm, free %dm", asked.MilliCPU, free.MilliCPU)}
+		return NoProcessor
 	case asked.MemoryBytes > free.MemoryBytes:
-		return &Refusal{reason: NoMemory, detail: fmt.Sprintf("asked for %d bytes, free %d", asked.MemoryBytes, free.MemoryBytes)}
+		return NoMemory
 	case asked.Accelerators > free.Accelerators:
-		return &Refusal{reason: NoAccelerator, detail: fmt.Sprintf("asked for %d, free %d", asked.Accelerators, free.Accelerators)}
+		return NoAccelerator
 	}
-	return nil
+	return ""
 }
 
-// Lacks returns which bound keeps something from fitting into what is free; the empty
-// reason if none does.
-func (free Resources) Lacks(asked Resources) Reason {
-	if refusal := free.refusal(asked); refusal != nil {
-		return refusal.Reason()
+// refusal is Lacks with figures, nil if something fits.
+func (free Resources) refusal(asked Resources) *Refusal {
+	reason := free.Lacks(asked)
+	switch reason {
+	case "":
+		return nil
+	case NoProcessor:
+		return &Refusal{reason: reason, detail: fmt.Sprintf("asked for %dm, free %dm", asked.MilliCPU, free.MilliCPU)}
+	case NoMemory:
+		return &Refusal{reason: reason, detail: fmt.Sprintf("asked for %d bytes, free %d", asked.MemoryBytes, free.MemoryBytes)}
+	case NoAccelerator:
+		return &Refusal{reason: reason, detail: fmt.Sprintf("asked for %d, free %d", asked.Accelerators, free.Accelerators)}
 	}
-	return ""
+	return &Refusal{reason: reason}
 }
 
 // Add gives resources back.
