--- a/report/history.go
+++ b/report/history.go
@@ -194,7 +194,7 @@
 	}
 	run := &runHistory{
 		task: task, attempt: one.Attempt, worker: one.Worker, image: one.Image, fills: one.Fills, serves: one.TargetMillis > 0,
-		milliCPU: one.MilliCPU, estimate: time.Duration(one.EstimateMS) * time.Millisecond,
+		milliCPU: one.MilliCPU, estimate: time.Duration(one.EstimateMillis) * time.Millisecond,
 		placedAt: one.At, waited: one.Waited, obstacle: one.Obstacle, how: runGoesOn, pace: 1, pacedAt: one.At,
 	}
 	task.runs = append(task.runs, run)
--- a/report/line.go
+++ b/report/line.go
@@ -14,27 +14,27 @@
 	Role  string     `json:"role"`
 	Event event.Code `json:"event"`
 
-	Job          string        `json:"job"`
-	Queue        string        `json:"queue"`
-	State        string        `json:"state"`
-	Took         time.Duration `json:"took"`
-	Age          time.Duration `json:"age"`
-	Allowed      time.Duration `json:"allowed"`
-	Lasting      bool          `json:"lasting"`
-	CoreMillis   int64         `json:"core_ms"`
-	Task         string        `json:"task"`
-	Attempt      int32         `json:"attempt"`
-	Worker       string        `json:"worker"`
-	MilliCPU     int64         `json:"milli_cpu"`
-	Fills        bool          `json:"fills"`
-	Image        string        `json:"image"`
-	TargetMillis int64         `json:"target_ms"`
-	EstimateMS   int64         `json:"estimate_ms"`
-	Waited       time.Duration `json:"waited"`
-	Obstacle     string        `json:"obstacle"`
-	Recorded     time.Duration `json:"recorded"`
-	How          string        `json:"how"`
-	Percent      int32         `json:"percent"`
-	Beside       string        `json:"beside"`
-	Count        int           `json:"count"`
+	Job            string        `json:"job"`
+	Queue          string        `json:"queue"`
+	State          string        `json:"state"`
+	Took           time.Duration `json:"took"`
+	Age            time.Duration `json:"age"`
+	Allowed        time.Duration `json:"allowed"`
+	Lasting        bool          `json:"lasting"`
+	CoreMillis     int64         `json:"core_ms"`
+	Task           string        `json:"task"`
+	Attempt        int32         `json:"attempt"`
+	Worker         string        `json:"worker"`
+	MilliCPU       int64         `json:"milli_cpu"`
+	Fills          bool          `json:"fills"`
+	Image          string        `json:"image"`
+	TargetMillis   int64         `json:"target_ms"`
+	EstimateMillis int64         `json:"estimate_ms"`
+	Waited         time.Duration `json:"waited"`
+	Obstacle       string        `json:"obstacle"`
+	Recorded       time.Duration `json:"recorded"`
+	How            string        `json:"how"`
+	Percent        int32         `json:"percent"`
+	Beside         string        `json:"beside"`
+	Count          int           `json:"count"`
 }
--- a/report/timeline.go
+++ b/report/timeline.go
@@ -56,12 +56,12 @@
 }
 
 func (past *history) timeline() []Slice {
-	slices := make([]Slice, int(past.to.Sub(past.from)/sliceLength)+1)
-	for index := range slices {
-		slices[index].From = past.from.Add(time.Duration(index) * sliceLength)
+	rows := make([]Slice, int(past.to.Sub(past.from)/sliceLength)+1)
+	for index := range rows {
+		rows[index].From = past.from.Add(time.Duration(index) * sliceLength)
 	}
 	at := func(when time.Time) *Slice {
-		return &slices[min(max(int(when.Sub(past.from)/sliceLength), 0), len(slices)-1)]
+		return &rows[min(max(int(when.Sub(past.from)/sliceLength), 0), len(rows)-1)]
 	}
 	for _, of := range past.jobs {
 		switch of.outcome() {
@@ -90,7 +90,7 @@
 	for slice, found := range marks {
 		slice.Marks = counts(found)
 	}
-	return slices
+	return rows
 }
 
 func noteRun(run *runHistory, at func(time.Time) *Slice) {
