report: fields that nothing read are gone, a task's last run has one name

Read again as a newcomer: a job's taking and lasting, a run's task, a task's name and a line's role were kept and never used; the last run of a task was indexed in four places; spans were ordered by hand where cmp.Or stands beside; the end of a run on a worker was worked out twice. No behaviour changes: the golden text and JSON are as they were.

--- a/report/history.go
+++ b/report/history.go
@@ -26,26 +26,25 @@
 type jobHistory struct {
 	id, queue  string
 	acceptedAt time.Time // when its client sent it, as far as the gateway knows
-	takenAt    time.Time // when its owner first read it
 	endedAt    time.Time // zero while it goes on
 	state      string
 	took       time.Duration
 	allowed    time.Duration
-	lasting    bool
 	coreMillis int64
 	tasks      []*taskHistory
 }
 
 // taskHistory holds the runs of one task, in the order of their attempts.
 type taskHistory struct {
-	name string
 	step int32
 	runs []*runHistory
 }
 
+// last returns the task's newest run; a task is known by its first one.
+func (task *taskHistory) last() *runHistory { return task.runs[len(task.runs)-1] }
+
 // runHistory is one run of a task.
 type runHistory struct {
-	task     *taskHistory
 	attempt  int32
 	worker   string
 	image    string
@@ -168,10 +167,7 @@
 	if taken.acceptedAt.IsZero() {
 		taken.acceptedAt = one.At.Add(-one.Age)
 	}
-	if taken.takenAt.IsZero() {
-		taken.takenAt = one.At
-	}
-	taken.queue, taken.allowed, taken.lasting, taken.coreMillis = one.Queue, one.Allowed, one.Lasting, one.CoreMillis
+	taken.queue, taken.allowed, taken.coreMillis = one.Queue, one.Allowed, one.CoreMillis
 }
 
 func (past *history) noteJobEnded(one *line) {
@@ -187,13 +183,13 @@
 	}
 	task := past.tasks[one.Task]
 	if task == nil {
-		task = &taskHistory{name: one.Task, step: ref.Step}
+		task = &taskHistory{step: ref.Step}
 		past.tasks[one.Task] = task
 		of := past.jobOf(ref.Job)
 		of.tasks = append(of.tasks, task)
 	}
 	run := &runHistory{
-		task: task, attempt: one.Attempt, worker: one.Worker, image: one.Image, fills: one.Fills, serves: one.TargetMillis > 0,
+		attempt: one.Attempt, worker: one.Worker, image: one.Image, fills: one.Fills, serves: one.TargetMillis > 0,
 		milliCPU: one.MilliCPU, estimate: time.Duration(one.EstimateMillis) * time.Millisecond,
 		placedAt: one.At, waited: one.Waited, obstacle: one.Obstacle, how: runGoesOn, pace: 1, pacedAt: one.At,
 	}
@@ -246,7 +242,7 @@
 
 func (past *history) notePaced(one *line) {
 	if task := past.tasks[one.Task]; task != nil {
-		task.runs[len(task.runs)-1].notePace(one.At, float64(one.Percent)/percent)
+		task.last().notePace(one.At, float64(one.Percent)/percent)
 	}
 }
 
--- a/report/image.go
+++ b/report/image.go
@@ -100,7 +100,7 @@
 				sum.Evicted++
 			}
 		}
-		if last := task.runs[len(task.runs)-1]; last.how == runDone {
+		if last := task.last(); last.how == runDone {
 			took = append(took, last.endedAt.Sub(task.runs[0].placedAt))
 			sum.Estimated += last.estimate
 		}
--- a/report/line.go
+++ b/report/line.go
@@ -11,7 +11,6 @@
 type line struct {
 	At    time.Time  `json:"time"`
 	Name  string     `json:"name"`
-	Role  string     `json:"role"`
 	Event event.Code `json:"event"`
 
 	Job            string        `json:"job"`
@@ -20,7 +19,6 @@
 	Took           time.Duration `json:"took"`
 	Age            time.Duration `json:"age"`
 	Allowed        time.Duration `json:"allowed"`
-	Lasting        bool          `json:"lasting"`
 	CoreMillis     int64         `json:"core_ms"`
 	Task           string        `json:"task"`
 	Attempt        int32         `json:"attempt"`
--- a/report/path.go
+++ b/report/path.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -33,7 +34,7 @@
 			break
 		}
 		// An owner that has read the end places what waits for it at once.
-		end := before.runs[len(before.runs)-1].endedAt
+		end := before.last().endedAt
 		spent[spentOwner] += begun.Sub(end)
 		task, until = before, end
 	}
@@ -46,11 +47,11 @@
 func (of *jobHistory) lastDone(by time.Time, step int32) *taskHistory {
 	var last *taskHistory
 	for _, task := range of.tasks {
-		final := task.runs[len(task.runs)-1]
+		final := task.last()
 		if final.how != runDone || final.endedAt.After(by) || step >= 0 && task.step >= step {
 			continue
 		}
-		if last == nil || final.endedAt.After(last.runs[len(last.runs)-1].endedAt) {
+		if last == nil || final.endedAt.After(last.last().endedAt) {
 			last = task
 		}
 	}
@@ -133,13 +134,7 @@
 		}
 	}
 	slices.SortFunc(ordered, func(a, b Span) int {
-		if a.Time != b.Time {
-			return int(min(max(b.Time-a.Time, -1), 1))
-		}
-		if a.What < b.What {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.Time, a.Time), cmp.Compare(a.What, b.What))
 	})
 	return ordered
 }
--- a/report/worker.go
+++ b/report/worker.go
@@ -70,10 +70,11 @@
 		if from.IsZero() || run.placedAt.Before(from) {
 			from = run.placedAt
 		}
-		if until := of.over(run, end); until.After(to) {
+		until := of.over(run, end)
+		if until.After(to) {
 			to = until
 		}
-		used.add(run, of.over(run, end))
+		used.add(run, until)
 		if run.serves {
 			images[run.image] = true
 		}
