session: the test of a full server lets time pass only for a request that can be handed in

Cause: a request that finds its server full looks for room four times at most. The test's clock ran on beside the answers, so on a busy machine the first in the queue used its looks up before the server had answered the requests before it, and was told 503.

Ruled out: the deadline (it is real time in the test) and the bound of the queue.

Change: the server answers what it has and gives its slots back first; then the clock moves only until the next request has left the queue.

--- a/session/outcome_test.go
+++ b/session/outcome_test.go
@@ -4,7 +4,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
+	"time"
 
 	"ambertiller.example/ambertiller/api"
 )
@@ -39,11 +42,15 @@
 	}
 }
 
-// TestFullServerIsWaitedFor: two entries that don't know of each other's
-// requests send to a server with one slot left; the one that is refused waits
-// its turn and is answered.
+// TestFullServerIsWaitedFor: two entries that don't know of each other's requests send
+// to the same server; those that are refused wait their turn and are answered. Time passes only for a request that can be handed in: a request
+// looks for room a few times at most, and looks that the server has no processor to
+// answer in between would use them up.
 func TestFullServerIsWaitedFor(t *testing.T) {
 	release := make(chan struct{})
+	free := sync.OnceFunc(func() { close(release) })
+	// Before the backend servers close, which wait for their requests.
+	defer free()
 	arrived := make(chan struct{}, 32)
 	made := newBench(t)
 	made.backend = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
@@ -54,10 +61,15 @@
 	made.fill()
 	made.guards["worker-02"].role.Leave(made.ctx)
 	const slots = 8
-	statuses := make(chan int, 2*slots)
+	answers := make(chan *httptest.ResponseRecorder, 2*slots)
 	send := func(name string) {
-		answer := made.doQuiet(name, http.MethodPost, "/v1/services/verbale/snippets", "x")
-		statuses <- answer.Code
+		answers <- made.doQuiet(name, http.MethodPost, "/v1/services/verbale/snippets", "x")
+	}
+	expectAnswer := func() {
+		t.Helper()
+		if answer := <-answers; answer.Code != http.StatusOK {
+			t.Errorf("status %d: %s", answer.Code, answer.Body)
+		}
 	}
 	for range slots {
 		go send("entry-1")
@@ -68,15 +80,24 @@
 	for range slots {
 		go send("entry-2")
 	}
-	made.await("the refused ones wait", func() bool { return made.entries["entry-2"].role.Queued("verbale") == slots })
-	close(release)
-	made.whileTimePasses(func() {
-		for range 2 * slots {
-			if status := <-statuses; status != http.StatusOK {
-				t.Errorf("status %d", status)
+	waiting := func() int { return made.entries["entry-2"].role.Queued("verbale") }
+	made.await("the refused ones wait", func() bool { return waiting() == slots })
+	free()
+	for range slots {
+		expectAnswer()
+	}
+	made.await("the server has room", func() bool { return made.guards["worker-01"].role.Gate().Usage().Slots == 0 })
+	for left := slots - 1; left >= 0; left-- {
+		made.await("the first of those who wait is handed in", func() bool {
+			if waiting() <= left {
+				return true
 			}
-		}
-	})
+			made.tick(time.Millisecond)
+			return false
+		})
+		<-arrived
+		expectAnswer()
+	}
 }
 
 // TestSubmissionBounds: what a kind does not allow is told at submission.
