Agents and owners tell each other what has changed, not all that they know

Cause: bytes between failure domains grew with the square of the fleet. Every agent sent its whole state, with the tolerances of all images, to every owner at each change of its room; the owner of the shared shard sent the whole table of interference to every agent each 1.5 s, and worked it out anew for each from all agents' tables.

Ruled out: longer pauses between messages, which make owners place on older states.

A stream that ends is followed by one on which everything is told again, so nothing is acknowledged. The owner of the shared shard keeps sums that agents' changes add to, and tells a pair when its mean has moved; the agent keeps what it was told, takes its own part out and takes it in each 1.5 s as before. Peers of an earlier build are told everything, as before: each side says with its first message what it takes. What a worker's serving tasks have to spare is worked out once for all images.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -164,6 +164,7 @@
 		agent.moveAhead(now)
 		agent.look(now)
 	}
+	agent.paced.shareAgain(now)
 	agent.tellOwners(now)
 	agent.gauge(now)
 }
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -157,12 +157,17 @@
 
 // attach connects an owner that claims the shard and grants it time.
 func (made *bench) attach(epoch int64) *stream {
-	owner := &stream{in: make(chan *wire.OwnerMessage, 64), ctx: made.ctx}
-	go func() { _ = made.beside.Attach(owner) }()
-	owner.tell(&wire.OwnerMessage{
+	return made.connect(&wire.OwnerMessage{
 		Owner: "edge-1", Owned: true, Shards: []*wire.ShardEpoch{{Shard: shard, Epoch: epoch}},
 		GrantUntilNanos: int64(grant),
 	})
+}
+
+// connect opens an owner's stream with a first message and waits until it is handled.
+func (made *bench) connect(first *wire.OwnerMessage) *stream {
+	owner := &stream{in: make(chan *wire.OwnerMessage, 64), ctx: made.ctx}
+	go func() { _ = made.beside.Attach(owner) }()
+	owner.tell(first)
 	made.until(func() bool {
 		return owner.last(func(message *wire.AgentMessage) bool { return message.GetHandled() >= 1 }) != nil
 	})
--- a/agent/learned.go
+++ b/agent/learned.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"ambertiller.example/ambertiller/interference"
@@ -16,17 +17,19 @@
 // tolerances tells how many more cores of each image the serving runs bear.
 func (agent *Agent) tolerances(state *workerState, status *wire.WorkerStatus, now time.Time) {
 	servings, fills := state.sharing(now)
+	for _, serving := range servings {
+		status.ServingImages = append(status.ServingImages, serving.Image)
+	}
+	slices.Sort(status.ServingImages)
+	borne := agent.paced.model.Bearing(servings, fills)
 	tolerated := func(image string) int64 {
-		cores := agent.paced.model.Tolerance(servings, fills, image)
+		cores := borne.Tolerance(image)
 		if math.IsInf(cores, 1) {
 			return unboundedTolerance
 		}
 		return int64(cores / state.modelScale())
 	}
 	status.ToleratedMilliCpu = tolerated("")
-	for _, serving := range servings {
-		status.ServingImages = append(status.ServingImages, serving.Image)
-	}
 	for _, image := range agent.paced.model.Images() {
 		status.Tolerances = append(status.Tolerances, &wire.Tolerance{Image: image, MilliCpu: tolerated(image)})
 	}
@@ -43,6 +46,78 @@
 	return told
 }
 
+// weightStep and readingsStep are by how much a weight, and the share by which what it
+// rests on, has to differ to be told anew. A weight of 0.02 is a sixth of what readings of
+// pairs that don't disturb teach.
+const (
+	weightStep   = 0.02
+	readingsStep = 0.2
+)
+
+// learnedAnew returns the pairs of which the owner has not been told what the readings
+// have taught by now, and notes them as told. An owner that takes no changes is told all.
+func (owner *session) learnedAnew(learned []*job.Interference) []*job.Interference {
+	if !owner.takesChanges {
+		return learned
+	}
+	if owner.toldLearned == nil {
+		owner.toldLearned = map[interference.Pair]interference.Estimate{}
+	}
+	var anew []*job.Interference
+	for _, known := range learned {
+		pair := interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()}
+		now := interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}
+		if before, found := owner.toldLearned[pair]; found && !movedEstimate(before, now) {
+			continue
+		}
+		owner.toldLearned[pair] = now
+		anew = append(anew, known)
+	}
+	return anew
+}
+
+// movedEstimate reports whether an estimate differs enough from what was told.
+func movedEstimate(before, now interference.Estimate) bool {
+	return math.Abs(now.Weight-before.Weight) >= weightStep ||
+		math.Abs(float64(now.Readings-before.Readings)) >= readingsStep*float64(max(before.Readings, 1))
+}
+
+// shareEvery is how often what was kept of others is taken in again, so that the weights
+// that other workers read pull on those read here as steadily as their readings come.
+const shareEvery = 1500 * time.Millisecond
+
+// keep takes in what the readings of all workers together have taught of some pairs, and
+// keeps it.
+func (paced *pacing) keep(told []*job.Interference, now time.Time) {
+	for _, known := range told {
+		pair := interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()}
+		paced.byAll[pair] = interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}
+		paced.shareKept(pair, paced.model.Own(pair), now)
+	}
+}
+
+// shareAgain takes what was kept in once more, if that is due.
+func (paced *pacing) shareAgain(now time.Time) {
+	if now.Sub(paced.sharedAt) < shareEvery {
+		return
+	}
+	paced.sharedAt = now
+	for pair := range paced.byAll {
+		paced.shareKept(pair, paced.model.Own(pair), now)
+	}
+}
+
+// shareKept takes in what all workers but this one have taught of a pair.
+func (paced *pacing) shareKept(pair interference.Pair, own interference.Estimate, now time.Time) {
+	all := paced.byAll[pair]
+	others := all.Readings - own.Readings
+	if others <= 0 {
+		return
+	}
+	weight := (all.Weight*float64(all.Readings) - own.Weight*float64(own.Readings)) / float64(others)
+	paced.model.Share(pair, interference.Estimate{Weight: weight, Readings: others}, now)
+}
+
 // share takes in what other workers' readings have taught.
 func (paced *pacing) share(told []*job.Interference, now time.Time) {
 	for _, known := range told {
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -38,12 +38,17 @@
 type pacing struct {
 	model     *interference.Model
 	evictedAt time.Time // when a run was last evicted
+	// byAll is what the readings of all workers, this one's included, have taught by
+	// the word of an owner that tells only what changes; sharedAt is when it was last
+	// taken in.
+	byAll    map[interference.Pair]interference.Estimate
+	sharedAt time.Time
 }
 
 // newPacing returns a pacing that has learned nothing; a target may be missed for
 // harmAfter on end.
 func newPacing(harmAfter time.Duration) pacing {
-	return pacing{model: interference.New(harmAfter)}
+	return pacing{model: interference.New(harmAfter), byAll: map[interference.Pair]interference.Estimate{}}
 }
 
 // watching reports whether tails of serving tasks are to be looked at closely.
--- a/agent/preempt.go
+++ b/agent/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -89,7 +90,8 @@
 		held[priority].Add(admission.Held(run.demand))
 	}
 	var told []*wire.Reclaimable
-	for priority, given := range held {
+	for _, priority := range slices.Sorted(maps.Keys(held)) {
+		given := held[priority]
 		told = append(told, &wire.Reclaimable{
 			Priority: priority, MilliCpu: given.MilliCPU, MemoryMb: given.MemoryMB(), Accelerators: given.Accelerators,
 		})
--- a/agent/session.go
+++ b/agent/session.go
@@ -5,23 +5,15 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/interference"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/status"
 	"ambertiller.example/ambertiller/wire"
 )
 
-const (
-	// outboxLength is how many messages may wait to be sent; an owner that lets
-	// more wait is taken for gone.
-	outboxLength = 64
-	// statusEvery is how often an owner hears from the agent at least.
-	statusEvery = 500 * time.Millisecond
-	// runsEvery is how often the owner is told all runs, with checkpoints.
-	runsEvery = time.Second
-	// quietEvery is the same for an owner without shards.
-	quietEvery = 3 * time.Second
-	// statusSettle gathers changes of the room into one message.
-	statusSettle = 15 * time.Millisecond
-)
+// outboxLength is how many messages may wait to be sent; an owner that lets
+// more wait is taken for gone.
+const outboxLength = 64
 
 // session is one owner's stream.
 type session struct {
@@ -29,6 +21,12 @@
 	outbox  chan *wire.AgentMessage
 	closed  chan struct{}
 	handled int64
+	// takesChanges is set for an owner that needs no more than what has changed.
+	takesChanges bool
+	// told is what the owner has been told of the worker, toldLearned what readings have
+	// taught.
+	told        status.Told
+	toldLearned map[interference.Pair]interference.Estimate
 
 	results  []*wire.StartResult
 	ends     []*wire.RunEnd
@@ -80,6 +78,7 @@
 	if !agent.owners[owner] {
 		agent.owners[owner] = true
 		owner.name = message.GetOwner()
+		owner.takesChanges = message.GetTakesChanges()
 		agent.log(event.OwnerAttached, slog.String("owner", owner.name))
 	}
 	if message.GetOwned() {
@@ -90,6 +89,7 @@
 		agent.noteDescription(description)
 	}
 	agent.paced.share(message.GetLearned(), now)
+	agent.paced.keep(message.GetLearnedByAll(), now)
 	for _, order := range message.GetStops() {
 		agent.noteStop(order, now)
 	}
@@ -121,6 +121,10 @@
 			agent.log(event.ShardClaimed, slog.String("owner", owner.name),
 				slog.Int("shard", int(shard.GetShard())), slog.Int64("epoch", shard.GetEpoch()))
 			agent.resendEnds(owner, shard.GetShard())
+			if shard.GetShard() == job.SharedShard {
+				// What an earlier owner put together is not this one's.
+				owner.toldLearned = nil
+			}
 		}
 		held.epoch = shard.GetEpoch()
 		held.owner = owner
@@ -220,110 +224,3 @@
 		Task: run.task, Attempt: run.attempt, Worker: state.beat.Incarnation, Outcome: outcome,
 	})
 }
-
-// statusChanged has all owners told what is free.
-func (agent *Agent) statusChanged() {
-	for owner := range agent.owners {
-		owner.changed = true
-	}
-}
-
-// tellOwners sends each owner what it has not been told.
-func (agent *Agent) tellOwners(now time.Time) {
-	var status *wire.WorkerStatus
-	for owner := range agent.owners {
-		if !agent.due(owner, now) {
-			continue
-		}
-		if status == nil {
-			// Performance: it is the same for all owners, and its tolerances
-			// go over all pairs of images.
-			status = agent.status(now)
-		}
-		message := agent.message(owner, status, now)
-		select {
-		case owner.outbox <- message:
-		default:
-			// The owner does not read: it is as good as gone. It attaches
-			// anew and is told everything.
-			delete(agent.owners, owner)
-			close(owner.closed)
-		}
-	}
-}
-
-func (agent *Agent) due(owner *session, now time.Time) bool {
-	if len(owner.results) > 0 || len(owner.ends) > 0 || owner.wholeDue {
-		return true
-	}
-	since := now.Sub(owner.sentAt)
-	if !agent.ownsAny(owner) {
-		return since >= quietEvery
-	}
-	return since >= statusEvery || owner.changed && since >= statusSettle
-}
-
-// ownsAny reports whether an owner has claimed a shard.
-func (agent *Agent) ownsAny(owner *session) bool {
-	for _, held := range agent.claims {
-		if held.owner == owner {
-			return true
-		}
-	}
-	return false
-}
-
-func (agent *Agent) message(owner *session, status *wire.WorkerStatus, now time.Time) *wire.AgentMessage {
-	message := &wire.AgentMessage{
-		Agent: agent.id, UptimeNanos: int64(agent.uptime(now)), Status: status,
-		Results: owner.results, Ends: owner.ends, Handled: owner.handled,
-	}
-	if owner.wholeDue || now.Sub(owner.runsSent) >= runsEvery {
-		message.Complete = true
-		message.Runs = agent.runStatus(owner)
-		if held, found := agent.claims[job.SharedShard]; found && held.owner == owner {
-			message.Learned = agent.paced.learned()
-		}
-		owner.runsSent = now
-	}
-	owner.results, owner.ends = nil, nil
-	owner.changed, owner.wholeDue = false, false
-	owner.sentAt = now
-	return message
-}
-
-// runStatus lists the runs of the owner's shards, and those that nobody owns.
-func (agent *Agent) runStatus(owner *session) []*wire.RunStatus {
-	var listed []*wire.RunStatus
-	if agent.worker == nil {
-		return nil
-	}
-	for _, run := range agent.worker.runs {
-		if held, claimed := agent.claims[run.shard]; claimed && held.owner != owner {
-			continue
-		}
-		listed = append(listed, &wire.RunStatus{
-			Task: run.task, Attempt: run.attempt, Checkpoint: run.checkpoint, Percent: run.percent, Figure: run.figure,
-		})
-	}
-	return listed
-}
-
-func (agent *Agent) status(now time.Time) *wire.WorkerStatus {
-	state := agent.worker
-	if state == nil {
-		return &wire.WorkerStatus{}
-	}
-	free := state.room()
-	status := &wire.WorkerStatus{
-		Worker: state.beat.Incarnation, Service: state.beat.Service, FailureDomain: state.beat.FailureDomain,
-		Labels: state.beat.Labels, Machine: state.beat.Machine,
-		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
-		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
-		FreeMilliCpu: free.MilliCPU, FreeMemoryMb: free.MemoryMB(), FreeAccelerators: free.Accelerators,
-		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
-		Reclaimable: state.reclaimable(),
-	}
-	agent.tolerances(state, status, now)
-	return status
-}
--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// Own returns what this worker's own readings have taught of a pair.
+func (model *Model) Own(pair Pair) Estimate {
+	state, known := model.images[pair.Serving]
+	if !known || state.own[pair.Fill] == nil {
+		return Estimate{}
+	}
+	own := state.own[pair.Fill]
+	return Estimate{Weight: own.weight(), Readings: int(own.count)}
+}
+
 // Estimates returns what this worker's own readings have taught.
 func (model *Model) Estimates() map[Pair]Estimate {
 	learned := map[Pair]Estimate{}
@@ -81,6 +91,6 @@
 		share = firstShare
 	}
 	counts := min(float64(learned.Readings), mostReadings) * share
-	state.filter.observe([]term{{weightOf(pair.Fill), 1}}, learned.Weight-weight, weightVariance/counts)
+	state.filter.observe([]term{{weightOf(pair.Fill), 1}}, clampWeight(learned.Weight)-weight, weightVariance/counts)
 	state.bound()
 }
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -42,6 +42,7 @@
 package interference
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -92,14 +93,11 @@
 
 // Images returns the filling images that the model knows.
 func (model *Model) Images() []string {
-	var images []string
+	known := map[string]bool{}
 	for _, state := range model.images {
 		for fill := range state.own {
-			if !slices.Contains(images, fill) {
-				images = append(images, fill)
-			}
+			known[fill] = true
 		}
 	}
-	slices.Sort(images)
-	return images
+	return slices.Sorted(maps.Keys(known))
 }
--- a/interference/tolerance.go
+++ b/interference/tolerance.go
@@ -10,25 +10,52 @@
 // and at 3 s serving tasks of the package's own test miss their targets more often.
 const placeLead = 2500 * time.Millisecond
 
-// Tolerance returns how many more cores of an image the serving tasks bear, at the
-// lowest level that they are expected to have within placeLead, beside the filling tasks
-// that are there at full pace. Below zero it tells how much a core would take from a
-// task that bears none, so that the least harmful of several workers can be told.
+// Tolerance returns how many more cores of an image the serving tasks bear, as Bearing
+// tells it.
 func (model *Model) Tolerance(servings []Serving, fills []Fill, image string) float64 {
-	least := math.Inf(1)
+	return model.Bearing(servings, fills).Tolerance(image)
+}
+
+// Bearing is what each of some serving tasks has to spare, for questions about many
+// images.
+type Bearing struct {
+	model    *Model
+	servings []Serving
+	left     []float64 // headroom to spare, by serving task
+}
+
+// Bearing works out what serving tasks have to spare beside filling tasks at full pace, at
+// the lowest level that they are expected to have within placeLead.
+//
+// Performance: a worker tells the tolerances of all images that it knows each time its
+// room changes.
+func (model *Model) Bearing(servings []Serving, fills []Fill) Bearing {
+	borne := Bearing{model: model}
 	for _, serving := range servings {
 		if serving.Target <= 0 {
 			continue
 		}
-		weight := model.disturbance(serving.Image, image)
-		if model.holdsBack(serving, image) {
+		borne.servings = append(borne.servings, serving)
+		borne.left = append(borne.left, model.leftBeside(serving, fills))
+	}
+	return borne
+}
+
+// Tolerance returns how many more cores of an image the serving tasks bear. Below zero it
+// tells how much a core would take from a task that bears none, so that the least harmful
+// of several workers can be told.
+func (borne Bearing) Tolerance(image string) float64 {
+	least := math.Inf(1)
+	for index, serving := range borne.servings {
+		weight := borne.model.disturbance(serving.Image, image)
+		if borne.model.holdsBack(serving, image) {
 			least = min(least, -max(weight, noiseWeight))
 			continue
 		}
 		if weight == 0 {
 			continue
 		}
-		if left := model.leftBeside(serving, fills); left <= 0 {
+		if left := borne.left[index]; left <= 0 {
 			least = min(least, -weight)
 		} else {
 			least = min(least, left/weight)
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -139,7 +139,7 @@
 func (owner *Owner) workersToAsk(known *stepAdvice) []string {
 	var workers []string
 	for _, view := range owner.agents {
-		status := view.status
+		status := view.status()
 		if view.link == nil || !status.GetReady() || status.GetDraining() || status.GetService() != known.service || known.asked[status.GetWorker()] {
 			continue
 		}
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -10,6 +10,7 @@
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/status"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -21,7 +22,7 @@
 	address string
 	link    *link // nil while not attached
 	id      string
-	status  *wire.WorkerStatus
+	heard   *status.Heard
 	heardAt time.Time
 	uptime  time.Duration
 	// grantEnd is when the last grant must have ended, by this owner's clock.
@@ -34,10 +35,14 @@
 	claimed  bool // the present shards are in message, or were sent
 	claimSeq map[int]int64
 
-	// learned is what the agent's readings have taught of interference, sharedAt
-	// is when it was last told what those of all agents have.
-	learned  []*job.Interference
-	sharedAt time.Time
+	// greeted is set once the agent has spoken on the present connection.
+	greeted bool
+	// keepsLearned is set for an agent that keeps what it is told of interference, and
+	// needs to be told no more than what changes. sharedAt is when it was last told, and
+	// sharedVersion up to which version of the table.
+	keepsLearned  bool
+	sharedAt      time.Time
+	sharedVersion int64
 
 	runs map[string]*runEntry
 	// ended holds the incarnations that have ended for certain.
@@ -50,10 +55,13 @@
 	preemptedAt time.Time
 }
 
+// status returns what is known of the agent's worker.
+func (view *agentView) status() *wire.WorkerStatus { return view.heard.Whole() }
+
 // newView returns the view of an agent that has not been heard.
 func newView(address string) *agentView {
 	return &agentView{
-		address: address, status: &wire.WorkerStatus{}, runs: map[string]*runEntry{},
+		address: address, heard: status.NewHeard(), runs: map[string]*runEntry{},
 		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
 	}
 }
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -34,7 +34,7 @@
 func (owner *Owner) candidates(now time.Time) []*candidate {
 	var workers []*candidate
 	for _, view := range owner.agents {
-		status := view.status
+		status := view.status()
 		if view.link == nil || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) || now.Sub(view.heardAt) > 2*grantEvery {
 			continue
 		}
@@ -77,7 +77,7 @@
 // allows says what forbids a task to run at the worker, if there were room.
 func (worker *candidate) allows(task *job.Task) obstacle {
 	spec := task.Spec()
-	status := worker.view.status
+	status := worker.view.status()
 	switch {
 	case status.GetService() != task.Job().Submission().GetService():
 		return wrongService
@@ -117,14 +117,7 @@
 // tolerates returns how many more processors of a filling image the worker's
 // serving tasks bear, at most what is idle; below zero, how much they would suffer.
 func (worker *candidate) tolerates(image string) int64 {
-	status := worker.view.status
-	tolerated := status.GetToleratedMilliCpu()
-	for _, known := range status.GetTolerances() {
-		if known.GetImage() == image {
-			tolerated = known.GetMilliCpu()
-		}
-	}
-	return min(worker.idle(), tolerated-worker.addedFill)
+	return min(worker.idle(), worker.view.heard.Tolerance(image)-worker.addedFill)
 }
 
 // rankFor orders workers for an image, in the same way at each owner.
@@ -150,7 +143,7 @@
 func (worker *candidate) holding(task *job.Task) int32 {
 	count := int32(0)
 	for _, member := range task.Job().Members(task) {
-		if member.State() == job.TaskState_TASK_STARTED && member.Place().Worker == worker.view.status.GetWorker() {
+		if member.State() == job.TaskState_TASK_STARTED && member.Place().Worker == worker.view.status().GetWorker() {
 			count++
 		}
 	}
@@ -159,7 +152,7 @@
 
 // rack returns the worker's rack, which is its second label.
 func (worker *candidate) rack() string {
-	if labels := worker.view.status.GetLabels(); len(labels) > rackLabel {
+	if labels := worker.view.status().GetLabels(); len(labels) > rackLabel {
 		return labels[rackLabel]
 	}
 	return ""
@@ -168,5 +161,5 @@
 // near reports whether the worker stands in the rack that holds the task's data.
 func (worker *candidate) near(task *job.Task) bool {
 	rack := task.Spec().GetAffinity()
-	return rack == "" || slices.Contains(worker.view.status.GetLabels(), rack)
+	return rack == "" || slices.Contains(worker.view.status().GetLabels(), rack)
 }
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -90,11 +90,13 @@
 
 func (owner *Owner) noteAttached(view *agentView, made *link) {
 	view.link = made
-	view.message = &wire.OwnerMessage{Owner: owner.self()}
+	view.message = &wire.OwnerMessage{Owner: owner.self(), TakesChanges: true}
 	view.sequence, view.handled = 0, 0
 	view.claimSeq = map[int]int64{}
 	view.claimed = false
 	view.sentAt = time.Time{}
+	view.greeted, view.keepsLearned = false, false
+	view.sharedAt, view.sharedVersion = time.Time{}, 0
 	for _, entry := range view.runs {
 		entry.prior = true
 		entry.sequence = 0
--- /dev/null
+++ b/owner/learned_test.go
@@ -0,0 +1,88 @@
+package owner
+
+import (
+	"math"
+	"testing"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// taught is one pair as an agent tells it.
+func taught(weight float64, readings int32) []*job.Interference {
+	return []*job.Interference{{Serving: "s", Fill: "f", Weight: weight, Readings: readings}}
+}
+
+func TestLearnedTableKeepsTheMean(t *testing.T) {
+	first, second := newView("a"), newView("b")
+	tests := map[string]struct {
+		tell     func(table *learnedTable)
+		weight   float64
+		readings int32
+	}{
+		"one agent":            {func(table *learnedTable) { table.note(first, taught(0.5, 10)) }, 0.5, 10},
+		"two agents":           {func(table *learnedTable) { table.note(first, taught(0.5, 10)); table.note(second, taught(0.2, 20)) }, 0.3, 30},
+		"one that tells again": {func(table *learnedTable) { table.note(first, taught(0.5, 10)); table.note(first, taught(0.4, 20)) }, 0.4, 20},
+		"one that is forgotten": {func(table *learnedTable) {
+			table.note(first, taught(0.5, 10))
+			table.note(second, taught(0.2, 20))
+			table.forget(first)
+		}, 0.2, 20},
+		"beside what is remembered": {func(table *learnedTable) { table.remember(taught(0.5, 10)); table.note(first, taught(0.2, 20)) }, 0.3, 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := newLearnedTable()
+			test.tell(table)
+			weight, readings := weightOf(table.without(nil), "s", "f")
+			if math.Abs(weight-test.weight) > 1e-9 || readings != test.readings {
+				t.Errorf("a weight of %v by %d readings", weight, readings)
+			}
+		})
+	}
+}
+
+// TestAgentsAreToldWhatChanges: an agent that keeps what it is told hears of a pair once,
+// and again when its mean has moved; one that does not hears of all each time, without
+// what it has taught itself.
+func TestAgentsAreToldWhatChanges(t *testing.T) {
+	made := newBench(t)
+	held := made.sharedShard(made.owner.ctx, 4)
+	other := newView("10.0.0.2:7001")
+	made.attach()
+	told := func() *wire.OwnerMessage {
+		made.clock.Advance(shareEvery)
+		made.owner.joinedAt = made.clock.Now()
+		made.owner.tell(made.view, made.clock.Now())
+		messages := made.sent()
+		if len(messages) != 1 {
+			t.Fatalf("%d messages", len(messages))
+		}
+		return messages[0]
+	}
+	held.learned.note(other, taught(0.5, 40))
+	held.learned.note(made.view, taught(0.2, 20))
+	for range 2 {
+		if weight, readings := weightOf(told().GetLearned(), "s", "f"); weight != 0.5 || readings != 40 {
+			t.Errorf("an agent of an earlier build is told a weight of %v by %d readings", weight, readings)
+		}
+	}
+	made.hear(&wire.AgentMessage{KeepsLearned: true})
+	message := told()
+	if weight, readings := weightOf(message.GetLearnedByAll(), "s", "f"); math.Abs(weight-0.4) > 1e-9 || readings != 60 || len(message.GetLearned()) > 0 {
+		t.Errorf("told a weight of %v by %d readings, and %v", weight, readings, message.GetLearned())
+	}
+	held.learned.note(other, taught(0.51, 40))
+	if message := told(); len(message.GetLearnedByAll()) > 0 {
+		t.Errorf("told again although it hardly moved: %v", message.GetLearnedByAll())
+	}
+	held.learned.note(other, taught(0.8, 40))
+	if weight, _ := weightOf(told().GetLearnedByAll(), "s", "f"); math.Abs(weight-0.6) > 1e-9 {
+		t.Errorf("not told that it moved: %v", weight)
+	}
+	made.attach()
+	made.hear(&wire.AgentMessage{KeepsLearned: true})
+	if message := told(); len(message.GetLearnedByAll()) != 1 {
+		t.Error("not told everything on a new connection")
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -107,9 +107,11 @@
 	agents   map[string]*agentView
 	placeDue bool
 	placedAt time.Time
-	advised  adviceQueue
-	meters   meters
-	gaugedAt time.Time
+	// publishedAt is when what agents are told of interference was last worked out.
+	publishedAt time.Time
+	advised     adviceQueue
+	meters      meters
+	gaugedAt    time.Time
 }
 
 // New returns an owner that owns nothing until Run.
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -36,7 +36,7 @@
 		if now.Sub(worker.view.preemptedAt) < preemptEvery || worker.fits(task) || !worker.fitsOnceReclaimed(task) {
 			continue
 		}
-		if _, allowed := owner.ticket(task, worker.view.status.GetWorker(), now); !allowed {
+		if _, allowed := owner.ticket(task, worker.view.status().GetWorker(), now); !allowed {
 			continue
 		}
 		if missing := worker.missing(task); best == nil || missing < least {
@@ -52,9 +52,9 @@
 	view.preemptedAt = now
 	demand := demandOf(task, now)
 	view.message.Preempts = append(view.message.Preempts, &wire.PreemptOrder{
-		Shard: int32(task.Job().Shard()), Epoch: owner.shards[task.Job().Shard()].epoch, Worker: view.status.GetWorker(), Demand: demand,
+		Shard: int32(task.Job().Shard()), Epoch: owner.shards[task.Job().Shard()].epoch, Worker: view.status().GetWorker(), Demand: demand,
 	})
-	owner.log(event.RunPreempted, slog.String("task", task.Name()), slog.String("worker", view.status.GetWorker()),
+	owner.log(event.RunPreempted, slog.String("task", task.Name()), slog.String("worker", view.status().GetWorker()),
 		slog.Int("for_priority", int(demand.GetPriority())),
 		slog.Int64("memory_mb", demand.GetMemoryMb()), slog.Int64("free_memory_mb", worker.free.MemoryMB()),
 		slog.Int64("milli_cpu", demand.GetMilliCpu()), slog.Int64("free_milli_cpu", worker.free.MilliCPU))
@@ -63,7 +63,7 @@
 // missing returns what a task lacks at the worker, in shares of what the worker has,
 // added up; 0 if there is room.
 func (worker *candidate) missing(task *job.Task) float64 {
-	spec, status := task.Spec(), worker.view.status
+	spec, status := task.Spec(), worker.view.status()
 	return lacking(spec.GetMilliCpu(), worker.free.MilliCPU, status.GetMilliCpu()) +
 		lacking(spec.GetMemoryMb(), worker.free.MemoryMB(), status.GetMemoryMb()) +
 		lacking(spec.GetAccelerators(), worker.free.Accelerators, status.GetAccelerators())
@@ -79,7 +79,7 @@
 // stopped.
 func (worker *candidate) fitsOnceReclaimed(task *job.Task) bool {
 	freed := *worker
-	for _, known := range worker.view.status.GetReclaimable() {
+	for _, known := range worker.view.status().GetReclaimable() {
 		if known.GetPriority() > task.Job().Submission().GetPriority() {
 			freed.free.Add(admission.FromMessage(known.GetMilliCpu(), known.GetMemoryMb(), known.GetAccelerators()))
 		}
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -14,20 +14,23 @@
 	if view.link != from {
 		return
 	}
-	if view.id != message.GetAgent() {
+	if message.GetAgent() != "" && view.id != message.GetAgent() {
 		view.id = message.GetAgent()
 		view.failures = 0
+		owner.forgetLearned(view)
 	}
+	view.greeted = true
+	view.keepsLearned = view.keepsLearned || message.GetKeepsLearned()
 	view.heardAt = now
 	view.uptime = time.Duration(message.GetUptimeNanos())
 	view.handled = message.GetHandled()
-	if message.GetStatus().GetWorker() != view.status.GetWorker() {
-		view.failures, view.avoidUntil = 0, time.Time{}
-	}
-	if roomGrew(view.status, message.GetStatus()) {
+	before := view.status().GetWorker()
+	if view.heard.Note(message) {
 		owner.placeDue = true
 	}
-	view.status = message.GetStatus()
+	if view.status().GetWorker() != before {
+		view.failures, view.avoidUntil = 0, time.Time{}
+	}
 	view.noteReflected()
 	for _, result := range message.GetResults() {
 		owner.noteResult(view, result, now)
@@ -38,14 +41,7 @@
 	if message.GetComplete() {
 		owner.reconcile(view, message, now)
 	}
-	if len(message.GetLearned()) > 0 {
-		view.learned = message.GetLearned()
-	}
-}
-
-func roomGrew(before, after *wire.WorkerStatus) bool {
-	return after.GetFreeMilliCpu() > before.GetFreeMilliCpu() || after.GetFreeMemoryMb() > before.GetFreeMemoryMb() ||
-		after.GetReady() && !before.GetReady() || after.GetWorker() != before.GetWorker()
+	owner.noteLearned(view, message.GetLearned())
 }
 
 // noteReflected marks the runs that the agent's account of its room includes.
@@ -69,7 +65,7 @@
 	for _, run := range message.GetRuns() {
 		listed[run.GetTask()] = run
 	}
-	worker := message.GetStatus().GetWorker()
+	worker := view.status().GetWorker()
 	for name, entry := range view.runs {
 		run, found := listed[name]
 		if found && run.GetAttempt() == entry.attempt && worker == entry.place.Worker {
@@ -89,7 +85,7 @@
 	owner.confirm(entry, now)
 	entry.inherited, entry.reflected = false, true
 	entry.task.Job().Saved(entry.task, run.GetAttempt(), run.GetCheckpoint())
-	if !view.status.GetReady() {
+	if !view.status().GetReady() {
 		view.message.Runs = append(view.message.Runs, &wire.RunDescription{Task: entry.name, Attempt: entry.attempt, Demand: demandOf(entry.task, now)})
 	}
 }
@@ -109,7 +105,7 @@
 	if entry.prior {
 		handled = view.hasHandled(view.claimSeq[entry.held.number])
 	}
-	if handled && view.status.GetReady() {
+	if handled && view.status().GetReady() {
 		owner.release(view, entry, "not listed by its agent", now)
 	}
 }
--- a/owner/remember_test.go
+++ b/owner/remember_test.go
@@ -34,7 +34,7 @@
 	defer cancel()
 	made := newBench(t)
 	held := made.sharedShard(ctx, 4)
-	made.view.learned = []*job.Interference{{Serving: "s", Fill: "f", Weight: 0.5, Readings: 55}}
+	held.learned.note(made.view, []*job.Interference{{Serving: "s", Fill: "f", Weight: 0.5, Readings: 55}})
 	go made.owner.keepLearned(held)
 	made.owner.decisions.RunOne(made.clock.Now()) // Nothing is remembered yet.
 	for range 2 {
@@ -61,7 +61,7 @@
 	after.view.sharedAt = after.clock.Now()
 	go after.owner.keepLearned(next)
 	after.owner.decisions.RunOne(after.clock.Now())
-	weight, readings := weightOf(after.owner.learnedByOthers(next, after.view), "s", "f")
+	weight, readings := weightOf(next.learned.without(after.view), "s", "f")
 	if weight != 0.5 || readings != rememberedReadings {
 		t.Errorf("the next owner tells a weight of %v by %d readings", weight, readings)
 	}
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -33,13 +33,13 @@
 	made := task.Job()
 	held := owner.shards[made.Shard()]
 	waited, obstacle := task.Waited(now)
-	made.Start(task, job.Place{Worker: view.status.GetWorker(), Agent: view.address}, now)
+	made.Start(task, job.Place{Worker: view.status().GetWorker(), Agent: view.address}, now)
 	entry := newEntry(held, task, now)
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
 	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
 		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("target_ms", entry.demand.GetTargetMs()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()),
-		slog.Int64("free_milli_cpu", view.status.GetFreeMilliCpu()), slog.Int64("free_memory_mb", view.status.GetFreeMemoryMb()),
+		slog.Int64("free_milli_cpu", view.status().GetFreeMilliCpu()), slog.Int64("free_memory_mb", view.status().GetFreeMemoryMb()),
 		slog.Duration("age", now.Sub(view.heardAt)), slog.Duration("waited", waited), slog.String("obstacle", obstacle))
 	owner.changed(held, made)
 	held.after = append(held.after, func(now time.Time) { owner.order(view, entry, now) })
@@ -50,7 +50,7 @@
 	if view.runs[entry.name] != entry {
 		return
 	}
-	if view.link == nil || view.status.GetWorker() != entry.place.Worker || entry.task.Job().Ended() {
+	if view.link == nil || view.status().GetWorker() != entry.place.Worker || entry.task.Job().Ended() {
 		// Never ordered, so it never ran.
 		owner.release(view, entry, "its place went away before the order", now)
 		return
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -50,8 +50,8 @@
 	// dropped are the records to be dropped with the next append.
 	dropped  []platform.Record
 	forgotAt time.Time
-	// remembered is what the store holds of interference, for SharedShard.
-	remembered []*job.Interference
+	// learned is what is known of interference, for SharedShard.
+	learned *learnedTable
 	// durable holds the jobs whose end is in the store.
 	durable map[string]bool
 }
@@ -63,6 +63,9 @@
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
 		durable: map[string]bool{}, cancelled: map[string]bool{},
 	}
+	if number == job.SharedShard {
+		held.learned = newLearnedTable()
+	}
 	held.ctx, held.cancel = context.WithCancel(ctx)
 	return held
 }
@@ -84,6 +87,11 @@
 	delete(owner.shards, held.number)
 	for _, view := range owner.agents {
 		view.forget(held)
+		if held.number == job.SharedShard {
+			// The next owner of the shard begins a table of its own, also if it is
+			// this one.
+			view.sharedVersion = 0
+		}
 	}
 	owner.log(event.ShardGivenUp, slog.Int("shard", held.number), slog.Int64("epoch", held.epoch),
 		slog.String("reason", reason), slog.Duration("held", now.Sub(held.takenAt)))
--- /dev/null
+++ b/status/heard.go
@@ -0,0 +1,83 @@
+package status
+
+import "ambertiller.example/ambertiller/wire"
+
+// Heard is what has been heard of a worker on one stream after another.
+type Heard struct {
+	whole      *wire.WorkerStatus
+	tolerances map[string]int64 // by image
+}
+
+// NewHeard returns the state of a worker of which nothing has been heard.
+func NewHeard() *Heard {
+	return &Heard{whole: &wire.WorkerStatus{}, tolerances: map[string]int64{}}
+}
+
+// Whole returns the worker's state. It changes with the next message.
+func (heard *Heard) Whole() *wire.WorkerStatus { return heard.whole }
+
+// Tolerance returns how many more processors of a filling image the worker's serving
+// tasks bear, in thousandths.
+func (heard *Heard) Tolerance(image string) int64 {
+	if tolerated, known := heard.tolerances[image]; known {
+		return tolerated
+	}
+	return heard.whole.GetToleratedMilliCpu()
+}
+
+// Note takes in what a message says of the worker: its whole state, or what has changed
+// of it. It reports whether there may be room now where there was none.
+func (heard *Heard) Note(message *wire.AgentMessage) (roomGrew bool) {
+	if whole := message.GetStatus(); whole != nil {
+		return heard.noteWhole(whole)
+	}
+	if change := message.GetChange(); change != nil {
+		return heard.noteChange(change)
+	}
+	return false
+}
+
+func (heard *Heard) noteWhole(whole *wire.WorkerStatus) bool {
+	before := heard.whole
+	heard.whole = whole
+	heard.tolerances = make(map[string]int64, len(whole.GetTolerances()))
+	for _, known := range whole.GetTolerances() {
+		heard.tolerances[known.GetImage()] = known.GetMilliCpu()
+	}
+	return whole.GetFreeMilliCpu() > before.GetFreeMilliCpu() || whole.GetFreeMemoryMb() > before.GetFreeMemoryMb() ||
+		whole.GetReady() && !before.GetReady() || whole.GetWorker() != before.GetWorker()
+}
+
+func (heard *Heard) noteChange(change *wire.StatusChange) bool {
+	whole := heard.whole
+	grew := change.GetFreeMilliCpu() > whole.GetFreeMilliCpu() || change.GetFreeMemoryMb() > whole.GetFreeMemoryMb()
+	whole.FreeMilliCpu, whole.FreeMemoryMb, whole.FreeAccelerators = change.GetFreeMilliCpu(), change.GetFreeMemoryMb(), change.GetFreeAccelerators()
+	whole.FillMilliCpu, whole.ServingMilliCpu = change.GetFillMilliCpu(), change.GetServingMilliCpu()
+	whole.ToleratedMilliCpu = change.GetToleratedMilliCpu()
+	heard.noteTolerances(change)
+	if change.GetServing() {
+		whole.ServingImages = change.GetServingImages()
+	}
+	if change.GetReclaimed() {
+		whole.Reclaimable = change.GetReclaimable()
+	}
+	return grew
+}
+
+// noteTolerances takes in the tolerances that have changed. A number that the stream has
+// not told of is passed over: the two lists are of one length in a sound message.
+func (heard *Heard) noteTolerances(change *wire.StatusChange) {
+	known := heard.whole.GetTolerances()
+	changed := change.GetToleranceMilliCpu()
+	for position, number := range change.GetTolerance() {
+		if position >= len(changed) || number < 0 || int(number) >= len(known) {
+			continue
+		}
+		known[number].MilliCpu = changed[position]
+		heard.tolerances[known[number].GetImage()] = changed[position]
+	}
+	for _, added := range change.GetAdded() {
+		heard.whole.Tolerances = append(heard.whole.Tolerances, added)
+		heard.tolerances[added.GetImage()] = added.GetMilliCpu()
+	}
+}
