Connections that have gone silent are left

A call that timed out gave its drpc connection back to the pool, where the next one took it; each of up to 16 idle connections to the store cost a call its time; an owner whose messages did not arrive went on as long as it heard its agent.

Ruled out: TCP_USER_TIMEOUT and keep-alive, which the peer's kernel satisfies.

An owner ends a stream on which its messages stay unanswered for 1.5 s beyond the pause between them; an agent ends one on which its owner has not spoken for 5 s. Found beside it: a message that came after a stream had been dropped brought its session back, whose second drop ended the process (close of a closed channel).

--- a/agent/session.go
+++ b/agent/session.go
@@ -18,8 +18,11 @@
 // session is one owner's stream.
 type session struct {
 	name    string
+	heardAt time.Time
 	outbox  chan *wire.AgentMessage
 	closed  chan struct{}
+	// ended is set once the stream has: a message of it may still wait its turn.
+	ended   bool
 	handled int64
 	// takesChanges is set for an owner that needs no more than what has changed.
 	takesChanges bool
@@ -67,6 +70,7 @@
 }
 
 func (agent *Agent) detach(owner *session) {
+	owner.ended = true
 	if !agent.owners[owner] {
 		return
 	}
@@ -75,6 +79,9 @@
 }
 
 func (agent *Agent) noteOwner(owner *session, message *wire.OwnerMessage, now time.Time) {
+	if owner.ended {
+		return
+	}
 	if !agent.owners[owner] {
 		agent.owners[owner] = true
 		owner.name = message.GetOwner()
@@ -102,6 +109,7 @@
 	for _, seen := range message.GetSeen() {
 		agent.noteSeen(seen, now)
 	}
+	owner.heardAt = now
 	owner.handled = message.GetSequence()
 }
 
--- a/agent/tell.go
+++ b/agent/tell.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"log/slog"
 	"time"
 
+	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -16,6 +18,10 @@
 	quietEvery = 3 * time.Second
 	// statusSettle gathers changes of the room into one message.
 	statusSettle = 15 * time.Millisecond
+	// silentAfter is how long an owner may be silent, which speaks twice a second, or
+	// each 3 s while it owns nothing: a connection may go silent for good without an
+	// end, and the owner's next one is a stream of its own.
+	silentAfter = 5 * time.Second
 )
 
 // statusChanged has all owners told what is free.
@@ -29,6 +35,11 @@
 func (agent *Agent) tellOwners(now time.Time) {
 	var status *wire.WorkerStatus
 	for owner := range agent.owners {
+		if now.Sub(owner.heardAt) >= silentAfter {
+			agent.log(event.ConnectionSilent, slog.String("peer", owner.name), slog.Duration("unanswered", now.Sub(owner.heardAt)))
+			agent.drop(owner)
+			continue
+		}
 		if !agent.due(owner, now) {
 			continue
 		}
@@ -43,12 +54,18 @@
 		default:
 			// The owner does not read: it is as good as gone. It attaches
 			// anew and is told everything.
-			delete(agent.owners, owner)
-			close(owner.closed)
+			agent.drop(owner)
 		}
 	}
 }
 
+// drop ends an owner's stream.
+func (agent *Agent) drop(owner *session) {
+	owner.ended = true
+	delete(agent.owners, owner)
+	close(owner.closed)
+}
+
 func (agent *Agent) due(owner *session, now time.Time) bool {
 	if len(owner.results) > 0 || len(owner.ends) > 0 || owner.wholeDue {
 		return true
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -142,6 +142,8 @@
 	RunMovedAhead
 	TargetMissed
 	TargetKept
+	ConnectionSilent
+	HeartbeatStale
 )
 
 // LinesDropped speaks of the log itself.
@@ -163,6 +165,8 @@
 	preemptRelease = "0.3"
 	// reportRelease is the one with reports from logs.
 	reportRelease = "0.4"
+	// sizeRelease is the one for deployments of hundreds of machines.
+	sizeRelease = "0.5"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -279,6 +283,8 @@
 	{RunMovedAhead, slog.LevelInfo, "run moved ahead", "A run that would not end before its worker leaves was stopped, so that it goes on elsewhere with nothing lost.", preemptRelease},
 	{TargetMissed, slog.LevelInfo, "target missed", "A serving run's tail has gone over its target. The attribute beside lists the images of the tasks that fill the same worker.", reportRelease},
 	{TargetKept, slog.LevelInfo, "target kept again", "A serving run's tail is below its target again; after says how long it was not.", reportRelease},
+	{ConnectionSilent, slog.LevelWarn, "connection silent", "An agent did not answer its owner, or an owner did not speak to its agent, on a connection that has not ended: it may carry nothing any more. It is closed and made anew, and everything is told again. The attribute unanswered says for how long.", sizeRelease},
+	{HeartbeatStale, slog.LevelInfo, "heartbeat stale", "A heartbeat of an incarnation that has been replaced at its address arrived late. It is passed over.", sizeRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/job/task.go
+++ b/job/task.go
@@ -31,8 +31,10 @@
 	checkpoint string
 	// interrupted counts runs that were stopped or lost under this owner.
 	interrupted int
-	startedAt   time.Time
-	retryAt     time.Time
+	// refusals counts the starts in a row that were refused for want of room.
+	refusals  int
+	startedAt time.Time
+	retryAt   time.Time
 	// waitsSince is when the task was first ready and found no place, zero if it did
 	// not wait, and obstacle what it lacked.
 	waitsSince time.Time
@@ -61,6 +63,15 @@
 // with its present owner.
 func (task *Task) Interrupted() int { return task.interrupted }
 
+// Refused notes that a start of the task was refused for want of room.
+func (task *Task) Refused() { task.refusals++ }
+
+// Refusals counts the starts in a row that were refused for want of room.
+func (task *Task) Refusals() int { return task.refusals }
+
+// Accepted notes that a run of the task has started.
+func (task *Task) Accepted() { task.refusals = 0 }
+
 // StartedAt returns when the present run was decided on.
 func (task *Task) StartedAt() time.Time { return task.startedAt }
 
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -38,22 +38,28 @@
 		if view.link == nil || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) || now.Sub(view.heardAt) > 2*grantEvery {
 			continue
 		}
-		worker := &candidate{
-			view: view, free: admission.FromMessage(status.GetFreeMilliCpu(), status.GetFreeMemoryMb(), status.GetFreeAccelerators()),
-			fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
-			serving: slices.Clone(status.GetServingImages()),
-			trial:   view.failures >= failuresBeforeDoubt,
-		}
-		for _, entry := range view.runs {
-			if !entry.reflected {
-				worker.take(entry.demand)
-			}
-		}
-		workers = append(workers, worker)
+		workers = append(workers, newCandidate(view))
 	}
 	return workers
 }
 
+// newCandidate returns a worker with what is free there, less what is on its way.
+func newCandidate(view *agentView) *candidate {
+	status := view.status()
+	worker := &candidate{
+		view: view, free: admission.FromMessage(status.GetFreeMilliCpu(), status.GetFreeMemoryMb(), status.GetFreeAccelerators()),
+		fillMilliCPU: status.GetFillMilliCpu(), servingMilliCPU: status.GetServingMilliCpu(),
+		serving: slices.Clone(status.GetServingImages()),
+		trial:   view.failures >= failuresBeforeDoubt,
+	}
+	for _, entry := range view.runs {
+		if !entry.reflected {
+			worker.take(entry.demand)
+		}
+	}
+	return worker
+}
+
 // take takes what a start needs from what is free.
 func (worker *candidate) take(demand *wire.Demand) {
 	worker.free.Take(admission.Held(demand))
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -21,6 +21,12 @@
 	// attachSlower.
 	attachPause  = 200 * time.Millisecond
 	attachSlower = 2 * time.Second
+	// answerWithin is how long an agent may leave the owner's messages unanswered, beyond
+	// the pause that it keeps between its own: a connection may go silent for good in
+	// either direction while the peer's kernel acknowledges, and only an answer proves
+	// it sound. Agents answer owners of shards twice a second; a machine that runs five
+	// times slower for a while answers within 1 s.
+	answerWithin = 1500 * time.Millisecond
 )
 
 // link is one connection to an agent.
@@ -94,7 +100,7 @@
 	view.sequence, view.handled = 0, 0
 	view.claimSeq = map[int]int64{}
 	view.claimed = false
-	view.sentAt = time.Time{}
+	view.sentAt, view.unansweredAt = time.Time{}, time.Time{}
 	view.greeted, view.keepsLearned = false, false
 	view.sharedAt, view.sharedVersion = time.Time{}, 0
 	for _, entry := range view.runs {
@@ -111,3 +117,26 @@
 	view.link = nil
 	owner.log(event.AgentLost, slog.String("agent", view.address), slog.Int("runs", len(view.runs)), slog.Any("error", err))
 }
+
+// endSilent ends a connection on which the agent does not answer, so that another one is
+// made.
+func (owner *Owner) endSilent(view *agentView, now time.Time) {
+	if view.link == nil || view.unansweredAt.IsZero() || now.Sub(view.unansweredAt) < owner.speakEvery()+answerWithin {
+		return
+	}
+	owner.log(event.ConnectionSilent, slog.String("peer", view.address), slog.Duration("unanswered", now.Sub(view.unansweredAt)))
+	view.unansweredAt = time.Time{}
+	view.link.cancel()
+}
+
+// noteAnswered takes note of how far an agent has handled the owner's messages.
+func (view *agentView) noteAnswered(handled int64, now time.Time) {
+	switch {
+	case handled >= view.sequence:
+		view.unansweredAt = time.Time{}
+	case handled > view.handled:
+		// It goes on answering; what it has not come to was sent later.
+		view.unansweredAt = now
+	}
+	view.handled = handled
+}
--- /dev/null
+++ b/owner/connection_test.go
@@ -0,0 +1,46 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestSilentAgentIsConnectedAnew: a connection on which the agent answers nothing is ended,
+// whether it says nothing or speaks on without having heard; one that is answered stays.
+func TestSilentAgentIsConnectedAnew(t *testing.T) {
+	tests := map[string]struct {
+		hears, speaks bool
+		ended         bool
+	}{
+		"it answers":                  {true, true, false},
+		"it says nothing":             {false, false, true},
+		"it speaks but does not hear": {false, true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			made.submit()
+			made.attach()
+			ended := false
+			made.view.link.cancel = func() { ended = true }
+			for range 40 {
+				made.step()
+				handled := made.agentN
+				made.sent()
+				if !test.hears {
+					made.agentN = handled
+				}
+				if test.speaks {
+					made.hear(&wire.AgentMessage{})
+				}
+				made.clock.Advance(100 * time.Millisecond)
+				made.owner.joinedAt = made.clock.Now()
+			}
+			if ended != test.ended {
+				t.Errorf("ended: %v", ended)
+			}
+		})
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -175,6 +175,7 @@
 		owner.flush(held, now)
 	}
 	for _, view := range owner.agents {
+		owner.endSilent(view, now)
 		owner.tell(view, now)
 	}
 	owner.gauge(now)
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -23,7 +23,7 @@
 	view.keepsLearned = view.keepsLearned || message.GetKeepsLearned()
 	view.heardAt = now
 	view.uptime = time.Duration(message.GetUptimeNanos())
-	view.handled = message.GetHandled()
+	view.noteAnswered(message.GetHandled(), now)
 	before := view.status().GetWorker()
 	if view.heard.Note(message) {
 		owner.placeDue = true
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -28,6 +28,9 @@
 	message.Sequence = view.sequence
 	view.message = &wire.OwnerMessage{}
 	view.sentAt = now
+	if view.unansweredAt.IsZero() {
+		view.unansweredAt = now
+	}
 	select {
 	case view.link.outbox <- message:
 	default:
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -14,6 +14,15 @@
 //	pool := rpc.NewPool(nil)
 //	reply, err := wire.NewDRPCGuardClient(pool.Conn("127.0.0.1:7103")).Start(ctx, request)
 //
+// # Connections that have gone silent
+//
+// A connection may carry nothing any more, in one direction or both, while its peer's
+// kernel acknowledges and new connections work. Only an answer on that very connection
+// proves it sound. So a call that is not answered in its time takes its connection with it,
+// and all idle ones to the same address, which are as old; the next call makes a new one.
+// Whether the call may be made again is for its caller to know: it may have been carried
+// out. Streams that last are watched by those who hold them, by what they have to hear.
+//
 // # Errors
 //
 // A [*DialError] proves that the call was not made. After any other error it
@@ -109,7 +118,31 @@
 // Conn returns a connection to the address that takes one from the pool for
 // each call.
 func (pool *Pool) Conn(address string) drpc.Conn {
-	return pool.conns.Get(context.Background(), address, pool.dial)
+	return &pooledConn{Conn: pool.conns.Get(context.Background(), address, pool.dial), pool: pool, address: address}
+}
+
+// pooledConn makes each call on a connection of its own out of the pool.
+type pooledConn struct {
+	drpc.Conn // for streams
+	pool      *Pool
+	address   string
+}
+
+// Invoke implements drpc.Conn.
+func (conn *pooledConn) Invoke(ctx context.Context, name string, encoding drpc.Encoding, in, out drpc.Message) error {
+	borrowed, err := conn.pool.Borrow(ctx, conn.address)
+	if err != nil {
+		return err
+	}
+	if err := borrowed.Invoke(ctx, name, encoding, in, out); err != nil {
+		if ctx.Err() != nil {
+			return borrowed.giveUp(err)
+		}
+		borrowed.Return()
+		return err
+	}
+	borrowed.Return()
+	return nil
 }
 
 // Borrow takes an idle connection to the address out of the pool, or makes one.
@@ -140,6 +173,27 @@
 // last call is still being cancelled is not handed out until that is done.
 func (borrowed *Borrowed) Return() { borrowed.pool.conns.Put(borrowed.address, borrowed.Conn) }
 
+// giveUp closes a connection on which a call was not answered in its time, and all idle ones
+// to its address. It returns the call's error.
+func (borrowed *Borrowed) giveUp(unanswered error) error {
+	// The call has failed already; that its connection does not close well adds nothing.
+	_ = borrowed.Close()
+	borrowed.pool.dropIdle(borrowed.address)
+	return unanswered
+}
+
+// dropIdle closes the idle connections to an address.
+func (pool *Pool) dropIdle(address string) {
+	for {
+		idle, found := pool.conns.Take(address)
+		if !found {
+			return
+		}
+		// Nothing is on its way on it.
+		_ = idle.Close()
+	}
+}
+
 // Close closes the idle connections.
 func (pool *Pool) Close() error {
 	return errors.Wrap(pool.conns.Close(), "close pooled connections")
