agent: a heartbeat of an incarnation that has been replaced is passed over

Cause: an agent took any incarnation that it did not know for the newer one. A heartbeat that was held up until another incarnation stood at the address took that one's place, and its runs were told as lost while they went on; after a restart of the agent nothing else could tell the two apart.

Ruled out: sequence numbers, which count within an incarnation, and the worker's clock, which starts anew with each.

Change: the worker itself is asked, by a call that names the incarnation; another one answers that it is not meant. One that neither answers nor is denied takes over where the present one does not answer either. A look that reaches another incarnation ends the one before at once.

TestHeartbeats fails on the code before in the two cases in which the earlier one comes late.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -112,6 +112,7 @@
 	started   time.Time
 
 	worker *workerState // nil until one has sent a heartbeat
+	next   *successor   // nil while no other incarnation has sent one
 	gone   map[string]bool
 	lost   []*wire.RunEnd // ends of runs whose incarnation is over
 	ended  []string       // incarnations that have ended for certain
@@ -205,14 +206,10 @@
 		return
 	}
 	if current != nil {
-		// One worker stands on a machine: a new incarnation at its address
-		// means that the one before it has ended.
-		agent.endIncarnation(current.beat.Incarnation)
+		agent.noteSuccessor(beat)
+		return
 	}
-	agent.logWorker(beat)
-	agent.worker = newWorkerState(beat, agent.options.Connect(beat.Address, beat.Incarnation), agent.options.FirstToken, now)
-	agent.worker.noteLeaving(now)
-	agent.statusChanged()
+	agent.takeCareOf(beat, agent.options.Connect(beat.Address, beat.Incarnation), now)
 }
 
 // noteBeatAgain takes in a heartbeat of the incarnation that is known.
--- a/agent/look.go
+++ b/agent/look.go
@@ -91,6 +91,11 @@
 }
 
 func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
+	if platform.IsOtherIncarnation(err) {
+		// One worker stands on a machine, and it is another one now.
+		agent.endIncarnation(state.beat.Incarnation)
+		return
+	}
 	var refused *platform.StartError
 	if errors.As(err, &refused) && refused.Reason() == platform.RefusedFence {
 		state.token += tokenStep
--- /dev/null
+++ b/agent/successor_test.go
@@ -0,0 +1,46 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestHeartbeats: the incarnation that stands at the address is taken care of, in whatever
+// order the heartbeats arrive, after a restart of the agent too. A heartbeat may be held
+// up until another incarnation has taken the place of the one that sent it.
+func TestHeartbeats(t *testing.T) {
+	const earlier = "i-0"
+	tests := map[string][]string{
+		"the present one alone":     {worker},
+		"the earlier one first":     {earlier, worker},
+		"the earlier one late":      {worker, earlier},
+		"the earlier one and again": {worker, earlier, worker, earlier, earlier},
+	}
+	for name, order := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			made.worker.Put(task, 1, time.Hour)
+			owner := made.attach(1)
+			for sequence, incarnation := range order {
+				beat := made.heartbeat()
+				beat.Incarnation, beat.Sequence = incarnation, int64(sequence+1)
+				made.beside.Beat(beat)
+				made.pass(100 * time.Millisecond)
+			}
+			made.until(func() bool {
+				owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+				last := owner.last(func(message *wire.AgentMessage) bool { return message.GetComplete() })
+				return last.GetStatus().GetWorker() == worker && len(last.GetRuns()) == 1
+			})
+			made.pass(time.Second)
+			if last := owner.last(func(*wire.AgentMessage) bool { return true }); last.GetStatus().GetWorker() != worker {
+				t.Errorf("takes care of %q", last.GetStatus().GetWorker())
+			}
+			if !made.runs() {
+				t.Error("the run of the present incarnation is gone")
+			}
+		})
+	}
+}
