owner: tasks of one step look for a place once where none has room

Cause: a job waits with up to 27 tasks of a step, and places are looked for at each growth of any worker's room; each task went over all workers for the same answer.

Change: once a task of a step has found neither a place nor a worker that can make room, the others of the step in that look are passed over. They would find the same: the demand, the label and the limit a worker are the step's.

--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -27,7 +27,7 @@
 // bench is an owner whose decisions the test makes itself: it has taken the
 // job's shard, and one agent is attached.
 type bench struct {
-	t      *testing.T
+	t      testing.TB
 	clock  *clockwork.FakeClock
 	store  *wirestore.Store
 	owner  *Owner
@@ -36,7 +36,7 @@
 	agentN int64
 }
 
-func newOwner(t *testing.T, clock clockwork.Clock, store *wirestore.Store) *Owner {
+func newOwner(t testing.TB, clock clockwork.Clock, store *wirestore.Store) *Owner {
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -48,7 +48,7 @@
 	})
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	clock := clockwork.NewFakeClock()
 	store := wirestore.New(8, clock.Now)
 	made := &bench{t: t, clock: clock, store: store, owner: newOwner(t, clock, store)}
@@ -72,7 +72,7 @@
 	}
 }
 
-func record(t *testing.T, key string, message proto.Message) platform.Record {
+func record(t testing.TB, key string, message proto.Message) platform.Record {
 	value, err := proto.Marshal(message)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/owner/cancelled_test.go
@@ -0,0 +1,82 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// stopsFor counts the stops that have gone out for the first task.
+func stopsFor(messages []*wire.OwnerMessage) int {
+	count := 0
+	for _, message := range messages {
+		for _, order := range message.GetStops() {
+			if order.GetTask() == taskOne {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// listed has the agent list a run of the first task.
+func (made *bench) listed(attempt int32) {
+	made.hear(&wire.AgentMessage{Complete: true, Runs: []*wire.RunStatus{{Task: taskOne, Attempt: attempt, Percent: 1}}})
+}
+
+// TestRunOfCancelledJobIsStopped: whoever owns a job now stops a run of it that goes on
+// after the cancellation, also one that its worker began seconds after the order, and one
+// whose owner is gone for good.
+func TestRunOfCancelledJobIsStopped(t *testing.T) {
+	cancel := func(made *bench) {
+		made.read(record(made.t, job.CancellationKey(jobID), &job.Cancellation{Id: jobID}))
+	}
+	tests := map[string]func(made *bench){
+		"it runs": func(made *bench) {
+			made.submit()
+			made.attachAndStart()
+			made.listed(1)
+			cancel(made)
+		},
+		"it is begun late, after its end was taken for certain": func(made *bench) {
+			made.submit()
+			made.attachAndStart()
+			cancel(made)
+			made.step()
+			made.hear(&wire.AgentMessage{Results: []*wire.StartResult{{Task: taskOne, Attempt: 1, Worker: life, Outcome: wire.StartOutcome_START_WORKER_FAILED}}})
+			made.step()
+			made.settle()
+			made.sent()
+			made.clock.Advance(5 * time.Second)
+			made.owner.joinedAt = made.clock.Now()
+			made.listed(1)
+		},
+		"its owner is gone for good": func(made *bench) {
+			made.inherit(life)
+			cancel(made)
+			made.attach()
+			made.listed(1)
+		},
+		"the cancellation is read before the job": func(made *bench) {
+			cancel(made)
+			made.submit()
+			made.attach()
+			made.step()
+			made.settle()
+			made.sent()
+			made.listed(1)
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			prepare(made)
+			made.step()
+			if count := stopsFor(made.sent()); count != 1 {
+				t.Errorf("%d stops ordered", count)
+			}
+		})
+	}
+}
--- a/owner/place.go
+++ b/owner/place.go
@@ -147,9 +147,10 @@
 // placeJob starts the tasks of a job that may start.
 func (owner *Owner) placeJob(made *job.Job, workers []*candidate, now time.Time) {
 	ready := made.Ready(now)
+	placeless := map[stepOf]string{}
 	for _, task := range ready {
 		if !task.Spec().GetGang() {
-			owner.placeTask(task, workers, now)
+			owner.placeMember(task, placeless, workers, now)
 			continue
 		}
 		if members := gangOf(task, ready); members != nil && members[0] == task {
@@ -158,6 +159,27 @@
 	}
 }
 
+// stepOf names a step of a job in one of its rounds.
+type stepOf struct{ round, step int32 }
+
+// placeMember starts a task unless another one of its step has just found no place: all
+// of them ask for the same.
+//
+// Performance: a job may wait with dozens of tasks of a step, and places are looked for
+// each time that any worker's room grows.
+func (owner *Owner) placeMember(task *job.Task, placeless map[stepOf]string, workers []*candidate, now time.Time) {
+	of := stepOf{round: task.Round(), step: task.Step()}
+	if obstacle, found := placeless[of]; found {
+		if !task.Waits() {
+			task.Wait(obstacle, now)
+		}
+		return
+	}
+	if !owner.placeTask(task, workers, now) {
+		_, placeless[of] = task.Waited(now)
+	}
+}
+
 // bestOf returns the best worker for a task, or nil.
 func (owner *Owner) bestOf(task *job.Task, workers []*candidate, now time.Time) *candidate {
 	var best *candidate
@@ -172,19 +194,20 @@
 	return best
 }
 
-// placeTask starts a task on the best worker there is, if any.
-func (owner *Owner) placeTask(task *job.Task, workers []*candidate, now time.Time) {
+// placeTask starts a task on the best worker there is, if any. It reports false where
+// another task of the step would not find a place either, nor a worker that can make room.
+func (owner *Owner) placeTask(task *job.Task, workers []*candidate, now time.Time) bool {
 	best := owner.bestOf(task, workers, now)
 	if best == nil {
 		if !task.Waits() {
 			task.Wait(string(mainObstacle(task, workers)), now)
 		}
 		owner.wantAdvice(task, now)
-		owner.preemptFor(task, workers, now)
-		return
+		return owner.preemptFor(task, workers, now)
 	}
 	owner.start(task, best.view, now)
 	best.take(best.view.runs[task.Name()].demand)
+	return true
 }
 
 // better prefers a worker near the data, then the one with the most idle
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -16,14 +16,17 @@
 
 // preemptFor asks the worker that has to stop the least for it to make room for a
 // task that found no place. Tasks that fill wait instead: they take what is left. Without
-// it a day is worth 0.014 less (18 pairs of days).
-func (owner *Owner) preemptFor(task *job.Task, workers []*candidate, now time.Time) {
+// it a day is worth 0.014 less (18 pairs of days). It reports whether a worker was asked.
+func (owner *Owner) preemptFor(task *job.Task, workers []*candidate, now time.Time) bool {
 	if task.Spec().GetFills() || task.Spec().GetGang() {
-		return
+		return false
 	}
-	if best := owner.leastToStop(task, workers, now); best != nil {
-		owner.orderPreemption(task, best, now)
+	best := owner.leastToStop(task, workers, now)
+	if best == nil {
+		return false
 	}
+	owner.orderPreemption(task, best, now)
+	return true
 }
 
 // leastToStop returns the worker that misses the least of its own room for a task, of
