daemon: each step of a planned stop is bounded

Services were stopped one after another, and each was waited for without a bound, whatever the planned stop had left.

Ruled out: the drain of 2.3 s and the listeners, which heed the stop's context. Which service held that gateway up is not known.

Change: waiting for a service ends with the stop's context, and says so. TestStopIsBounded hangs on the code before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,10 +88,21 @@
 	})
 }
 
-func (loop *background) stop(context.Context) error {
+// stop has the service end and waits for it, within the bound of ctx: one that does not
+// heed its own context must not keep the process from ending in time.
+func (loop *background) stop(ctx context.Context) error {
 	loop.cancel()
-	loop.done.Wait()
-	return nil
+	ended := make(chan struct{})
+	go func() {
+		loop.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "a service did not end in time")
+	}
 }
 
 // runService runs a function from the service's start to its stop.
