report: a run without an end is over once its task is placed anew

Cause: the report showed workers that held more than they have (60 of 32 processors).

Ruled out: the limit of room, which agents reckon from what runs.

Change: the run before is ended, as lost, when its task is placed again; an attempt names its newest run.

--- a/report/history.go
+++ b/report/history.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -191,6 +192,7 @@
 		of := past.jobOf(ref.Job)
 		of.tasks = append(of.tasks, task)
 	}
+	past.endUnseen(task, one)
 	run := &runHistory{
 		attempt: one.Attempt, worker: one.Worker, image: one.Image, fills: one.Fills, serves: one.TargetMillis > 0,
 		milliCPU: one.MilliCPU, estimate: time.Duration(one.EstimateMillis) * time.Millisecond,
@@ -200,13 +202,24 @@
 	past.worker(one.Worker).runs = append(past.worker(one.Worker).runs, run)
 }
 
-// runOf returns a run, or nil if its placing is not in the logs.
+// endUnseen ends a task's last run where its end is not in the logs: the task is placed
+// anew only once that run is over, or if its start never got into the store.
+func (past *history) endUnseen(task *taskHistory, placed *line) {
+	if len(task.runs) == 0 || task.last().how != runGoesOn {
+		return
+	}
+	before := *placed
+	before.Attempt = task.last().attempt
+	past.endRun(&before, runLost)
+}
+
+// runOf returns the newest run of an attempt, or nil if its placing is not in the logs.
 func (past *history) runOf(task string, attempt int32) *runHistory {
 	known := past.tasks[task]
 	if known == nil {
 		return nil
 	}
-	for _, run := range known.runs {
+	for _, run := range slices.Backward(known.runs) {
 		if run.attempt == attempt {
 			return run
 		}
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// TestRunsWithoutAnEnd: a run of which no end is in the logs is over once its task has been
+// placed anew. The case that forced it is an owner that was killed before the store had its
+// start: its worker seemed to hold more than it has.
+func TestRunsWithoutAnEnd(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:00Z","name":"side-1","event":902,"worker":"i-1","milli_cpu":4000}
+{"time":"2026-01-01T00:00:00Z","name":"g","event":807,"task":"00000000000000aa.0.0.0","attempt":1,"worker":"i-1","milli_cpu":4000}
+{"time":"2026-01-01T00:00:05Z","name":"h","event":807,"task":"00000000000000aa.0.0.0","attempt":1,"worker":"i-1","milli_cpu":4000}
+{"time":"2026-01-01T00:00:10Z","name":"side-1","event":811,"task":"00000000000000aa.0.0.0","attempt":1,"how":"done"}
+`
+	found, err := report.Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if held := found.Workers[0].Other; held > 4 {
+		t.Errorf("a worker of 4 processors held %v on average", held)
+	}
+	want := []report.Count{{What: "done", Times: 1}, {What: "lost", Times: 1}}
+	if !slices.Equal(found.Orders, want) {
+		t.Errorf("runs: %v", found.Orders)
+	}
+}
+
 // TestSpent: the time of a late job goes to what its slowest task had to wait for.
 func TestSpent(t *testing.T) {
 	cases := map[string]struct {
