--- a/owner/place.go
+++ b/owner/place.go
@@ -127,10 +127,15 @@
 	return a.view.address < b.view.address
 }
 
+// refusalsBorne is how often in a row a lasting task is refused for room before it looks for
+// more than what just suffices. With any task that was refused once, days of 95 machines
+// were worth less: places that are not the best cost more than refusals.
+const refusalsBorne = 2
+
 // betterOnceRefused prefers workers with room for a task twice over, of these a different
 // one for each task and attempt, and else the one with the most room. What is heard of a
 // worker is some of a second old, and other owners take what just suffices: a task that
-// was refused once tends to be refused again where it fits best. A task that lasts lost that
+// was refused tends to be refused again where it fits best. A task that lasts lost that
 // race for up to 3.6 s in the package's test, with room for it twice over elsewhere.
 func betterOnceRefused(task *job.Task, a, b *candidate) bool {
 	roomyA, roomyB := a.fitsTwice(task), b.fitsTwice(task)
@@ -218,7 +223,7 @@
 		return a.near(task)
 	}
 	image := task.Spec().GetImage()
-	if task.Refusals() > 0 && !task.Spec().GetFills() {
+	if task.Spec().GetLasting() && task.Refusals() >= refusalsBorne {
 		return betterOnceRefused(task, a, b)
 	}
 	if task.Spec().GetTargetMs() > 0 {
