--- a/owner/cancelled_test.go
+++ b/owner/cancelled_test.go
@@ -22,8 +22,8 @@
 }
 
 // listed has the agent list a run of the first task.
-func (made *bench) listed(attempt int32) {
-	made.hear(&wire.AgentMessage{Complete: true, Runs: []*wire.RunStatus{{Task: taskOne, Attempt: attempt, Percent: 1}}})
+func (made *bench) listed() {
+	made.hear(&wire.AgentMessage{Complete: true, Runs: []*wire.RunStatus{{Task: taskOne, Attempt: 1, Percent: 1}}})
 }
 
 // TestRunOfCancelledJobIsStopped: whoever owns a job now stops a run of it that goes on
@@ -37,7 +37,7 @@
 		"it runs": func(made *bench) {
 			made.submit()
 			made.attachAndStart()
-			made.listed(1)
+			made.listed()
 			cancel(made)
 		},
 		"it is begun late, after its end was taken for certain": func(made *bench) {
@@ -51,13 +51,13 @@
 			made.sent()
 			made.clock.Advance(5 * time.Second)
 			made.owner.joinedAt = made.clock.Now()
-			made.listed(1)
+			made.listed()
 		},
 		"its owner is gone for good": func(made *bench) {
 			made.inherit(life)
 			cancel(made)
 			made.attach()
-			made.listed(1)
+			made.listed()
 		},
 		"the cancellation is read before the job": func(made *bench) {
 			cancel(made)
@@ -66,7 +66,7 @@
 			made.step()
 			made.settle()
 			made.sent()
-			made.listed(1)
+			made.listed()
 		},
 	}
 	for name, prepare := range tests {
--- a/owner/learned_test.go
+++ b/owner/learned_test.go
@@ -34,7 +34,7 @@
 		t.Run(name, func(t *testing.T) {
 			table := newLearnedTable()
 			test.tell(table)
-			weight, readings := weightOf(table.without(nil), "s", "f")
+			weight, readings := weightOf(table.without(nil))
 			if math.Abs(weight-test.weight) > 1e-9 || readings != test.readings {
 				t.Errorf("a weight of %v by %d readings", weight, readings)
 			}
@@ -63,13 +63,13 @@
 	held.learned.note(other, taught(0.5, 40))
 	held.learned.note(made.view, taught(0.2, 20))
 	for range 2 {
-		if weight, readings := weightOf(told().GetLearned(), "s", "f"); weight != 0.5 || readings != 40 {
+		if weight, readings := weightOf(told().GetLearned()); weight != 0.5 || readings != 40 {
 			t.Errorf("an agent of an earlier build is told a weight of %v by %d readings", weight, readings)
 		}
 	}
 	made.hear(&wire.AgentMessage{KeepsLearned: true})
 	message := told()
-	if weight, readings := weightOf(message.GetLearnedByAll(), "s", "f"); math.Abs(weight-0.4) > 1e-9 || readings != 60 || len(message.GetLearned()) > 0 {
+	if weight, readings := weightOf(message.GetLearnedByAll()); math.Abs(weight-0.4) > 1e-9 || readings != 60 || len(message.GetLearned()) > 0 {
 		t.Errorf("told a weight of %v by %d readings, and %v", weight, readings, message.GetLearned())
 	}
 	held.learned.note(other, taught(0.51, 40))
@@ -77,7 +77,7 @@
 		t.Errorf("told again although it hardly moved: %v", message.GetLearnedByAll())
 	}
 	held.learned.note(other, taught(0.8, 40))
-	if weight, _ := weightOf(told().GetLearnedByAll(), "s", "f"); math.Abs(weight-0.6) > 1e-9 {
+	if weight, _ := weightOf(told().GetLearnedByAll()); math.Abs(weight-0.6) > 1e-9 {
 		t.Errorf("not told that it moved: %v", weight)
 	}
 	made.attach()
--- a/owner/remember_test.go
+++ b/owner/remember_test.go
@@ -16,11 +16,11 @@
 	return held
 }
 
-// weightOf returns the weight that an agent would be told of a pair, and on how many
-// readings it rests.
-func weightOf(told []*job.Interference, serving, fill string) (weight float64, readings int32) {
+// weightOf returns the weight that an agent would be told of the pair "s" and "f", and on how
+// many readings it rests.
+func weightOf(told []*job.Interference) (weight float64, readings int32) {
 	for _, known := range told {
-		if known.GetServing() == serving && known.GetFill() == fill {
+		if known.GetServing() == "s" && known.GetFill() == "f" {
 			return known.GetWeight(), known.GetReadings()
 		}
 	}
@@ -61,7 +61,7 @@
 	after.view.sharedAt = after.clock.Now()
 	go after.owner.keepLearned(next)
 	after.owner.decisions.RunOne(after.clock.Now())
-	weight, readings := weightOf(next.learned.without(after.view), "s", "f")
+	weight, readings := weightOf(next.learned.without(after.view))
 	if weight != 0.5 || readings != rememberedReadings {
 		t.Errorf("the next owner tells a weight of %v by %d readings", weight, readings)
 	}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -33,14 +33,15 @@
 	toServer, toClient atomic.Bool
 }
 
-// New returns a relay to a server, on an address of loopback of its own.
+// New returns a relay to a server, on an address of loopback of its own. Connections are passed
+// on until ctx ends.
 func New(ctx context.Context, server string) (*Relay, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for connections to relay")
 	}
 	between := &Relay{listener: listener, server: server}
-	go between.accept()
+	go between.accept(ctx)
 	return between, nil
 }
 
@@ -55,13 +56,13 @@
 	return errors.Wrap(between.listener.Close(), "close the relay")
 }
 
-func (between *Relay) accept() {
+func (between *Relay) accept(ctx context.Context) {
 	for {
 		client, err := between.listener.Accept()
 		if err != nil {
 			return
 		}
-		server, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", between.server)
+		server, err := (&net.Dialer{}).DialContext(ctx, "tcp", between.server)
 		if err != nil {
 			_ = client.Close()
 			return
