What is known of a pair, and the log of what was sent, in one place each

The agent and the owner each turned messages into pairs and estimates, compared estimates with what had been told, and logged what they had sent. job.Interference has Pair and Estimate, interference.Estimate has Differs, traffic.Sent logs itself. Behaviour is meant to be the same; tests unchanged.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -128,9 +128,7 @@
 	meters    meters
 	// gaugedAt is when the gauges were last set.
 	gaugedAt time.Time
-	// countedAt is when what was sent was last logged.
-	countedAt time.Time
-	ctx       context.Context // ends the calls to the worker with the agent
+	ctx      context.Context // ends the calls to the worker with the agent
 }
 
 // claim is what the agent knows of the owner of one shard.
@@ -175,18 +173,7 @@
 	agent.paced.shareAgain(now)
 	agent.tellOwners(now)
 	agent.gauge(now)
-	agent.logSent(now)
-}
-
-// logSent logs what was sent, if that is due.
-func (agent *Agent) logSent(now time.Time) {
-	if now.Sub(agent.countedAt) < traffic.Every {
-		return
-	}
-	agent.countedAt = now
-	for _, count := range agent.sent.Take() {
-		agent.log(event.MessagesSent, count.Attributes()...)
-	}
+	agent.sent.Log(agent.ctx, agent.options.Events, now)
 }
 
 func (agent *Agent) log(code event.Code, attributes ...slog.Attr) {
--- a/agent/learned.go
+++ b/agent/learned.go
@@ -40,7 +40,7 @@
 	var told []*job.Interference
 	for pair, known := range paced.model.Estimates() {
 		if known.Readings > 0 {
-			told = append(told, &job.Interference{Serving: pair.Serving, Fill: pair.Fill, Weight: known.Weight, Readings: int32(known.Readings)})
+			told = append(told, job.NewInterference(pair, known))
 		}
 	}
 	return told
@@ -65,9 +65,8 @@
 	}
 	var anew []*job.Interference
 	for _, known := range learned {
-		pair := interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()}
-		now := interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}
-		if before, found := owner.toldLearned[pair]; found && !movedEstimate(before, now) {
+		pair, now := known.Pair(), known.Estimate()
+		if before, found := owner.toldLearned[pair]; found && !now.Differs(before, weightStep, readingsStep) {
 			continue
 		}
 		owner.toldLearned[pair] = now
@@ -76,12 +75,6 @@
 	return anew
 }
 
-// movedEstimate reports whether an estimate differs enough from what was told.
-func movedEstimate(before, now interference.Estimate) bool {
-	return math.Abs(now.Weight-before.Weight) >= weightStep ||
-		math.Abs(float64(now.Readings-before.Readings)) >= readingsStep*float64(max(before.Readings, 1))
-}
-
 // shareEvery is how often what was kept of others is taken in again, so that the weights
 // that other workers read pull on those read here as steadily as their readings come.
 const shareEvery = 1500 * time.Millisecond
@@ -90,8 +83,8 @@
 // keeps it.
 func (paced *pacing) keep(told []*job.Interference, now time.Time) {
 	for _, known := range told {
-		pair := interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()}
-		paced.byAll[pair] = interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}
+		pair := known.Pair()
+		paced.byAll[pair] = known.Estimate()
 		paced.shareKept(pair, paced.model.Own(pair), now)
 	}
 }
@@ -121,7 +114,6 @@
 // share takes in what other workers' readings have taught.
 func (paced *pacing) share(told []*job.Interference, now time.Time) {
 	for _, known := range told {
-		paced.model.Share(interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()},
-			interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}, now)
+		paced.model.Share(known.Pair(), known.Estimate(), now)
 	}
 }
--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -1,6 +1,9 @@
 package interference
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// mostReadings bounds what a weight is said to rest on, so that one that
@@ -21,6 +24,13 @@
 	Readings int
 }
 
+// Differs reports whether an estimate differs from another one by a weight, or by a share of
+// the readings that the other rests on.
+func (known Estimate) Differs(other Estimate, weight, readings float64) bool {
+	return math.Abs(known.Weight-other.Weight) >= weight ||
+		math.Abs(float64(known.Readings-other.Readings)) >= readings*float64(max(other.Readings, 1))
+}
+
 // evidence is what this worker's own readings have taught of a pair, apart from what
 // other workers' have: only what was read here is told on.
 type evidence struct {
@@ -62,7 +72,11 @@
 	if !known || state.own[pair.Fill] == nil {
 		return Estimate{}
 	}
-	own := state.own[pair.Fill]
+	return state.own[pair.Fill].estimate()
+}
+
+// estimate returns what the evidence speaks for.
+func (own *evidence) estimate() Estimate {
 	return Estimate{Weight: own.weight(), Readings: int(own.count)}
 }
 
@@ -71,7 +85,7 @@
 	learned := map[Pair]Estimate{}
 	for serving, state := range model.images {
 		for fill, own := range state.own {
-			learned[Pair{serving, fill}] = Estimate{Weight: own.weight(), Readings: int(own.count)}
+			learned[Pair{serving, fill}] = own.estimate()
 		}
 	}
 	return learned
--- a/owner/learned.go
+++ b/owner/learned.go
@@ -1,8 +1,6 @@
 package owner
 
 import (
-	"math"
-
 	"ambertiller.example/ambertiller/interference"
 	"ambertiller.example/ambertiller/job"
 )
@@ -42,11 +40,6 @@
 	}
 }
 
-// pairOf returns the pair that a message is about.
-func pairOf(known *job.Interference) interference.Pair {
-	return interference.Pair{Serving: known.GetServing(), Fill: known.GetFill()}
-}
-
 // add adds an estimate of a pair to its sum, or takes it away with a negative factor.
 func (table *learnedTable) add(pair interference.Pair, known interference.Estimate, factor int) {
 	sum, found := table.sums[pair]
@@ -61,7 +54,7 @@
 // remember takes in what earlier owners wrote.
 func (table *learnedTable) remember(remembered []*job.Interference) {
 	for _, known := range remembered {
-		table.add(pairOf(known), interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}, 1)
+		table.add(known.Pair(), known.Estimate(), 1)
 	}
 }
 
@@ -73,9 +66,9 @@
 		table.byAgent[view] = taught
 	}
 	for _, known := range learned {
-		pair := pairOf(known)
+		pair := known.Pair()
 		table.add(pair, taught[pair], -1)
-		taught[pair] = interference.Estimate{Weight: known.GetWeight(), Readings: int(known.GetReadings())}
+		taught[pair] = known.Estimate()
 		table.add(pair, taught[pair], 1)
 	}
 }
@@ -98,7 +91,7 @@
 	next := table.version + 1
 	for _, sum := range table.sums {
 		mean := sum.estimate()
-		if sum.version > 0 && !moved(sum.told, mean) {
+		if sum.version > 0 && !mean.Differs(sum.told, publishedWeight, publishedReadings) {
 			continue
 		}
 		sum.told, sum.version = mean, next
@@ -106,18 +99,12 @@
 	}
 }
 
-// moved reports whether a mean differs enough from what agents were told.
-func moved(told, mean interference.Estimate) bool {
-	return math.Abs(mean.Weight-told.Weight) >= publishedWeight ||
-		math.Abs(float64(mean.Readings-told.Readings)) >= publishedReadings*float64(max(told.Readings, 1))
-}
-
 // since lists the pairs that have changed after a version, as agents are told them.
 func (table *learnedTable) since(version int64) []*job.Interference {
 	var changed []*job.Interference
 	for pair, sum := range table.sums {
 		if sum.version > version {
-			changed = append(changed, messageOf(pair, sum.told))
+			changed = append(changed, job.NewInterference(pair, sum.told))
 		}
 	}
 	return changed
@@ -133,16 +120,12 @@
 			others.readings -= own.Readings
 		}
 		if others.readings > 0 {
-			listed = append(listed, messageOf(pair, others.estimate()))
+			listed = append(listed, job.NewInterference(pair, others.estimate()))
 		}
 	}
 	return listed
 }
 
-func messageOf(pair interference.Pair, known interference.Estimate) *job.Interference {
-	return &job.Interference{Serving: pair.Serving, Fill: pair.Fill, Weight: known.Weight, Readings: int32(known.Readings)}
-}
-
 // learned returns the table of the shared shard, nil if it is not owned.
 func (owner *Owner) learned() *learnedTable {
 	held, owned := owner.shards[job.SharedShard]
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -116,8 +116,6 @@
 	sent        *traffic.Sent
 	meters      meters
 	gaugedAt    time.Time
-	// countedAt is when what was sent was last logged.
-	countedAt time.Time
 }
 
 // New returns an owner that owns nothing until Run.
@@ -186,21 +184,10 @@
 		owner.tell(view, now)
 	}
 	owner.gauge(now)
-	owner.logSent(now)
+	owner.sent.Log(owner.ctx, owner.options.Events, now)
 	owner.forgetAdvice(now)
 }
 
-// logSent logs what was sent, if that is due.
-func (owner *Owner) logSent(now time.Time) {
-	if now.Sub(owner.countedAt) < traffic.Every {
-		return
-	}
-	owner.countedAt = now
-	for _, count := range owner.sent.Take() {
-		owner.log(event.MessagesSent, count.Attributes()...)
-	}
-}
-
 func (owner *Owner) log(code event.Code, attributes ...slog.Attr) {
 	owner.options.Events.Log(owner.ctx, code, attributes...)
 }
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -9,9 +9,7 @@
 //
 //	sent := traffic.New(meters)
 //	sent.Note(ctx, traffic.Runs, near, proto.Size(part))
-//	for _, count := range sent.Take() {
-//		events.Log(ctx, event.MessagesSent, count.Attributes()...)
-//	}
+//	sent.Log(ctx, events, now)
 package traffic
 
 import (
@@ -24,11 +22,12 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/telemetry"
 )
 
-// Every is how often a process logs what it has sent: a handful of lines each time.
-const Every = 10 * time.Second
+// logEvery is how often a process logs what it has sent: a handful of lines each time.
+const logEvery = 10 * time.Second
 
 // Kind is what a part of a message is about.
 type Kind string
@@ -70,6 +69,7 @@
 // Sent counts what one process sends. It is not for use by several goroutines at once.
 type Sent struct {
 	counts   map[place]Count
+	loggedAt time.Time
 	messages metric.Int64Counter
 	bytes    metric.Int64Counter
 }
@@ -101,6 +101,17 @@
 	sent.bytes.Add(ctx, int64(size), labels)
 }
 
+// Log logs what has been sent since it was last logged, if that is due.
+func (sent *Sent) Log(ctx context.Context, events *event.Logger, now time.Time) {
+	if now.Sub(sent.loggedAt) < logEvery {
+		return
+	}
+	sent.loggedAt = now
+	for _, count := range sent.Take() {
+		events.Log(ctx, event.MessagesSent, count.Attributes()...)
+	}
+}
+
 // Take returns what has been sent since it was last called, the most bytes first.
 func (sent *Sent) Take() []Count {
 	taken := make([]Count, 0, len(sent.counts))
