agent: an answer about an incarnation that is taken care of by now has no effect

Cause, found on reading the change: while an incarnation is asked whether it is the present one, the one before may end and its next heartbeat have it taken care of. The answer then ended that very incarnation: its heartbeats were passed over from there on, and owners and the store were told that its runs were over.

Change: taking care of an incarnation drops what is being asked. TestSuccessorIsTakenCareOfOnce fails on the code before.

--- a/agent/successor.go
+++ b/agent/successor.go
@@ -55,7 +55,6 @@
 		agent.next = nil
 		agent.log(event.HeartbeatStale, slog.String("worker", next.beat.Incarnation), slog.Int64("sequence", next.beat.Sequence))
 	case err == nil || agent.worker == nil || agent.worker.failures > 0:
-		agent.next = nil
 		if agent.worker != nil {
 			// One worker stands on a machine: the one before it has ended.
 			agent.endIncarnation(agent.worker.beat.Incarnation)
@@ -64,8 +63,10 @@
 	}
 }
 
-// takeCareOf begins to take care of an incarnation.
+// takeCareOf begins to take care of an incarnation, while there is no other one. What was
+// asked about it until then has no effect any more.
 func (agent *Agent) takeCareOf(beat platform.Heartbeat, calls *platform.Worker, now time.Time) {
+	agent.next = nil
 	agent.logWorker(beat)
 	agent.worker = newWorkerState(beat, calls, agent.options.FirstToken, now)
 	agent.worker.noteLeaving(now)
--- a/agent/successor_test.go
+++ b/agent/successor_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/standin/wireworker"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -44,3 +45,35 @@
 		})
 	}
 }
+
+// TestSuccessorIsTakenCareOfOnce: the answer to whether an incarnation is the present one may
+// come after it has been taken care of for another reason. The case that forced it: the
+// answer ended the very incarnation that it was about, whose heartbeats were passed over from
+// then on and whose runs were told as lost.
+func TestSuccessorIsTakenCareOfOnce(t *testing.T) {
+	made := newBench(t)
+	answer := make(chan struct{})
+	made.worker.Fail(func(string) wireworker.Fault {
+		<-answer
+		return wireworker.FaultNone
+	})
+	owner := made.attach(1)
+	earlier, present := made.heartbeat(), made.heartbeat()
+	earlier.Incarnation = "i-0"
+	made.beside.Beat(earlier)
+	made.beside.Beat(present)
+	made.beside.Left(earlier.Incarnation)
+	made.beside.Beat(present)
+	tells := func(message *wire.AgentMessage) bool { return message.GetStatus().GetWorker() == worker }
+	made.until(func() bool { return owner.last(tells) != nil })
+	close(answer)
+	made.until(func() bool {
+		owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+		return owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus().GetReady() }) != nil
+	})
+	made.beatLeaving(time.Minute)
+	made.until(func() bool {
+		owner.tell(&wire.OwnerMessage{})
+		return owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus().GetDraining() }) != nil
+	})
+}
