An agent answers each owner's message within half a second

Cause, found on reading the change: an owner ended a connection on which its messages stayed unanswered for 2 s once it had a shard, also one that it was still reading. Agents answer an owner without claims each 3 s. So a gateway that took its first shard, or waited for a slow store, cut itself off from its agents. And an agent went on taking in the table of an owner of this build after one of an earlier build had followed it.

Change: agents answer every message within 0.5 s; owners wait for 2 s, for agents of earlier builds 4.5 s; the kept table is dropped once an owner tells everything each time.

TestTakingAShardCutsNobodyOff and TestEveryOwnerIsAnswered (2 s) fail on the code before.

--- a/agent/learned.go
+++ b/agent/learned.go
@@ -111,8 +111,12 @@
 	paced.model.Share(pair, interference.Estimate{Weight: weight, Readings: others}, now)
 }
 
-// share takes in what other workers' readings have taught.
+// share takes in what other workers' readings have taught, by the word of an owner that tells
+// all of it each time: what was kept of one that tells changes holds no longer.
 func (paced *pacing) share(told []*job.Interference, now time.Time) {
+	if len(told) > 0 {
+		clear(paced.byAll)
+	}
 	for _, known := range told {
 		paced.model.Share(known.Pair(), known.Estimate(), now)
 	}
--- a/agent/session.go
+++ b/agent/session.go
@@ -24,8 +24,11 @@
 	outbox  chan *wire.AgentMessage
 	closed  chan struct{}
 	// ended is set once the stream has: a message of it may still wait its turn.
-	ended   bool
-	handled int64
+	ended bool
+	// handled is the number of the owner's last message, answered that of the last one
+	// that it was told to be handled.
+	handled  int64
+	answered int64
 	// takesChanges is set for an owner that needs no more than what has changed.
 	takesChanges bool
 	// told is what the owner has been told of the worker, toldLearned what readings have
--- a/agent/silent_test.go
+++ b/agent/silent_test.go
@@ -40,3 +40,21 @@
 	}
 	made.startsRun(owner, start(1))
 }
+
+// TestEveryOwnerIsAnswered: also one that owns nothing is told soon that its message was
+// handled; by that it knows that its connection is sound.
+func TestEveryOwnerIsAnswered(t *testing.T) {
+	made := newBench(t)
+	owner := made.connect(&wire.OwnerMessage{Owner: "edge-2"})
+	for range 4 {
+		made.pass(time.Second)
+		owner.tell(&wire.OwnerMessage{})
+		told := made.clock.Now()
+		made.until(func() bool {
+			return owner.last(func(message *wire.AgentMessage) bool { return message.GetHandled() >= owner.sequence }) != nil
+		})
+		if took := made.clock.Now().Sub(told); took > time.Second {
+			t.Errorf("answered after %v", took)
+		}
+	}
+}
--- a/agent/tell.go
+++ b/agent/tell.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// statusEvery is how often an owner hears from the agent at least.
+	// statusEvery is how often an owner hears from the agent at least, and how soon each
+	// message of any owner is answered.
 	statusEvery = 500 * time.Millisecond
 	// runsEvery is how often the owner is told all runs, with checkpoints.
 	runsEvery = time.Second
@@ -72,6 +73,9 @@
 		return true
 	}
 	since := now.Sub(owner.sentAt)
+	if owner.handled > owner.answered && since >= statusEvery {
+		return true // Only an answer proves to it that the connection is sound.
+	}
 	if !agent.ownsAny(owner) {
 		return since >= quietEvery
 	}
@@ -110,7 +114,7 @@
 	}
 	owner.results, owner.ends = nil, nil
 	owner.changed, owner.wholeDue = false, false
-	owner.sentAt = now
+	owner.sentAt, owner.answered = now, owner.handled
 	return message
 }
 
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -32,11 +32,11 @@
 	sequence int64
 	handled  int64
 	sentAt   time.Time
-	// unansweredAt is when the first message was sent that the agent has not said to
-	// have handled; zero for none.
-	unansweredAt time.Time
-	claimed      bool // the present shards are in message, or were sent
-	claimSeq     map[int]int64
+	// answerBy is when the agent must have said that it handled the first message that it
+	// has not said so of; zero for none.
+	answerBy time.Time
+	claimed  bool // the present shards are in message, or were sent
+	claimSeq map[int]int64
 
 	// greeted is set once the agent has spoken on the present connection.
 	greeted bool
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -22,10 +22,9 @@
 	attachPause  = 200 * time.Millisecond
 	attachSlower = 2 * time.Second
 	// answerWithin is how long an agent may leave the owner's messages unanswered, beyond
-	// the pause that it keeps between its own: a connection may go silent for good in
-	// either direction while the peer's kernel acknowledges, and only an answer proves
-	// it sound. Agents answer owners of shards twice a second; a machine that runs five
-	// times slower for a while answers within 1 s.
+	// the half second that it takes at most to answer one: a connection may go silent for
+	// good in either direction while the peer's kernel acknowledges, and only an answer
+	// proves it sound. A machine that runs five times slower for a while answers within 1 s.
 	answerWithin = 1500 * time.Millisecond
 )
 
@@ -100,7 +99,7 @@
 	view.sequence, view.handled = 0, 0
 	view.claimSeq = map[int]int64{}
 	view.claimed = false
-	view.sentAt, view.unansweredAt = time.Time{}, time.Time{}
+	view.sentAt, view.answerBy = time.Time{}, time.Time{}
 	view.greeted, view.keepsLearned = false, false
 	view.sharedAt, view.sharedVersion = time.Time{}, 0
 	for _, entry := range view.runs {
@@ -121,22 +120,32 @@
 // endSilent ends a connection on which the agent does not answer, so that another one is
 // made.
 func (owner *Owner) endSilent(view *agentView, now time.Time) {
-	if view.link == nil || view.unansweredAt.IsZero() || now.Sub(view.unansweredAt) < owner.speakEvery()+answerWithin {
+	if view.link == nil || view.answerBy.IsZero() || now.Before(view.answerBy) {
 		return
 	}
-	owner.log(event.ConnectionSilent, slog.String("peer", view.address), slog.Duration("unanswered", now.Sub(view.unansweredAt)))
-	view.unansweredAt = time.Time{}
+	owner.log(event.ConnectionSilent, slog.String("peer", view.address), slog.Duration("unanswered", now.Sub(view.heardAt)))
+	view.answerBy = time.Time{}
 	view.link.cancel()
 }
 
+// awaitAnswer returns when an agent must have answered what is sent now. Agents of earlier
+// builds answer an owner that has claimed no shard as seldom as it speaks.
+func (view *agentView) awaitAnswer(now time.Time) time.Time {
+	pause := grantEvery
+	if !view.keepsLearned {
+		pause = quietEvery
+	}
+	return now.Add(pause + answerWithin)
+}
+
 // noteAnswered takes note of how far an agent has handled the owner's messages.
 func (view *agentView) noteAnswered(handled int64, now time.Time) {
 	switch {
 	case handled >= view.sequence:
-		view.unansweredAt = time.Time{}
+		view.answerBy = time.Time{}
 	case handled > view.handled:
 		// It goes on answering; what it has not come to was sent later.
-		view.unansweredAt = now
+		view.answerBy = view.awaitAnswer(now)
 	}
 	view.handled = handled
 }
--- a/owner/connection_test.go
+++ b/owner/connection_test.go
@@ -25,7 +25,7 @@
 			made.attach()
 			ended := false
 			made.view.link.cancel = func() { ended = true }
-			for range 40 {
+			for range 60 {
 				made.step()
 				handled := made.agentN
 				made.sent()
@@ -44,3 +44,22 @@
 		})
 	}
 }
+
+// TestTakingAShardCutsNobodyOff: an agent of an earlier build answers an owner without
+// claims each 3 s. It is not taken for silent by an owner that has just taken a shard, nor
+// by one whose shard is still to be read.
+func TestTakingAShardCutsNobodyOff(t *testing.T) {
+	made := newBench(t)
+	made.held.active = false
+	made.attach()
+	made.view.link.cancel = func() { t.Error("cut off") }
+	for range 10 {
+		for range quietEvery / grantEvery {
+			made.clock.Advance(grantEvery)
+			made.owner.joinedAt = made.clock.Now()
+			made.step()
+		}
+		made.sent()
+		made.hear(&wire.AgentMessage{})
+	}
+}
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -28,8 +28,8 @@
 	message.Sequence = view.sequence
 	view.message = &wire.OwnerMessage{}
 	view.sentAt = now
-	if view.unansweredAt.IsZero() {
-		view.unansweredAt = now
+	if view.answerBy.IsZero() {
+		view.answerBy = view.awaitAnswer(now)
 	}
 	select {
 	case view.link.outbox <- message:
