rpc: only a call whose time is over takes its connection with it

Cause, found on reading the change: a call that its caller gave up, since a client had left, closed its connection and all idle ones to that address as well.

Change: only where the call's own time is over.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -135,7 +135,7 @@
 		return err
 	}
 	if err := borrowed.Invoke(ctx, name, encoding, in, out); err != nil {
-		if ctx.Err() != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return borrowed.giveUp(err)
 		}
 		borrowed.Return()
--- a/rpc/silent_test.go
+++ b/rpc/silent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,11 +15,17 @@
 // pendingServer answers questions for waiting jobs.
 type pendingServer struct {
 	wire.DRPCPeerUnimplementedServer
-	calls atomic.Int32
+	asked chan struct{} // gets one for each question that is not answered
 }
 
-func (server *pendingServer) Pending(context.Context, *wire.PendingRequest) (*wire.PendingReply, error) {
-	server.calls.Add(1)
+// unansweredQueue is the queue for which the server leaves questions unanswered.
+const unansweredQueue = "unanswered"
+
+func (server *pendingServer) Pending(ctx context.Context, request *wire.PendingRequest) (*wire.PendingReply, error) {
+	if request.GetQueue() == unansweredQueue {
+		server.asked <- struct{}{}
+		<-ctx.Done()
+	}
 	return &wire.PendingReply{Pending: 7}, nil
 }
 
@@ -40,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
-			answering := &pendingServer{}
+			answering := &pendingServer{asked: make(chan struct{}, 1)}
 			server, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, answering) })
 			if err != nil {
 				t.Fatal(err)
@@ -76,6 +81,42 @@
 	}
 }
 
+// TestCallGivenUpByItsCallerKeepsConnections: a caller that leaves says nothing about the
+// connections.
+func TestCallGivenUpByItsCallerKeepsConnections(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	answering := &pendingServer{asked: make(chan struct{}, 1)}
+	server, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, answering) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx) }()
+	between, err := relay.New(ctx, server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer between.Close() //nolint:errcheck // the test is over.
+	pool := rpc.NewPool(nil)
+	defer pool.Close() //nolint:errcheck // nothing is on its way.
+	openIdle(t, pool, between.Address(), 3)
+	client := wire.NewDRPCPeerClient(pool.Conn(between.Address()))
+	left, leave := context.WithCancel(ctx)
+	go func() {
+		<-answering.asked
+		leave()
+	}()
+	if _, err := client.Pending(left, &wire.PendingRequest{Queue: unansweredQueue}); err == nil {
+		t.Error("a question that nobody answered was answered")
+	}
+	if _, err := client.Pending(ctx, &wire.PendingRequest{}); err != nil {
+		t.Error(err)
+	}
+	if accepted := between.Accepted(); accepted != 3 {
+		t.Errorf("%d connections, want the 3 from before", accepted)
+	}
+}
+
 // openIdle leaves some idle connections in the pool.
 func openIdle(t *testing.T, pool *rpc.Pool, address string, count int) {
 	t.Helper()
