agent: the tests' clock waits for looks at the worker

The tests let 50 ms of their clock pass in each millisecond; a worker that has no processor for 80 ms loses its lease of 4 s, and its run ends.

Ruled out: the product; nothing that the test runs through had changed.

Change: pass waits for a look, up to 0.2 s, where 1.5 s have passed without one.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -219,11 +219,33 @@
 	made.t.Fatal("what was waited for did not happen")
 }
 
+const (
+	// unlookedMost is how much time passes at most without a look at the worker, which
+	// comes each second: its lease of 4 s must not run out because the processes of the
+	// test have no processor while the clock runs on.
+	unlookedMost = 1500 * time.Millisecond
+	// lookTries bounds the wait for a look, in milliseconds, where the worker is silent on
+	// purpose.
+	lookTries = 200
+)
+
 // pass lets time go by in steps that the agent sees.
 func (made *bench) pass(length time.Duration) {
+	looks, lookedAt := 0, made.clock.Now()
+	looked := func() bool {
+		count, _ := made.worker.Looks()
+		if count == looks {
+			return false
+		}
+		looks, lookedAt = count, made.clock.Now()
+		return true
+	}
 	for begin := made.clock.Now(); made.clock.Now().Sub(begin) < length; {
 		made.clock.Advance(50 * time.Millisecond)
 		time.Sleep(time.Millisecond)
+		for try := 0; try < lookTries && !looked() && made.clock.Now().Sub(lookedAt) >= unlookedMost; try++ {
+			time.Sleep(time.Millisecond)
+		}
 	}
 }
 
