rpc: the two tests of silent connections share how they serve

Change: serveThroughRelay does it for both. Assertions are unchanged; no product code. Checked: the tests of rpc twice with -race, and its linters.

--- a/rpc/silent_test.go
+++ b/rpc/silent_test.go
@@ -29,6 +29,22 @@
 	return &wire.PendingReply{Pending: 7}, nil
 }
 
+// serveThroughRelay serves a pendingServer until ctx ends, behind a relay.
+func serveThroughRelay(ctx context.Context, t *testing.T) (*relay.Relay, *pendingServer) {
+	t.Helper()
+	answering := &pendingServer{asked: make(chan struct{}, 1)}
+	server, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, answering) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx) }()
+	between, err := relay.New(ctx, server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return between, answering
+}
+
 // unansweredFor is what a call waits in vain here: the test is longer by it for each
 // connection that has gone silent, and its verdict does not depend on it.
 const unansweredFor = 200 * time.Millisecond
@@ -45,16 +61,7 @@
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
-			answering := &pendingServer{asked: make(chan struct{}, 1)}
-			server, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, answering) })
-			if err != nil {
-				t.Fatal(err)
-			}
-			go func() { _ = server.Serve(ctx) }()
-			between, err := relay.New(ctx, server.Address())
-			if err != nil {
-				t.Fatal(err)
-			}
+			between, _ := serveThroughRelay(ctx, t)
 			defer between.Close() //nolint:errcheck // the test is over.
 			pool := rpc.NewPool(nil)
 			defer pool.Close() //nolint:errcheck // nothing is on its way.
@@ -86,16 +93,7 @@
 func TestCallGivenUpByItsCallerKeepsConnections(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	answering := &pendingServer{asked: make(chan struct{}, 1)}
-	server, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, answering) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve(ctx) }()
-	between, err := relay.New(ctx, server.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
+	between, answering := serveThroughRelay(ctx, t)
 	defer between.Close() //nolint:errcheck // the test is over.
 	pool := rpc.NewPool(nil)
 	defer pool.Close() //nolint:errcheck // nothing is on its way.
