Nothing starts in a failure domain that operators have evacuated

Ruled out: agents that follow the operator's records themselves (a read a second for each of 550 workers, against none), owners that filter places alone (an order that was held up, or one of an owner that the store turns away, would still start). Change: package operator reads the topic once for configuration and evacuations, with the moment as of which all that was written is known. Owners leave evacuated domains out, take back what was placed but not ordered, and state that moment, on the agent's clock, with each message that orders a start. The agent decides last, by the freshest that any owner told it; it refuses what is known too long ago. An owner of an earlier build that states nothing has the agent read the store itself. A gang now says what keeps it from a place.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,12 @@
 // or pre-empted. What would not end before a leaving worker is gone is stopped in time,
 // whether it has a checkpoint or not: with the worker it would be lost.
 //
+// # Evacuated failure domains
+//
+// The agent is the last to check that its worker may be given anything. Owners tell it with
+// each order what operators have written, and as of which moment of the agent's own clock;
+// the order is refused if that is older than a start may take less than an evacuation.
+//
 // # Usage
 //
 //	beside := agent.New(agent.Options{Name: "side-1", Connect: connect, Events: events})
@@ -46,6 +52,7 @@
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/loop"
+	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/traffic"
 	"ambertiller.example/ambertiller/wire"
@@ -99,6 +106,9 @@
 	FirstToken int64
 	// HarmAfter is how long a serving task may miss its target on end.
 	HarmAfter time.Duration
+	// EvacuateWithin is how long after an operator has asked for it nothing may be
+	// started any more in an evacuated failure domain.
+	EvacuateWithin time.Duration
 	// Connect returns a client of one incarnation of the worker.
 	Connect func(address, incarnation string) *platform.Worker
 	Clock   clockwork.Clock
@@ -124,8 +134,11 @@
 	owners    map[*session]bool
 	claims    map[int32]*claim
 	paced     pacing
-	sent      *traffic.Sent
-	meters    meters
+	// operator is what is known of evacuations; operatorWanted has it read here.
+	operator       operator.Knowledge
+	operatorWanted chan struct{}
+	sent           *traffic.Sent
+	meters         meters
 	// gaugedAt is when the gauges were last set.
 	gaugedAt time.Time
 	ctx      context.Context // ends the calls to the worker with the agent
@@ -148,11 +161,13 @@
 		started:   options.Clock.Now(),
 		gone:      map[string]bool{},
 		endedNews: make(chan struct{}, 1),
-		owners:    map[*session]bool{},
-		claims:    map[int32]*claim{},
-		sent:      traffic.New(options.Meters),
-		meters:    newMeters(options.Meters),
-		paced:     newPacing(options.HarmAfter),
+
+		operatorWanted: make(chan struct{}, 1),
+		owners:         map[*session]bool{},
+		claims:         map[int32]*claim{},
+		sent:           traffic.New(options.Meters),
+		meters:         newMeters(options.Meters),
+		paced:          newPacing(options.HarmAfter),
 	}
 }
 
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -24,6 +24,9 @@
 	task   = "0123456789abcdef.0.0.0"
 	worker = "i-1"
 	grant  = 6 * time.Second
+	domain = "milano-a"
+	// evacuateWithin is how soon an evacuation holds.
+	evacuateWithin = 5 * time.Second
 )
 
 var shard = int32(job.ShardOf("0123456789abcdef", shards))
@@ -34,6 +37,10 @@
 	in  chan *wire.OwnerMessage
 	ctx context.Context
 
+	// uptime is the agent's. A message with starts says that as of then no failure domain is
+	// evacuated, unless it says something else; nil for an owner of an earlier build.
+	uptime func() time.Duration
+
 	mu       sync.Mutex
 	received []*wire.AgentMessage
 	sequence int64
@@ -58,6 +65,9 @@
 func (owner *stream) tell(message *wire.OwnerMessage) {
 	owner.sequence++
 	message.Sequence = owner.sequence
+	if owner.uptime != nil && len(message.GetStarts()) > 0 && message.GetEvacuations() == nil {
+		message.Evacuations = &wire.Evacuations{AsOfNanos: int64(owner.uptime())}
+	}
 	owner.in <- message
 }
 
@@ -86,6 +96,13 @@
 	return wire.StartOutcome_START_UNSPECIFIED
 }
 
+// forget drops what the owner was told.
+func (owner *stream) forget() {
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	owner.received = nil
+}
+
 func (owner *stream) end() *wire.RunEnd {
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
@@ -105,6 +122,8 @@
 	clock  *clockwork.FakeClock
 	beside *agent.Agent
 	worker *wireworker.Worker
+	// began is when the present agent was made.
+	began  time.Time
 	ctx    context.Context
 	server *httptest.Server
 }
@@ -128,18 +147,23 @@
 func (made *bench) begin() {
 	made.beside = agent.New(agent.Options{
 		Name: "side-1", Shards: shards, FirstToken: made.clock.Now().UnixMilli(), Clock: made.clock, Events: event.Discard(),
+		EvacuateWithin: evacuateWithin,
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, platform.Transport())
 		},
 	})
+	made.began = made.clock.Now()
 	go made.beside.Run(made.ctx)
 }
 
+// uptime is the clock that the agent reckons in towards owners.
+func (made *bench) uptime() time.Duration { return made.clock.Now().Sub(made.began) }
+
 // heartbeat is what the worker says of itself first.
 func (made *bench) heartbeat() platform.Heartbeat {
 	return platform.Heartbeat{
 		Incarnation: worker, Service: "verbale", Address: strings.TrimPrefix(made.server.URL, "http://"),
-		MilliCPU: 4000, MemoryMB: 8000, Sequence: 1,
+		MilliCPU: 4000, MemoryMB: 8000, Sequence: 1, FailureDomain: domain,
 	}
 }
 
@@ -165,7 +189,7 @@
 
 // connect opens an owner's stream with a first message and waits until it is handled.
 func (made *bench) connect(first *wire.OwnerMessage) *stream {
-	owner := &stream{in: make(chan *wire.OwnerMessage, 64), ctx: made.ctx}
+	owner := &stream{in: make(chan *wire.OwnerMessage, 64), ctx: made.ctx, uptime: made.uptime}
 	go func() { _ = made.beside.Attach(owner) }()
 	owner.tell(first)
 	made.until(func() bool {
--- /dev/null
+++ b/agent/evacuated.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/operator"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// startTakes is how long an order takes at most from its agent's decision until the
+	// worker has begun with it: as long as the call may take, and the wake-ups before it.
+	startTakes = callTimeout + 200*time.Millisecond
+	// operatorPause keeps reads of the operators' records apart that failed.
+	operatorPause = 200 * time.Millisecond
+)
+
+// noteEvacuations takes in what an owner knows of evacuations.
+func (agent *Agent) noteEvacuations(told *wire.Evacuations, now time.Time) {
+	if told == nil {
+		return
+	}
+	asOf := agent.started.Add(time.Duration(told.GetAsOfNanos()))
+	if asOf.After(now) {
+		asOf = now // The clocks differ by more than owners reckon with.
+	}
+	agent.learnEvacuations(operator.NewEvacuations(told.GetVersion(), told.GetFailureDomains()), asOf)
+}
+
+func (agent *Agent) learnEvacuations(told operator.Evacuations, asOf time.Time) {
+	before := agent.operator.Evacuations()
+	agent.operator.Note(told, asOf)
+	now := agent.operator.Evacuations()
+	own := agent.failureDomain()
+	if before.Has(own) == now.Has(own) {
+		return
+	}
+	code := event.DomainGivenBack
+	if now.Has(own) {
+		code = event.DomainEvacuated
+	}
+	agent.log(code, slog.String("failure_domain", own), slog.Int64("version", now.Version()))
+}
+
+// failureDomain returns where the worker stands.
+func (agent *Agent) failureDomain() string {
+	if agent.worker != nil && agent.worker.beat.FailureDomain != "" {
+		return agent.worker.beat.FailureDomain
+	}
+	return agent.options.FailureDomain
+}
+
+// judgeDomain says whether a task may be started in the worker's failure domain. What is
+// known must be so fresh that the start takes effect before an evacuation holds that was
+// asked for right after.
+func (agent *Agent) judgeDomain(now time.Time) operator.Verdict {
+	return agent.operator.Judge(agent.failureDomain(), now, agent.options.EvacuateWithin-startTakes)
+}
+
+// wantEvacuations has FollowOperator read what operators wrote.
+func (agent *Agent) wantEvacuations() {
+	select {
+	case agent.operatorWanted <- struct{}{}:
+	default:
+	}
+}
+
+// FollowOperator reads what operators wrote whenever an order came from an owner that does
+// not tell it, as one of an earlier build does not. It returns when ctx ends.
+func (agent *Agent) FollowOperator(ctx context.Context, store *platform.Store) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-agent.operatorWanted:
+		}
+		news, err := operator.NewReader(store, agent.options.Clock).Read(ctx)
+		if err != nil {
+			agent.options.Events.Log(ctx, event.StoreLost, slog.Any("error", err))
+			select {
+			case <-ctx.Done():
+			case <-agent.options.Clock.After(operatorPause):
+			}
+			continue
+		}
+		agent.decisions.Post(func(time.Time) { agent.learnEvacuations(news.Evacuations, news.AsOf) })
+	}
+}
--- a/agent/order.go
+++ b/agent/order.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/wire"
@@ -53,12 +54,22 @@
 		return wire.StartOutcome_START_NOT_READY
 	case state.beat.Draining:
 		return wire.StartOutcome_START_DRAINING
+	case agent.judgeDomain(now) != operator.Permitted:
+		return refusedBy(agent.judgeDomain(now))
 	case state.runs[order.GetTask()] != nil || !state.room().fits(order.GetDemand()):
 		return wire.StartOutcome_START_NO_ROOM
 	}
 	return wire.StartOutcome_START_STARTED
 }
 
+// refusedBy returns what becomes of a start that a verdict on its failure domain rules out.
+func refusedBy(verdict operator.Verdict) wire.StartOutcome {
+	if verdict == operator.Evacuated {
+		return wire.StartOutcome_START_EVACUATED
+	}
+	return wire.StartOutcome_START_NOT_READY
+}
+
 func (agent *Agent) sendStart(state *workerState, run *runState, order *wire.StartOrder, try int, now time.Time) {
 	leaseEnd := state.leaseEnd(now, agent.leaseUntil(now))
 	state.extended(leaseEnd)
@@ -93,6 +104,10 @@
 	switch {
 	case errors.As(err, &refused):
 		again := refused.Reason() == platform.RefusedFence || refused.Reason() == platform.RefusedLate
+		if verdict := agent.judgeDomain(now); again && verdict != operator.Permitted {
+			agent.notStarted(state, run, refusedBy(verdict), err)
+			return
+		}
 		if again && try < startTries && run.phase == phaseStarting {
 			agent.sendStart(state, run, order, try+1, now)
 			return
--- a/agent/preempt.go
+++ b/agent/preempt.go
@@ -9,6 +9,7 @@
 
 	"ambertiller.example/ambertiller/admission"
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -25,6 +26,9 @@
 	if state == nil || state.beat.Incarnation != order.GetWorker() || !state.ready() || state.beat.Draining {
 		return
 	}
+	if agent.judgeDomain(now) == operator.Evacuated {
+		return // What would be stopped makes room that nothing may take.
+	}
 	if held, claimed := agent.claims[order.GetShard()]; !claimed || order.GetEpoch() < held.epoch {
 		return
 	}
--- a/agent/session.go
+++ b/agent/session.go
@@ -7,6 +7,7 @@
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/interference"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/status"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -98,6 +99,7 @@
 		agent.noteClaims(owner, message)
 	}
 	agent.noteGrant(owner, message)
+	agent.noteEvacuations(message.GetEvacuations(), now)
 	for _, description := range message.GetRuns() {
 		agent.noteDescription(description)
 	}
@@ -112,6 +114,9 @@
 	for _, order := range message.GetStarts() {
 		agent.noteStart(owner, order, now)
 	}
+	if len(message.GetStarts()) > 0 && message.GetEvacuations() == nil && agent.judgeDomain(now) == operator.Outdated {
+		agent.wantEvacuations()
+	}
 	for _, seen := range message.GetSeen() {
 		agent.noteSeen(seen, now)
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -144,6 +144,7 @@
 	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	beside := agent.New(agent.Options{
 		Name: settings.Name(), FailureDomain: settings.FailureDomain(), Shards: settings.Parts(), FirstToken: clock.Now().UnixMilli(), HarmAfter: settings.HarmAfter(),
+		EvacuateWithin: settings.EvacuateWithin(),
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, transport)
 		},
@@ -155,6 +156,7 @@
 		roleService(beside.Run, beside, ServiceMetrics),
 		rpcService(address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterAgent(mux, beside) }),
 		runService("register", func(ctx context.Context) { beside.Register(ctx, store, address) }, nil, ServiceRPC),
+		runService("operator", func(ctx context.Context) { beside.FollowOperator(ctx, store) }, nil, ServiceRole),
 		httpService(ServiceBeats, []string{ServiceRole}, settings.BeatAddress(), platform.BeatHandler(beside)),
 		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(metering, func() bool { return true })),
 	)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -145,6 +145,8 @@
 	ConnectionSilent
 	HeartbeatStale
 	MessagesSent
+	DomainEvacuated
+	DomainGivenBack
 )
 
 // LinesDropped speaks of the log itself.
@@ -168,6 +170,8 @@
 	reportRelease = "0.4"
 	// sizeRelease is the one for deployments of hundreds of machines.
 	sizeRelease = "0.5"
+	// shiftRelease is the one for work that has shifted.
+	shiftRelease = "0.6"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -287,6 +291,8 @@
 	{ConnectionSilent, slog.LevelWarn, "connection silent", "An agent did not answer its owner, or an owner did not speak to its agent, on a connection that has not ended: it may carry nothing any more. It is closed and made anew, and everything is told again. The attribute unanswered says for how long.", sizeRelease},
 	{HeartbeatStale, slog.LevelInfo, "heartbeat stale", "A heartbeat of an incarnation that has been replaced at its address arrived late. It is passed over.", sizeRelease},
 	{MessagesSent, slog.LevelInfo, "messages sent", "How many messages of a kind, and bytes of it, the process has sent to other processes of ambertiller since its last such line; near says whether within its own failure domain. Frames and what TCP adds are left out.", sizeRelease},
+	{DomainEvacuated, slog.LevelInfo, "failure domain evacuated", "An operator wants nothing more to be started in the failure domain. At an owner, it is told to all agents with the next message; at an agent, its worker is given no starts from here on. What runs there goes on.", shiftRelease},
+	{DomainGivenBack, slog.LevelInfo, "failure domain given back", "The operator has taken the evacuation of the failure domain away; tasks may be started there again.", shiftRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -54,6 +54,9 @@
 	// more than a trial is placed there.
 	failures   int
 	avoidUntil time.Time
+	// toldEvacuations is the version of the evacuations that the agent was told on the
+	// present connection.
+	toldEvacuations int64
 	// preemptedAt is when the agent was last asked to make room.
 	preemptedAt time.Time
 }
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -22,6 +22,8 @@
 	serving []string
 	// addedFill is what has been placed since the agent's last word.
 	addedFill int64
+	// evacuated is set where the worker's failure domain is: nothing is started there.
+	evacuated bool
 	// trial is set after failures: the worker is given one run until it has shown
 	// that it does.
 	trial bool
@@ -38,7 +40,9 @@
 		if view.link == nil || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) || now.Sub(view.heardAt) > 2*grantEvery {
 			continue
 		}
-		workers = append(workers, newCandidate(view))
+		worker := newCandidate(view)
+		worker.evacuated = owner.evacuated(view)
+		workers = append(workers, worker)
 	}
 	return workers
 }
@@ -87,6 +91,8 @@
 	switch {
 	case status.GetService() != task.Job().Submission().GetService():
 		return wrongService
+	case worker.evacuated:
+		return domainEvacuated
 	case spec.GetLabel() != "" && !slices.Contains(status.GetLabels(), spec.GetLabel()):
 		return lacksLabel
 	case spec.GetMostPerWorker() > 0 && worker.holding(task) >= spec.GetMostPerWorker():
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -22,6 +22,11 @@
 			return
 		}
 	}
+	for _, member := range members {
+		if !member.Waits() {
+			member.Wait(string(mainObstacle(member, workers)), now)
+		}
+	}
 	owner.wantAdvice(members[0], now)
 }
 
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -22,6 +22,8 @@
 	shards  metric.Int64Gauge
 	waiting metric.Int64Gauge
 	agents  metric.Int64Gauge
+	// evacuated counts failure domains.
+	evacuated metric.Int64Gauge
 }
 
 // newMeters makes the instruments. Their names are constants that the library
@@ -39,6 +41,7 @@
 	made.shards, _ = meter.Int64Gauge("ambertiller.shard.owned", metric.WithDescription("Shards that this entry owns and has read."))
 	made.waiting, _ = meter.Int64Gauge("ambertiller.job.live", metric.WithDescription("Jobs of the shards that have not ended."))
 	made.agents, _ = meter.Int64Gauge("ambertiller.agent.attached", metric.WithDescription("Agents that this owner is connected to."))
+	made.evacuated, _ = meter.Int64Gauge("ambertiller.failure_domain.evacuated", metric.WithDescription("Failure domains that operators have evacuated, as this owner knows."))
 	return made
 }
 
--- a/owner/obstacle.go
+++ b/owner/obstacle.go
@@ -9,6 +9,7 @@
 const (
 	unobstructed        obstacle = ""
 	wrongService        obstacle = "service"
+	domainEvacuated     obstacle = "evacuation"
 	lacksLabel          obstacle = "label"
 	holdsEnough         obstacle = "spread"
 	inDoubt             obstacle = "doubt"
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -40,6 +40,7 @@
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/loop"
+	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/traffic"
 )
@@ -108,6 +109,8 @@
 	shards   map[int]*shard
 	fenced   map[int]int64
 	agents   map[string]*agentView
+	// operator is what is known of evacuations.
+	operator operator.Knowledge
 	placeDue bool
 	placedAt time.Time
 	// publishedAt is when what agents are told of interference was last worked out.
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -55,6 +55,10 @@
 		owner.release(view, entry, "its place went away before the order", now)
 		return
 	}
+	if owner.evacuated(view) {
+		owner.release(view, entry, "its failure domain was evacuated before the order", now)
+		return
+	}
 	made := entry.task.Job()
 	view.message.Starts = append(view.message.Starts, &wire.StartOrder{
 		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -18,8 +18,9 @@
 	if !view.claimed {
 		owner.claim(view)
 	}
+	owner.tellEvacuations(view)
 	grantDue := now.Sub(view.sentAt) >= owner.speakEvery()
-	if !grantDue && !message.Owned && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs)+len(message.Preempts) == 0 {
+	if !grantDue && !message.Owned && message.Evacuations == nil && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs)+len(message.Preempts) == 0 {
 		return
 	}
 	owner.grant(view, now)
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -91,6 +91,14 @@
 	worker.fault = fault
 }
 
+// RaiseToken has the worker obey no token of the present moment any more, as after orders
+// of a holder whose clock is ahead by so much.
+func (worker *Worker) RaiseToken(ahead time.Duration) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.token += ahead.Milliseconds()
+}
+
 // Running reports whether a task runs, and under which attempt.
 func (worker *Worker) Running(task string) (int32, bool) {
 	worker.mu.Lock()
