--- a/command/command.go
+++ b/command/command.go
@@ -125,7 +125,7 @@
 		Commands: []*cli.Command{
 			entryCommand(), guardCommand(), gatewayCommand(), agentCommand(), standinCommand(), demoCommand(),
 			submitCommand(), cancelCommand(), tasksCommand(), taskCommand(), resultCommand(), explainCommand(), throttleCommand(),
-			workersCommand(), drainCommand(), traceCommand(), reportCommand(),
+			workersCommand(), drainCommand(), evacuateCommand(), traceCommand(), reportCommand(),
 			configCommand(), policyCommand(), inForceCommand(),
 			versionCommand(),
 		},
--- /dev/null
+++ b/command/evacuate_test.go
@@ -0,0 +1,52 @@
+package command_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/command"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wirestore"
+)
+
+// TestEvacuate: an operator evacuates failure domains, sees which are, and gives them back.
+func TestEvacuate(t *testing.T) {
+	store := wirestore.New(1, time.Now)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	path := filepath.Join(t.TempDir(), "local.toml")
+	text := fmt.Sprintf("node_name = \"edge-1\"\nip = \"127.0.0.1\"\ninternal_ports = [7720, 7735]\n"+
+		"[bounds]\nmax_hold_ms = 6000\ngrace_s = 6\n[platform]\naddress = %q\nparts = 1\n", strings.TrimPrefix(server.URL, "http://"))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	steps := []struct {
+		arguments []string
+		want      string
+	}{
+		{nil, `"evacuated": []`},
+		{[]string{"milano-a"}, `"milano-a"`},
+		{[]string{"bergamo"}, `"bergamo",`},
+		{[]string{"--end", "bergamo"}, `"milano-a"`},
+		{[]string{"--end", "milano-a"}, `"evacuated": []`},
+	}
+	for _, step := range steps {
+		given := append([]string{"--output", "json", "evacuate", "--settings", path}, step.arguments...)
+		code, out, errOut := run(given...)
+		if code != command.ExitOK || !strings.Contains(out, step.want) {
+			t.Errorf("%v: code %d, said %q, %q", step.arguments, code, out, errOut)
+		}
+	}
+	if _, stands := store.Newest(platform.OperatorTopic, 0, platform.EvacuationKey("milano-a")); stands {
+		t.Error("the record is still there")
+	}
+	store.Fail(func(string) wirestore.Fault { return wirestore.FaultBusy })
+	if code, _, errOut := run("evacuate", "--settings", path, "milano-a"); code != command.ExitUnreachable || !strings.Contains(errOut, "call it again") {
+		t.Errorf("store away: code %d, said %q", code, errOut)
+	}
+}
--- a/command/operator.go
+++ b/command/operator.go
@@ -47,16 +47,20 @@
 
 func drainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "drain", Usage: "move the tasks of a worker elsewhere and place no more there", ArgsUsage: "WORKER",
+		Name: "drain", Usage: "move the tasks of a worker, or of all workers of a failure domain, elsewhere and place no more there", ArgsUsage: "WORKER",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "end", Usage: "end the drain"},
+			&cli.StringFlag{Name: "failure-domain", Usage: "drain the workers that are in this failure domain now, in place of one worker"},
 			authorFlag(),
 		},
 		Action: func(ctx context.Context, from *cli.Command) error {
 			asked := api.DrainRequest{Draining: !from.Bool("end"), Author: authorOf(from)}
+			if domain := from.String("failure-domain"); domain != "" {
+				return drainDomain(ctx, from, domain, asked)
+			}
 			return oneArgument("WORKER", func(ctx context.Context, calling *client, worker string) error {
-				var done api.DrainRequest
-				if err := calling.call(ctx, http.MethodPut, "/v1/workers/"+url.PathEscape(worker)+"/drain", nil, asked, &done); err != nil {
+				done, err := calling.drain(ctx, worker, asked)
+				if err != nil {
 					return err
 				}
 				return calling.out.fields(&done, "worker", worker, "draining", strconv.FormatBool(done.Draining))
@@ -65,6 +69,44 @@
 	}
 }
 
+// drain begins or ends the drain of a worker.
+func (calling *client) drain(ctx context.Context, worker string, asked api.DrainRequest) (api.DrainRequest, error) {
+	var done api.DrainRequest
+	err := calling.call(ctx, http.MethodPut, "/v1/workers/"+url.PathEscape(worker)+"/drain", nil, asked, &done)
+	return done, err
+}
+
+// drainDomain begins or ends the drain of each worker of a failure domain. A worker that
+// joins later is not drained; `ambertiller workers` shows it.
+func drainDomain(ctx context.Context, from *cli.Command, domain string, asked api.DrainRequest) error {
+	if from.Args().Present() {
+		return usage("give a WORKER or --failure-domain, not both")
+	}
+	calling, err := newClient(from)
+	if err != nil {
+		return err
+	}
+	var workers []api.Worker
+	if err := calling.call(ctx, http.MethodGet, "/v1/workers", nil, nil, &workers); err != nil {
+		return err
+	}
+	rows := [][]string{}
+	for _, worker := range workers {
+		if worker.FailureDomain != domain {
+			continue
+		}
+		done, err := calling.drain(ctx, worker.Name, asked)
+		if err != nil {
+			return errors.Wrapf(err, "worker %s, after %d others; call it again", worker.Name, len(rows))
+		}
+		rows = append(rows, []string{worker.Name, strconv.FormatBool(done.Draining)})
+	}
+	if len(rows) == 0 {
+		return usage("no worker is in the failure domain %q; see `ambertiller workers`", domain)
+	}
+	return calling.out.print(rows, []string{"WORKER", "DRAINING"}, rows)
+}
+
 func authorFlag() cli.Flag {
 	return &cli.StringFlag{Name: "author", Usage: "who makes the change; default: the user", Sources: env("AUTHOR")}
 }
--- a/report/timeline.go
+++ b/report/timeline.go
@@ -45,6 +45,8 @@
 	event.WorkerSilent:         "worker silent",
 	event.WorkerBack:           "worker back",
 	event.ConfigurationInForce: "configuration in force",
+	event.DomainEvacuated:      "failure domain evacuated",
+	event.DomainGivenBack:      "failure domain given back",
 	event.JobRefused:           "job refused",
 	event.JobUnsettled:         "job unsettled",
 }
