--- a/command/operator.go
+++ b/command/operator.go
@@ -28,8 +28,8 @@
 			if err != nil {
 				return err
 			}
-			var workers []api.Worker
-			if err := calling.call(ctx, http.MethodGet, "/v1/workers", nil, nil, &workers); err != nil {
+			workers, err := calling.workers(ctx)
+			if err != nil {
 				return err
 			}
 			rows := make([][]string, 0, len(workers))
@@ -45,6 +45,13 @@
 	}
 }
 
+// workers lists the workers that the entry knows.
+func (calling *client) workers(ctx context.Context) ([]api.Worker, error) {
+	var workers []api.Worker
+	err := calling.call(ctx, http.MethodGet, "/v1/workers", nil, nil, &workers)
+	return workers, err
+}
+
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "drain", Usage: "move the tasks of a worker, or of all workers of a failure domain, elsewhere and place no more there", ArgsUsage: "WORKER",
@@ -86,8 +93,8 @@
 	if err != nil {
 		return err
 	}
-	var workers []api.Worker
-	if err := calling.call(ctx, http.MethodGet, "/v1/workers", nil, nil, &workers); err != nil {
+	workers, err := calling.workers(ctx)
+	if err != nil {
 		return err
 	}
 	rows := [][]string{}
--- a/session/harness_test.go
+++ b/session/harness_test.go
@@ -5,30 +5,24 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"slices"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
 
 	"ambertiller.example/ambertiller/api"
 	"ambertiller.example/ambertiller/changelog"
 	"ambertiller.example/ambertiller/entry"
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/examples"
 	"ambertiller.example/ambertiller/guard"
 	"ambertiller.example/ambertiller/instances"
-	"ambertiller.example/ambertiller/logservice"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/standin"
 	"ambertiller.example/ambertiller/state"
@@ -340,105 +334,3 @@
 		}
 	}
 }
-
-// do sends one HTTP request to an entry and notes both ways.
-func (made *bench) do(name, method, path, body string, headers ...string) *httptest.ResponseRecorder {
-	made.t.Helper()
-	request := httptest.NewRequestWithContext(made.ctx, method, path, strings.NewReader(body))
-	for index := 0; index+1 < len(headers); index += 2 {
-		request.Header.Set(headers[index], headers[index+1])
-	}
-	made.said.add("caller", strings.TrimSpace(fmt.Sprintf("%s %s %s %q", method, path, strings.Join(headers, " "), body)))
-	recorder := httptest.NewRecorder()
-	if broken := serveRecorded(made.entries[name].handler, recorder, request); broken {
-		made.said.add(name, "breaks the connection off")
-		return recorder
-	}
-	made.said.add(name, fmt.Sprintf("answers %d %s", recorder.Code, strings.TrimSpace(recorder.Body.String())))
-	return recorder
-}
-
-func serveRecorded(handler http.Handler, recorder *httptest.ResponseRecorder, request *http.Request) (broken bool) {
-	defer func() {
-		if failure := recover(); failure != nil {
-			if failure != http.ErrAbortHandler {
-				panic(failure)
-			}
-			broken = true
-		}
-	}()
-	handler.ServeHTTP(recorder, request)
-	return false
-}
-
-func (made *bench) publishExample(entryName string) {
-	made.t.Helper()
-	content, err := examples.Files.ReadFile("verbalia/config.yaml")
-	if err != nil {
-		made.t.Fatal(err)
-	}
-	rec := made.doQuiet(entryName, http.MethodPut, "/v1/documents/config", fmt.Sprintf(`{"content":%q,"author":"anna"}`, content))
-	if rec.Code != http.StatusOK {
-		made.t.Fatalf("publish: %d %s", rec.Code, rec.Body)
-	}
-	made.catchUp()
-}
-
-func (made *bench) doQuiet(name, method, path, body string, headers ...string) *httptest.ResponseRecorder {
-	request := httptest.NewRequestWithContext(made.ctx, method, path, strings.NewReader(body))
-	for index := 0; index+1 < len(headers); index += 2 {
-		request.Header.Set(headers[index], headers[index+1])
-	}
-	recorder := httptest.NewRecorder()
-	serveRecorded(made.entries[name].handler, recorder, request)
-	return recorder
-}
-
-// task returns a task as an entry's state has it.
-func (made *bench) task(name, id string) api.Task {
-	made.t.Helper()
-	var shown api.Task
-	made.entries[name].journal.View(func(folded *state.State) {
-		if task := folded.Task(id); task != nil {
-			shown = api.Task{ID: id, Phase: task.Phase().String(), Worker: task.Worker(), Attempt: task.Attempt(), Reason: task.Reason(), Evictions: task.Evictions()}
-		}
-	})
-	return shown
-}
-
-// switchedLog is one entry's way to the log, which can be cut.
-type switchedLog struct {
-	mu  sync.Mutex
-	way logservice.Service
-}
-
-var errCut = errors.New("the way to the log is cut")
-
-// set changes the way to the log; nil cuts it.
-func (switched *switchedLog) set(way logservice.Service) {
-	switched.mu.Lock()
-	defer switched.mu.Unlock()
-	switched.way = way
-}
-
-func (switched *switchedLog) get() logservice.Service {
-	switched.mu.Lock()
-	defer switched.mu.Unlock()
-	return switched.way
-}
-
-// Append implements logservice.Service.
-func (switched *switchedLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
-	if way := switched.get(); way != nil {
-		return way.Append(ctx, stream, data)
-	}
-	return 0, errCut
-}
-
-// Read implements logservice.Service.
-func (switched *switchedLog) Read(ctx context.Context, stream string, options logservice.ReadOptions) (logservice.Page, error) {
-	if way := switched.get(); way != nil {
-		return way.Read(ctx, stream, options)
-	}
-	return logservice.Page{}, errCut
-}
