owner, agent: evacuations are told when the domains change, not with each record of operators

Cause: the version rises with every configuration, so each was told to all agents. Change: what is compared is the domains. The field with the knowledge has a name of its own.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -134,8 +134,8 @@
 	owners    map[*session]bool
 	claims    map[int32]*claim
 	paced     pacing
-	// operator is what is known of evacuations; operatorWanted has it read here.
-	operator       operator.Knowledge
+	// knowledge is what is known of evacuations; operatorWanted has it read here.
+	knowledge      operator.Knowledge
 	operatorWanted chan struct{}
 	sent           *traffic.Sent
 	meters         meters
--- a/agent/evacuated.go
+++ b/agent/evacuated.go
@@ -32,18 +32,18 @@
 }
 
 func (agent *Agent) learnEvacuations(told operator.Evacuations, asOf time.Time) {
-	before := agent.operator.Evacuations()
-	agent.operator.Note(told, asOf)
-	now := agent.operator.Evacuations()
+	before := agent.knowledge.Evacuations()
+	agent.knowledge.Note(told, asOf)
+	after := agent.knowledge.Evacuations()
 	own := agent.failureDomain()
-	if before.Has(own) == now.Has(own) {
+	if before.Has(own) == after.Has(own) {
 		return
 	}
 	code := event.DomainGivenBack
-	if now.Has(own) {
+	if after.Has(own) {
 		code = event.DomainEvacuated
 	}
-	agent.log(code, slog.String("failure_domain", own), slog.Int64("version", now.Version()))
+	agent.log(code, slog.String("failure_domain", own), slog.Int64("version", after.Version()))
 }
 
 // failureDomain returns where the worker stands.
@@ -58,7 +58,7 @@
 // known must be so fresh that the start takes effect before an evacuation holds that was
 // asked for right after.
 func (agent *Agent) judgeDomain(now time.Time) operator.Verdict {
-	return agent.operator.Judge(agent.failureDomain(), now, agent.options.EvacuateWithin-startTakes)
+	return agent.knowledge.Judge(agent.failureDomain(), now, agent.options.EvacuateWithin-startTakes)
 }
 
 // wantEvacuations has FollowOperator read what operators wrote.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -54,9 +54,9 @@
 	// more than a trial is placed there.
 	failures   int
 	avoidUntil time.Time
-	// toldEvacuations is the version of the evacuations that the agent was told on the
+	// toldEvacuated are the evacuated failure domains that the agent was told of on the
 	// present connection.
-	toldEvacuations int64
+	toldEvacuated []string
 	// preemptedAt is when the agent was last asked to make room.
 	preemptedAt time.Time
 }
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -102,7 +102,7 @@
 	view.sentAt, view.answerBy = time.Time{}, time.Time{}
 	view.greeted, view.keepsLearned = false, false
 	view.sharedAt, view.sharedVersion = time.Time{}, 0
-	view.toldEvacuations = 0
+	view.toldEvacuated = nil
 	for _, entry := range view.runs {
 		entry.prior = true
 		entry.sequence = 0
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -109,10 +109,10 @@
 	shards   map[int]*shard
 	fenced   map[int]int64
 	agents   map[string]*agentView
-	// operator is what is known of evacuations.
-	operator operator.Knowledge
-	placeDue bool
-	placedAt time.Time
+	// knowledge is what is known of evacuations.
+	knowledge operator.Knowledge
+	placeDue  bool
+	placedAt  time.Time
 	// publishedAt is when what agents are told of interference was last worked out.
 	publishedAt time.Time
 	advised     adviceQueue
