agent: a slowed run is moved where it ends sooner elsewhere

Ruled out: order of jobs, lengths, owners' own workers, times at which disturbers are held back (docs/design/shifted.md). Change: what a run has left by its own progress at full speed, its pace, and the platform's settings of checkpoints decide.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -106,6 +106,10 @@
 	FirstToken int64
 	// HarmAfter is how long a serving task may miss its target on end.
 	HarmAfter time.Duration
+	// RestoreTakes is what a run takes to go on from a checkpoint, SaveEvery how much work
+	// lies between two of them.
+	RestoreTakes time.Duration
+	SaveEvery    time.Duration
 	// EvacuateWithin is how long after an operator has asked for it nothing may be
 	// started any more in an evacuated failure domain.
 	EvacuateWithin time.Duration
--- a/agent/evict.go
+++ b/agent/evict.go
@@ -38,13 +38,13 @@
 	}
 	for index := range fills {
 		run := state.runs[fills[index].Task]
-		fills[index].Movable = run.evictable(now) && run.losesLittle(restartedMost)
+		fills[index].Movable = run.evictable(now) && run.losesLittle(restartedMost) && agent.gainsByMove(run, paces[run.task])
 	}
 	if worst, found := agent.paced.model.Worst(servings, fills, paces); found {
 		agent.evict(state, state.runs[worst], now)
 		return
 	}
-	if stuck := state.slowedLongest(now); stuck != nil {
+	if stuck := state.slowedLongest(now); stuck != nil && agent.gainsByMove(stuck, paces[stuck.task]) {
 		agent.evict(state, stuck, now)
 	}
 }
--- a/agent/order.go
+++ b/agent/order.go
@@ -27,7 +27,7 @@
 
 // noteStart decides on an order to start a run.
 func (agent *Agent) noteStart(owner *session, order *wire.StartOrder, now time.Time) {
-	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent}
+	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent, whole: order.GetCheckpoint() == ""}
 	state := agent.worker
 	outcome := agent.judge(order, now)
 	agent.meters.orders.Add(agent.ctx, 1, telemetry.By("outcome", outcome.String()))
@@ -94,7 +94,7 @@
 func (agent *Agent) noteStarted(state *workerState, run *runState, order *wire.StartOrder, try int, err error, now time.Time) {
 	if err == nil {
 		run.phase = phaseRunning
-		run.confirmedAt = now
+		run.confirmedAt, run.workedAt = now, now
 		agent.paceSoon(state, run)
 		agent.sendResult(state, run, wire.StartOutcome_START_STARTED)
 		return
--- a/agent/running.go
+++ b/agent/running.go
@@ -46,6 +46,7 @@
 		agent.settled(state, run, true)
 		run.confirmedAt = now
 	}
+	run.work(now)
 	run.checkpoint = listed.Checkpoint
 	run.percent = listed.Percent
 	run.figure = listed.Figure
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -49,9 +49,14 @@
 	fasterAt    time.Time // when the pace last rose
 	slowedSince time.Time // when the pace fell below slowedPercent, zero while above
 	confirmedAt time.Time
-	stopSentAt  time.Time
-	overSince   time.Time // when a serving run began to miss its target, zero while it keeps it
-	missed      int
+	// whole is set for a run that began without a checkpoint: worked is then the time, at
+	// full speed, that it took for its progress up to workedAt.
+	whole      bool
+	worked     time.Duration
+	workedAt   time.Time
+	stopSentAt time.Time
+	overSince  time.Time // when a serving run began to miss its target, zero while it keeps it
+	missed     int
 }
 
 type runPhase int
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -144,7 +144,7 @@
 	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	beside := agent.New(agent.Options{
 		Name: settings.Name(), FailureDomain: settings.FailureDomain(), Shards: settings.Parts(), FirstToken: clock.Now().UnixMilli(), HarmAfter: settings.HarmAfter(),
-		EvacuateWithin: settings.EvacuateWithin(),
+		EvacuateWithin: settings.EvacuateWithin(), RestoreTakes: settings.RestoreTakes(), SaveEvery: settings.SaveEvery(),
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, transport)
 		},
