--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -224,6 +224,17 @@
 	}
 }
 
+// attachRunning connects an owner that grants a minute and has the task run with a demand.
+func (made *bench) attachRunning(demand *wire.Demand) *stream {
+	made.t.Helper()
+	owner := made.attachReady(1)
+	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
+	order := start(1)
+	order.Demand = demand
+	made.startsRun(owner, order)
+	return owner
+}
+
 // runs reports whether the task runs at the worker.
 func (made *bench) runs() bool {
 	_, found := made.worker.Running(task)
--- a/agent/evacuated_test.go
+++ b/agent/evacuated_test.go
@@ -137,3 +137,16 @@
 		})
 	}
 }
+
+// TestNoRoomIsMadeWhereEvacuated: an owner that does not know of the evacuation yet has no
+// run stopped for a task that could not take its place.
+func TestNoRoomIsMadeWhereEvacuated(t *testing.T) {
+	made := newBench(t)
+	owner := made.attachRunning(&wire.Demand{MilliCpu: 1000, MemoryMb: 6000, Priority: 2, Movable: true, Saves: true})
+	made.connect(&wire.OwnerMessage{Owner: "edge-2", Evacuations: made.evacuated(1, 0, domain)})
+	owner.tell(&wire.OwnerMessage{Preempts: []*wire.PreemptOrder{{Shard: shard, Epoch: 1, Worker: worker, Demand: &wire.Demand{MemoryMb: 4000}}}})
+	made.pass(time.Second)
+	if !made.runs() {
+		t.Error("a run was stopped")
+	}
+}
--- a/agent/leave_test.go
+++ b/agent/leave_test.go
@@ -26,11 +26,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			owner := made.attachReady(1)
-			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
-			order := start(1)
-			order.Demand = test.demand
-			made.startsRun(owner, order)
+			made.attachRunning(test.demand)
 			made.worker.Progress(task, test.percent)
 			made.beatLeaving(test.remaining)
 			made.pass(test.after)
@@ -45,9 +41,7 @@
 // the worker drains again without saying for how long it stays.
 func TestWorkerThatStaysAfterAll(t *testing.T) {
 	made := newBench(t)
-	owner := made.attachReady(1)
-	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
-	made.startsRun(owner, start(1))
+	made.attachRunning(start(1).GetDemand())
 	made.beatLeaving(5 * time.Second)
 	stays := made.heartbeat()
 	stays.Sequence = 3
--- a/agent/preempt_test.go
+++ b/agent/preempt_test.go
@@ -38,11 +38,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := newBench(t)
-			owner := made.attachReady(1)
-			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
-			order := start(1)
-			order.Demand = test.there
-			made.startsRun(owner, order)
+			owner := made.attachRunning(test.there)
 			owner.tell(&wire.OwnerMessage{Preempts: []*wire.PreemptOrder{{Shard: shard, Epoch: 1, Worker: worker, Demand: test.wanted}}})
 			made.pass(time.Second)
 			if runs := made.runs(); runs != test.runs {
