agent: a lost run tells how long it is known to have been on its worker

Sight for the workers that crash one after the other. The logs could not tell a task that brings its workers down from chance victims: no line said when a run had been sent, nor when its worker had last answered. The agent now keeps both. A lost run is logged with its phase and with how long it lived, from its start to the worker's last answer; a lost worker with how its end became known, whether it had said that it leaves, and for how long it had not answered. A counter of lost incarnations, by how, is among the metrics. No decision is changed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,7 @@
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/traffic"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -215,9 +216,9 @@
 
 // Left implements platform.Beats.
 func (agent *Agent) Left(incarnation string) {
-	agent.decisions.Post(func(time.Time) {
+	agent.decisions.Post(func(now time.Time) {
 		agent.log(event.WorkerLeft, slog.String("worker", incarnation))
-		agent.endIncarnation(incarnation)
+		agent.endIncarnation(incarnation, endLeft, now)
 	})
 }
 
@@ -259,7 +260,7 @@
 }
 
 // endIncarnation notes that an incarnation is over: what ran there has ended.
-func (agent *Agent) endIncarnation(incarnation string) {
+func (agent *Agent) endIncarnation(incarnation string, how incarnationEnd, now time.Time) {
 	if !agent.gone[incarnation] {
 		agent.gone[incarnation] = true
 		agent.noteEnded(incarnation)
@@ -269,7 +270,9 @@
 		return
 	}
 	agent.worker = nil
-	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)))
+	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)), slog.String("how", string(how)),
+		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.aliveAt)))
+	agent.meters.lost.Add(agent.ctx, 1, telemetry.By("how", string(how)))
 	for _, run := range ended.runs {
 		agent.tellLost(ended, run)
 	}
@@ -284,7 +287,7 @@
 // tellLost tells the run's owner that it is over without an end.
 func (agent *Agent) tellLost(on *workerState, run *runState) {
 	end := &wire.RunEnd{Worker: on.beat.Incarnation, Task: run.task, Attempt: run.attempt, Reason: wire.EndReason_END_LOST, Checkpoint: run.checkpoint}
-	agent.logRun(event.RunLost, run, slog.String("worker", end.GetWorker()))
+	agent.logRun(event.RunLost, run, slog.String("worker", end.GetWorker()), slog.String("phase", run.phase.String()), slog.Duration("lived", on.lived(run)))
 	agent.sendEnd(end)
 }
 
--- a/agent/look.go
+++ b/agent/look.go
@@ -75,6 +75,7 @@
 		agent.statusChanged()
 	}
 	state.noteClock(held.Clock, now)
+	state.noteAlive(now)
 	state.lookAt = now
 	for _, end := range held.Ended {
 		agent.noteEnd(state, end)
@@ -93,7 +94,7 @@
 func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
 	if platform.IsOtherIncarnation(err) {
 		// One worker stands on a machine, and it is another one now.
-		agent.endIncarnation(state.beat.Incarnation)
+		agent.endIncarnation(state.beat.Incarnation, endReplaced, now)
 		return
 	}
 	var refused *platform.StartError
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -12,6 +12,7 @@
 type meters struct {
 	orders  metric.Int64Counter
 	ended   metric.Int64Counter
+	lost    metric.Int64Counter
 	evicted metric.Int64Counter
 	paced   metric.Int64Counter
 	margin  metric.Float64Gauge
@@ -26,6 +27,7 @@
 	var made meters
 	made.orders, _ = meter.Int64Counter("ambertiller.order.judged", metric.WithDescription("Starts that owners ordered, by outcome."))
 	made.ended, _ = meter.Int64Counter("ambertiller.worker.ends", metric.WithDescription("Ends that the worker listed, by how."))
+	made.lost, _ = meter.Int64Counter("ambertiller.worker.lost", metric.WithDescription("Incarnations of the worker that are over, by how it became known."))
 	made.evicted, _ = meter.Int64Counter("ambertiller.fill.evicted", metric.WithDescription("Filling runs that were stopped for a serving one."))
 	made.paced, _ = meter.Int64Counter("ambertiller.fill.paced", metric.WithDescription("Changes of the pace of filling runs."))
 	made.margin, _ = meter.Float64Gauge("ambertiller.lease.margin", metric.WithUnit("s"), metric.WithDescription("Time until the worker's lease has run out on the slowest clock."))
--- a/agent/order.go
+++ b/agent/order.go
@@ -36,6 +36,7 @@
 		owner.results = append(owner.results, &wire.StartResult{Task: run.task, Attempt: run.attempt, Worker: order.GetWorker(), Outcome: outcome})
 		return
 	}
+	run.sentAt = now
 	state.runs[run.task] = run
 	agent.statusChanged()
 	agent.sendStart(state, run, order, 1, now)
@@ -93,6 +94,7 @@
 
 func (agent *Agent) noteStarted(state *workerState, run *runState, order *wire.StartOrder, try int, err error, now time.Time) {
 	if err == nil {
+		state.noteAlive(now)
 		run.phase = phaseRunning
 		run.confirmedAt, run.workedAt = now, now
 		agent.paceSoon(state, run)
@@ -191,6 +193,7 @@
 			}
 			if err == nil {
 				state.noteClock(clock, now)
+				state.noteAlive(now)
 				return
 			}
 			// Sent again after stopAgain, while the run is listed.
--- a/agent/running.go
+++ b/agent/running.go
@@ -32,7 +32,7 @@
 	run, found := state.runs[listed.Task]
 	if !found {
 		run = &runState{
-			task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, confirmedAt: now,
+			task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, confirmedAt: now, sentAt: now,
 			pace: fullPercent, paceUnknown: true, fasterAt: now.Add(adoptedPause),
 		}
 		state.runs[listed.Task] = run
--- a/agent/successor.go
+++ b/agent/successor.go
@@ -57,7 +57,7 @@
 	case err == nil || agent.worker == nil || agent.worker.failures > 0:
 		if agent.worker != nil {
 			// One worker stands on a machine: the one before it has ended.
-			agent.endIncarnation(agent.worker.beat.Incarnation)
+			agent.endIncarnation(agent.worker.beat.Incarnation, endReplaced, now)
 		}
 		agent.takeCareOf(next.beat, next.calls, now)
 	}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -23,6 +23,7 @@
 	// durable holds numbers above seen.
 	durable map[int64]bool
 
+	aliveAt   time.Time // when the worker last answered
 	known     bool // the worker has told what runs under this agent's token
 	looking   bool // a look is on its way
 	lookAt    time.Time
@@ -49,6 +50,7 @@
 	fasterAt    time.Time // when the pace last rose
 	slowedSince time.Time // when the pace fell below slowedPercent, zero while above
 	confirmedAt time.Time
+	sentAt      time.Time // when the start was first sent, or the run found
 	// whole is set for a run that began without a checkpoint: worked is then the time, at
 	// full speed, that it took for its progress up to workedAt.
 	whole      bool
@@ -72,7 +74,7 @@
 	return &workerState{
 		beat: beat, calls: calls, token: token,
 		runs: map[string]*runState{}, ends: map[int64]*wire.RunEnd{}, durable: map[int64]bool{},
-		clockAt: now, lapseBy: now,
+		clockAt: now, lapseBy: now, aliveAt: now,
 	}
 }
 
