--- /dev/null
+++ b/owner/fleet_test.go
@@ -0,0 +1,272 @@
+package owner_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcmux"
+
+	"ambertiller.example/ambertiller/agent"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/operator"
+	"ambertiller.example/ambertiller/owner"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/standin/wirestore"
+	"ambertiller.example/ambertiller/standin/wireworker"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	fleetShards = 8
+	// fleetStep is how much time passes at once, fleetPause how long the processes then have
+	// to get on with it.
+	fleetStep  = 2 * time.Millisecond
+	fleetPause = time.Millisecond
+	// beatEvery is how often a worker sends a heartbeat, backAfter how long a worker that has
+	// crashed is away.
+	beatEvery = 1100 * time.Millisecond
+	backAfter = 3 * time.Second
+	// workTakes is what a task of the fleet works.
+	workTakes = 800 * time.Millisecond
+)
+
+// fleet is an owner and some machines, each with an agent and a worker, over a stand-in for
+// the store.
+type fleet struct {
+	t        *testing.T
+	clock    *clockwork.FakeClock
+	store    *wirestore.Store
+	owner    *owner.Owner
+	machines []*machine
+}
+
+// machine is one worker after the other at one address, and the agent beside them.
+type machine struct {
+	name   string
+	fleet  *fleet
+	beside *agent.Agent
+	server *httptest.Server
+	// crashers are the tasks that bring a worker down.
+	crashers map[string]bool
+
+	mu       sync.Mutex
+	worker   *wireworker.Worker
+	lives    int
+	sequence int64
+	beatAt   time.Time
+	downAt   time.Time // zero while it is up
+	// begun is when the runs of the present life began, started counts the starts of each
+	// task on all lives.
+	begun   map[string]time.Time
+	started map[string]int
+}
+
+func newFleet(t *testing.T, machines int, crashers ...string) *fleet {
+	clock := clockwork.NewFakeClock()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	made := &fleet{t: t, clock: clock, store: wirestore.New(fleetShards, clock.Now)}
+	served := httptest.NewServer(made.store)
+	t.Cleanup(func() {
+		served.CloseClientConnections()
+		served.Close()
+	})
+	calls := func() *platform.Store {
+		return platform.NewStore(strings.TrimPrefix(served.URL, "http://"), platform.Transport())
+	}
+	made.owner = owner.New(owner.Options{
+		Name: "edge-1", Address: "10.0.0.9:7000", Shards: fleetShards, Grant: 5 * time.Second, Silent: 1500 * time.Millisecond,
+		StatusKept: time.Minute, Store: calls(), Dial: rpc.DialOne, Clock: clock, Events: event.Discard(),
+	})
+	for number := range machines {
+		made.machines = append(made.machines, made.newMachine(ctx, calls(), number, crashers))
+	}
+	go made.owner.Run(ctx)
+	return made
+}
+
+func (made *fleet) newMachine(ctx context.Context, store *platform.Store, number int, crashers []string) *machine {
+	begun := &machine{name: fmt.Sprintf("side-%d", number), fleet: made, crashers: map[string]bool{}, started: map[string]int{}}
+	for _, task := range crashers {
+		begun.crashers[task] = true
+	}
+	begun.live()
+	begun.server = httptest.NewServer(begun)
+	made.t.Cleanup(func() {
+		begun.server.CloseClientConnections()
+		begun.server.Close()
+	})
+	begun.beside = agent.New(agent.Options{
+		Name: begun.name, Shards: fleetShards, FirstToken: made.clock.Now().UnixMilli(), Clock: made.clock, Events: event.Discard(),
+		EvacuateWithin: 5 * time.Second,
+		Connect: func(address, incarnation string) *platform.Worker {
+			return platform.NewWorker(address, incarnation, platform.Transport())
+		},
+	})
+	listening, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterAgent(mux, begun.beside) })
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	go func() { _ = listening.Serve(ctx) }()
+	go begun.beside.Run(ctx)
+	go begun.beside.Register(ctx, store, listening.Address())
+	return begun
+}
+
+// live begins the next life of the worker.
+func (machine *machine) live() {
+	machine.lives++
+	machine.worker = wireworker.New(fmt.Sprintf("%s-life-%d", machine.name, machine.lives), machine.fleet.clock)
+	machine.begun = map[string]time.Time{}
+	machine.sequence, machine.beatAt, machine.downAt = 0, time.Time{}, time.Time{}
+}
+
+// ServeHTTP is the worker's address. A start of a task that brings workers down is taken, and
+// the worker with all its connections is gone.
+func (machine *machine) ServeHTTP(answer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	machine.mu.Lock()
+	worker, down := machine.worker, !machine.downAt.IsZero()
+	machine.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	before := len(worker.Starts())
+	if request.URL.Path != "/v1/run-start" {
+		worker.ServeHTTP(answer, request)
+		return
+	}
+	kept := httptest.NewRecorder()
+	worker.ServeHTTP(kept, request)
+	if machine.noteStarts(worker, before) {
+		go machine.server.CloseClientConnections()
+		panic(http.ErrAbortHandler)
+	}
+	answer.WriteHeader(kept.Code)
+	_, _ = answer.Write(kept.Body.Bytes())
+}
+
+// noteStarts takes note of what a worker has started, and reports whether that brings it down.
+func (machine *machine) noteStarts(worker *wireworker.Worker, before int) bool {
+	machine.mu.Lock()
+	defer machine.mu.Unlock()
+	if machine.worker != worker {
+		return true
+	}
+	now := machine.fleet.clock.Now()
+	for _, start := range worker.Starts()[before:] {
+		if _, runs := worker.Running(start.Task); !runs {
+			continue
+		}
+		machine.started[start.Task]++
+		machine.begun[start.Task] = now
+		if machine.crashers[start.Task] {
+			machine.downAt = now
+		}
+	}
+	return !machine.downAt.IsZero()
+}
+
+// step has the worker come back, send heartbeats, and end what has worked long enough.
+func (machine *machine) step(now time.Time) {
+	machine.mu.Lock()
+	defer machine.mu.Unlock()
+	if !machine.downAt.IsZero() {
+		if now.Sub(machine.downAt) < backAfter {
+			return
+		}
+		machine.live()
+	}
+	for task, begun := range machine.begun {
+		if now.Sub(begun) >= workTakes {
+			machine.worker.End(task, "done")
+			delete(machine.begun, task)
+		}
+	}
+	if now.Sub(machine.beatAt) < beatEvery {
+		return
+	}
+	machine.sequence++
+	machine.beatAt = now
+	machine.beside.Beat(platform.Heartbeat{
+		Incarnation: fmt.Sprintf("%s-life-%d", machine.name, machine.lives), Service: "verbale",
+		Address: strings.TrimPrefix(machine.server.URL, "http://"), MilliCPU: 8000, MemoryMB: 8000, Sequence: machine.sequence,
+	})
+}
+
+// submit hands a job of one step in.
+func (made *fleet) submit(id string, tasks int32) {
+	value, err := proto.Marshal(&job.Submission{
+		Id: id, Queue: "r-1", Service: "verbale", Attempts: 3, Extension: 4, TargetLatencyMs: 1000, SubmittedMs: made.clock.Now().UnixMilli(),
+		Steps: []*job.StepSpec{{Count: tasks, MilliCpu: 500, MemoryMb: 100, EstimateMs: workTakes.Milliseconds()}},
+	})
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	made.store.Put(job.TopicJobs, job.ShardOf(id, fleetShards), job.SubmissionKey(id), value)
+}
+
+// state returns what a client is told of a job.
+func (made *fleet) state(id string) job.State {
+	reply, err := made.owner.JobState(context.Background(), &wire.JobStateRequest{Id: id, Shard: int32(job.ShardOf(id, fleetShards))})
+	if err != nil {
+		return job.State_STATE_QUEUED
+	}
+	return reply.GetState()
+}
+
+// starts counts the starts of a task on all workers.
+func (made *fleet) starts(task string) int {
+	count := 0
+	for _, machine := range made.machines {
+		machine.mu.Lock()
+		count += machine.started[task]
+		machine.mu.Unlock()
+	}
+	return count
+}
+
+// lives counts the lives of all workers.
+func (made *fleet) lives() int {
+	count := 0
+	for _, machine := range made.machines {
+		machine.mu.Lock()
+		count += machine.lives
+		machine.mu.Unlock()
+	}
+	return count
+}
+
+// until lets time pass until what is waited for holds, most of it at most.
+func (made *fleet) until(most time.Duration, holds func() bool) bool {
+	for end := made.clock.Now().Add(most); made.clock.Now().Before(end); {
+		made.owner.NoteEvacuations(operator.NewEvacuations(1, nil), made.clock.Now())
+		for range 50 {
+			made.clock.Advance(fleetStep)
+			time.Sleep(fleetPause)
+			for _, machine := range made.machines {
+				machine.step(made.clock.Now())
+			}
+		}
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
