job, agent, owner: a task that brings its workers down is given up

Cause: a run that was lost with its worker's incarnation counted as interrupted, which costs no attempt; nothing bounded how often its task brought a worker down.

Ruled out: that the count of losses alone tells the cause.

Change: the agent says of each run on a crashed worker whether it had just begun, and whether any other had; the owner keeps the attempts in the store with the job, so that the count goes on with another owner, and starts what is suspected apart from other suspects. A run that outlived its start clears its task. A task is given up, and its job is shown as failed, after two crashes in a row where the second was its own alone, else after three. A crash that is heard late counts too.

Known: what has just begun is 0.5 s old at most. A task that brings a worker down later than that is not told from chance.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,12 @@
 // or pre-empted. What would not end before a leaving worker is gone is stopped in time,
 // whether it has a checkpoint or not: with the worker it would be lost.
 //
+// # Tasks that bring workers down
+//
+// When a worker has crashed, the runs that had just begun are suspects and told so: nothing
+// that outlived its start is. One suspect is started at a time on a worker, apart from others,
+// which tells chance victims from the cause.
+//
 // # Evacuated failure domains
 //
 // The agent is the last to check that its worker may be given anything. Owners tell it with
@@ -273,9 +279,7 @@
 	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)), slog.String("how", string(how)),
 		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.aliveAt)))
 	agent.meters.lost.Add(agent.ctx, 1, telemetry.By("how", string(how)))
-	for _, run := range ended.runs {
-		agent.tellLost(ended, run)
-	}
+	agent.tellEnded(ended, how)
 	for _, end := range ended.ends {
 		// Its worker can't be told any more, the owners still can.
 		end.Number = 0
@@ -284,13 +288,6 @@
 	agent.statusChanged()
 }
 
-// tellLost tells the run's owner that it is over without an end.
-func (agent *Agent) tellLost(on *workerState, run *runState) {
-	end := &wire.RunEnd{Worker: on.beat.Incarnation, Task: run.task, Attempt: run.attempt, Reason: wire.EndReason_END_LOST, Checkpoint: run.checkpoint}
-	agent.logRun(event.RunLost, run, slog.String("worker", end.GetWorker()), slog.String("phase", run.phase.String()), slog.Duration("lived", on.lived(run)))
-	agent.sendEnd(end)
-}
-
 // shardOf returns the shard of a task's job, or -1 for a name that is none.
 func (agent *Agent) shardOf(task string) int32 {
 	ref, err := job.ParseRef(task)
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -62,6 +62,9 @@
 	}
 	for _, run := range state.runs {
 		delete(state.runs, run.task)
+		if !state.outlived(run) {
+			state.givenUp = append(state.givenUp, run)
+		}
 		if run.phase == phaseUnsettled || run.phase == phaseStarting {
 			agent.sendResult(state, run, wire.StartOutcome_START_WORKER_FAILED)
 			continue
--- a/agent/look.go
+++ b/agent/look.go
@@ -72,6 +72,7 @@
 	if state.failures > 0 {
 		agent.log(event.WorkerBack, slog.String("worker", state.beat.Incarnation), slog.Int("failures", state.failures))
 		state.failures = 0
+		state.givenUp = nil // It did not crash.
 		agent.statusChanged()
 	}
 	state.noteClock(held.Clock, now)
@@ -126,6 +127,7 @@
 	}
 	state.ends[end.Number] = told
 	if run, found := state.runs[end.Task]; found && run.attempt == end.Attempt {
+		told.Proven = state.outlived(run)
 		delete(state.runs, end.Task)
 	}
 	agent.log(event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
--- a/agent/order.go
+++ b/agent/order.go
@@ -27,7 +27,7 @@
 
 // noteStart decides on an order to start a run.
 func (agent *Agent) noteStart(owner *session, order *wire.StartOrder, now time.Time) {
-	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent, whole: order.GetCheckpoint() == ""}
+	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent, suspect: order.GetSuspect(), whole: order.GetCheckpoint() == ""}
 	state := agent.worker
 	outcome := agent.judge(order, now)
 	agent.meters.orders.Add(agent.ctx, 1, telemetry.By("outcome", outcome.String()))
@@ -57,6 +57,8 @@
 		return wire.StartOutcome_START_DRAINING
 	case agent.judgeDomain(now) != operator.Permitted:
 		return refusedBy(agent.judgeDomain(now))
+	case order.GetSuspect() && state.hasNewSuspect(now):
+		return wire.StartOutcome_START_SUSPECT
 	case state.runs[order.GetTask()] != nil || !state.room().fits(order.GetDemand()):
 		return wire.StartOutcome_START_NO_ROOM
 	}
--- a/agent/running.go
+++ b/agent/running.go
@@ -33,7 +33,7 @@
 	if !found {
 		run = &runState{
 			task: listed.Task, attempt: listed.Attempt, shard: agent.shardOf(listed.Task), phase: phaseRunning, confirmedAt: now, sentAt: now,
-			pace: fullPercent, paceUnknown: true, fasterAt: now.Add(adoptedPause),
+			pace: fullPercent, paceUnknown: true, found: true, fasterAt: now.Add(adoptedPause),
 		}
 		state.runs[listed.Task] = run
 		agent.log(event.RunAdopted, slog.String("task", listed.Task), slog.Int("attempt", int(listed.Attempt)))
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -16,6 +16,9 @@
 	runs map[string]*runState
 	// ends are those that no owner has made durable yet, by number.
 	ends map[int64]*wire.RunEnd
+	// givenUp are runs that had just begun when the worker did not answer until its lease
+	// had ended; they were told as over, and it is not known yet whether it crashed.
+	givenUp []*runState
 	// listed is the highest number of an end that was read, seen the number up
 	// to which all are durable and the worker may forget them.
 	listed int64
@@ -24,8 +27,8 @@
 	durable map[int64]bool
 
 	aliveAt   time.Time // when the worker last answered
-	known     bool // the worker has told what runs under this agent's token
-	looking   bool // a look is on its way
+	known     bool      // the worker has told what runs under this agent's token
+	looking   bool      // a look is on its way
 	lookAt    time.Time
 	failures  int
 	clock     time.Duration // the worker's clock when clockAt was read
@@ -57,8 +60,12 @@
 	worked     time.Duration
 	workedAt   time.Time
 	stopSentAt time.Time
-	overSince  time.Time // when a serving run began to miss its target, zero while it keeps it
-	missed     int
+	// found is set for a run that an agent that has just started found on its worker, suspect
+	// for one whose task a worker may have crashed for before.
+	found     bool
+	suspect   bool
+	overSince time.Time // when a serving run began to miss its target, zero while it keeps it
+	missed    int
 }
 
 type runPhase int
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -117,6 +117,8 @@
 	AdviceTaken
 	AdviceFailed
 	RunPreempted
+	RunCrashed
+	TaskGivenUp
 )
 
 // Agents and their workers.
@@ -172,6 +174,8 @@
 	sizeRelease = "0.5"
 	// shiftRelease is the one for work that has shifted.
 	shiftRelease = "0.6"
+	// crashRelease is the one for tasks that bring workers down.
+	crashRelease = "0.7"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -266,6 +270,8 @@
 	{AdviceTaken, slog.LevelInfo, "advice taken", "The service that knows which workers may run a step answered.", platformRelease},
 	{RunPreempted, slog.LevelInfo, "run pre-empted", "A more urgent task found no room: at an owner, its agent was asked to make room; at an agent, a run was stopped, which goes on elsewhere from its checkpoint.", preemptRelease},
 	{AdviceFailed, slog.LevelWarn, "advice failed", "The service that knows which workers may run a step did not answer; it is asked again.", platformRelease},
+	{RunCrashed, slog.LevelWarn, "run crashed", "A run is over because its worker's incarnation has crashed just after the start, so that the run may be why. The attribute alone says whether no other run may be, suspect whether a worker had crashed under the task before, lived how long the run is known to have been on the worker.", crashRelease},
+	{TaskGivenUp, slog.LevelWarn, "task given up", "Worker after worker crashed just after it had started the task, so it will not be started again and its job has failed. The attribute crashes says how many did in a row. Look at what the task runs.", crashRelease},
 
 	{AgentAttached, slog.LevelInfo, "agent attached", "This owner's connection to an agent is up.", platformRelease},
 	{AgentLost, slog.LevelWarn, "agent lost", "The connection to an agent is gone. Its runs go on until their lease ends.", platformRelease},
--- /dev/null
+++ b/job/crash_test.go
@@ -0,0 +1,94 @@
+package job_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/job"
+)
+
+// TestCrashes: a task is given up that brings down worker after worker, and no other one: not
+// a chance victim, whose runs go on elsewhere, nor for what is told twice.
+func TestCrashes(t *testing.T) {
+	type end struct {
+		attempt  int32
+		reason   job.EndReason
+		outlived bool
+		rereads  bool // another owner takes the shard over before
+	}
+	tests := map[string]struct {
+		ends    []end
+		crashes int
+		want    job.State
+	}{
+		"once": {[]end{{attempt: 1, reason: job.EndCrashedAlone}}, 1, job.State_STATE_RUNNING},
+		"twice, each time among others": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndCrashed}}, 2, job.State_STATE_RUNNING},
+		"twice, the second time alone": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndCrashedAlone}}, 2, job.State_STATE_FAILED},
+		"three times among others": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndCrashed}, {attempt: 3, reason: job.EndCrashed}}, 3, job.State_STATE_FAILED},
+		"lost in between, without having outlived the start": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndInterrupted}, {attempt: 3, reason: job.EndCrashedAlone}}, 2, job.State_STATE_FAILED},
+		"outlived the start in between": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndInterrupted, outlived: true}, {attempt: 3, reason: job.EndCrashedAlone}}, 1, job.State_STATE_RUNNING},
+		"told twice": {
+			[]end{{attempt: 1, reason: job.EndCrashedAlone}, {attempt: 1, reason: job.EndCrashedAlone}}, 1, job.State_STATE_RUNNING},
+		"told again after it outlived a later start": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndInterrupted, outlived: true},
+				{attempt: 1, reason: job.EndCrashed}, {attempt: 3, reason: job.EndCrashedAlone}}, 1, job.State_STATE_RUNNING},
+		"told after another start": {
+			[]end{{attempt: 1, reason: job.EndInterrupted}, {attempt: 2, reason: job.EndCrashed}, {attempt: 1, reason: job.EndCrashed}}, 2, job.State_STATE_RUNNING},
+		"with another owner each time": {
+			[]end{{attempt: 1, reason: job.EndCrashed, rereads: true}, {attempt: 2, reason: job.EndCrashedAlone, rereads: true}}, 2, job.State_STATE_FAILED},
+		"outlived with one owner, crashed with another": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndInterrupted, outlived: true},
+				{attempt: 3, reason: job.EndCrashedAlone, rereads: true}}, 1, job.State_STATE_RUNNING},
+		"a task that lasts": {
+			[]end{{attempt: 1, reason: job.EndCrashed}, {attempt: 2, reason: job.EndCrashedAlone}}, 2, job.State_STATE_FAILED},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			change := func(submission *job.Submission) { submission.Steps[0].Lasting = name == "a task that lasts" }
+			of := made(change)
+			for _, ended := range test.ends {
+				task := of.Tasks()[0]
+				if task.Attempt() < ended.attempt {
+					of.Start(task, place, now)
+				}
+				if ended.rereads {
+					kept := proto.Clone(of.Progress()).(*job.Progress)
+					of = made(change)
+					of.Restore(kept, now)
+					task = of.Tasks()[0]
+				}
+				if ended.outlived {
+					task.Outlived(ended.attempt)
+				}
+				of.End(task, ended.attempt, ended.reason, "", now)
+			}
+			if got := of.Tasks()[0].Crashes(); got != test.crashes {
+				t.Errorf("%d crashes count", got)
+			}
+			if of.State() != test.want {
+				t.Errorf("state %v", of.State())
+			}
+		})
+	}
+}
+
+// TestCrashReleasesTheTask: a crash is also the end of its run, once, and the late word of an
+// earlier one leaves the present run alone.
+func TestCrashReleasesTheTask(t *testing.T) {
+	of := made(nil)
+	task := of.Tasks()[0]
+	of.Start(task, place, now)
+	if !of.End(task, 1, job.EndCrashed, "", now) || task.State() != job.TaskState_TASK_WAITING {
+		t.Fatalf("after its worker crashed the task is %v", task.State())
+	}
+	of.Start(task, place, now)
+	if of.End(task, 1, job.EndCrashed, "", now) || task.State() != job.TaskState_TASK_STARTED {
+		t.Errorf("told again, the task is %v", task.State())
+	}
+}
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -13,6 +13,10 @@
 	EndDone EndReason = iota + 1
 	EndFailed
 	EndInterrupted // stopped, lapsed, or lost with its worker
+	// EndCrashed is lost with a worker that crashed just after the start, and
+	// EndCrashedAlone the same where no other run can be why.
+	EndCrashed
+	EndCrashedAlone
 )
 
 const (
@@ -94,14 +98,15 @@
 
 // End notes that a run ended and reports whether anything changed. The end of
 // an earlier run than the present one counts where it can't be doubted: a
-// failure counts against the attempts, and a task that waits and turns out to be
-// done is done.
+// failure counts against the attempts, a crash of the worker against the task, and a
+// task that waits and turns out to be done is done.
 func (job *Job) End(task *Task, attempt int32, reason EndReason, checkpoint string, now time.Time) bool {
 	present := attempt == task.attempt
 	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
 		return false
 	}
-	if present && task.state != TaskState_TASK_STARTED && reason != EndDone {
+	crashed := reason == EndCrashed || reason == EndCrashedAlone
+	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && !crashed {
 		return false
 	}
 	if checkpoint != "" && present {
@@ -123,9 +128,10 @@
 		if !present {
 			return false
 		}
-		task.interrupted++
-		job.Release(task, now)
+		job.interrupt(task, now)
 		return true
+	case EndCrashed, EndCrashedAlone:
+		return job.crash(task, attempt, reason == EndCrashedAlone, now)
 	}
 	return false
 }
@@ -182,12 +188,22 @@
 	if job.gangFailures(task) < max(1, int(job.submission.GetAttempts())) {
 		return
 	}
+	job.giveUp(task, now)
+}
+
+// giveUp notes that a task will not be started again, and with it its job.
+func (job *Job) giveUp(task *Task, now time.Time) {
 	task.state = TaskState_TASK_FAILED
 	if !job.Ended() {
 		job.finish(State_STATE_FAILED, now)
 	}
 }
 
+func (job *Job) interrupt(task *Task, now time.Time) {
+	task.interrupted++
+	job.Release(task, now)
+}
+
 // gangFailures counts the failures of the task, or of its gang.
 func (job *Job) gangFailures(task *Task) int {
 	if !task.Spec().GetGang() {
--- a/job/progress.go
+++ b/job/progress.go
@@ -24,7 +24,7 @@
 func (task *Task) progress(kept *Progress, places map[Place]int32) *TaskProgress {
 	record := &TaskProgress{
 		Round: task.round, Step: task.step, Index: task.index,
-		Attempt: task.attempt, Failed: task.failed, State: task.state,
+		Attempt: task.attempt, Failed: task.failed, State: task.state, Crashed: task.crashed, Proven: task.proven,
 	}
 	if task.state == TaskState_TASK_DONE {
 		return record
@@ -63,6 +63,8 @@
 func (job *Job) restoreTask(task *Task, record *TaskProgress, kept *Progress, now time.Time) {
 	task.attempt = record.GetAttempt()
 	task.failed = record.GetFailed()
+	task.crashed = record.GetCrashed()
+	task.proven = record.GetProven()
 	task.checkpoint = record.GetCheckpoint()
 	if record.GetState() == TaskState_TASK_DONE {
 		job.markDone(task)
--- a/job/task.go
+++ b/job/task.go
@@ -27,6 +27,8 @@
 	state      TaskState
 	attempt    int32
 	failed     []int32 // the attempts that ended failed, each once
+	crashed    []int32 // the attempts under which a worker crashed, each once
+	proven     int32   // the last attempt that outlived its start
 	place      Place
 	checkpoint string
 	// interrupted counts runs that were stopped or lost under this owner.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -54,6 +54,8 @@
 	// more than a trial is placed there.
 	failures   int
 	avoidUntil time.Time
+	// suspectUntil is how long no other suspect is placed there.
+	suspectUntil time.Time
 	// toldEvacuated are the evacuated failure domains that the agent was told of on the
 	// present connection.
 	toldEvacuated []string
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -27,6 +27,8 @@
 	// trial is set after failures: the worker is given one run until it has shown
 	// that it does.
 	trial bool
+	// hasSuspect is set where a suspect has just been started: no other one is for a while.
+	hasSuspect bool
 	// patience is the share that a filling task of the present job should find
 	// tolerated.
 	patience float64
@@ -42,6 +44,7 @@
 		}
 		worker := newCandidate(view)
 		worker.evacuated = owner.evacuated(view)
+		worker.hasSuspect = now.Before(view.suspectUntil)
 		workers = append(workers, worker)
 	}
 	return workers
@@ -64,6 +67,12 @@
 	return worker
 }
 
+// place takes note of a start.
+func (worker *candidate) place(task *job.Task, demand *wire.Demand) {
+	worker.take(demand)
+	worker.hasSuspect = worker.hasSuspect || task.Suspect()
+}
+
 // take takes what a start needs from what is free.
 func (worker *candidate) take(demand *wire.Demand) {
 	worker.free.Take(admission.Held(demand))
@@ -97,6 +106,8 @@
 		return lacksLabel
 	case spec.GetMostPerWorker() > 0 && worker.holding(task) >= spec.GetMostPerWorker():
 		return holdsEnough
+	case worker.hasSuspect && task.Suspect():
+		return hasSuspect
 	case worker.trial && len(worker.view.runs) > 0:
 		return inDoubt
 	}
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -17,7 +17,7 @@
 		if chosen := owner.chooseGang(members, among, now); chosen != nil {
 			for index, member := range members {
 				owner.start(member, chosen[index].view, now)
-				chosen[index].take(chosen[index].view.runs[member.Name()].demand)
+				chosen[index].place(member, chosen[index].view.runs[member.Name()].demand)
 			}
 			return
 		}
@@ -64,7 +64,7 @@
 			return nil
 		}
 		held[best]++
-		best.take(demandOf(member, now))
+		best.place(member, demandOf(member, now))
 		chosen = append(chosen, trial[best])
 	}
 	return chosen
--- a/owner/obstacle.go
+++ b/owner/obstacle.go
@@ -13,6 +13,7 @@
 	lacksLabel          obstacle = "label"
 	holdsEnough         obstacle = "spread"
 	inDoubt             obstacle = "doubt"
+	hasSuspect          obstacle = "suspect"
 	lacksIdleProcessors obstacle = "idle processors"
 	wouldDisturb        obstacle = "interference"
 	lacksTicket         obstacle = "advice"
--- a/owner/place.go
+++ b/owner/place.go
@@ -164,8 +164,11 @@
 	}
 }
 
-// stepOf names a step of a job in one of its rounds.
-type stepOf struct{ round, step int32 }
+// stepOf names a step of a job in one of its rounds, and its suspects apart from the others.
+type stepOf struct {
+	round, step int32
+	suspect     bool
+}
 
 // placeMember starts a task unless another one of its step has just found no place: all
 // of them ask for the same.
@@ -173,7 +176,7 @@
 // Performance: a job may wait with dozens of tasks of a step, and places are looked for
 // each time that any worker's room grows.
 func (owner *Owner) placeMember(task *job.Task, placeless map[stepOf]string, workers []*candidate, now time.Time) {
-	of := stepOf{round: task.Round(), step: task.Step()}
+	of := stepOf{round: task.Round(), step: task.Step(), suspect: task.Suspect()}
 	if obstacle, found := placeless[of]; found {
 		if !task.Waits() {
 			task.Wait(obstacle, now)
@@ -211,14 +214,22 @@
 		return owner.preemptFor(task, workers, now)
 	}
 	owner.start(task, best.view, now)
-	best.take(best.view.runs[task.Name()].demand)
+	best.place(task, best.view.runs[task.Name()].demand)
 	return true
 }
 
+// crashesSpared is after how many crashes a task goes where the least runs: it is likely to
+// bring the worker down, which costs all else there. Before, it is most likely a chance
+// victim and goes where it does best.
+const crashesSpared = 2
+
 // better prefers a worker near the data, then the one with the most idle
 // processors, which both keeps tasks that serve apart from those that fill and
 // leaves room everywhere.
 func better(task *job.Task, a, b *candidate) bool {
+	if task.Crashes() >= crashesSpared && a.free.MilliCPU != b.free.MilliCPU {
+		return a.free.MilliCPU > b.free.MilliCPU
+	}
 	if a.near(task) != b.near(task) {
 		return a.near(task)
 	}
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -19,6 +19,9 @@
 	// refusedPause keeps a worker that refused a start from being asked again
 	// at once.
 	refusedPause = 150 * time.Millisecond
+	// suspectsApart keeps suspects on one worker apart for as long as its agent asks for.
+	// Meanwhile other tasks are started there.
+	suspectsApart = 500 * time.Millisecond
 )
 
 // logRun logs what becomes of a run.
@@ -37,6 +40,9 @@
 	entry := newEntry(held, task, now)
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
+	if task.Suspect() {
+		view.suspectUntil = now.Add(suspectsApart)
+	}
 	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
 		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("target_ms", entry.demand.GetTargetMs()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()),
 		slog.Int64("free_milli_cpu", view.status().GetFreeMilliCpu()), slog.Int64("free_memory_mb", view.status().GetFreeMemoryMb()),
@@ -62,7 +68,7 @@
 	made := entry.task.Job()
 	view.message.Starts = append(view.message.Starts, &wire.StartOrder{
 		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
-		Spec: made.Submission().GetSpec(), Checkpoint: made.CheckpointOf(entry.task), Ticket: entry.ticket, Demand: entry.demand,
+		Spec: made.Submission().GetSpec(), Checkpoint: made.CheckpointOf(entry.task), Ticket: entry.ticket, Demand: entry.demand, Suspect: entry.task.Suspect(),
 	})
 	entry.sequence = view.sequence + 1
 	entry.orderedAt = now
@@ -113,6 +119,11 @@
 }
 
 func (owner *Owner) noteRefusal(view *agentView, outcome wire.StartOutcome, now time.Time) {
+	if outcome == wire.StartOutcome_START_SUSPECT {
+		// Only other suspects have to keep away.
+		view.suspectUntil = now.Add(suspectsApart)
+		return
+	}
 	pause := refusedPause
 	if outcome == wire.StartOutcome_START_WORKER_FAILED {
 		pause = doubtLength
@@ -156,7 +167,10 @@
 	}
 	ended := made.Ended()
 	recorded := entry.recordedAfter(task)
-	if !made.End(task, end.GetAttempt(), endReason(end.GetReason()), end.GetCheckpoint(), now) {
+	if end.GetProven() {
+		task.Outlived(end.GetAttempt())
+	}
+	if !made.End(task, end.GetAttempt(), endReason(end), end.GetCheckpoint(), now) {
 		held.settleLive(made)
 		return
 	}
@@ -164,6 +178,9 @@
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())),
 		slog.Duration("recorded", recorded))
 	owner.meters.ended.Add(owner.ctx, 1, telemetry.By("reason", end.GetReason().String()))
+	if end.GetReason() == wire.EndReason_END_CRASHED && task.State() == job.TaskState_TASK_FAILED {
+		owner.log(event.TaskGivenUp, slog.String("task", end.GetTask()), slog.Int("crashes", task.Crashes()))
+	}
 	view.noteOutcome(end.GetReason(), now)
 	owner.changed(held, made)
 	if made.Ended() && !ended {
@@ -185,12 +202,17 @@
 	}
 }
 
-func endReason(reason wire.EndReason) job.EndReason {
-	switch reason {
+func endReason(end *wire.RunEnd) job.EndReason {
+	switch end.GetReason() {
 	case wire.EndReason_END_DONE:
 		return job.EndDone
 	case wire.EndReason_END_FAILED:
 		return job.EndFailed
+	case wire.EndReason_END_CRASHED:
+		if end.GetAlone() {
+			return job.EndCrashedAlone
+		}
+		return job.EndCrashed
 	}
 	return job.EndInterrupted
 }
