platform, agent: a heartbeat of another writer names no worker to use

It is refused now, what was heard before holds, and an event says what it lacked.

A change of what a worker has is told to owners at once, not with the next regular message; that nothing is started beyond it held before and has a test now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -220,6 +220,13 @@
 	agent.decisions.Post(func(now time.Time) { agent.noteBeat(beat, now) })
 }
 
+// Refused implements platform.Beats.
+func (agent *Agent) Refused(incarnation string, err error) {
+	agent.decisions.Post(func(time.Time) {
+		agent.log(event.HeartbeatRefused, slog.String("worker", incarnation), slog.Any("error", err))
+	})
+}
+
 // Left implements platform.Beats.
 func (agent *Agent) Left(incarnation string) {
 	agent.decisions.Post(func(now time.Time) {
@@ -249,7 +256,7 @@
 	if beat.Sequence < current.beat.Sequence {
 		return
 	}
-	changed := current.beat.Draining != beat.Draining
+	changed := !current.beat.SameWorker(beat)
 	current.beat = beat
 	current.noteLeaving(now)
 	if changed {
--- /dev/null
+++ b/agent/room_test.go
@@ -0,0 +1,44 @@
+package agent_test
+
+import (
+	"testing"
+
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestRoomFollowsTheWorker: what a worker has may shrink below what runs there and grow
+// again. Its owner is told, and nothing is started beyond what it has now.
+func TestRoomFollowsTheWorker(t *testing.T) {
+	tests := map[string]struct {
+		change func(beat *platform.Heartbeat)
+		want   wire.StartOutcome
+	}{
+		"as it was":                 {func(*platform.Heartbeat) {}, wire.StartOutcome_START_STARTED},
+		"fewer processors":          {func(beat *platform.Heartbeat) { beat.MilliCPU = 1500 }, wire.StartOutcome_START_NO_ROOM},
+		"less memory":               {func(beat *platform.Heartbeat) { beat.MemoryMB = 1500 }, wire.StartOutcome_START_NO_ROOM},
+		"less than what runs there": {func(beat *platform.Heartbeat) { beat.MilliCPU = 500 }, wire.StartOutcome_START_NO_ROOM},
+		"more":                      {func(beat *platform.Heartbeat) { beat.MilliCPU = 9000 }, wire.StartOutcome_START_STARTED},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			owner := made.attachReady(1)
+			first := start(1)
+			first.Task = "0123456789abcdef.0.0.1"
+			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{first}})
+			made.until(func() bool { _, runs := made.worker.Running(first.Task); return runs })
+			beat := made.heartbeat()
+			beat.Sequence = 2
+			test.change(&beat)
+			made.beside.Beat(beat)
+			if got := made.starts(owner, start(1)); got != test.want {
+				t.Errorf("told %v", got)
+			}
+			made.until(func() bool {
+				status := owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil }).GetStatus()
+				return status.GetMilliCpu() == beat.MilliCPU && status.GetMemoryMb() == beat.MemoryMB
+			})
+		})
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -149,6 +149,8 @@
 	MessagesSent
 	DomainEvacuated
 	DomainGivenBack
+	HeartbeatRefused
+	MachineWasSuspended
 )
 
 // LinesDropped speaks of the log itself.
@@ -299,6 +301,8 @@
 	{MessagesSent, slog.LevelInfo, "messages sent", "How many messages of a kind, and bytes of it, the process has sent to other processes of ambertiller since its last such line; near says whether within its own failure domain. Frames and what TCP adds are left out.", sizeRelease},
 	{DomainEvacuated, slog.LevelInfo, "failure domain evacuated", "An operator wants nothing more to be started in the failure domain. At an owner, it is told to all agents with the next message; at an agent, its worker is given no starts from here on. What runs there goes on.", shiftRelease},
 	{DomainGivenBack, slog.LevelInfo, "failure domain given back", "The operator has taken the evacuation of the failure domain away; tasks may be started there again.", shiftRelease},
+	{HeartbeatRefused, slog.LevelWarn, "heartbeat refused", "A heartbeat could not be read, lacks a field or names a state that is none. It names no worker to use; what other heartbeats said holds.", crashRelease},
+	{MachineWasSuspended, slog.LevelWarn, "machine was suspended", "The machine stood still for the time in the attribute slept, which its steady clock does not count. Grants and the ownership of shards have become older by as much.", crashRelease},
 }
 
 // Catalogue returns every event, by rising code.
