uptime, loop, agent, owner: grants and ownership grow older while a machine is suspended

An agent that wakes takes its owners' grants for as long as before, up to 5 s, while the owners took its runs for over and started them elsewhere; an owner that wakes goes on granting though it may have been replaced.

Change: package uptime reads what the clock since boot is ahead of the steady one; the loop looks for it each 100 ms, and before anything else when the time of day has moved on further; the agent and the owner make older what others reckon with. Ruled out: a clock by the time since boot for everything, since due times follow the time of day and it steps.

Tests seen failing with the ageing taken out: a start by a grant from before was taken, a run went on 3.5 s beyond its grant, and an owner granted after 6 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -123,7 +123,10 @@
 	// Connect returns a client of one incarnation of the worker.
 	Connect func(address, incarnation string) *platform.Worker
 	Clock   clockwork.Clock
-	Events  *event.Logger
+	// Suspended tells for how long the machine has been suspended, which Clock does not
+	// count; nil for never.
+	Suspended func() time.Duration
+	Events    *event.Logger
 	// Meters makes the instruments; nil for none.
 	Meters metric.MeterProvider
 }
@@ -165,7 +168,7 @@
 
 // New returns an agent that does nothing until Run.
 func New(options Options) *Agent {
-	return &Agent{
+	made := &Agent{
 		options:   options,
 		id:        uuid.NewString(),
 		decisions: loop.New(options.Clock),
@@ -180,6 +183,10 @@
 		meters:         newMeters(options.Meters),
 		paced:          newPacing(options.HarmAfter),
 	}
+	if options.Suspended != nil {
+		made.decisions.WatchSuspension(options.Suspended, made.noteSuspended)
+	}
+	return made
 }
 
 // Run takes care of the worker until ctx ends.
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,8 +124,10 @@
 	beside *agent.Agent
 	worker *wireworker.Worker
 	// began is when the present agent was made.
-	began  time.Time
-	ctx    context.Context
+	began time.Time
+	ctx   context.Context
+	// slept is for how long the machine has been suspended.
+	slept  atomic.Int64
 	server *httptest.Server
 }
 
@@ -147,7 +150,7 @@
 func (made *bench) begin() {
 	made.beside = agent.New(agent.Options{
 		Name: "side-1", Shards: shards, FirstToken: made.clock.Now().UnixMilli(), Clock: made.clock, Events: event.Discard(),
-		EvacuateWithin: evacuateWithin,
+		EvacuateWithin: evacuateWithin, Suspended: func() time.Duration { return time.Duration(made.slept.Load()) },
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, platform.Transport())
 		},
--- /dev/null
+++ b/agent/suspended.go
@@ -0,0 +1,24 @@
+package agent
+
+import (
+	"log/slog"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+)
+
+// noteSuspended makes older by the time that the machine was suspended what owners reckon
+// with on this process's clock: they took runs for over meanwhile, at the end of the last
+// grant that they gave. An order that was on its way before is refused then, and what still
+// runs is stopped.
+//
+// What is reckoned on the worker's clock stays: it has gone on, so its leases end earlier
+// than they are taken to.
+func (agent *Agent) noteSuspended(slept time.Duration, _ time.Time) {
+	agent.log(event.MachineWasSuspended, slog.Duration("slept", slept))
+	agent.started = agent.started.Add(-slept)
+	for _, held := range agent.claims {
+		held.until = held.until.Add(-slept)
+	}
+	agent.knowledge.Age(slept)
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -18,6 +18,7 @@
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/rpc"
 	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/uptime"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -67,13 +68,17 @@
 		return nil, err
 	}
 	clock := clockwork.NewRealClock()
+	clocks, err := uptime.New()
+	if err != nil {
+		return nil, err
+	}
 	address := settings.InternalAddress(gatewayPort)
 	pool := rpc.NewPool(nil)
 	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, FailureDomain: settings.FailureDomain(), Shards: settings.Parts(),
 		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
-		Store: store, Advisor: advisor(settings), Dial: rpc.DialOne, Clock: clock, Events: events, Meters: metering.Provider(),
+		Store: store, Advisor: advisor(settings), Dial: rpc.DialOne, Clock: clock, Suspended: clocks.Suspended, Events: events, Meters: metering.Provider(),
 	})
 	front := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Parts(), Store: store, Owner: owning,
@@ -139,6 +144,10 @@
 		return nil, err
 	}
 	clock := clockwork.NewRealClock()
+	clocks, err := uptime.New()
+	if err != nil {
+		return nil, err
+	}
 	transport := platform.Transport()
 	address := settings.InternalAddress(agentPort)
 	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
@@ -148,7 +157,7 @@
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, transport)
 		},
-		Clock: clock, Events: events, Meters: metering.Provider(),
+		Clock: clock, Suspended: clocks.Suspended, Events: events, Meters: metering.Provider(),
 	})
 	running := &Agent{Daemon: Daemon{kern: kernel.New(), events: events}}
 	return running, registerAll(running.kern,
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -9,6 +9,11 @@
 //
 // A posted function must not block: what takes time runs on a goroutine of its
 // own and posts what came of it.
+//
+// # Suspension
+//
+// The time that a function is given doesn't go on while the machine is suspended. A loop
+// that watches for it has what was noted before made older first, and then goes on.
 package loop
 
 import (
@@ -31,6 +36,7 @@
 	clock clockwork.Clock
 	queue chan func(now time.Time)
 	done  chan struct{}
+	sleep suspension
 }
 
 // New returns a loop that runs nothing yet.
@@ -86,10 +92,10 @@
 			return
 		case <-ticker.Chan():
 		case run := <-decisions.queue:
-			run(decisions.clock.Now())
+			decisions.do(run)
 			decisions.drain()
 		}
-		step(decisions.clock.Now())
+		decisions.do(step)
 	}
 }
 
@@ -100,12 +106,19 @@
 	run(now)
 }
 
+// do runs a function, after what a suspension before it has to change.
+func (decisions *Loop) do(run func(now time.Time)) {
+	now := decisions.clock.Now()
+	decisions.sleep.note(now)
+	run(now)
+}
+
 // drain runs what is queued, a batch at most, so that step is not kept waiting.
 func (decisions *Loop) drain() {
 	for range batchMost {
 		select {
 		case run := <-decisions.queue:
-			run(decisions.clock.Now())
+			decisions.do(run)
 		default:
 			return
 		}
--- a/operator/knowledge.go
+++ b/operator/knowledge.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// Age makes what is known older by a time that the clock did not count.
+func (known *Knowledge) Age(uncounted time.Duration) {
+	if !known.asOf.IsZero() {
+		known.asOf = known.asOf.Add(-uncounted)
+	}
+}
+
 // Judge says whether a task may be started in a failure domain by what was known at most
 // so long ago.
 func (known *Knowledge) Judge(domain string, now time.Time, oldest time.Duration) Verdict {
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -25,7 +25,7 @@
 	heard := int64(0)
 	lost := time.Time{}
 	for ctx.Err() == nil {
-		sent := owner.options.Clock.Now()
+		sent, sentAfter := owner.options.Clock.Now(), owner.suspended()
 		if owner.renew.Load() {
 			if err := owner.leaveGroup(ctx); err != nil {
 				lost = owner.noteStoreLost(ctx, lost, sent, err)
@@ -44,7 +44,9 @@
 		lost = time.Time{}
 		changed := deal.Generation != heard
 		heard = deal.Generation
-		if !owner.decisions.Ask(ctx, func(now time.Time) { owner.noteDeal(deal, sent, now) }) {
+		if !owner.decisions.Ask(ctx, func(now time.Time) {
+			owner.noteDeal(deal, sent.Add(min(sentAfter-owner.decisions.Suspended(), 0)), now)
+		}) {
 			return
 		}
 		if changed {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -82,9 +82,12 @@
 	// Advisor tells which workers may run what; nil where nothing is to be asked.
 	Advisor *platform.Advisor
 	// Dial connects to an agent.
-	Dial   func(ctx context.Context, address string) (drpc.Conn, error)
-	Clock  clockwork.Clock
-	Events *event.Logger
+	Dial  func(ctx context.Context, address string) (drpc.Conn, error)
+	Clock clockwork.Clock
+	// Suspended tells for how long the machine has been suspended, which Clock does not
+	// count; nil for never.
+	Suspended func() time.Duration
+	Events    *event.Logger
 	// Meters makes the instruments; nil for none.
 	Meters metric.MeterProvider
 }
@@ -138,6 +141,9 @@
 		advised:     adviceQueue{steps: map[string]*stepAdvice{}},
 	}
 	made.renew.Store(true)
+	if options.Suspended != nil {
+		made.decisions.WatchSuspension(options.Suspended, made.noteSuspended)
+	}
 	return made
 }
 
--- /dev/null
+++ b/owner/suspended_test.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/platform"
+)
+
+// TestSuspendedOwnerGrantsNothing: an owner whose machine was suspended may have been replaced
+// meanwhile, and those that take its shards over count on it that it grants nothing for longer
+// than without the store. It grants again once the store has said that it still owns them.
+func TestSuspendedOwnerGrantsNothing(t *testing.T) {
+	grants := func(made *bench) bool {
+		made.clock.Advance(grantEvery)
+		made.step()
+		for _, message := range made.sent() {
+			if message.GetGrantUntilNanos() > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	made := newBench(t)
+	made.submit()
+	made.attachAndStart()
+	if !grants(made) {
+		t.Fatal("grants nothing")
+	}
+	made.owner.noteSuspended(grantAlone-time.Second, made.clock.Now())
+	if !grants(made) {
+		t.Error("grants nothing after a short suspension")
+	}
+	made.owner.noteSuspended(time.Second, made.clock.Now())
+	if grants(made) {
+		t.Error("grants after a long one")
+	}
+	made.owner.noteDeal(platform.Deal{Generation: 3, Parts: []int{made.held.number}}, made.clock.Now(), made.clock.Now())
+	if !grants(made) {
+		t.Error("grants nothing after word from the store")
+	}
+}
--- /dev/null
+++ b/uptime/uptime_test.go
@@ -0,0 +1,40 @@
+package uptime
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSuspended(t *testing.T) {
+	tests := map[string]struct {
+		before, sinceBoot, after time.Duration
+		want                     time.Duration
+		exact                    bool
+	}{
+		"never suspended":              {time.Second, time.Second, time.Second, 0, true},
+		"suspended for five seconds":   {time.Second, 6 * time.Second, time.Second, 5 * time.Second, true},
+		"held up between the readings": {time.Second, 2 * time.Second, 2 * time.Second, 0, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, exact := suspended(test.before, test.sinceBoot, test.after)
+			if exact != test.exact || exact && got != test.want {
+				t.Errorf("%v, exact: %v", got, exact)
+			}
+		})
+	}
+}
+
+// TestClocksAreThere: the total never sinks, whatever comes between the readings.
+func TestClocksAreThere(t *testing.T) {
+	clocks, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := clocks.Suspended()
+	for range 100 {
+		if now := clocks.Suspended(); now < before {
+			t.Fatalf("%v after %v", now, before)
+		}
+	}
+}
