--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,11 +22,13 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/kernel"
 	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/uptime"
 )
 
 const (
@@ -192,3 +194,13 @@
 	})
 	return mux
 }
+
+// leaseClock returns the clock that entries and guards reckon leases with: an offer, or the
+// last word from the log, also grows old while the machine is suspended.
+func leaseClock() (clockwork.Clock, error) {
+	clocks, err := uptime.New()
+	if err != nil {
+		return nil, err
+	}
+	return uptime.NewClock(clockwork.NewRealClock(), clocks.Suspended), nil
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -50,11 +50,16 @@
 	if err != nil {
 		return nil, err
 	}
+	clock, err := leaseClock()
+	if err != nil {
+		return nil, err
+	}
 	client := platformClient()
 	log := changelog.New(logservice.NewClient(options.PlatformURL, client), changelog.Options{
 		Writer:           options.Name,
 		AppendsPerSecond: options.AppendsPerSecond,
 		SnapshotEvery:    options.SnapshotEvery,
+		Clock:            clock,
 		Events:           events,
 	})
 	pool := rpc.NewPool(nil)
@@ -64,6 +69,7 @@
 		Journal:       log,
 		Instances:     instances.NewClient(options.PlatformURL, client),
 		Pool:          pool,
+		Clock:         clock,
 		Events:        events,
 		Meters:        metering.Provider(),
 	})
--- a/daemon/guard.go
+++ b/daemon/guard.go
@@ -50,6 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
+	clock, err := leaseClock()
+	if err != nil {
+		return nil, err
+	}
 	pool := rpc.NewPool(nil)
 	role := guard.New(guard.Options{
 		Name:          options.Name,
@@ -60,6 +64,7 @@
 		Worker:        worker.NewClient(options.WorkerURL, workerClient()),
 		Instances:     instances.NewClient(options.PlatformURL, platformClient()),
 		Pool:          pool,
+		Clock:         clock,
 		Events:        events,
 		Meters:        metering.Provider(),
 	})
