--- a/agent/crash_test.go
+++ b/agent/crash_test.go
@@ -63,6 +63,12 @@
 			made.endOf(owner, wire.EndReason_END_LOST)
 			made.replace()
 		}, wire.EndReason_END_CRASHED, false},
+		"at work for a while, with nothing answered since": {func(made *bench, _ *stream) {
+			made.pass(400 * time.Millisecond)
+			made.crash()
+			made.pass(time.Second)
+			made.replace()
+		}, wire.EndReason_END_LOST, false},
 		"outlived its start": {func(made *bench, _ *stream) {
 			made.pass(3 * time.Second)
 			made.crash()
