job, agent: three crashes in a row, and a quarter of a second, tell a cause from chance

Cause: a chance victim was suspected twice in a row and given up. A run counted as just begun for 0.5 s and, as only answers counted, for up to a second longer; two crashes with no other suspect were enough.

Change: 0.25 s; connections that the worker's side ends are a sign of life too, so that an unanswered run is not taken for younger than it is; what clears a task is a measure of its own and stricter, an answer to a call sent after that time. Three crashes in a row give a task up, and whether another run is suspected plays no part any more, so that this is not told or kept.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -291,7 +291,7 @@
 	}
 	agent.worker = nil
 	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)), slog.String("how", string(how)),
-		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.aliveAt)))
+		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.signAt)))
 	agent.meters.lost.Add(agent.ctx, 1, telemetry.By("how", string(how)))
 	agent.tellEnded(ended, how)
 	for _, end := range ended.ends {
--- a/agent/life.go
+++ b/agent/life.go
@@ -1,45 +1,63 @@
 package agent
 
 import (
+	"context"
 	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/wire"
 )
 
-// outlivesAfter is how long a run lives that has outlived its start. A task that brings
-// workers down does so 10 ms after its start, and agents saw it within 70 ms of the order;
-// the more runs count as just begun, the more chance victims are started apart.
-const outlivesAfter = 500 * time.Millisecond
+// justBegun is how old a run is at most that has just begun. A task that brings workers down
+// does so 10 ms after its start, which agents noticed within 70 ms of the order; the more runs
+// count as just begun, the more chance victims are suspected. With 500 ms one of 40 on a day was
+// suspected twice in a row.
+const justBegun = 250 * time.Millisecond
+
+// noteAnswer takes note of an answer of the worker to a call that was sent at a time: it
+// lived then. Heartbeats don't count: one that was held up may arrive when its sender is gone.
+func (state *workerState) noteAnswer(sentAt, now time.Time) {
+	state.aliveAt = later(state.aliveAt, sentAt)
+	state.signAt = later(state.signAt, now)
+}
+
+// noteBroken takes note of an error instead of an answer. A connection that the worker's side
+// has ended is a sign that it lived until about then; silence is none.
+func (state *workerState) noteBroken(err error, now time.Time) {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		state.signAt = later(state.signAt, now)
+	}
+}
 
-// noteAlive takes note of an answer of the worker. Heartbeats don't count: one that was
-// held up may arrive when its sender is gone.
-func (state *workerState) noteAlive(now time.Time) {
-	if now.After(state.aliveAt) {
-		state.aliveAt = now
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
-// lived returns for how long a run is known to have been on the worker without its end:
-// from when its start was sent, or from when an agent that has just started found it, to the
-// worker's last answer.
+// lived returns for how long a run was on the worker as far as there were signs of it, which
+// may be too long by what this process was late to see the last one.
 func (state *workerState) lived(run *runState) time.Duration {
-	return max(state.aliveAt.Sub(run.sentAt), 0)
+	return max(state.signAt.Sub(run.sentAt), 0)
 }
 
-// outlived reports whether a run is known to have gone on after its start.
+// outlived reports whether a run went on for certain after its start. Only this clears its
+// task: the worker answered a call that was sent when the run had not just begun any more.
 func (state *workerState) outlived(run *runState) bool {
-	return run.found || state.lived(run) >= outlivesAfter
+	return state.aliveAt.Sub(run.sentAt) >= justBegun
 }
 
 // hasNewSuspect reports whether a suspect has just been started. Two of them apart from each
 // other show which one it is, should the worker crash.
 func (state *workerState) hasNewSuspect(now time.Time) bool {
 	for _, run := range state.runs {
-		if run.suspect && now.Sub(run.sentAt) < outlivesAfter {
+		if run.suspect && now.Sub(run.sentAt) < justBegun {
 			return true
 		}
 	}
@@ -50,7 +68,7 @@
 // and of these the ones that were suspected before, if there are any. Those that were told as
 // over while the worker did not answer are among them.
 func (state *workerState) suspects() map[*runState]bool {
-	begun := state.justBegun()
+	begun := state.newRuns()
 	known := slices.DeleteFunc(slices.Clone(begun), func(run *runState) bool { return !run.suspect })
 	if len(known) > 0 {
 		begun = known
@@ -62,9 +80,11 @@
 	return found
 }
 
-func (state *workerState) justBegun() []*runState {
+// newRuns returns the runs that had just begun at the last sign of life of the worker. One
+// that an agent found when it started was there before.
+func (state *workerState) newRuns() []*runState {
 	runs := slices.AppendSeq(slices.Clone(state.givenUp), maps.Values(state.runs))
-	return slices.DeleteFunc(runs, state.outlived)
+	return slices.DeleteFunc(runs, func(run *runState) bool { return run.found || state.lived(run) >= justBegun })
 }
 
 // tellEnded tells the owners what became of the runs of an incarnation that is over.
@@ -73,26 +93,25 @@
 	if how == endReplaced {
 		suspects = over.suspects()
 	}
-	alone := len(suspects) == 1
 	for _, run := range over.runs {
 		if suspects[run] {
-			agent.tellCrashed(over, run, alone)
+			agent.tellCrashed(over, run)
 			continue
 		}
 		agent.tellLost(over, run)
 	}
 	for _, run := range over.givenUp {
 		if suspects[run] {
-			agent.tellCrashed(over, run, alone)
+			agent.tellCrashed(over, run)
 		}
 	}
 }
 
 // tellCrashed tells a run's owner that its worker crashed, and that the run may be why.
-func (agent *Agent) tellCrashed(on *workerState, run *runState, alone bool) {
+func (agent *Agent) tellCrashed(on *workerState, run *runState) {
 	end := on.lostEnd(run)
-	end.Reason, end.Alone = wire.EndReason_END_CRASHED, alone
-	agent.logLost(event.RunCrashed, on, run, slog.Bool("alone", alone), slog.Bool("suspect", run.suspect))
+	end.Reason = wire.EndReason_END_CRASHED
+	agent.logLost(event.RunCrashed, on, run, slog.Bool("suspect", run.suspect))
 	agent.sendEnd(end)
 }
 
--- a/agent/look.go
+++ b/agent/look.go
@@ -76,7 +76,7 @@
 		agent.statusChanged()
 	}
 	state.noteClock(held.Clock, now)
-	state.noteAlive(now)
+	state.noteAnswer(asked.at, now)
 	state.lookAt = now
 	for _, end := range held.Ended {
 		agent.noteEnd(state, end)
@@ -103,6 +103,9 @@
 		state.token += tokenStep
 		return
 	}
+	if state.failures == 0 {
+		state.noteBroken(err, now)
+	}
 	state.failures++
 	state.lookAt = now.Add(failedPause)
 	if state.failures == 1 {
--- a/agent/order.go
+++ b/agent/order.go
@@ -96,7 +96,7 @@
 
 func (agent *Agent) noteStarted(state *workerState, run *runState, order *wire.StartOrder, try int, err error, now time.Time) {
 	if err == nil {
-		state.noteAlive(now)
+		state.noteAnswer(run.sentAt, now)
 		run.phase = phaseRunning
 		run.confirmedAt, run.workedAt = now, now
 		agent.paceSoon(state, run)
@@ -195,7 +195,7 @@
 			}
 			if err == nil {
 				state.noteClock(clock, now)
-				state.noteAlive(now)
+				state.noteAnswer(run.stopSentAt, now)
 				return
 			}
 			// Sent again after stopAgain, while the run is listed.
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -26,7 +26,8 @@
 	// durable holds numbers above seen.
 	durable map[int64]bool
 
-	aliveAt   time.Time // when the worker last answered
+	aliveAt   time.Time // when the worker lived for certain
+	signAt    time.Time // when the last sign of that was seen
 	known     bool      // the worker has told what runs under this agent's token
 	looking   bool      // a look is on its way
 	lookAt    time.Time
@@ -81,7 +82,7 @@
 	return &workerState{
 		beat: beat, calls: calls, token: token,
 		runs: map[string]*runState{}, ends: map[int64]*wire.RunEnd{}, durable: map[int64]bool{},
-		clockAt: now, lapseBy: now, aliveAt: now,
+		clockAt: now, lapseBy: now, aliveAt: now, signAt: now,
 	}
 }
 
--- a/job/crash.go
+++ b/job/crash.go
@@ -5,14 +5,12 @@
 	"time"
 )
 
-const (
-	// crashesBorne is under how many of its runs in a row a worker may crash until a task is
-	// given up: each crash costs all that the worker runs, and the worker for seconds.
-	crashesBorne = 3
-	// crashesBorneAlone is the same where no other run can have been why the last worker
-	// crashed.
-	crashesBorneAlone = 2
-)
+// crashesBorne is under how many of its runs in a row a worker may crash just after the start
+// until a task is given up: each crash costs all that the worker runs, and the worker for
+// seconds. Chance victims are many, since every run on a crashed worker is lost with it: where
+// one task brought its workers down others were lost up to six times. Two crashes in a row
+// gave up one on a day on which a fifth of the workers crashed each 2 s.
+const crashesBorne = 3
 
 // Crashes counts the runs of the task under which a worker may have crashed because of it,
 // since the last one that outlived its start.
@@ -36,7 +34,7 @@
 // crash notes that a worker crashed under a run and may have done so because of it. The
 // crash counts when it is heard late too, after the run was found to be over or another one
 // has begun: an owner that takes the shard over may hear of the end of the incarnation first.
-func (job *Job) crash(task *Task, attempt int32, alone bool, now time.Time) bool {
+func (job *Job) crash(task *Task, attempt int32, now time.Time) bool {
 	counts := attempt > task.proven && !slices.Contains(task.crashed, attempt)
 	if counts {
 		task.crashed = append(task.crashed, attempt)
@@ -46,19 +44,8 @@
 		job.interrupt(task, now)
 		task.retryAt = now.Add(failureBackoff)
 	}
-	if counts && task.crashesTooOften(alone) {
+	if counts && task.Crashes() >= crashesBorne {
 		job.giveUp(task, now)
 	}
 	return counts || interrupted
 }
-
-// crashesTooOften reports whether a task is given up. Every run on a crashed worker is lost
-// with it, and where one task brings its workers down others are lost up to six times by
-// chance: only runs that had just begun count, those in a row, and before two are enough the
-// last one must have begun apart from all others.
-func (task *Task) crashesTooOften(alone bool) bool {
-	if alone {
-		return task.Crashes() >= crashesBorneAlone
-	}
-	return task.Crashes() >= crashesBorne
-}
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -13,10 +13,7 @@
 	EndDone EndReason = iota + 1
 	EndFailed
 	EndInterrupted // stopped, lapsed, or lost with its worker
-	// EndCrashed is lost with a worker that crashed just after the start, and
-	// EndCrashedAlone the same where no other run can be why.
-	EndCrashed
-	EndCrashedAlone
+	EndCrashed     // lost with a worker that crashed just after the start
 )
 
 const (
@@ -105,8 +102,7 @@
 	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
 		return false
 	}
-	crashed := reason == EndCrashed || reason == EndCrashedAlone
-	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && !crashed {
+	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && reason != EndCrashed {
 		return false
 	}
 	if checkpoint != "" && present {
@@ -130,8 +126,8 @@
 		}
 		job.interrupt(task, now)
 		return true
-	case EndCrashed, EndCrashedAlone:
-		return job.crash(task, attempt, reason == EndCrashedAlone, now)
+	case EndCrashed:
+		return job.crash(task, attempt, now)
 	}
 	return false
 }
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -170,7 +170,7 @@
 	if end.GetProven() {
 		task.Outlived(end.GetAttempt())
 	}
-	if !made.End(task, end.GetAttempt(), endReason(end), end.GetCheckpoint(), now) {
+	if !made.End(task, end.GetAttempt(), endReason(end.GetReason()), end.GetCheckpoint(), now) {
 		held.settleLive(made)
 		return
 	}
@@ -202,16 +202,13 @@
 	}
 }
 
-func endReason(end *wire.RunEnd) job.EndReason {
-	switch end.GetReason() {
+func endReason(reason wire.EndReason) job.EndReason {
+	switch reason {
 	case wire.EndReason_END_DONE:
 		return job.EndDone
 	case wire.EndReason_END_FAILED:
 		return job.EndFailed
 	case wire.EndReason_END_CRASHED:
-		if end.GetAlone() {
-			return job.EndCrashedAlone
-		}
 		return job.EndCrashed
 	}
 	return job.EndInterrupted
