--- a/owner/runs.go
+++ b/owner/runs.go
@@ -19,9 +19,10 @@
 	// refusedPause keeps a worker that refused a start from being asked again
 	// at once.
 	refusedPause = 150 * time.Millisecond
-	// suspectsApart keeps suspects on one worker apart for as long as its agent asks for.
-	// Meanwhile other tasks are started there.
-	suspectsApart = 500 * time.Millisecond
+	// suspectsApart keeps suspects on one worker apart, from when they are placed: as long as
+	// the agent has them apart, 250 ms from their start, and 50 ms to get there. Meanwhile
+	// other tasks are started there.
+	suspectsApart = 300 * time.Millisecond
 )
 
 // logRun logs what becomes of a run.
--- /dev/null
+++ b/owner/suspect_test.go
@@ -0,0 +1,102 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestSuspectsArePlacedApart: of two tasks of one step under which a worker crashed, one waits
+// until the other has outlived its start there. What is not suspected is placed at once,
+// though it is of the same step.
+func TestSuspectsArePlacedApart(t *testing.T) {
+	made := newBench(t)
+	of := made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Count = 3 })
+	made.attachAndStart()
+	made.hear(&wire.AgentMessage{Ends: []*wire.RunEnd{
+		{Worker: life, Task: taskOne, Attempt: 1, Reason: wire.EndReason_END_CRASHED},
+		{Worker: life, Task: jobID + ".0.0.1", Attempt: 1, Reason: wire.EndReason_END_CRASHED},
+		{Worker: life, Task: jobID + ".0.0.2", Attempt: 1, Reason: wire.EndReason_END_LOST},
+	}})
+	pass := func(length time.Duration) (suspects, others int) {
+		made.clock.Advance(length)
+		made.owner.joinedAt = made.clock.Now()
+		made.hear(&wire.AgentMessage{})
+		made.step()
+		made.settle()
+		made.step()
+		for _, order := range starts(made.sent()) {
+			if order.GetSuspect() {
+				suspects++
+				continue
+			}
+			others++
+		}
+		return suspects, others
+	}
+	if suspects, others := pass(100 * time.Millisecond); suspects != 1 || others != 1 {
+		t.Errorf("at first %d suspects and %d others", suspects, others)
+	}
+	if suspects, _ := pass(100 * time.Millisecond); suspects != 0 {
+		t.Errorf("%d suspects soon after", suspects)
+	}
+	if suspects, _ := pass(suspectsApart); suspects != 1 {
+		t.Errorf("%d suspects later", suspects)
+	}
+	if of.Ended() {
+		t.Errorf("the job is %v", of.State())
+	}
+}
+
+// TestRefusedSuspectKeepsNobodyElseAway: an agent that refuses a suspect takes anything else.
+func TestRefusedSuspectKeepsNobodyElseAway(t *testing.T) {
+	made := newBench(t)
+	made.submit()
+	made.attachAndStart()
+	made.hear(&wire.AgentMessage{Results: []*wire.StartResult{
+		{Task: taskOne, Attempt: 1, Worker: life, Outcome: wire.StartOutcome_START_SUSPECT},
+	}})
+	now := made.clock.Now()
+	if now.Before(made.view.avoidUntil) {
+		t.Error("the worker is avoided")
+	}
+	if !now.Before(made.view.suspectUntil) {
+		t.Error("other suspects are not kept away")
+	}
+}
+
+// TestLikelyCauseGoesWhereTheLeastRuns: a task that has brought two workers down goes where the
+// most is free, one that has met one crash where it does best.
+func TestLikelyCauseGoesWhereTheLeastRuns(t *testing.T) {
+	tests := map[string]struct {
+		crashes int32
+		want    bool // the emptier worker is better
+	}{
+		"one crash":   {1, false},
+		"two crashes": {2, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			of := made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Affinity = "r-1" })
+			task := of.Tasks()[0]
+			for attempt := int32(1); attempt <= test.crashes; attempt++ {
+				of.Start(task, job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
+				of.End(task, attempt, job.EndCrashed, "", made.clock.Now())
+			}
+			worker := func(number int, free int64, rack string) *candidate {
+				view := newView(fmt.Sprint("10.0.0.", number))
+				view.heard.Note(&wire.AgentMessage{Status: &wire.WorkerStatus{
+					Worker: fmt.Sprint("i-", number), Service: "verbale", Ready: true, Labels: []string{"a", rack}, FreeMilliCpu: free, FreeMemoryMb: 4000,
+				}})
+				return newCandidate(view)
+			}
+			if got := better(task, worker(2, 4000, "r-2"), worker(1, 2000, "r-1")); got != test.want {
+				t.Errorf("the emptier one is better: %v", got)
+			}
+		})
+	}
+}
