daemon: what both roles on the users' platform are built on is put together once

Clean-up: metrics, clocks, logs and the store's client were prepared twice, and the clocks that count suspension would have been a third piece in each.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -60,40 +60,59 @@
 	Daemon
 }
 
-// NewGateway puts the services of a gateway together.
-func NewGateway(ctx context.Context, settings platform.Settings, events *event.Logger) (*Gateway, error) {
-	events = events.With("role", "gateway", "name", settings.Name())
-	metering, err := telemetry.New(ctx, telemetry.Options{Role: "gateway", Name: settings.Name()})
+// base is what every role on the users' platform is built on.
+type base struct {
+	events   *event.Logger
+	metering *telemetry.Metering
+	clock    clockwork.Clock
+	clocks   *uptime.Clocks
+	store    *platform.Store
+}
+
+// newBase prepares it for a role.
+func newBase(ctx context.Context, role string, settings platform.Settings, events *event.Logger) (base, error) {
+	metering, err := telemetry.New(ctx, telemetry.Options{Role: role, Name: settings.Name()})
 	if err != nil {
-		return nil, err
+		return base{}, err
 	}
-	clock := clockwork.NewRealClock()
 	clocks, err := uptime.New()
+	if err != nil {
+		return base{}, err
+	}
+	return base{
+		events: events.With("role", role, "name", settings.Name()), metering: metering,
+		clock: clockwork.NewRealClock(), clocks: clocks, store: platform.NewStore(settings.StoreAddress(), platform.Transport()),
+	}, nil
+}
+
+// NewGateway puts the services of a gateway together.
+func NewGateway(ctx context.Context, settings platform.Settings, events *event.Logger) (*Gateway, error) {
+	made, err := newBase(ctx, "gateway", settings, events)
 	if err != nil {
 		return nil, err
 	}
 	address := settings.InternalAddress(gatewayPort)
 	pool := rpc.NewPool(nil)
-	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, FailureDomain: settings.FailureDomain(), Shards: settings.Parts(),
 		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
-		Store: store, Advisor: advisor(settings), Dial: rpc.DialOne, Clock: clock, Suspended: clocks.Suspended, Events: events, Meters: metering.Provider(),
+		Store: made.store, Advisor: advisor(settings), Dial: rpc.DialOne, Clock: made.clock, Suspended: made.clocks.Suspended,
+		Events: made.events, Meters: made.metering.Provider(),
 	})
 	front := gateway.New(gateway.Options{
-		Name: settings.Name(), Shards: settings.Parts(), Store: store, Owner: owning,
-		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: clock, Events: events, Meters: metering.Provider(),
+		Name: settings.Name(), Shards: settings.Parts(), Store: made.store, Owner: owning,
+		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: made.clock, Events: made.events, Meters: made.metering.Provider(),
 	})
-	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: events}}
+	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: made.events}}
 	return running, registerAll(running.kern,
-		metricsService(metering),
+		metricsService(made.metering),
 		kernel.Service{Name: ServicePool, Provides: pool, Stop: func(context.Context) error { return pool.Close() }},
 		runService(ServiceOwner, owning.Run, owning, ServicePool),
 		roleService(front.Run, front, ServiceOwner, ServiceMetrics),
 		rpcService(address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterPeer(mux, owning) }),
 		httpService(ServiceHTTP, []string{ServiceRole}, settings.FrontAddress(), front),
 		httpService(ServiceReadiness, []string{ServiceRole}, settings.ReadyAddress(), readyHandler(front.Ready)),
-		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(metering, front.Ready)),
+		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(made.metering, front.Ready)),
 		gatewayDrainService(front, owning),
 	)
 }
@@ -138,36 +157,29 @@
 
 // NewAgent puts the services of an agent together.
 func NewAgent(ctx context.Context, settings platform.Settings, events *event.Logger) (*Agent, error) {
-	events = events.With("role", "agent", "name", settings.Name())
-	metering, err := telemetry.New(ctx, telemetry.Options{Role: "agent", Name: settings.Name()})
-	if err != nil {
-		return nil, err
-	}
-	clock := clockwork.NewRealClock()
-	clocks, err := uptime.New()
+	made, err := newBase(ctx, "agent", settings, events)
 	if err != nil {
 		return nil, err
 	}
 	transport := platform.Transport()
 	address := settings.InternalAddress(agentPort)
-	store := platform.NewStore(settings.StoreAddress(), platform.Transport())
 	beside := agent.New(agent.Options{
-		Name: settings.Name(), FailureDomain: settings.FailureDomain(), Shards: settings.Parts(), FirstToken: clock.Now().UnixMilli(), HarmAfter: settings.HarmAfter(),
+		Name: settings.Name(), FailureDomain: settings.FailureDomain(), Shards: settings.Parts(), FirstToken: made.clock.Now().UnixMilli(), HarmAfter: settings.HarmAfter(),
 		EvacuateWithin: settings.EvacuateWithin(), RestoreTakes: settings.RestoreTakes(), SaveEvery: settings.SaveEvery(),
 		Connect: func(address, incarnation string) *platform.Worker {
 			return platform.NewWorker(address, incarnation, transport)
 		},
-		Clock: clock, Suspended: clocks.Suspended, Events: events, Meters: metering.Provider(),
+		Clock: made.clock, Suspended: made.clocks.Suspended, Events: made.events, Meters: made.metering.Provider(),
 	})
-	running := &Agent{Daemon: Daemon{kern: kernel.New(), events: events}}
+	running := &Agent{Daemon: Daemon{kern: kernel.New(), events: made.events}}
 	return running, registerAll(running.kern,
-		metricsService(metering),
+		metricsService(made.metering),
 		roleService(beside.Run, beside, ServiceMetrics),
 		rpcService(address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterAgent(mux, beside) }),
-		runService("register", func(ctx context.Context) { beside.Register(ctx, store, address) }, nil, ServiceRPC),
-		runService("operator", func(ctx context.Context) { beside.FollowOperator(ctx, store) }, nil, ServiceRole),
+		runService("register", func(ctx context.Context) { beside.Register(ctx, made.store, address) }, nil, ServiceRPC),
+		runService("operator", func(ctx context.Context) { beside.FollowOperator(ctx, made.store) }, nil, ServiceRole),
 		httpService(ServiceBeats, []string{ServiceRole}, settings.BeatAddress(), platform.BeatHandler(beside)),
-		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(metering, func() bool { return true })),
+		httpService("scrape", nil, settings.AddressAt(metricsPort), adminMux(made.metering, func() bool { return true })),
 	)
 }
 
