--- a/job/task.go
+++ b/job/task.go
@@ -20,17 +20,17 @@
 
 // Task is one task of a job.
 type Task struct {
-	job        *Job
-	round      int32
-	step       int32
-	index      int32
-	state      TaskState
-	attempt    int32
-	failed     []int32 // the attempts that ended failed, each once
-	crashed    []int32 // the attempts under which a worker crashed, each once
-	proven     int32   // the last attempt that outlived its start
+	job     *Job
+	round   int32
+	step    int32
+	index   int32
+	state   TaskState
+	attempt int32
+	failed  []int32 // the attempts that ended failed, each once
+	crashed []int32 // the attempts under which a worker crashed, each once
+	proven  int32   // the last attempt that outlived its start
 	// crashedAt are the agents whose worker crashed under a run, as far as this owner knows.
-	crashedAt []string
+	crashedAt  []string
 	place      Place
 	checkpoint string
 	// interrupted counts runs that were stopped or lost under this owner.
