--- a/owner/place.go
+++ b/owner/place.go
@@ -218,24 +218,12 @@
 	return true
 }
 
-// crashesSpared is after how many crashes a task goes where the least runs: it is likely to
-// bring the worker down, which costs all else there. Before, it is most likely a chance
-// victim and goes where it does best.
-const crashesSpared = 2
-
-// better prefers, for a suspect, a machine where none of its runs met a crash: a worker that
-// goes down again and again by itself would make a cause of whatever is started there, most of
-// all as it is the emptiest each time. Then it prefers a worker near the data, then the one with the most idle
+// better prefers a worker near the data, then the one with the most idle
 // processors, which both keeps tasks that serve apart from those that fill and
 // leaves room everywhere.
 func better(task *job.Task, a, b *candidate) bool {
-	if task.Suspect() {
-		if crashedA, crashedB := task.CrashedAt(a.view.address), task.CrashedAt(b.view.address); crashedA != crashedB {
-			return crashedB
-		}
-	}
-	if task.Crashes() >= crashesSpared && a.free.MilliCPU != b.free.MilliCPU {
-		return a.free.MilliCPU > b.free.MilliCPU
+	if order := compareForSuspect(task, a, b); order != 0 {
+		return order < 0
 	}
 	if a.near(task) != b.near(task) {
 		return a.near(task)
