--- a/agent/suspended.go
+++ b/agent/suspended.go
@@ -9,8 +9,8 @@
 
 // noteSuspended makes older by the time that the machine was suspended what owners reckon
 // with on this process's clock: they took runs for over meanwhile, at the end of the last
-// grant that they gave. An order that was on its way before is refused then, and what still
-// runs is stopped.
+// grant that they gave. Where that is over by now, an order that was on its way is refused and
+// what still runs is stopped.
 //
 // What is reckoned on the worker's clock stays: it has gone on, so its leases end earlier
 // than they are taken to.
