job: the crashes that a later run has cleared are dropped, not passed over at each look

Found on reading the change again: how many crashes count was worked out from two fields at each question, and it is asked for each task that waits each time that places are looked for; cleared attempts stayed in a task's record for good. A run that outlives its start drops them now, so that the count is the length of the list. What counts, the bound and all that TestCrashes asks for are as before; its lasting case is a column of the table instead of a look at the case's name.

--- a/job/crash.go
+++ b/job/crash.go
@@ -14,15 +14,7 @@
 
 // Crashes counts the runs of the task under which a worker may have crashed because of it,
 // since the last one that outlived its start.
-func (task *Task) Crashes() int {
-	count := 0
-	for _, attempt := range task.crashed {
-		if attempt > task.proven {
-			count++
-		}
-	}
-	return count
-}
+func (task *Task) Crashes() int { return len(task.crashed) }
 
 // Suspect reports whether a worker may have crashed because of the task.
 func (task *Task) Suspect() bool { return task.Crashes() > 0 }
@@ -33,7 +25,10 @@
 
 // Outlived notes that a run went on after its start: a task that brings down each worker that
 // starts it would not have, so crashes up to then had another cause.
-func (task *Task) Outlived(attempt int32) { task.proven = max(task.proven, attempt) }
+func (task *Task) Outlived(attempt int32) {
+	task.proven = max(task.proven, attempt)
+	task.crashed = slices.DeleteFunc(task.crashed, func(crashed int32) bool { return crashed <= task.proven })
+}
 
 // crash notes that a worker crashed under a run and may have done so because of it. The
 // crash counts when it is heard late too, after the run was found to be over or another one
--- a/job/crash_test.go
+++ b/job/crash_test.go
@@ -20,31 +20,32 @@
 	}
 	tests := map[string]struct {
 		ends    []end
+		lasting bool
 		crashes int
 		want    job.State
 	}{
-		"once":        {[]end{{attempt: 1}}, 1, job.State_STATE_RUNNING},
-		"twice":       {[]end{{attempt: 1}, {attempt: 2}}, 2, job.State_STATE_RUNNING},
-		"three times": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 3}}, 3, job.State_STATE_FAILED},
+		"once":        {[]end{{attempt: 1}}, false, 1, job.State_STATE_RUNNING},
+		"twice":       {[]end{{attempt: 1}, {attempt: 2}}, false, 2, job.State_STATE_RUNNING},
+		"three times": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 3}}, false, 3, job.State_STATE_FAILED},
 		"lost in between, without having outlived the start": {
-			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted}, {attempt: 4}}, 3, job.State_STATE_FAILED},
+			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted}, {attempt: 4}}, false, 3, job.State_STATE_FAILED},
 		"outlived the start in between": {
-			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted, outlived: true}, {attempt: 4}}, 1, job.State_STATE_RUNNING},
-		"told twice": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 2}, {attempt: 1}}, 2, job.State_STATE_RUNNING},
+			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted, outlived: true}, {attempt: 4}}, false, 1, job.State_STATE_RUNNING},
+		"told twice": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 2}, {attempt: 1}}, false, 2, job.State_STATE_RUNNING},
 		"told again after it outlived a later start": {
 			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted, outlived: true},
-				{attempt: 1}, {attempt: 2}, {attempt: 4}, {attempt: 5}}, 2, job.State_STATE_RUNNING},
+				{attempt: 1}, {attempt: 2}, {attempt: 4}, {attempt: 5}}, false, 2, job.State_STATE_RUNNING},
 		"told after other starts": {
-			[]end{{attempt: 1, reason: job.EndInterrupted}, {attempt: 2, reason: job.EndInterrupted}, {attempt: 3}, {attempt: 1}, {attempt: 2}}, 3, job.State_STATE_FAILED},
+			[]end{{attempt: 1, reason: job.EndInterrupted}, {attempt: 2, reason: job.EndInterrupted}, {attempt: 3}, {attempt: 1}, {attempt: 2}}, false, 3, job.State_STATE_FAILED},
 		"with another owner each time": {
-			[]end{{attempt: 1, rereads: true}, {attempt: 2, rereads: true}, {attempt: 3, rereads: true}}, 3, job.State_STATE_FAILED},
+			[]end{{attempt: 1, rereads: true}, {attempt: 2, rereads: true}, {attempt: 3, rereads: true}}, false, 3, job.State_STATE_FAILED},
 		"outlived with one owner, crashed with another": {
-			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted, outlived: true}, {attempt: 4, rereads: true}}, 1, job.State_STATE_RUNNING},
-		"a task that lasts": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 3}}, 3, job.State_STATE_FAILED},
+			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted, outlived: true}, {attempt: 4, rereads: true}}, false, 1, job.State_STATE_RUNNING},
+		"a task that lasts": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 3}}, true, 3, job.State_STATE_FAILED},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			change := func(submission *job.Submission) { submission.Steps[0].Lasting = name == "a task that lasts" }
+			change := func(submission *job.Submission) { submission.Steps[0].Lasting = test.lasting }
 			of := made(change)
 			for _, ended := range test.ends {
 				task := of.Tasks()[0]
--- a/job/task.go
+++ b/job/task.go
@@ -27,7 +27,7 @@
 	state   TaskState
 	attempt int32
 	failed  []int32 // the attempts that ended failed, each once
-	crashed []int32 // the attempts under which a worker crashed, each once
+	crashed []int32 // the attempts after proven under which a worker crashed, each once
 	proven  int32   // the last attempt that outlived its start
 	// crashedAt are the agents whose worker crashed under a run, as far as this owner knows.
 	crashedAt  []string
