owner, agent: failing tests of tasks that start again though a run of them is done

Cause: the worker's lease is bound by the grants of owners with runs there, not by those of owners that have not been told the end of a run. Such an end does not become void when its owner must take the run for over.

The stand-in for a worker tells which ends are noted: not those whose lease ran out first.

--- /dev/null
+++ b/owner/cut_test.go
@@ -0,0 +1,69 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/job"
+)
+
+// The story. Users saw tasks start again after a run of them had ended as done: a vat was mixed
+// twice. The path between an agent and the owner of some of its runs was lost for longer than 5.8 s,
+// while owners of other shards still reached the agent or it stood alone with a worker that had
+// nothing left to run. (1) A run ended as done; its agent knew, its owner did not. (2) The owner took
+// the run for over when its last grant had to have ended, and started the task on another worker.
+// (3) The worker's lease went on all the same, since it was bound by the grants of owners with runs
+// there and this run had ended: so the end did not become void. (4) The path came back, the end was
+// told, and the worker was let forget it as done.
+//
+// The evidence: logs of such a day. Agents had ends that waited from before their task's second
+// start ("end waits") until after the path was back ("end kept"), and owners took the runs for over
+// 5.80 s after they last heard the agent, in batches.
+
+// TestTaskIsDoneOnce cuts an owner off from an agent while runs end there.
+func TestTaskIsDoneOnce(t *testing.T) {
+	const tasks = 8
+	made := newFleet(t, 2)
+	made.submit(platformJob, tasks)
+	cut := made.machines[0]
+	if !made.until(20*time.Second, func() bool { return cut.runsSomething() }) {
+		t.Fatal("nothing was started at the machine that is to be cut off")
+	}
+	everyone := func([]byte) bool { return true }
+	cut.path.Hold(everyone, true, true)
+	completed := func() bool { return made.state(platformJob) == job.State_STATE_COMPLETED }
+	if !made.until(30*time.Second, completed) {
+		t.Fatal("the tasks of the machine that is cut off were not done elsewhere")
+	}
+	cut.path.LetGo()
+	made.until(10*time.Second, func() bool { return false })
+	again := 0
+	for index := range tasks {
+		task := fmt.Sprintf("%s.0.0.%d", platformJob, index)
+		if made.starts(task) < 2 {
+			continue
+		}
+		again++
+		if cut.wasNoted(task) {
+			t.Errorf("%s was started again, and its first run is noted as done", task)
+		}
+	}
+	if again == 0 {
+		t.Fatal("no task was started again, so nothing was shown")
+	}
+}
+
+const platformJob = "0123456789abcdef"
+
+func (machine *machine) runsSomething() bool {
+	machine.mu.Lock()
+	defer machine.mu.Unlock()
+	return len(machine.begun) > 0
+}
+
+func (machine *machine) wasNoted(task string) bool {
+	machine.notedMu.Lock()
+	defer machine.notedMu.Unlock()
+	return machine.noted[task]
+}
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -23,6 +23,7 @@
 	"ambertiller.example/ambertiller/owner"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/rpc"
+	"ambertiller.example/ambertiller/standin/relay"
 	"ambertiller.example/ambertiller/standin/wirestore"
 	"ambertiller.example/ambertiller/standin/wireworker"
 	"ambertiller.example/ambertiller/wire"
@@ -58,6 +59,8 @@
 	fleet  *fleet
 	beside *agent.Agent
 	server *httptest.Server
+	// path is what owners reach the agent by.
+	path *relay.Relay
 	// crashers are the tasks that bring a worker down.
 	crashers map[string]bool
 
@@ -71,6 +74,9 @@
 	// task on all lives.
 	begun   map[string]time.Time
 	started map[string]int
+	// noted holds the tasks whose run the worker was told to forget as done.
+	noted   map[string]bool
+	notedMu sync.Mutex
 }
 
 func newFleet(t *testing.T, machines int, crashers ...string) *fleet {
@@ -98,7 +104,7 @@
 }
 
 func (made *fleet) newMachine(ctx context.Context, store *platform.Store, number int, crashers []string) *machine {
-	begun := &machine{name: fmt.Sprintf("side-%d", number), fleet: made, crashers: map[string]bool{}, started: map[string]int{}}
+	begun := &machine{name: fmt.Sprintf("side-%d", number), fleet: made, crashers: map[string]bool{}, started: map[string]int{}, noted: map[string]bool{}}
 	for _, task := range crashers {
 		begun.crashers[task] = true
 	}
@@ -121,7 +127,11 @@
 	}
 	go func() { _ = listening.Serve(ctx) }()
 	go begun.beside.Run(ctx)
-	go begun.beside.Register(ctx, store, listening.Address())
+	begun.path, err = relay.New(ctx, listening.Address())
+	if err != nil {
+		made.t.Fatal(err)
+	}
+	go begun.beside.Register(ctx, store, begun.path.Address())
 	return begun
 }
 
@@ -129,10 +139,21 @@
 func (machine *machine) live() {
 	machine.lives++
 	machine.worker = wireworker.New(fmt.Sprintf("%s-life-%d", machine.name, machine.lives), machine.fleet.clock)
+	machine.worker.Watch(machine.noteChange)
 	machine.begun = map[string]time.Time{}
 	machine.sequence, machine.beatAt, machine.downAt = 0, time.Time{}, time.Time{}
 }
 
+// noteChange takes note of ends that the worker was told to forget.
+func (machine *machine) noteChange(change wireworker.Change) {
+	if change.Kind == wireworker.Noted && change.How == "done" {
+		// The worker is called with the machine's lock held, or by no one who holds it.
+		machine.notedMu.Lock()
+		defer machine.notedMu.Unlock()
+		machine.noted[change.Task] = true
+	}
+}
+
 // ServeHTTP is the worker's address. A start of a task that brings workers down is taken, and
 // the worker with all its connections is gone.
 func (machine *machine) ServeHTTP(answer http.ResponseWriter, request *http.Request) {
--- a/standin/wireworker/serve.go
+++ b/standin/wireworker/serve.go
@@ -154,6 +154,10 @@
 	for _, one := range worker.ends {
 		if one.number > seen {
 			kept = append(kept, one)
+			continue
+		}
+		if one.lapses == worker.lapses {
+			worker.watch(Change{Kind: Noted, Task: one.task, Attempt: one.attempt, How: one.how})
 		}
 	}
 	worker.ends = kept
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -53,6 +53,8 @@
 	task    string
 	attempt int32
 	how     string
+	// lapses is how often the lease had run out when the run ended.
+	lapses int
 }
 
 // Worker is the stand-in. It is an http.Handler.
@@ -74,13 +76,17 @@
 	looks    int
 	seen     int64
 	changed  chan struct{}
+	// lapses counts how often the lease has run out, lapsedAt is the last deadline that did.
+	lapses   int
+	lapsedAt int64
+	watch    func(change Change)
 }
 
 // New returns a worker that runs nothing.
 func New(incarnation string, clocks clockwork.Clock) *Worker {
 	return &Worker{
 		incarnation: incarnation, clocks: clocks, began: clocks.Now(),
-		running: map[string]*run{}, highest: map[string]int32{}, changed: make(chan struct{}),
+		running: map[string]*run{}, highest: map[string]int32{}, changed: make(chan struct{}), watch: func(Change) {},
 	}
 }
 
@@ -197,7 +203,8 @@
 	delete(worker.running, task)
 	worker.highest[task] = max(worker.highest[task], known.attempt)
 	worker.numbered++
-	worker.ends = append(worker.ends, end{worker.numbered, task, known.attempt, how})
+	worker.ends = append(worker.ends, end{worker.numbered, task, known.attempt, how, worker.lapses})
+	worker.watch(Change{Kind: Ended, Task: task, Attempt: known.attempt, How: how})
 	close(worker.changed)
 	worker.changed = make(chan struct{})
 }
@@ -220,6 +227,10 @@
 	if worker.clock() < worker.deadline {
 		return
 	}
+	if worker.deadline > worker.lapsedAt {
+		worker.lapsedAt = worker.deadline
+		worker.lapses++
+	}
 	for task := range worker.running {
 		worker.end(task, "lapsed")
 	}
@@ -243,5 +254,6 @@
 	worker.deadline = max(worker.deadline, order.DeadlineMs)
 	worker.running[order.Task] = &run{attempt: order.Attempt, checkpoint: order.Checkpoint, pace: fullPace}
 	worker.starts = append(worker.starts, order)
+	worker.watch(Change{Kind: Started, Task: order.Task, Attempt: order.Attempt})
 	return ""
 }
