--- /dev/null
+++ b/soak/client_test.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// handInEvery is how often a job is handed in, per agent once a second or so.
+	handInEvery = 120 * time.Millisecond
+	// askWithin bounds a client's call, triesMost how often one job is handed in.
+	askWithin = 3 * time.Second
+	triesMost = 5
+	// cancelShare is the share of jobs that their clients cancel.
+	cancelShare = 0.05
+)
+
+// client hands jobs in and asks for them. It keeps its connections open.
+type client struct {
+	site *site
+	http *http.Client
+}
+
+func newClient(of *site) *client {
+	return &client{site: of, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+}
+
+// run hands jobs in until ctx ends.
+func (caller *client) run(ctx context.Context, draw *rand.Rand) {
+	for number := 0; ctx.Err() == nil; number++ {
+		id := fmt.Sprintf("%016x", draw.Uint64())
+		steps := []int32{1 + draw.Int32N(6), draw.Int32N(5)}
+		if steps[1] == 0 {
+			steps = steps[:1]
+		}
+		first := draw.IntN(gatewayCount)
+		cancels := draw.Float64() < cancelShare
+		go caller.handIn(ctx, id, steps, first, cancels)
+		sleep(ctx, handInEvery)
+	}
+}
+
+// handIn hands a job in at one gateway after the other until one accepts it.
+func (caller *client) handIn(ctx context.Context, id string, steps []int32, first int, cancels bool) {
+	book := caller.site.book
+	book.handIn(id, &jobLedger{attempts: taskAttempts, steps: steps})
+	for try := range triesMost {
+		status, _ := caller.call(ctx, http.MethodPost, first+try, id, body(steps))
+		switch status {
+		case http.StatusOK:
+			book.change(id, func(handed *jobLedger) { handed.accepted = true })
+			if cancels {
+				caller.cancel(ctx, id, first)
+			}
+			return
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		default:
+			book.change(id, func(handed *jobLedger) { handed.unsure = true })
+		}
+		sleep(ctx, 200*time.Millisecond)
+	}
+}
+
+func (caller *client) cancel(ctx context.Context, id string, at int) {
+	sleep(ctx, 300*time.Millisecond)
+	caller.site.book.change(id, func(handed *jobLedger) { handed.cancelled = true })
+	caller.call(ctx, http.MethodDelete, at, id, "")
+}
+
+// body is a job as it is handed in: each step waits for the one before.
+func body(steps []int32) string {
+	var texts []string
+	for number, count := range steps {
+		after := ""
+		if number > 0 {
+			after = fmt.Sprintf(`,"after":[%d]`, number-1)
+		}
+		texts = append(texts, fmt.Sprintf(`{"count":%d,"cpu":400,"mem_mb":64,"estimate_ms":600%s}`, count, after))
+	}
+	return `{"spec":"s","steps":[` + strings.Join(texts, ",") + `]}`
+}
+
+// call makes a call at a gateway; status 0 stands for no answer.
+func (caller *client) call(ctx context.Context, method string, gateway int, id, body string) (status int, text string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askWithin)
+	defer cancel()
+	url := "http://" + at(caller.site.gateways[gateway%gatewayCount].ip, frontPort) + "/q/" + id
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = "q.example"
+	answer, err := caller.http.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close() //nolint:errcheck // it has been read.
+	read, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, string(read)
+}
+
+// state returns what a job is shown as.
+func (caller *client) state(ctx context.Context, id string, gateway int) string {
+	status, text := caller.call(ctx, http.MethodGet, gateway, id, "")
+	for _, state := range []string{"completed", "failed", "cancelled", "running", "queued"} {
+		if strings.Contains(text, state) && status == http.StatusOK {
+			return state
+		}
+	}
+	return fmt.Sprintf("status %d", status)
+}
--- /dev/null
+++ b/soak/fault_test.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"ambertiller.example/ambertiller/standin/wirestore"
+	"ambertiller.example/ambertiller/standin/wireworker"
+)
+
+const (
+	// faultEvery is the pause between two faults, on average.
+	faultEvery = 700 * time.Millisecond
+	// shortMost and longMost bound how long a fault lasts: runs on an agent that is silent are
+	// taken for over after 5.8 s, and after a change of owner after 11.8 s.
+	shortMost = 3 * time.Second
+	longMost  = 13 * time.Second
+)
+
+// fault is something that befalls the site for a while. What it chooses it draws before it waits.
+type fault struct {
+	name   string
+	strike func(ctx context.Context, made *site, draw *rand.Rand)
+}
+
+// faults are what befalls a site. Each is drawn as often as any other.
+var faults = []fault{
+	{"path of one owner held up", func(ctx context.Context, made *site, draw *rand.Rand) {
+		path, whose := made.paths[draw.IntN(len(made.paths))], isOwner(made.gateways[draw.IntN(gatewayCount)])
+		toServer, toClient := directions(draw)
+		path.Hold(whose, toServer, toClient)
+		sleep(ctx, length(draw))
+		path.LetGo()
+	}},
+	{"paths to an agent held up", func(ctx context.Context, made *site, draw *rand.Rand) {
+		path := made.paths[draw.IntN(len(made.paths))]
+		toServer, toClient := directions(draw)
+		path.Hold(everyone, toServer, toClient)
+		sleep(ctx, length(draw))
+		path.LetGo()
+	}},
+	{"paths of an owner held up", func(ctx context.Context, made *site, draw *rand.Rand) {
+		whose := isOwner(made.gateways[draw.IntN(gatewayCount)])
+		toServer, toClient := directions(draw)
+		for _, path := range made.paths {
+			path.Hold(whose, toServer, toClient)
+		}
+		sleep(ctx, length(draw))
+		for _, path := range made.paths {
+			path.LetGo()
+		}
+	}},
+	{"open connections to an agent silent", func(_ context.Context, made *site, draw *rand.Rand) {
+		toServer, toClient := directions(draw)
+		made.paths[draw.IntN(len(made.paths))].Silence(toServer, toClient)
+	}},
+	{"connections to an agent reset", func(_ context.Context, made *site, draw *rand.Rand) {
+		made.paths[draw.IntN(len(made.paths))].Reset()
+	}},
+	{"store of one process held up", func(ctx context.Context, made *site, draw *rand.Rand) {
+		struck := made.any(draw)
+		toServer, toClient := directions(draw)
+		struck.store.Hold(everyone, toServer, toClient)
+		sleep(ctx, length(draw))
+		struck.store.LetGo()
+	}},
+	{"store of one process reset", func(_ context.Context, made *site, draw *rand.Rand) {
+		made.any(draw).store.Reset()
+	}},
+	{"process paused", func(ctx context.Context, made *site, draw *rand.Rand) {
+		made.any(draw).pause(ctx, length(draw))
+	}},
+	{"process killed", func(_ context.Context, made *site, draw *rand.Rand) {
+		made.any(draw).signal(syscall.SIGKILL)
+	}},
+	{"process stopped", func(_ context.Context, made *site, draw *rand.Rand) {
+		made.any(draw).signal(syscall.SIGTERM)
+	}},
+	{"store busy or without answers", func(ctx context.Context, made *site, draw *rand.Rand) {
+		kind := []wirestore.Fault{wirestore.FaultBusy, wirestore.FaultLost, wirestore.FaultReset}[draw.IntN(3)]
+		share := 0.2 + 0.8*draw.Float64()
+		made.store.Fail(func(string) wirestore.Fault {
+			if rand.Float64() < share {
+				return kind
+			}
+			return wirestore.FaultNone
+		})
+		sleep(ctx, length(draw))
+		made.store.Fail(nil)
+	}},
+	{"orders unanswered", func(ctx context.Context, made *site, draw *rand.Rand) {
+		struck := made.machines[draw.IntN(len(made.machines))].current()
+		lasts, share := length(draw), draw.Float64()
+		if struck == nil {
+			return
+		}
+		struck.Fail(func(string) wireworker.Fault {
+			if rand.Float64() >= share {
+				return wireworker.FaultNone
+			}
+			return []wireworker.Fault{wireworker.FaultLost, wireworker.FaultReset, wireworker.FaultLate}[rand.IntN(3)]
+		})
+		sleep(ctx, lasts)
+		struck.Fail(nil)
+		struck.CarryOut()
+	}},
+	{"worker crashes", func(_ context.Context, made *site, draw *rand.Rand) {
+		made.machines[draw.IntN(len(made.machines))].crash(length(draw))
+	}},
+	{"worker hangs", func(ctx context.Context, made *site, draw *rand.Rand) {
+		goOn := made.machines[draw.IntN(len(made.machines))].hang()
+		sleep(ctx, length(draw))
+		goOn()
+	}},
+}
+
+// any draws a process.
+func (made *site) any(draw *rand.Rand) *process {
+	if draw.IntN(2) == 0 {
+		return made.gateways[draw.IntN(len(made.gateways))]
+	}
+	return made.agents[draw.IntN(len(made.agents))]
+}
+
+// directions draws one direction or both.
+func directions(draw *rand.Rand) (toServer, toClient bool) {
+	chosen := draw.IntN(4)
+	return chosen != 0, chosen != 1
+}
+
+// length draws how long a fault lasts: half of them are short.
+func length(draw *rand.Rand) time.Duration {
+	if draw.IntN(2) == 0 {
+		return time.Duration(draw.Int64N(int64(shortMost)))
+	}
+	return time.Duration(draw.Int64N(int64(longMost)))
+}
+
+// suffer strikes the site with faults that overlap until ctx ends, and waits for the last of them.
+func (made *site) suffer(ctx context.Context, seed uint64, log func(format string, about ...any)) {
+	draw := rand.New(rand.NewPCG(seed, seed))
+	var striking sync.WaitGroup
+	for ctx.Err() == nil {
+		chosen := faults[draw.IntN(len(faults))]
+		own := rand.New(rand.NewPCG(draw.Uint64(), seed))
+		pause := time.Duration(draw.Int64N(int64(2 * faultEvery)))
+		log("%.3f %s", time.Since(made.book.began).Seconds(), chosen.name)
+		striking.Go(func() { chosen.strike(ctx, made, own) })
+		sleep(ctx, pause)
+	}
+	striking.Wait()
+	made.heal()
+}
--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/relay"
+)
+
+// process is one program of the system, which may be started again and again.
+type process struct {
+	role, name, ip string
+	binary         string
+	settings, log  string
+	// store is what the process reaches the platform's store by.
+	store *relay.Relay
+
+	mu      sync.Mutex
+	running *exec.Cmd
+	closing bool
+}
+
+const settingsText = `
+node_name = "%s"
+ip = "%s"
+zone = "milano-a"
+internal_ports = [7720, 7735]
+app = "%s"
+[listen_addrs]
+frontend = "%s"
+readiness = "%s"
+control = "%s"
+[bounds]
+max_hold_ms = 10000
+grace_s = 6
+status_s = 120
+harm_ms = 4000
+[platform]
+address = "%s"
+parts = 8
+ttl_min_ms = 1000
+`
+
+func at(ip, port string) string { return net.JoinHostPort(ip, port) }
+
+// frontPort is where clients reach a gateway, beatPort where workers reach an agent.
+const (
+	frontPort = "8161"
+	beatPort  = "8166"
+)
+
+// newProcess prepares a process; it runs once it is started.
+func newProcess(ctx context.Context, t *testing.T, made *site, role, name, ip, app string) *process {
+	t.Helper()
+	between, err := relay.New(ctx, made.storeAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	prepared := &process{
+		role: role, name: name, ip: ip, binary: made.binary, store: between,
+		settings: filepath.Join(made.dir, name+".toml"), log: filepath.Join(made.dir, name+".log"),
+	}
+	text := fmt.Sprintf(settingsText, name, ip, app, at(ip, frontPort), at(ip, "8167"), at(ip, beatPort), between.Address())
+	if err := os.WriteFile(prepared.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return prepared
+}
+
+// start starts the process anew, and again whenever it has ended, until close.
+func (of *process) start() error {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if of.closing {
+		return nil
+	}
+	log, err := os.OpenFile(of.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(of.binary, of.role)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+of.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	of.running = command
+	go func() {
+		// How it ended is in its log.
+		_ = command.Wait()
+		_ = log.Close()
+		time.Sleep(startAgain)
+		_ = of.start()
+	}()
+	return nil
+}
+
+// startAgain is how long a process that has ended is away.
+const startAgain = 300 * time.Millisecond
+
+// signal sends the process a signal; one that has just ended gets none.
+func (of *process) signal(what syscall.Signal) {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if of.running != nil {
+		_ = of.running.Process.Signal(what)
+	}
+}
+
+// pause stands the process still.
+func (of *process) pause(ctx context.Context, length time.Duration) {
+	of.signal(syscall.SIGSTOP)
+	sleep(ctx, length)
+	of.signal(syscall.SIGCONT)
+}
+
+// close ends the process for good.
+func (of *process) close() {
+	of.mu.Lock()
+	of.closing = true
+	of.mu.Unlock()
+	of.signal(syscall.SIGKILL)
+}
+
+// sleep waits for a while, or until ctx ends.
+func sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/relay"
+	"ambertiller.example/ambertiller/standin/wirestore"
+)
+
+const (
+	gatewayCount = 3
+	shardCount   = 8
+	published    = `{"version":7,"routes":[{"name":"r-1","host":"q.example","path_prefix":"/q/","service":"verbale","attempts":3,"extension":1.5}]}`
+	taskAttempts = 3
+)
+
+// site is a deployment of real processes over stand-ins for the platform.
+type site struct {
+	dir, binary string
+	store       *wirestore.Store
+	storeAt     string
+	book        *ledger
+	gateways    []*process
+	agents      []*process
+	machines    []*machine
+	// paths are what gateways reach the agents by, in the order of the agents.
+	paths []*relay.Relay
+	// relayed holds the address of the relay to each agent's own.
+	relayedMu sync.Mutex
+	relayed   map[string]string
+}
+
+// newSite starts a deployment on addresses of loopback that begin with network.
+func newSite(ctx context.Context, t *testing.T, dir, binary, network string, agents int) *site {
+	t.Helper()
+	made := &site{dir: dir, binary: binary, store: wirestore.New(shardCount, time.Now), book: newLedger(), relayed: map[string]string{}}
+	made.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, []byte(published))
+	made.store.Rewrite(job.TopicAgents, made.relayAgent)
+	server := httptest.NewServer(made.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	made.storeAt = strings.TrimPrefix(server.URL, "http://")
+	for number := range gatewayCount {
+		made.gateways = append(made.gateways, newProcess(ctx, t, made, "gateway", fmt.Sprintf("edge-%d", number), fmt.Sprintf("%s.1.%d", network, number+1), ""))
+	}
+	for number := range agents {
+		made.addAgent(ctx, t, number, fmt.Sprintf("%s.2.%d", network, number+1))
+	}
+	for _, begun := range append(made.agents, made.gateways...) {
+		if err := begun.start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(begun.close)
+	}
+	return made
+}
+
+// agentPort is the port at which agents listen for owners.
+const agentPort = "7721"
+
+func (made *site) addAgent(ctx context.Context, t *testing.T, number int, ip string) {
+	t.Helper()
+	beside := newMachine(fmt.Sprintf("i-%d", number), made.book)
+	t.Cleanup(func() {
+		beside.server.CloseClientConnections()
+		beside.server.Close()
+	})
+	begun := newProcess(ctx, t, made, "agent", fmt.Sprintf("side-%d", number), ip, beside.address())
+	path, err := relay.New(ctx, at(ip, agentPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	made.relayed[at(ip, agentPort)] = path.Address()
+	made.agents = append(made.agents, begun)
+	made.machines = append(made.machines, beside)
+	made.paths = append(made.paths, path)
+	go beside.run(ctx, at(ip, beatPort))
+}
+
+// relayAgent has owners reach an agent by its relay.
+func (made *site) relayAgent(value []byte) []byte {
+	registered := &job.AgentRecord{}
+	if err := proto.Unmarshal(value, registered); err != nil {
+		return value
+	}
+	made.relayedMu.Lock()
+	defer made.relayedMu.Unlock()
+	if path, found := made.relayed[registered.GetAddress()]; found {
+		registered.Address = path
+	}
+	changed, err := proto.Marshal(registered)
+	if err != nil {
+		return value
+	}
+	return changed
+}
+
+// isOwner tells the connections of one gateway.
+func isOwner(gateway *process) func(greeting []byte) bool {
+	return func(greeting []byte) bool { return bytes.Contains(greeting, []byte(gateway.name+"|")) }
+}
+
+func everyone([]byte) bool { return true }
+
+// heal ends everything that goes on from outside.
+func (made *site) heal() {
+	made.store.Fail(nil)
+	for _, path := range made.paths {
+		path.LetGo()
+	}
+	for _, begun := range append(append([]*process(nil), made.agents...), made.gateways...) {
+		begun.store.LetGo()
+	}
+	for _, machine := range made.machines {
+		if worker := machine.current(); worker != nil {
+			worker.Fail(nil)
+			worker.CarryOut()
+		}
+	}
+}
+
+// build builds the program.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "ambertiller")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/ambertiller").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// freeNetwork returns the first two numbers of addresses of loopback that nobody uses.
+func freeNetwork(t *testing.T) string {
+	t.Helper()
+	for number := range 60 {
+		network := fmt.Sprintf("127.%d", 120+(os.Getpid()+number)%60)
+		listener, err := net.Listen("tcp", at(network+".1.1", frontPort))
+		if err == nil {
+			_ = listener.Close()
+			return network
+		}
+	}
+	t.Fatal("no network of loopback is free")
+	return ""
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// sufferDefault is how long faults come, settleMost how long accepted jobs may then take
+	// to end: it only ends a run that would fail.
+	sufferDefault = 25 * time.Second
+	settleMost    = 90 * time.Second
+	// calmFirst lets the processes find each other.
+	calmFirst     = 3 * time.Second
+	agentsDefault = 6
+	seedDefault   = 1
+	clients       = 2
+)
+
+// TestProcessSoak plays seeds of faults against real processes.
+func TestProcessSoak(t *testing.T) {
+	binary := build(t)
+	first, count := number(t, "AMBERTILLER_SOAK_SEED", seedDefault), number(t, "AMBERTILLER_SOAK", 1)
+	for seed := first; seed < first+count; seed++ {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { soakOnce(t, binary, uint64(seed)) })
+	}
+}
+
+func soakOnce(t *testing.T, binary string, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	dir := logsDir(t, seed)
+	made := newSite(ctx, t, dir, binary, freeNetwork(t), number(t, "AMBERTILLER_SOAK_AGENTS", agentsDefault))
+	log := openLog(t, dir)
+	sleep(ctx, calmFirst)
+	suffering, end := context.WithTimeout(ctx, lasting(t))
+	defer end()
+	caller := newClient(made)
+	for part := range clients {
+		go caller.run(suffering, rand.New(rand.NewPCG(seed, uint64(part))))
+	}
+	made.suffer(suffering, seed, log)
+	sleep(ctx, askWithin) // The last calls end.
+	settle(ctx, made, caller)
+	made.book.checkRefused()
+	broken, runs := made.book.breaches()
+	for _, breach := range broken {
+		log("BROKEN %s", breach)
+		t.Error(breach)
+	}
+	t.Logf("seed %d: %d jobs accepted, %d runs, %d promises broken", seed, len(made.book.accepted()), runs, len(broken))
+}
+
+// settle waits until what was accepted has ended.
+func settle(ctx context.Context, made *site, caller *client) {
+	deadline := time.Now().Add(settleMost)
+	for turn, id := range made.book.accepted() {
+		state := caller.state(ctx, id, turn)
+		for state != "completed" && state != "failed" && time.Now().Before(deadline) {
+			sleep(ctx, 100*time.Millisecond)
+			turn++
+			state = caller.state(ctx, id, turn)
+		}
+		if state != "completed" && state != "failed" {
+			made.book.lost(id, state)
+		}
+		made.book.checkEnded(id, state)
+	}
+}
+
+// number reads a count from a variable.
+func number(t *testing.T, variable string, otherwise int) int {
+	t.Helper()
+	text := os.Getenv(variable)
+	if text == "" {
+		return otherwise
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", variable, err)
+	}
+	return count
+}
+
+// lasting returns how long faults come.
+func lasting(t *testing.T) time.Duration {
+	t.Helper()
+	text := os.Getenv("AMBERTILLER_SOAK_FOR")
+	if text == "" {
+		return sufferDefault
+	}
+	length, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatalf("AMBERTILLER_SOAK_FOR: %v", err)
+	}
+	return length
+}
+
+// logsDir is where the processes write their logs.
+func logsDir(t *testing.T, seed uint64) string {
+	t.Helper()
+	kept := os.Getenv("AMBERTILLER_SOAK_LOGS")
+	if kept == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(kept, fmt.Sprintf("seed_%d", seed))
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// openLog returns a function that writes lines of the soak's own log.
+func openLog(t *testing.T, dir string) func(format string, about ...any) {
+	t.Helper()
+	file, err := os.Create(filepath.Join(dir, "soak.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = file.Close() })
+	return func(format string, about ...any) {
+		_, _ = fmt.Fprintln(file, strings.TrimSpace(fmt.Sprintf(format, about...)))
+	}
+}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -11,6 +11,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -46,7 +47,7 @@
 	client, server net.Conn
 	// silentToServer and silentToClient swallow what comes in a direction.
 	silentToServer, silentToClient atomic.Bool
-	// greeting is what the client sent first; it tells clients apart.
+	// greeting is what the client sent first, up to greetingMost; it tells clients apart.
 	greeting atomic.Pointer[[]byte]
 }
 
@@ -108,9 +109,8 @@
 		if err != nil {
 			return
 		}
-		if toServer && made.greeting.Load() == nil {
-			greeting := append([]byte(nil), buffer[:count]...)
-			made.greeting.Store(&greeting)
+		if toServer {
+			made.noteGreeting(buffer[:count])
 		}
 		between.await(made, toServer)
 		if silent.Load() {
@@ -122,6 +122,22 @@
 	}
 }
 
+// greetingMost bounds the bytes that tell clients apart.
+const greetingMost = 512
+
+// noteGreeting keeps what a client sends first. Only one goroutine calls it.
+func (made *relayed) noteGreeting(sent []byte) {
+	var greeting []byte
+	if before := made.greeting.Load(); before != nil {
+		greeting = *before
+	}
+	if len(greeting) >= greetingMost {
+		return
+	}
+	greeting = append(bytes.Clone(greeting), sent...)
+	made.greeting.Store(&greeting)
+}
+
 // await waits while the connection is held up in a direction.
 func (between *Relay) await(made *relayed, toServer bool) {
 	for {
@@ -153,13 +169,14 @@
 	delete(between.open, made)
 }
 
-// Silence makes the open connections carry nothing any more, in one direction or both.
+// Silence makes the open connections carry nothing any more, in one direction or both. It stays so:
+// a connection that has lost bytes never carries others.
 func (between *Relay) Silence(toServer, toClient bool) {
 	between.mu.Lock()
 	defer between.mu.Unlock()
 	for made := range between.open {
-		made.silentToServer.Store(toServer)
-		made.silentToClient.Store(toClient)
+		made.silentToServer.Store(made.silentToServer.Load() || toServer)
+		made.silentToClient.Store(made.silentToClient.Load() || toClient)
 	}
 }
 
--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -55,6 +55,11 @@
 		}
 	}
 	added := decode(body)
+	if change, found := store.rewrites[request.URL.Query().Get("topic")]; found {
+		for index := range added {
+			added[index].value = change(added[index].value)
+		}
+	}
 	store.add(kept, added)
 	if name != "" {
 		kept.producers[name].ends[number(request, "seq")] = kept.end
--- a/standin/wirestore/wirestore.go
+++ b/standin/wirestore/wirestore.go
@@ -39,6 +39,8 @@
 	calls map[string]int
 	// topicFaults decide what befalls appends, by topic.
 	topicFaults map[string]func() Fault
+	// rewrites change the values that are appended, by topic.
+	rewrites map[string]func(value []byte) []byte
 }
 
 // New returns an empty store whose topics have so many partitions.
@@ -46,6 +48,7 @@
 	return &Store{
 		parts: parts, now: now, kept: map[topicPart]*partition{}, grown: make(chan struct{}),
 		group: map[string]*group{}, calls: map[string]int{}, topicFaults: map[string]func() Fault{},
+		rewrites: map[string]func(value []byte) []byte{},
 	}
 }
 
@@ -63,6 +66,13 @@
 	store.topicFaults[topic] = fault
 }
 
+// Rewrite has change applied to each value that is appended to a topic from here on.
+func (store *Store) Rewrite(topic string, change func(value []byte) []byte) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.rewrites[topic] = change
+}
+
 // Calls returns how often a call was made.
 func (store *Store) Calls(call string) int {
 	store.mu.Lock()
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -195,6 +195,16 @@
 	worker.end(task, how)
 }
 
+// EndRun ends a run if it is still the one that runs of its task.
+func (worker *Worker) EndRun(task string, attempt int32, how string) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.lapse()
+	if known, found := worker.running[task]; found && known.attempt == attempt {
+		worker.end(task, how)
+	}
+}
+
 func (worker *Worker) end(task, how string) {
 	known, found := worker.running[task]
 	if !found {
