agent: the end of a run binds the worker's lease until it is in the store

Cause: an owner that does not hear an agent takes its runs for over once its last grant is, and the platform lets the end of a run not count if the worker's lease ran out before the end was noted. The lease was bound by the grants of owners with runs there only, so an end that its owner had not been told outlived the grant. Class: something still governed by a lease was left out of what the lease covers.

Ruled out: keeping such an end from being noted for good (all later ends of the worker would wait behind it); asking the owner's word for each end (more messages on the usual path, for a case that a lapse settles).

Change: leases go no further than the grants of owners with ends that are not in the store. Once the lease has run out they are void and bind it no more. A worker that an agent has just met may hold a lease of an agent before: it is waited for.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,9 +7,10 @@
 //
 // An owner grants its runs time on the agent's own clock. The worker's lease,
 // which holds for everything that it runs, never goes beyond the earliest grant
-// of an owner with runs there; the agent stops the runs of an owner that has
-// been silent before that owner's grant would hold the others up. So a run is
-// over for certain once its owner's last grant is.
+// of an owner with runs there, or with ends of runs that are not in the store yet;
+// the agent stops the runs of an owner that has been silent before that owner's
+// grant would hold the others up. So a run is over for certain once its owner's
+// last grant is, and its end, if nobody knows of it by then, does not count.
 //
 // # Orders without an answer
 //
@@ -202,6 +203,7 @@
 	if agent.worker != nil {
 		agent.stopUnowned(now)
 		agent.giveUpLost(now)
+		agent.voidEnds(now)
 		agent.moveAhead(now)
 		agent.logWaiting(now)
 		agent.look(now)
@@ -305,12 +307,15 @@
 	agent.statusChanged()
 }
 
-// shardOf returns the shard of a task's job, or -1 for a name that is none.
+// noShard stands for the shard of a task whose name is none.
+const noShard = -1
+
+// shardOf returns the shard of a task's job, or noShard for a name that is none.
 func (agent *Agent) shardOf(task string) int32 {
 	ref, err := job.ParseRef(task)
 	if err != nil {
 		agent.log(event.RecordUnreadable, slog.String("task", task), slog.Any("error", err))
-		return -1
+		return noShard
 	}
 	return int32(job.ShardOf(ref.Job, agent.options.Shards))
 }
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -17,11 +17,17 @@
 // unkeptEnd is an end that the worker has listed and that is not in the store yet.
 type unkeptEnd struct {
 	told     *wire.RunEnd
+	shard    int32
 	listedAt time.Time
+	// void is set once the lease has run out since: the platform lets the end not count then.
+	void bool
 	// logged is set once it was logged that the end waits.
 	logged bool
 }
 
+// bindsLease reports whether the lease must not go on beyond the grant that the run had.
+func (end *unkeptEnd) bindsLease() bool { return !end.void && end.shard != noShard }
+
 // logWaiting logs the ends that have been waiting for long.
 func (agent *Agent) logWaiting(now time.Time) {
 	for _, end := range agent.worker.ends {
@@ -30,7 +36,7 @@
 		}
 		end.logged = true
 		owner := ""
-		if held, claimed := agent.claims[agent.shardOf(end.told.GetTask())]; claimed && agent.owners[held.owner] {
+		if held, claimed := agent.claims[end.shard]; claimed && agent.owners[held.owner] {
 			owner = held.owner.name
 		}
 		agent.logEnd(event.EndWaits, end.told, slog.String("owner", owner))
@@ -68,7 +74,7 @@
 		Worker: state.beat.Incarnation, Number: end.Number, Task: end.Task, Attempt: end.Attempt,
 		Reason: endReason(end.How), Checkpoint: end.Checkpoint,
 	}
-	state.ends[end.Number] = &unkeptEnd{told: told, listedAt: now}
+	state.ends[end.Number] = &unkeptEnd{told: told, shard: agent.shardOf(end.Task), listedAt: now}
 	if run, found := state.runs[end.Task]; found && run.attempt == end.Attempt {
 		told.Proven = state.outlived(run)
 		delete(state.runs, end.Task)
@@ -143,7 +149,7 @@
 func (agent *Agent) resendEnds(owner *session, shard int32) {
 	if agent.worker != nil {
 		for _, end := range agent.worker.ends {
-			if agent.shardOf(end.told.GetTask()) == shard {
+			if end.shard == shard {
 				owner.ends = append(owner.ends, end.told)
 			}
 		}
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -36,15 +36,48 @@
 }
 
 // leaseUntil returns the time up to which the worker's lease may be renewed.
+//
+// A run that has ended binds it like one that goes on, until the end is in the store. Its owner may
+// not have been told: once the grant is over it takes the run for over and starts the task
+// elsewhere, and then the end must not count any more. Only a lease that has run out voids it.
 func (agent *Agent) leaseUntil(now time.Time) time.Time {
 	until := now.Add(leaseLength)
 	for _, run := range agent.worker.runs {
-		granted := agent.grantOf(run.shard)
-		if granted.Before(until) {
-			until = granted
+		until = earlier(until, agent.grantOf(run.shard))
+	}
+	return earlier(until, agent.endsUntil(until))
+}
+
+// endsUntil returns the earliest end of a grant that a run has ended under whose end is not in the
+// store, or most if there is none that is earlier.
+func (agent *Agent) endsUntil(most time.Time) time.Time {
+	for _, end := range agent.worker.ends {
+		if end.bindsLease() {
+			most = earlier(most, agent.grantOf(end.shard))
+		}
+	}
+	return most
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// voidEnds takes note that the lease has run out: the ends so far bind it no more.
+func (agent *Agent) voidEnds(now time.Time) {
+	state := agent.worker
+	if now.Before(state.lapseBy) {
+		return
+	}
+	for _, end := range state.ends {
+		if end.bindsLease() {
+			end.void = true
+			agent.logEnd(event.EndVoid, end.told)
 		}
 	}
-	return until
 }
 
 func (agent *Agent) grantOf(shard int32) time.Time {
--- a/agent/order.go
+++ b/agent/order.go
@@ -52,7 +52,7 @@
 		return wire.StartOutcome_START_WRONG_WORKER
 	case !claimed || order.GetEpoch() != held.epoch:
 		return wire.StartOutcome_START_STALE
-	case !state.ready() || !held.until.After(now.Add(stopBefore)):
+	case !state.ready() || !earlier(held.until, agent.endsUntil(held.until)).After(now.Add(stopBefore)):
 		return wire.StartOutcome_START_NOT_READY
 	case state.beat.Draining:
 		return wire.StartOutcome_START_DRAINING
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -78,11 +78,15 @@
 	phaseStopping
 )
 
+// leaseMost is for how long a worker may run on at most by this process's clock, also if an agent
+// before this one renewed its lease last.
+const leaseMost = time.Duration(float64(leaseLength) * (1 + clockSlack))
+
 func newWorkerState(beat platform.Heartbeat, calls *platform.Worker, token int64, now time.Time) *workerState {
 	return &workerState{
 		beat: beat, calls: calls, token: token,
 		runs: map[string]*runState{}, ends: map[int64]*unkeptEnd{}, durable: map[int64]bool{},
-		clockAt: now, lapseBy: now, aliveAt: now, signAt: now,
+		clockAt: now, lapseBy: now.Add(leaseMost), aliveAt: now, signAt: now,
 	}
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -155,6 +155,7 @@
 	OrderTaken
 	EndWaits
 	EndKept
+	EndVoid
 )
 
 // LinesDropped speaks of the log itself.
@@ -313,6 +314,7 @@
 	{OrderTaken, slog.LevelInfo, "order taken", "An agent sends a start on to its worker. The attributes give the owner that ordered it and the connection on which it came, counted from the start of the agent.", settleRelease},
 	{EndWaits, slog.LevelWarn, "end waits", "The end of a run is not in the store a second after the worker listed it: its owner is not heard, or waits for the store. The attribute owner is empty where no owner that has claimed its shard is connected.", settleRelease},
 	{EndKept, slog.LevelInfo, "end kept", "The end of a run that had waited is in the store. The attribute after says for how long it had waited.", settleRelease},
+	{EndVoid, slog.LevelWarn, "end void", "The end of a run was not in the store when its owner's grant was over, so the worker's lease was let run out: the owner may have started the task elsewhere, and the end does not count. Everything else on the worker has ended with the lease.", settleRelease},
 }
 
 // Catalogue returns every event, by rising code.
