--- a/owner/agents.go
+++ b/owner/agents.go
@@ -21,10 +21,12 @@
 type agentView struct {
 	address string
 	link    *link // nil while not attached
-	id      string
-	heard   *status.Heard
-	heardAt time.Time
-	uptime  time.Duration
+	// connections counts those that were made.
+	connections int64
+	id          string
+	heard       *status.Heard
+	heardAt     time.Time
+	uptime      time.Duration
 	// grantEnd is when the last grant must have ended, by this owner's clock.
 	grantEnd time.Time
 
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -95,7 +95,10 @@
 
 func (owner *Owner) noteAttached(view *agentView, made *link) {
 	view.link = made
-	view.message = &wire.OwnerMessage{Owner: owner.self(), FailureDomain: owner.options.FailureDomain, TakesChanges: true}
+	view.connections++
+	view.message = &wire.OwnerMessage{
+		Owner: owner.self(), FailureDomain: owner.options.FailureDomain, TakesChanges: true, Connection: view.connections,
+	}
 	view.sequence, view.handled = 0, 0
 	view.claimSeq = map[int]int64{}
 	view.claimed = false
--- a/owner/connection_test.go
+++ b/owner/connection_test.go
@@ -63,3 +63,38 @@
 		made.hear(&wire.AgentMessage{})
 	}
 }
+
+// The story. An agent's process ended and came back, and its owner connected to it anew. The owner
+// granted its runs time before it had heard the new process, on the clock of the one before, which
+// had been up for longer: the grant was as much too long. The path to the agent was then lost. The owner took
+// the runs for over after 5.8 s and started their tasks elsewhere; the agent had them go on.
+//
+// The evidence: in logs of real processes an agent came back 17 s after its first start. Owners
+// attached, the paths were held up 1.2 s later, and runs went on there for 11 s after their
+// tasks had been started elsewhere.
+
+// TestGrantIsForTheProcessThatAnswers has an owner speak first on a connection to an agent that may
+// be another process than the one that it heard before.
+func TestGrantIsForTheProcessThatAnswers(t *testing.T) {
+	made := newBench(t)
+	made.attach()
+	made.hear(&wire.AgentMessage{UptimeNanos: int64(time.Hour)})
+	made.step()
+	made.sent()
+	made.owner.noteAttached(made.view, &link{outbox: make(chan *wire.OwnerMessage, 64), cancel: func() {}})
+	made.step()
+	for _, message := range made.sent() {
+		if granted := time.Duration(message.GetGrantUntilNanos()); granted > 0 {
+			t.Errorf("runs were granted time until %v before the agent was heard", granted)
+		}
+	}
+	made.hear(&wire.AgentMessage{UptimeNanos: int64(time.Second)})
+	made.step()
+	granted := time.Duration(0)
+	for _, message := range made.sent() {
+		granted = max(granted, time.Duration(message.GetGrantUntilNanos()))
+	}
+	if want := time.Second + made.owner.options.Grant; granted != want {
+		t.Errorf("runs were granted time until %v once the agent was heard, want %v", granted, want)
+	}
+}
