agent, owner: an owner's newer connection holds its shards; grants are for the process that answers

Causes: two connections of one owner name the same epoch, so that a late order or claim of the one that it had given up had effect; an owner granted before it had heard the process of the agent that it was connected to. Class of both: what is said in one life of a connection or a process was taken to hold in the next.

Ruled out: raising the epoch with each connection (the store's fence is that epoch, and all shards would be read anew); having the owner wait until the old connection must be gone (5 s in which its tasks there stand still).

Change: a claim under the same epoch on a connection with a lower number has no effect, a start is taken only on the connection that holds the shard, and the connection before is ended.

Tests: the three red ones pass; that of the lease chooses the machine that it cuts off by what runs there, and still fails without its repair.

--- a/agent/order.go
+++ b/agent/order.go
@@ -29,7 +29,7 @@
 func (agent *Agent) noteStart(owner *session, order *wire.StartOrder, now time.Time) {
 	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pace: fullPercent, suspect: order.GetSuspect(), whole: order.GetCheckpoint() == ""}
 	state := agent.worker
-	outcome := agent.judge(order, now)
+	outcome := agent.judge(owner, order, now)
 	agent.meters.orders.Add(agent.ctx, 1, telemetry.By("outcome", outcome.String()))
 	if outcome != wire.StartOutcome_START_STARTED {
 		agent.logRun(event.OrderRefused, run, slog.String("outcome", outcome.String()))
@@ -43,14 +43,15 @@
 	agent.sendStart(state, run, order, 1, now)
 }
 
-// judge returns START_STARTED for an order that may go to the worker.
-func (agent *Agent) judge(order *wire.StartOrder, now time.Time) wire.StartOutcome {
+// judge returns START_STARTED for an order that may go to the worker: it has to come on the connection
+// that holds the shard, lest one is carried out that its owner has given up with an older connection.
+func (agent *Agent) judge(owner *session, order *wire.StartOrder, now time.Time) wire.StartOutcome {
 	state := agent.worker
 	held, claimed := agent.claims[order.GetShard()]
 	switch {
 	case state == nil || state.beat.Incarnation != order.GetWorker():
 		return wire.StartOutcome_START_WRONG_WORKER
-	case !claimed || order.GetEpoch() != held.epoch:
+	case !claimed || order.GetEpoch() != held.epoch || held.owner != owner:
 		return wire.StartOutcome_START_STALE
 	case !state.ready() || !earlier(held.until, agent.endsUntil(held.until)).After(now.Add(stopBefore)):
 		return wire.StartOutcome_START_NOT_READY
--- a/agent/session.go
+++ b/agent/session.go
@@ -19,8 +19,10 @@
 // session is one owner's stream.
 type session struct {
 	name string
-	// connection counts the streams that owners have spoken on, for logs.
+	// connection counts the streams that owners have spoken on, for logs; number is the owner's
+	// own count of its connections to this agent, 0 for one of an earlier build.
 	connection int64
+	number     int64
 	// near is set for an owner in the same failure domain.
 	near    bool
 	heardAt time.Time
@@ -101,6 +103,7 @@
 		owner.name = message.GetOwner()
 		owner.near = message.GetFailureDomain() == agent.options.FailureDomain
 		owner.takesChanges = message.GetTakesChanges()
+		owner.number = message.GetConnection()
 		agent.connections++
 		owner.connection = agent.connections
 		agent.logOwner(event.OwnerAttached, owner)
@@ -108,6 +111,9 @@
 	if message.GetOwned() {
 		agent.noteClaims(owner, message)
 	}
+	if owner.ended {
+		return
+	}
 	agent.noteGrant(owner, message)
 	agent.noteEvacuations(message.GetEvacuations(), now)
 	for _, description := range message.GetRuns() {
@@ -136,12 +142,24 @@
 
 // noteClaims takes note of the shards that an owner owns. A claim of an epoch
 // below the highest one heard comes from an owner that has been replaced.
+//
+// An epoch belongs to one process. Where two of its connections claim a shard under it, the newer
+// one holds it, in whatever order their messages are read, and the older one is ended: its owner has
+// given it up, and decides by what it is told on the newer one. What was on its way there must
+// have no effect any more.
 func (agent *Agent) noteClaims(owner *session, message *wire.OwnerMessage) {
 	for _, shard := range message.GetShards() {
 		held, found := agent.claims[shard.GetShard()]
 		if found && held.epoch > shard.GetEpoch() {
 			continue
 		}
+		if found && held.epoch == shard.GetEpoch() && held.owner != owner {
+			if held.owner.number > owner.number {
+				agent.dropOlder(owner, held.owner)
+				return
+			}
+			agent.dropOlder(held.owner, owner)
+		}
 		if !found {
 			held = &claim{until: agent.started}
 			agent.claims[shard.GetShard()] = held
@@ -161,6 +179,15 @@
 	owner.wholeDue = true
 }
 
+// dropOlder ends a connection whose owner has made a newer one. What comes on it has no effect.
+func (agent *Agent) dropOlder(older, newer *session) {
+	if !agent.owners[older] {
+		return
+	}
+	agent.logOwner(event.ConnectionReplaced, older, slog.Int64("by", newer.connection))
+	agent.drop(older)
+}
+
 func (agent *Agent) noteGrant(owner *session, message *wire.OwnerMessage) {
 	if message.GetGrantUntilNanos() == 0 {
 		return
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -156,6 +156,7 @@
 	EndWaits
 	EndKept
 	EndVoid
+	ConnectionReplaced
 )
 
 // LinesDropped speaks of the log itself.
@@ -315,6 +316,7 @@
 	{EndWaits, slog.LevelWarn, "end waits", "The end of a run is not in the store a second after the worker listed it: its owner is not heard, or waits for the store. The attribute owner is empty where no owner that has claimed its shard is connected.", settleRelease},
 	{EndKept, slog.LevelInfo, "end kept", "The end of a run that had waited is in the store. The attribute after says for how long it had waited.", settleRelease},
 	{EndVoid, slog.LevelWarn, "end void", "The end of a run was not in the store when its owner's grant was over, so the worker's lease was let run out: the owner may have started the task elsewhere, and the end does not count. Everything else on the worker has ended with the lease.", settleRelease},
+	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is ended. What was on its way there has no effect. The attribute by counts the newer one.", settleRelease},
 }
 
 // Catalogue returns every event, by rising code.
--- a/owner/cut_test.go
+++ b/owner/cut_test.go
@@ -26,9 +26,9 @@
 	const tasks = 8
 	made := newFleet(t, 2)
 	made.submit(platformJob, tasks)
-	cut := made.machines[0]
-	if !made.until(20*time.Second, func() bool { return cut.runsSomething() }) {
-		t.Fatal("nothing was started at the machine that is to be cut off")
+	var cut *machine
+	if !made.until(20*time.Second, func() bool { cut = made.firstAtWork(); return cut != nil }) {
+		t.Fatal("nothing was started")
 	}
 	everyone := func([]byte) bool { return true }
 	cut.path.Hold(everyone, true, true)
@@ -56,10 +56,17 @@
 
 const platformJob = "0123456789abcdef"
 
-func (machine *machine) runsSomething() bool {
-	machine.mu.Lock()
-	defer machine.mu.Unlock()
-	return len(machine.begun) > 0
+// firstAtWork returns the first machine on which something runs, or nil.
+func (made *fleet) firstAtWork() *machine {
+	for _, machine := range made.machines {
+		machine.mu.Lock()
+		atWork := len(machine.begun) > 0
+		machine.mu.Unlock()
+		if atWork {
+			return machine
+		}
+	}
+	return nil
 }
 
 func (machine *machine) wasNoted(task string) bool {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -19,7 +19,10 @@
 		view.failures = 0
 		owner.forgetLearned(view)
 	}
-	view.greeted = true
+	if !view.greeted {
+		view.greeted = true
+		view.sentAt = time.Time{} // The first grant on a connection goes out at once.
+	}
 	view.keepsLearned = view.keepsLearned || message.GetKeepsLearned()
 	view.heardAt = now
 	view.uptime = time.Duration(message.GetUptimeNanos())
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -71,9 +71,11 @@
 }
 
 // grant lets the runs go on, on the agent's clock, unless this owner may have
-// been replaced without having heard so.
+// been replaced without having heard so. Each process of an agent has a clock of its own: on a
+// connection on which it has not spoken yet it may be another one than was heard last, whose
+// clock was ahead by all the time that it had been up.
 func (owner *Owner) grant(view *agentView, now time.Time) {
-	if view.heardAt.IsZero() || now.Sub(owner.joinedAt) > grantAlone {
+	if !view.greeted || now.Sub(owner.joinedAt) > grantAlone {
 		return
 	}
 	view.message.GrantUntilNanos = int64(view.uptime + owner.options.Grant)
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -146,14 +146,16 @@
 	return binary
 }
 
-// freeNetwork returns the first two numbers of addresses of loopback that nobody uses.
+// freeNetwork returns the first two numbers of addresses of loopback that no other soak uses. It
+// holds an address there until the test has ended: two soaks on one network would reach each other's
+// processes.
 func freeNetwork(t *testing.T) string {
 	t.Helper()
 	for number := range 60 {
 		network := fmt.Sprintf("127.%d", 120+(os.Getpid()+number)%60)
-		listener, err := net.Listen("tcp", at(network+".1.1", frontPort))
+		listener, err := net.Listen("tcp", at(network+".0.1", frontPort))
 		if err == nil {
-			_ = listener.Close()
+			t.Cleanup(func() { _ = listener.Close() })
 			return network
 		}
 	}
