owner: failing tests of jobs that are forgotten

Cause: a job's progress is dropped with the shard's next append and what was handed in with another one, on another topic, tried once. Where only the first is taken, the next owner starts all tasks again. The end of a job that was read from the store is also compared with the time of day, which may jump.

--- a/loop/loop.go
+++ b/loop/loop.go
@@ -106,6 +106,17 @@
 	run(now)
 }
 
+// RunAny runs the next function if one is queued, for the same tests, and reports whether it has.
+func (decisions *Loop) RunAny(now time.Time) bool {
+	select {
+	case run := <-decisions.queue:
+		run(now)
+		return true
+	default:
+		return false
+	}
+}
+
 // do runs a function, after what a suspension before it has to change.
 func (decisions *Loop) do(run func(now time.Time)) {
 	now := decisions.clock.Now()
--- /dev/null
+++ b/owner/forget_test.go
@@ -0,0 +1,122 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wirestore"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// The story. The store forgets jobs that ended long ago: one record holds what was handed in, another one, of
+// another topic, what became of it. Both were dropped at once, the first of them tried once. Where the
+// store took the second drop and not the first, the next owner of the shard read a job without any
+// progress, took it for new and started all its tasks again.
+//
+// The evidence: with one refused append to the topic of jobs, what the store holds afterwards loads as
+// a job that is queued and live.
+
+// forgetting is a bench whose job has ended, and is known for as long as it has to be.
+func forgetting(t *testing.T) *bench {
+	made := newBench(t)
+	made.owner.options.StatusKept = time.Minute
+	value, err := proto.Marshal(submission())
+	if err != nil {
+		t.Fatal(err)
+	}
+	made.store.Put(job.TopicJobs, made.held.number, job.SubmissionKey(jobID), value)
+	made.submit()
+	made.attachAndStart()
+	made.hear(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: life, Number: 1, Task: taskOne, Attempt: 1, Reason: wire.EndReason_END_DONE}}})
+	made.step()
+	made.settle()
+	return made
+}
+
+// stored reports what the store holds of the job.
+func (made *bench) stored() (handedIn, progress bool) {
+	_, handedIn = made.store.Newest(job.TopicJobs, made.held.number, job.SubmissionKey(jobID))
+	_, progress = made.store.Newest(job.TopicRuns, made.held.number, jobID)
+	return handedIn, progress
+}
+
+func TestForgottenJobStaysForgotten(t *testing.T) {
+	tests := map[string]wirestore.Fault{
+		"the store answers": wirestore.FaultNone,
+		"the store is busy": wirestore.FaultBusy,
+		"an answer is lost": wirestore.FaultLost,
+		"a call is reset":   wirestore.FaultReset,
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := forgetting(t)
+			failures := 1
+			made.store.FailTopic(job.TopicJobs, func() wirestore.Fault {
+				failures--
+				if failures >= 0 {
+					return fault
+				}
+				return wirestore.FaultNone
+			})
+			made.clock.Advance(3 * time.Minute)
+			for try := 0; try < 200; try++ {
+				made.step()
+				made.settle()
+				made.clock.Advance(100 * time.Millisecond)
+				made.runPosted()
+				handedIn, progress := made.stored()
+				if handedIn && !progress {
+					t.Fatal("the store holds what was handed in without what became of it: the next owner takes the job for new")
+				}
+				if !handedIn && !progress {
+					return
+				}
+			}
+			t.Error("the job was not dropped")
+		})
+	}
+}
+
+// runPosted gives what is on its way a moment, and runs what has come back.
+func (made *bench) runPosted() {
+	time.Sleep(2 * time.Millisecond)
+	for made.owner.decisions.RunAny(made.clock.Now()) {
+	}
+}
+
+// TestClockThatJumpsForgetsNothing has an owner read a job that ended hours ago by the time of day, as it
+// is after that has jumped ahead: clients may still ask for it, or hand it in again.
+func TestClockThatJumpsForgetsNothing(t *testing.T) {
+	made := newBench(t)
+	ended := job.New(submission(), made.held.number)
+	ended.Cancel(made.clock.Now().Add(-5 * time.Hour))
+	made.held.active = false
+	made.owner.noteLoaded(made.held,
+		platform.Tail{Records: []platform.Record{record(t, job.SubmissionKey(jobID), submission())}},
+		platform.Tail{Records: []platform.Record{record(t, jobID, ended.Progress())}}, made.clock.Now())
+	made.step()
+	if made.held.jobs[jobID] == nil || len(made.held.dropped) > 0 {
+		t.Error("a job that was just read as ended is forgotten")
+	}
+}
+
+// TestProgressWithoutJobIsDropped has an owner read what became of a job that the one before it had
+// begun to drop.
+func TestProgressWithoutJobIsDropped(t *testing.T) {
+	made := newBench(t)
+	ended := job.New(submission(), made.held.number)
+	ended.Cancel(made.clock.Now())
+	kept := record(t, jobID, ended.Progress())
+	made.store.Put(job.TopicRuns, made.held.number, jobID, kept.Value)
+	made.held.active = false
+	made.owner.noteLoaded(made.held, platform.Tail{}, platform.Tail{Records: []platform.Record{kept}}, made.clock.Now())
+	made.step()
+	made.settle()
+	if _, progress := made.stored(); progress {
+		t.Error("what became of a job that is gone stays in the store")
+	}
+}
