owner: what was handed in is dropped before what became of it, and by a clock that does not jump

Change: submissions and cancellations are dropped first, until the store has taken that or the shard is given up; only then is the progress dropped. Progress without a submission, which an owner that ended in between leaves behind, is dropped by the next one. Ages count from when this process knew the end to be in the store.

Ruled out: one append for both (they lie in two topics, so that owners are not woken by their own records); dropping the progress first with a mark (a third state to read).

TestOldJobsAreForgotten waits for the first of the two appends now; what it expects is the same. Left: a client that hands a job in again more than three minutes after its end, and after it was dropped, hands in a new one.

--- a/owner/records.go
+++ b/owner/records.go
@@ -55,7 +55,7 @@
 	}
 	made.Restore(kept, now)
 	if made.Ended() {
-		held.durable[made.ID()] = true
+		held.durable[made.ID()] = now
 	}
 	held.settleLive(made)
 }
@@ -68,6 +68,9 @@
 }
 
 func (owner *Owner) noteCancellation(held *shard, record platform.Record, now time.Time) {
+	if len(record.Value) == 0 {
+		return
+	}
 	cancellation := &job.Cancellation{}
 	if err := proto.Unmarshal(record.Value, cancellation); err != nil {
 		owner.unreadable(held, record, err)
@@ -101,7 +104,7 @@
 
 func (owner *Owner) logEnded(held *shard, made *job.Job) {
 	held.after = append(held.after, func(now time.Time) {
-		held.durable[made.ID()] = true
+		held.durable[made.ID()] = now
 		owner.meters.jobEnded(owner.ctx, made)
 		owner.log(event.JobEnded, slog.String("job", made.ID()), slog.String("state", made.State().String()),
 			slog.Duration("took", made.EndedAt().Sub(time.UnixMilli(made.Submission().GetSubmittedMs()))),
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -50,10 +50,12 @@
 	// dropped are the records to be dropped with the next append.
 	dropped  []platform.Record
 	forgotAt time.Time
+	// forgetting is set while submissions are being dropped.
+	forgetting bool
 	// learned is what is known of interference, for SharedShard.
 	learned *learnedTable
-	// durable holds the jobs whose end is in the store.
-	durable map[string]bool
+	// durable tells from when on this process knew that the end of a job is in the store.
+	durable map[string]time.Time
 }
 
 // newShard returns a shard whose jobs have not been read yet.
@@ -61,7 +63,7 @@
 	held := &shard{
 		number: number, epoch: epoch, takenAt: now,
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
-		durable: map[string]bool{}, cancelled: map[string]bool{},
+		durable: map[string]time.Time{}, cancelled: map[string]bool{},
 	}
 	if number == job.SharedShard {
 		held.learned = newLearnedTable()
@@ -137,12 +139,19 @@
 }
 
 func (owner *Owner) noteLoaded(held *shard, jobs, runs platform.Tail, now time.Time) {
+	handedIn := map[string]bool{}
 	for _, record := range jobs.Records {
 		if job.IsSubmissionKey(record.Key) {
+			handedIn[record.Key] = true
 			owner.noteSubmission(held, record, now)
 		}
 	}
 	for _, record := range runs.Records {
+		if !handedIn[job.SubmissionKey(record.Key)] {
+			// Progress is written once its job was read, so the job was dropped since.
+			held.dropProgress(record.Key)
+			continue
+		}
 		owner.noteProgress(held, record, now)
 	}
 	for _, record := range jobs.Records {
--- a/owner/shard_test.go
+++ b/owner/shard_test.go
@@ -86,6 +86,8 @@
 	}
 	made.clock.Advance(time.Minute)
 	made.step()
+	made.owner.decisions.RunOne(made.clock.Now()) // What was handed in is dropped.
+	made.step()
 	made.settle()
 	if made.held.jobs[jobID] != nil {
 		t.Error("not forgotten")
