agent, job: a crash beside a suspect counts as a doubt, and makes the task a suspect

Change: all runs that had just begun are told when a worker crashes, those beside a run that was suspected before as such. Three that count give it up as before.

Ruled out: counting them like the others (a victim beside the cause would be given up after three crashes; the cause is usually the one that was suspected); no suspects on one worker with other new runs (closes workers for seconds, see docs/design/platform.md).

--- a/agent/life.go
+++ b/agent/life.go
@@ -64,18 +64,18 @@
 	return false
 }
 
-// suspects returns the runs that may be why the worker has crashed: those that had just begun,
-// and of these the ones that were suspected before, if there are any. Those that were told as
-// over while the worker did not answer are among them.
-func (state *workerState) suspects() map[*runState]bool {
+// suspects returns the runs that may be why the worker has crashed, those that had just begun, and
+// how each is told: beside one that was suspected before the others are most likely innocent, and
+// are told apart. Those that were told as over while the worker did not answer are among them.
+func (state *workerState) suspects() map[*runState]wire.EndReason {
 	begun := state.newRuns()
-	known := slices.DeleteFunc(slices.Clone(begun), func(run *runState) bool { return !run.suspect })
-	if len(known) > 0 {
-		begun = known
-	}
-	found := map[*runState]bool{}
+	known := slices.ContainsFunc(begun, func(run *runState) bool { return run.suspect })
+	found := map[*runState]wire.EndReason{}
 	for _, run := range begun {
-		found[run] = true
+		found[run] = wire.EndReason_END_CRASHED
+		if known && !run.suspect {
+			found[run] = wire.EndReason_END_CRASHED_BESIDE
+		}
 	}
 	return found
 }
@@ -89,29 +89,29 @@
 
 // tellEnded tells the owners what became of the runs of an incarnation that is over.
 func (agent *Agent) tellEnded(over *workerState, how incarnationEnd) {
-	suspects := map[*runState]bool{}
+	suspects := map[*runState]wire.EndReason{}
 	if how == endReplaced {
 		suspects = over.suspects()
 	}
 	for _, run := range over.runs {
-		if suspects[run] {
-			agent.tellCrashed(over, run)
+		if reason, suspected := suspects[run]; suspected {
+			agent.tellCrashed(over, run, reason)
 			continue
 		}
 		agent.tellLost(over, run)
 	}
 	for _, run := range over.givenUp {
-		if suspects[run] {
-			agent.tellCrashed(over, run)
+		if reason, suspected := suspects[run]; suspected {
+			agent.tellCrashed(over, run, reason)
 		}
 	}
 }
 
 // tellCrashed tells a run's owner that its worker crashed, and that the run may be why.
-func (agent *Agent) tellCrashed(on *workerState, run *runState) {
+func (agent *Agent) tellCrashed(on *workerState, run *runState, reason wire.EndReason) {
 	end := on.lostEnd(run)
-	end.Reason = wire.EndReason_END_CRASHED
-	agent.logLost(event.RunCrashed, on, run, slog.Bool("suspect", run.suspect))
+	end.Reason = reason
+	agent.logLost(event.RunCrashed, on, run, slog.Bool("suspect", run.suspect), slog.Bool("beside", reason == wire.EndReason_END_CRASHED_BESIDE))
 	agent.sendEnd(end)
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -280,7 +280,7 @@
 	{AdviceTaken, slog.LevelInfo, "advice taken", "The service that knows which workers may run a step answered.", platformRelease},
 	{RunPreempted, slog.LevelInfo, "run pre-empted", "A more urgent task found no room: at an owner, its agent was asked to make room; at an agent, a run was stopped, which goes on elsewhere from its checkpoint.", preemptRelease},
 	{AdviceFailed, slog.LevelWarn, "advice failed", "The service that knows which workers may run a step did not answer; it is asked again.", platformRelease},
-	{RunCrashed, slog.LevelWarn, "run crashed", "A run is over because its worker's incarnation has crashed just after the start, so that the run may be why. The attribute suspect says whether a worker had crashed under the task before, lived how long the run was on the worker, to its last sign of life.", crashRelease},
+	{RunCrashed, slog.LevelWarn, "run crashed", "A run is over because its worker's incarnation has crashed just after the start, so that the run may be why. The attribute suspect says whether a worker had crashed under the task before, beside whether it had not and one that had was started beside it, lived how long the run was on the worker, to its last sign of life.", crashRelease},
 	{TaskGivenUp, slog.LevelWarn, "task given up", "Worker after worker crashed just after it had started the task, so it will not be started again and its job has failed. The attribute crashes says how many did in a row. Look at what the task runs.", crashRelease},
 	{EndOfEarlierRun, slog.LevelWarn, "end of an earlier run", "An agent told the end of a run as done whose task has been started again meanwhile. The attribute present is the attempt of the task's present run, state that of the task..", settleRelease},
 
--- a/job/crash_test.go
+++ b/job/crash_test.go
@@ -41,6 +41,17 @@
 			[]end{{attempt: 1, rereads: true}, {attempt: 2, rereads: true}, {attempt: 3, rereads: true}}, false, 3, job.State_STATE_FAILED},
 		"outlived with one owner, crashed with another": {
 			[]end{{attempt: 1}, {attempt: 2}, {attempt: 3, reason: job.EndInterrupted, outlived: true}, {attempt: 4, rereads: true}}, false, 1, job.State_STATE_RUNNING},
+		"beside a suspect each time": {
+			[]end{{attempt: 1, reason: job.EndCrashedBeside}, {attempt: 2, reason: job.EndCrashedBeside}, {attempt: 3, reason: job.EndCrashedBeside},
+				{attempt: 4, reason: job.EndCrashedBeside}}, false, 0, job.State_STATE_RUNNING},
+		"beside a suspect once too often": {
+			[]end{{attempt: 1, reason: job.EndCrashedBeside}, {attempt: 2, reason: job.EndCrashedBeside}, {attempt: 3, reason: job.EndCrashedBeside},
+				{attempt: 4, reason: job.EndCrashedBeside, rereads: true}, {attempt: 5}}, false, 1, job.State_STATE_FAILED},
+		"beside a suspect, then alone": {
+			[]end{{attempt: 1, reason: job.EndCrashedBeside}, {attempt: 2}, {attempt: 3}}, false, 2, job.State_STATE_RUNNING},
+		"beside a suspect, outlived the start later": {
+			[]end{{attempt: 1, reason: job.EndCrashedBeside}, {attempt: 2, reason: job.EndInterrupted, outlived: true},
+				{attempt: 3}, {attempt: 4}}, false, 2, job.State_STATE_RUNNING},
 		"a task that lasts": {[]end{{attempt: 1}, {attempt: 2}, {attempt: 3}}, true, 3, job.State_STATE_FAILED},
 	}
 	for name, test := range tests {
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -14,6 +14,9 @@
 	EndFailed
 	EndInterrupted // stopped, lapsed, or lost with its worker
 	EndCrashed     // lost with a worker that crashed just after the start
+	// EndCrashedBeside is the same where a suspect had just begun there too, which is the likelier
+	// cause.
+	EndCrashedBeside
 )
 
 const (
@@ -25,6 +28,9 @@
 	lastingBackoff = 200 * time.Millisecond
 )
 
+// crashed reports whether a worker crashed under the run.
+func (reason EndReason) crashed() bool { return reason == EndCrashed || reason == EndCrashedBeside }
+
 // Start notes that a task is started at a place, under the next attempt. The
 // members of a gang are started one after another under the attempt of the first.
 func (job *Job) Start(task *Task, place Place, now time.Time) {
@@ -102,7 +108,7 @@
 	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
 		return false
 	}
-	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && reason != EndCrashed {
+	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && !reason.crashed() {
 		return false
 	}
 	if checkpoint != "" && present {
@@ -126,8 +132,8 @@
 		}
 		job.interrupt(task, now)
 		return true
-	case EndCrashed:
-		return job.crash(task, attempt, now)
+	case EndCrashed, EndCrashedBeside:
+		return job.crash(task, attempt, reason, now)
 	}
 	return false
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -24,7 +24,7 @@
 func (task *Task) progress(kept *Progress, places map[Place]int32) *TaskProgress {
 	record := &TaskProgress{
 		Round: task.round, Step: task.step, Index: task.index,
-		Attempt: task.attempt, Failed: task.failed, State: task.state, Crashed: task.crashed, Proven: task.proven,
+		Attempt: task.attempt, Failed: task.failed, State: task.state, Crashed: task.crashed, Doubted: task.doubted, Proven: task.proven,
 	}
 	if task.state == TaskState_TASK_DONE {
 		return record
@@ -64,6 +64,7 @@
 	task.attempt = record.GetAttempt()
 	task.failed = record.GetFailed()
 	task.crashed = record.GetCrashed()
+	task.doubted = record.GetDoubted()
 	task.proven = record.GetProven()
 	task.checkpoint = record.GetCheckpoint()
 	if record.GetState() == TaskState_TASK_DONE {
--- a/job/task.go
+++ b/job/task.go
@@ -28,6 +28,7 @@
 	attempt int32
 	failed  []int32 // the attempts that ended failed, each once
 	crashed []int32 // the attempts after proven under which a worker crashed, each once
+	doubted []int32 // the same where a suspect had just begun beside the run
 	proven  int32   // the last attempt that outlived its start
 	// crashedAt are the agents whose worker crashed under a run, as far as this owner knows.
 	crashedAt  []string
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -180,8 +180,8 @@
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())),
 		slog.Duration("recorded", recorded))
 	owner.meters.ended.Add(owner.ctx, 1, telemetry.By("reason", end.GetReason().String()))
-	if end.GetReason() == wire.EndReason_END_CRASHED && task.State() == job.TaskState_TASK_FAILED {
-		owner.log(event.TaskGivenUp, slog.String("task", end.GetTask()), slog.Int("crashes", task.Crashes()))
+	if crashed(end.GetReason()) && task.State() == job.TaskState_TASK_FAILED {
+		owner.log(event.TaskGivenUp, slog.String("task", end.GetTask()), slog.Int("crashes", task.Crashes()), slog.Int("doubts", task.Doubts()))
 	}
 	view.noteOutcome(end.GetReason(), now)
 	owner.changed(held, made)
@@ -214,6 +214,11 @@
 	}
 }
 
+// crashed reports whether a run was lost because its worker crashed, and may be why.
+func crashed(reason wire.EndReason) bool {
+	return reason == wire.EndReason_END_CRASHED || reason == wire.EndReason_END_CRASHED_BESIDE
+}
+
 func endReason(reason wire.EndReason) job.EndReason {
 	switch reason {
 	case wire.EndReason_END_DONE:
@@ -222,6 +227,8 @@
 		return job.EndFailed
 	case wire.EndReason_END_CRASHED:
 		return job.EndCrashed
+	case wire.EndReason_END_CRASHED_BESIDE:
+		return job.EndCrashedBeside
 	}
 	return job.EndInterrupted
 }
