agent, owner: failing tests of runs that are taken for over on less than proof

Looked for elsewhere, by reading: the same class as the incident's, a task that waits again though nobody knows that its run is over. Three places: more ends than a worker lists at once, a late heartbeat while the present worker is silent, and one that an agent that has just started takes for the worker. The stand-in for a worker lists 500 ends at once.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -287,6 +287,14 @@
 	}
 }
 
+// passSilently is pass for a worker that answers no look.
+func (made *bench) passSilently(length time.Duration) {
+	for begin := made.clock.Now(); made.clock.Now().Sub(begin) < length; {
+		made.clock.Advance(20 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // start orders a small run of the task, with a demand of its own for the test to change.
 func start(epoch int64) *wire.StartOrder {
 	return &wire.StartOrder{
--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -1,10 +1,12 @@
 package agent_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/standin/wireworker"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -59,3 +61,43 @@
 	default:
 	}
 }
+
+// TestManyEndsAreNotLost has more runs end at once than a worker lists: those that are neither listed as
+// running nor among the ends are not lost, their ends come once the first are in the store.
+func TestManyEndsAreNotLost(t *testing.T) {
+	const many = platform.EndsListedMost + 20
+	made := newBench(t)
+	name := func(index int) string { return fmt.Sprintf("%s.0.0.%d", otherJob, index) }
+	for index := range many {
+		made.worker.Put(name(index), 1, time.Hour)
+	}
+	made.beat()
+	owner := made.connect(&wire.OwnerMessage{
+		Owner: "edge-1", Owned: true, Shards: []*wire.ShardEpoch{{Shard: int32(job.ShardOf(otherJob, shards)), Epoch: 1}}, GrantUntilNanos: int64(time.Hour),
+	})
+	lists := func(message *wire.AgentMessage) bool { return len(message.GetRuns()) == many }
+	made.until(func() bool { return owner.last(lists) != nil })
+	for index := range many {
+		made.worker.End(name(index), "done")
+	}
+	made.pass(3 * time.Second)
+	lost, done := owner.count(wire.EndReason_END_LOST), owner.count(wire.EndReason_END_DONE)
+	if lost > 0 || done == 0 {
+		t.Errorf("%d runs told as lost, %d as done", lost, done)
+	}
+}
+
+// count counts the ends that were told with a reason.
+func (owner *stream) count(reason wire.EndReason) int {
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	count := 0
+	for _, message := range owner.received {
+		for _, end := range message.GetEnds() {
+			if end.GetReason() == reason {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/agent/successor_test.go
+++ b/agent/successor_test.go
@@ -77,3 +77,27 @@
 		return owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus().GetDraining() }) != nil
 	})
 }
+
+// TestSilentWorkerIsNotReplaced has a heartbeat that was held up arrive from an incarnation that is long
+// gone while the present one is silent, so that neither of them answers. The present one may go on
+// until its lease has run out: its runs are not over before.
+func TestSilentWorkerIsNotReplaced(t *testing.T) {
+	made := newBench(t)
+	owner := made.attachRunning(&wire.Demand{MilliCpu: 1000, MemoryMb: 1000})
+	made.pass(time.Second)
+	if err := made.server.Listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	made.server.CloseClientConnections()
+	made.passSilently(300 * time.Millisecond)
+	lapses := made.worker.LeaseEnd()
+	late := made.heartbeat()
+	late.Incarnation = "i-0"
+	for made.worker.Clock() < lapses-100*time.Millisecond {
+		made.beside.Beat(late)
+		made.passSilently(200 * time.Millisecond)
+		if end := owner.end(); end != nil {
+			t.Fatalf("told %v %v before the lease has run out", end.GetReason(), lapses-made.worker.Clock())
+		}
+	}
+}
--- a/owner/reconcile_test.go
+++ b/owner/reconcile_test.go
@@ -137,3 +137,21 @@
 		t.Errorf("%d stops were ordered", stops)
 	}
 }
+
+// TestUnprovenWorkerReplacesNone has an agent that has just started name an incarnation by a heartbeat
+// that was held up: the worker has not answered as that one yet, and the one before may go on.
+func TestUnprovenWorkerReplacesNone(t *testing.T) {
+	for name, ready := range map[string]bool{"it has not answered": false, "it has answered": true} {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			of := made.submit()
+			made.attachAndStart()
+			status := emptyWorker()
+			status.Worker, status.Ready = "i-0", ready
+			made.hear(&wire.AgentMessage{Status: status, Complete: true})
+			if released := of.Tasks()[0].State() == job.TaskState_TASK_WAITING; released != ready {
+				t.Errorf("the task waits again: %v", released)
+			}
+		})
+	}
+}
--- a/standin/wireworker/serve.go
+++ b/standin/wireworker/serve.go
@@ -163,13 +163,16 @@
 	worker.ends = kept
 }
 
+// endsListedMost is how many ends are listed at once.
+const endsListedMost = 500
+
 func (worker *Worker) list(answer http.ResponseWriter) {
 	worker.lapse()
 	running, ended := [][]any{}, [][]any{}
 	for task, known := range worker.running {
 		running = append(running, []any{task, known.attempt, known.checkpoint, known.percent, known.figure})
 	}
-	for _, one := range worker.ends {
+	for _, one := range worker.ends[:min(len(worker.ends), endsListedMost)] {
 		ended = append(ended, []any{one.number, one.task, one.attempt, one.how, ""})
 	}
 	answer.Header().Set("Content-Type", "application/json")
