agent, owner: runs are taken for over on proof alone

Change: where a worker lists as many ends as it can, runs that are not listed are left alone; an incarnation that neither answers nor is denied takes another one's place only once its lease has run out; an owner goes by the incarnation that an agent names only once the worker has answered as that one. The store and the agent tell of ended incarnations as before, so work on a lost worker moves no later.

--- a/agent/running.go
+++ b/agent/running.go
@@ -16,6 +16,10 @@
 		listed[run.Task] = true
 		agent.noteRun(state, run, now)
 	}
+	if len(held.Ended) >= platform.EndsListedMost {
+		// The end of a run that is not listed may wait behind those that are.
+		return
+	}
 	for _, run := range state.runs {
 		if listed[run.task] {
 			run.missed = 0
--- a/agent/successor.go
+++ b/agent/successor.go
@@ -43,8 +43,9 @@
 }
 
 // noteSuccessorAsked takes in whether an incarnation is the one at its address. One that
-// neither answers nor is denied takes over if the present one does not answer either; else
-// it is asked again with its next heartbeat.
+// neither answers nor is denied takes over if the present one does not answer either and its
+// lease has run out: only then are its runs over for certain, whichever of the two stands
+// there. Else it is asked again with its next heartbeat.
 func (agent *Agent) noteSuccessorAsked(next *successor, err error, now time.Time) {
 	next.asking = false
 	if agent.next != next || agent.gone[next.beat.Incarnation] {
@@ -54,7 +55,7 @@
 	case platform.IsOtherIncarnation(err):
 		agent.next = nil
 		agent.log(event.HeartbeatStale, slog.String("worker", next.beat.Incarnation), slog.Int64("sequence", next.beat.Sequence))
-	case err == nil || agent.worker == nil || agent.worker.failures > 0:
+	case err == nil || agent.worker == nil || agent.worker.failures > 0 && !now.Before(agent.worker.lapseBy):
 		if agent.worker != nil {
 			// One worker stands on a machine: the one before it has ended.
 			agent.endIncarnation(agent.worker.beat.Incarnation, endReplaced, now)
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -99,9 +99,12 @@
 		return
 	}
 	if worker != entry.place.Worker {
-		// A machine has one worker: another incarnation there means that the
-		// one before it has ended, with all that it ran.
-		owner.release(view, entry, "its worker's incarnation is over", now)
+		// A machine has one worker: another incarnation that answers there means
+		// that the one before it has ended, with all that it ran. One that has not
+		// answered may be known by a heartbeat that was held up.
+		if view.status().GetReady() {
+			owner.release(view, entry, "its worker's incarnation is over", now)
+		}
 		return
 	}
 	handled := view.hasHandled(entry.sequence)
