soak: leases are judged by when they run out, and settings are read again

The stand-in for a worker tells when its lease is renewed and until when, so that the ledger doesn't go by when the stand-in was scheduled to end runs: beside load that is late, and two runs would be seen at a time that were not. SIGHUP is among the faults.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -79,6 +79,9 @@
 	{"process stopped", func(_ context.Context, made *site, draw *rand.Rand) {
 		made.any(draw).signal(syscall.SIGTERM)
 	}},
+	{"settings read again", func(_ context.Context, made *site, draw *rand.Rand) {
+		made.any(draw).signal(syscall.SIGHUP)
+	}},
 	{"store busy or without answers", func(ctx context.Context, made *site, draw *rand.Rand) {
 		kind := []wirestore.Fault{wirestore.FaultBusy, wirestore.FaultLost, wirestore.FaultReset}[draw.IntN(3)]
 		share := 0.2 + 0.8*draw.Float64()
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -11,8 +11,10 @@
 
 // ledger is what the workers have seen of all tasks, in order, and which promises that breaks.
 type ledger struct {
-	mu     sync.Mutex
-	began  time.Time
+	mu    sync.Mutex
+	began time.Time
+	// leases tells until when the lease of each life goes on.
+	leases map[string]time.Time
 	tasks  map[string]*taskLedger
 	jobs   map[string]*jobLedger
 	broken []string
@@ -46,7 +48,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{began: time.Now(), tasks: map[string]*taskLedger{}, jobs: map[string]*jobLedger{}}
+	return &ledger{began: time.Now(), leases: map[string]time.Time{}, tasks: map[string]*taskLedger{}, jobs: map[string]*jobLedger{}}
 }
 
 // breach notes that a promise is broken, with the lock held.
@@ -66,6 +68,10 @@
 func (book *ledger) note(life string, change wireworker.Change) {
 	book.mu.Lock()
 	defer book.mu.Unlock()
+	if change.Kind == wireworker.Renewed {
+		book.leases[life] = change.Until
+		return
+	}
 	task := book.task(change.Task)
 	switch change.Kind {
 	case wireworker.Started:
@@ -83,6 +89,9 @@
 func (book *ledger) noteStart(task *taskLedger, life string, change wireworker.Change) {
 	book.runs++
 	for other, attempt := range task.running {
+		if !time.Now().Before(book.leases[other]) {
+			continue // Its lease has run out; the stand-in is late to end it.
+		}
 		book.breach("TWICE", "%s run %d starts on %s while run %d goes on on %s", change.Task, change.Attempt, life, attempt, other)
 	}
 	if task.noted {
--- a/standin/wireworker/change.go
+++ b/standin/wireworker/change.go
@@ -1,5 +1,7 @@
 package wireworker
 
+import "time"
+
 // ChangeKind says what became of a run.
 type ChangeKind int
 
@@ -7,6 +9,8 @@
 const (
 	Started ChangeKind = iota
 	Ended
+	// Renewed is that the lease of everything that runs goes on until a later time.
+	Renewed
 	// Noted is the word that an end may be forgotten, if the lease has not run out since the
 	// run ended. It stands for good: a task that is noted as done is not to start again. An end
 	// whose lease ran out first does not count.
@@ -19,6 +23,8 @@
 	Task    string
 	Attempt int32
 	How     string // of an end
+	// Until is when the lease runs out; of a renewal.
+	Until time.Time
 }
 
 // Watch has note called with each change, in their order. It must not call the worker.
@@ -28,6 +34,15 @@
 	worker.watch = note
 }
 
+// renew has the lease go on until a deadline on the worker's clock, if it is a later one.
+func (worker *Worker) renew(deadline int64) {
+	if deadline <= worker.deadline {
+		return
+	}
+	worker.deadline = deadline
+	worker.watch(Change{Kind: Renewed, Until: worker.began.Add(time.Duration(deadline-clockBegins) * time.Millisecond)})
+}
+
 // RunningCount returns how many runs there are, after those have ended whose lease has run out.
 func (worker *Worker) RunningCount() int {
 	worker.mu.Lock()
--- a/standin/wireworker/serve.go
+++ b/standin/wireworker/serve.go
@@ -131,7 +131,7 @@
 	}
 	worker.looks++
 	worker.token = body.FencingToken
-	worker.deadline = max(worker.deadline, body.DeadlineMs)
+	worker.renew(body.DeadlineMs)
 	worker.forget(body.LastSeen)
 	changed, waits := worker.changed, len(worker.ends) == 0 && body.WaitMs > 0
 	worker.mu.Unlock()
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -150,7 +150,7 @@
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
 	worker.running[task] = &run{attempt: attempt, pace: fullPace}
-	worker.deadline = max(worker.deadline, worker.clock()+lease.Milliseconds())
+	worker.renew(worker.clock() + lease.Milliseconds())
 }
 
 // Progress sets the percent that a run shows.
@@ -229,8 +229,11 @@
 	worker.late = nil
 }
 
+// clockBegins is what the worker's clock shows at its start, in milliseconds.
+const clockBegins = 1000
+
 func (worker *Worker) clock() int64 {
-	return worker.clocks.Now().Sub(worker.began).Milliseconds() + 1000
+	return worker.clocks.Now().Sub(worker.began).Milliseconds() + clockBegins
 }
 
 func (worker *Worker) lapse() {
@@ -261,7 +264,7 @@
 		return "old"
 	}
 	worker.token = order.FencingToken
-	worker.deadline = max(worker.deadline, order.DeadlineMs)
+	worker.renew(order.DeadlineMs)
 	worker.running[order.Task] = &run{attempt: order.Attempt, checkpoint: order.Checkpoint, pace: fullPace}
 	worker.starts = append(worker.starts, order)
 	worker.watch(Change{Kind: Started, Task: order.Task, Attempt: order.Attempt})
