agent, command, standin: claims and incarnations in files of their own; one settings file for tests, one way to run a role

No change of behaviour. The settings file that the platform lays down stood in two tests; the end of the commands of entries and guards stood twice.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,7 +61,6 @@
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
-	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/traffic"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -161,14 +160,6 @@
 	ctx      context.Context // ends the calls to the worker with the agent
 }
 
-// claim is what the agent knows of the owner of one shard.
-type claim struct {
-	epoch int64
-	owner *session
-	// until is when the owner's last grant ends.
-	until time.Time
-}
-
 // New returns an agent that does nothing until Run.
 func New(options Options) *Agent {
 	made := &Agent{
@@ -227,86 +218,6 @@
 // uptime is the clock that grants are given in.
 func (agent *Agent) uptime(now time.Time) time.Duration { return now.Sub(agent.started) }
 
-// Beat implements platform.Beats.
-func (agent *Agent) Beat(beat platform.Heartbeat) {
-	agent.decisions.Post(func(now time.Time) { agent.noteBeat(beat, now) })
-}
-
-// Refused implements platform.Beats.
-func (agent *Agent) Refused(incarnation string, err error) {
-	agent.decisions.Post(func(time.Time) {
-		agent.log(event.HeartbeatRefused, slog.String("worker", incarnation), slog.Any("error", err))
-	})
-}
-
-// Left implements platform.Beats.
-func (agent *Agent) Left(incarnation string) {
-	agent.decisions.Post(func(now time.Time) {
-		agent.log(event.WorkerLeft, slog.String("worker", incarnation))
-		agent.endIncarnation(incarnation, endLeft, now)
-	})
-}
-
-func (agent *Agent) noteBeat(beat platform.Heartbeat, now time.Time) {
-	if agent.gone[beat.Incarnation] {
-		return
-	}
-	current := agent.worker
-	if current != nil && current.beat.Incarnation == beat.Incarnation {
-		agent.noteBeatAgain(current, beat, now)
-		return
-	}
-	if current != nil {
-		agent.noteSuccessor(beat)
-		return
-	}
-	agent.takeCareOf(beat, agent.options.Connect(beat.Address, beat.Incarnation), now)
-}
-
-// noteBeatAgain takes in a heartbeat of the incarnation that is known.
-func (agent *Agent) noteBeatAgain(current *workerState, beat platform.Heartbeat, now time.Time) {
-	if beat.Sequence < current.beat.Sequence {
-		return
-	}
-	changed := !current.beat.SameWorker(beat)
-	current.beat = beat
-	current.noteLeaving(now)
-	if changed {
-		agent.logWorker(beat)
-		agent.statusChanged()
-	}
-}
-
-func (agent *Agent) logWorker(beat platform.Heartbeat) {
-	agent.log(event.WorkerSeen,
-		slog.String("worker", beat.Incarnation), slog.String("service", beat.Service), slog.String("address", beat.Address),
-		slog.Bool("draining", beat.Draining), slog.Int64("milli_cpu", beat.MilliCPU), slog.Int64("memory_mb", beat.MemoryMB),
-		slog.Duration("remaining", beat.Remaining))
-}
-
-// endIncarnation notes that an incarnation is over: what ran there has ended.
-func (agent *Agent) endIncarnation(incarnation string, how incarnationEnd, now time.Time) {
-	if !agent.gone[incarnation] {
-		agent.gone[incarnation] = true
-		agent.noteEnded(incarnation)
-	}
-	ended := agent.worker
-	if ended == nil || ended.beat.Incarnation != incarnation {
-		return
-	}
-	agent.worker = nil
-	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)), slog.String("how", string(how)),
-		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.signAt)))
-	agent.meters.lost.Add(agent.ctx, 1, telemetry.By("how", string(how)))
-	agent.tellEnded(ended, how)
-	for _, end := range ended.ends {
-		// Its worker can't be told any more, the owners still can.
-		end.told.Number = 0
-		agent.keepLost(end.told)
-	}
-	agent.statusChanged()
-}
-
 // noShard stands for the shard of a task whose name is none.
 const noShard = -1
 
--- a/agent/life.go
+++ b/agent/life.go
@@ -143,14 +143,3 @@
 	}
 	return names[phase]
 }
-
-// incarnationEnd says how it became known that an incarnation of the worker is over. Its
-// text stands in logs.
-type incarnationEnd string
-
-const (
-	// endLeft is what the worker said itself.
-	endLeft incarnationEnd = "left"
-	// endReplaced was found out: another incarnation stands at the machine.
-	endReplaced incarnationEnd = "replaced"
-)
--- a/cmd/ambertiller/platform_test.go
+++ b/cmd/ambertiller/platform_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/bootfile"
 	"ambertiller.example/ambertiller/standin/wirestore"
 	"ambertiller.example/ambertiller/standin/wireworker"
 )
@@ -26,6 +26,7 @@
 	platformJob  = "0123456789abcdef"
 	platformTask = platformJob + ".0.0.0"
 	platformLife = "i-1"
+	leaseMost    = 6 * time.Second
 	published    = `{"version":7,"routes":[{"name":"r-1","host":"q.example","path_prefix":"/q/","service":"verbale","attempts":2,"extension":1.5}]}`
 	handedIn     = `{"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":900}]}`
 )
@@ -66,28 +67,9 @@
 // and where it listens.
 func (made *site) start(role, ip string) *exec.Cmd {
 	made.t.Helper()
-	text := fmt.Sprintf(`
-node_name = "%s-%s"
-ip = "%s"
-zone = "milano-a"
-internal_ports = [7720, 7735]
-app = "%s"
-[listen_addrs]
-frontend = "%s"
-readiness = "%s"
-control = "%s"
-[bounds]
-max_hold_ms = 6000
-grace_s = 6
-status_s = 120
-harm_ms = 4000
-[platform]
-address = "%s"
-parts = 8
-ttl_min_ms = 1000
-`, role, ip, ip, made.app, front(ip), net.JoinHostPort(ip, "8167"), control(ip), made.at)
 	path := filepath.Join(made.t.TempDir(), "local.toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	file := bootfile.File{Name: role + "-" + ip, IP: ip, Worker: made.app, Store: made.at, LeaseMost: leaseMost}
+	if err := file.Write(path); err != nil {
 		made.t.Fatal(err)
 	}
 	started := exec.Command(made.binary, role)
@@ -107,9 +89,6 @@
 	return started
 }
 
-func front(ip string) string   { return net.JoinHostPort(ip, "8161") }
-func control(ip string) string { return net.JoinHostPort(ip, "8166") }
-
 // until repeats a step until it holds.
 func (made *site) until(what string, holds func() bool) {
 	made.t.Helper()
@@ -143,7 +122,7 @@
 
 func (made *site) beat(ip string) bool {
 	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"seq":1}`, made.app)
-	status, _ := made.ask(http.MethodPut, "http://"+control(ip)+"/v1/instances/"+platformLife, body)
+	status, _ := made.ask(http.MethodPut, "http://"+bootfile.Beats(ip)+"/v1/instances/"+platformLife, body)
 	return status == http.StatusOK
 }
 
@@ -157,7 +136,7 @@
 	killed := made.start("gateway", first)
 	agent := made.start("agent", side)
 	made.until("the agent's answer to a heartbeat", func() bool { return made.beat(side) })
-	url := "http://" + front(first) + "/q/" + platformJob
+	url := "http://" + bootfile.Front(first) + "/q/" + platformJob
 	made.until("the job's acceptance", func() bool {
 		status, _ := made.ask(http.MethodPost, url, handedIn)
 		return status == http.StatusOK
@@ -168,7 +147,7 @@
 		t.Fatal(err)
 	}
 	made.worker.End(platformTask, "done")
-	url = "http://" + front(second) + "/q/" + platformJob
+	url = "http://" + bootfile.Front(second) + "/q/" + platformJob
 	made.until("the job's completion", func() bool {
 		_, text := made.ask(http.MethodGet, url, "")
 		return strings.Contains(text, "completed")
--- a/command/role.go
+++ b/command/role.go
@@ -76,16 +76,7 @@
 				LeaveDelay:       given.duration("leave-delay", 0, longestStop),
 				Events:           given.events(),
 			}
-			given.processors()
-			bound := given.duration("stop-timeout", time.Second, longestStop)
-			if err := given.err(); err != nil {
-				return err
-			}
-			role, err := daemon.NewEntry(ctx, options)
-			if err != nil {
-				return err
-			}
-			return runRole(ctx, role, bound)
+			return runGiven(ctx, given, func() (stoppable, error) { return daemon.NewEntry(ctx, options) })
 		},
 	}
 }
@@ -119,20 +110,25 @@
 				LeaveDelay:    given.duration("leave-delay", 0, longestStop),
 				Events:        given.events(),
 			}
-			given.processors()
-			bound := given.duration("stop-timeout", time.Second, longestStop)
-			if err := given.err(); err != nil {
-				return err
-			}
-			role, err := daemon.NewGuard(ctx, options)
-			if err != nil {
-				return err
-			}
-			return runRole(ctx, role, bound)
+			return runGiven(ctx, given, func() (stoppable, error) { return daemon.NewGuard(ctx, options) })
 		},
 	}
 }
 
+// runGiven makes a role once all its settings are sound, and runs it.
+func runGiven(ctx context.Context, given *settings, role func() (stoppable, error)) error {
+	given.processors()
+	bound := given.duration("stop-timeout", time.Second, longestStop)
+	if err := given.err(); err != nil {
+		return err
+	}
+	made, err := role()
+	if err != nil {
+		return err
+	}
+	return runRole(ctx, made, bound)
+}
+
 // standinRole runs the stand-in until it is told to stop.
 type standinRole struct {
 	options  standin.Options
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"ambertiller.example/ambertiller/standin/bootfile"
 )
 
 const (
@@ -89,7 +91,7 @@
 func (caller *client) call(ctx context.Context, method string, gateway int, id, body string) (status int, text string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askWithin)
 	defer cancel()
-	url := "http://" + at(caller.site.gateways[gateway%gatewayCount].ip, frontPort) + "/q/" + id
+	url := "http://" + bootfile.Front(caller.site.gateways[gateway%gatewayCount].ip) + "/q/" + id
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +11,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/bootfile"
 	"ambertiller.example/ambertiller/standin/relay"
 )
 
@@ -29,34 +28,8 @@
 	closing bool
 }
 
-const settingsText = `
-node_name = "%s"
-ip = "%s"
-zone = "milano-a"
-internal_ports = [7720, 7735]
-app = "%s"
-[listen_addrs]
-frontend = "%s"
-readiness = "%s"
-control = "%s"
-[bounds]
-max_hold_ms = 10000
-grace_s = 6
-status_s = 120
-harm_ms = 4000
-[platform]
-address = "%s"
-parts = 8
-ttl_min_ms = 1000
-`
-
-func at(ip, port string) string { return net.JoinHostPort(ip, port) }
-
-// frontPort is where clients reach a gateway, beatPort where workers reach an agent.
-const (
-	frontPort = "8161"
-	beatPort  = "8166"
-)
+// leaseMost is the longest lease that workers take.
+const leaseMost = 10 * time.Second
 
 // newProcess prepares a process; it runs once it is started.
 func newProcess(ctx context.Context, t *testing.T, made *site, role, name, ip, app string) *process {
@@ -69,8 +42,8 @@
 		role: role, name: name, ip: ip, binary: made.binary, store: between,
 		settings: filepath.Join(made.dir, name+".toml"), log: filepath.Join(made.dir, name+".log"),
 	}
-	text := fmt.Sprintf(settingsText, name, ip, app, at(ip, frontPort), at(ip, "8167"), at(ip, beatPort), between.Address())
-	if err := os.WriteFile(prepared.settings, []byte(text), 0o600); err != nil {
+	file := bootfile.File{Name: name, IP: ip, Worker: app, Store: between.Address(), LeaseMost: leaseMost}
+	if err := file.Write(prepared.settings); err != nil {
 		t.Fatal(err)
 	}
 	return prepared
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -18,6 +18,7 @@
 
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/bootfile"
 	"ambertiller.example/ambertiller/standin/relay"
 	"ambertiller.example/ambertiller/standin/wirestore"
 )
@@ -72,9 +73,6 @@
 	return made
 }
 
-// agentPort is the port at which agents listen for owners.
-const agentPort = "7721"
-
 func (made *site) addAgent(ctx context.Context, t *testing.T, number int, ip string) {
 	t.Helper()
 	beside := newMachine(fmt.Sprintf("i-%d", number), made.book)
@@ -83,15 +81,15 @@
 		beside.server.Close()
 	})
 	begun := newProcess(ctx, t, made, "agent", fmt.Sprintf("side-%d", number), ip, beside.address())
-	path, err := relay.New(ctx, at(ip, agentPort))
+	path, err := relay.New(ctx, bootfile.Agent(ip))
 	if err != nil {
 		t.Fatal(err)
 	}
-	made.relayed[at(ip, agentPort)] = path.Address()
+	made.relayed[bootfile.Agent(ip)] = path.Address()
 	made.agents = append(made.agents, begun)
 	made.machines = append(made.machines, beside)
 	made.paths = append(made.paths, path)
-	go beside.run(ctx, at(ip, beatPort))
+	go beside.run(ctx, bootfile.Beats(ip))
 }
 
 // relayAgent has owners reach an agent by its relay.
@@ -153,7 +151,7 @@
 	t.Helper()
 	for number := range 60 {
 		network := fmt.Sprintf("127.%d", 120+(os.Getpid()+number)%60)
-		listener, err := net.Listen("tcp", at(network+".0.1", frontPort))
+		listener, err := net.Listen("tcp", bootfile.Front(network+".0.1"))
 		if err == nil {
 			t.Cleanup(func() { _ = listener.Close() })
 			return network
