--- a/agent/ends.go
+++ b/agent/ends.go
@@ -75,12 +75,14 @@
 		Reason: endReason(end.How), Checkpoint: end.Checkpoint,
 	}
 	state.ends[end.Number] = &unkeptEnd{told: told, shard: agent.shardOf(end.Task), listedAt: now}
+	connection := int64(0)
 	if run, found := state.runs[end.Task]; found && run.attempt == end.Attempt {
 		told.Proven = state.outlived(run)
+		connection = run.connection
 		delete(state.runs, end.Task)
 	}
 	agent.log(event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
-		slog.String("how", string(end.How)), slog.Int64("number", end.Number))
+		slog.String("how", string(end.How)), slog.Int64("number", end.Number), slog.Int64("connection", connection))
 	agent.meters.ended.Add(agent.ctx, 1, telemetry.By("how", string(end.How)))
 	agent.sendEnd(told)
 	agent.statusChanged()
--- a/agent/order.go
+++ b/agent/order.go
@@ -37,7 +37,7 @@
 		return
 	}
 	agent.logRun(event.OrderTaken, run, slog.String("owner", owner.name), slog.Int64("connection", owner.connection))
-	run.sentAt = now
+	run.sentAt, run.connection = now, owner.connection
 	state.runs[run.task] = run
 	agent.statusChanged()
 	agent.sendStart(state, run, order, 1, now)
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -55,6 +55,8 @@
 	slowedSince time.Time // when the pace fell below slowedPercent, zero while above
 	confirmedAt time.Time
 	sentAt      time.Time // when the start was first sent, or the run found
+	// connection is the owner's on which the start was ordered, 0 for a run that was found.
+	connection int64
 	// whole is set for a run that began without a checkpoint: worked is then the time, at
 	// full speed, that it took for its progress up to workedAt.
 	whole      bool
