--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -85,13 +85,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	made.relayed[bootfile.Agent(ip)] = path.Address()
+	made.noteRelay(bootfile.Agent(ip), path.Address())
 	made.agents = append(made.agents, begun)
 	made.machines = append(made.machines, beside)
 	made.paths = append(made.paths, path)
 	go beside.run(ctx, bootfile.Beats(ip))
 }
 
+func (made *site) noteRelay(agent, relay string) {
+	made.relayedMu.Lock()
+	defer made.relayedMu.Unlock()
+	made.relayed[agent] = relay
+}
+
 // relayAgent has owners reach an agent by its relay.
 func (made *site) relayAgent(value []byte) []byte {
 	registered := &job.AgentRecord{}
