--- a/agent/successor_test.go
+++ b/agent/successor_test.go
@@ -101,3 +101,26 @@
 		}
 	}
 }
+
+// TestFoundRunWaitsOutItsLease has the worker fall silent right after an agent that has just started
+// found a run there, whose lease an agent before it had renewed: the run goes on until that has run
+// out.
+func TestFoundRunWaitsOutItsLease(t *testing.T) {
+	made := newBench(t)
+	made.worker.Put(task, 1, 4*time.Second)
+	lapses := made.worker.LeaseEnd()
+	made.beat()
+	made.until(func() bool { looks, _ := made.worker.Looks(); return looks > 1 })
+	if err := made.server.Listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	made.server.CloseClientConnections()
+	owner := made.attach(1)
+	for made.worker.Clock() < lapses-100*time.Millisecond {
+		made.passSilently(200 * time.Millisecond)
+		if end := owner.end(); end != nil {
+			t.Fatalf("told %v %v before the lease has run out", end.GetReason(), lapses-made.worker.Clock())
+		}
+	}
+	made.until(func() bool { return owner.end() != nil })
+}
