--- a/agent/ends.go
+++ b/agent/ends.go
@@ -74,7 +74,8 @@
 		Worker: state.beat.Incarnation, Number: end.Number, Task: end.Task, Attempt: end.Attempt,
 		Reason: endReason(end.How), Checkpoint: end.Checkpoint,
 	}
-	state.ends[end.Number] = &unkeptEnd{told: told, shard: agent.shardOf(end.Task), listedAt: now}
+	shard := agent.shardOf(end.Task)
+	state.ends[end.Number] = &unkeptEnd{told: told, shard: shard, listedAt: now}
 	connection := int64(0)
 	if run, found := state.runs[end.Task]; found && run.attempt == end.Attempt {
 		told.Proven = state.outlived(run)
@@ -84,7 +85,7 @@
 	agent.log(event.RunEnded, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)),
 		slog.String("how", string(end.How)), slog.Int64("number", end.Number), slog.Int64("connection", connection))
 	agent.meters.ended.Add(agent.ctx, 1, telemetry.By("how", string(end.How)))
-	agent.sendEnd(told)
+	agent.sendEnd(told, shard)
 	agent.statusChanged()
 }
 
@@ -124,8 +125,8 @@
 }
 
 // sendEnd tells an end to the owner of its shard.
-func (agent *Agent) sendEnd(end *wire.RunEnd) {
-	held, claimed := agent.claims[agent.shardOf(end.GetTask())]
+func (agent *Agent) sendEnd(end *wire.RunEnd, shard int32) {
+	held, claimed := agent.claims[shard]
 	if end.GetNumber() == 0 {
 		agent.keepLost(end)
 	}
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -45,7 +45,7 @@
 	for _, run := range agent.worker.runs {
 		until = earlier(until, agent.grantOf(run.shard))
 	}
-	return earlier(until, agent.endsUntil(until))
+	return agent.endsUntil(until)
 }
 
 // endsUntil returns the earliest end of a grant that a run has ended under whose end is not in the
--- a/agent/life.go
+++ b/agent/life.go
@@ -112,13 +112,13 @@
 	end := on.lostEnd(run)
 	end.Reason = reason
 	agent.logLost(event.RunCrashed, on, run, slog.Bool("suspect", run.suspect), slog.Bool("beside", reason == wire.EndReason_END_CRASHED_BESIDE))
-	agent.sendEnd(end)
+	agent.sendEnd(end, run.shard)
 }
 
 // tellLost tells the run's owner that it is over without an end.
 func (agent *Agent) tellLost(on *workerState, run *runState) {
 	agent.logLost(event.RunLost, on, run)
-	agent.sendEnd(on.lostEnd(run))
+	agent.sendEnd(on.lostEnd(run), run.shard)
 }
 
 func (agent *Agent) logLost(code event.Code, on *workerState, run *runState, attributes ...slog.Attr) {
--- a/agent/older_test.go
+++ b/agent/older_test.go
@@ -68,3 +68,30 @@
 		t.Error("the newer connection is not told the end of the run")
 	}
 }
+
+// TestOlderConnectionStopsNothing has what would stop a run come on the older connection once the newer
+// one has claimed the shard.
+func TestOlderConnectionStopsNothing(t *testing.T) {
+	tests := map[string]*wire.OwnerMessage{
+		"a stop": {Stops: []*wire.StopOrder{{Shard: shard, Epoch: 1, Task: task, Attempt: 1, Worker: worker}}},
+		"a pre-emption": {Preempts: []*wire.PreemptOrder{{
+			Shard: shard, Epoch: 1, Worker: worker, Demand: &wire.Demand{MilliCpu: 4000, MemoryMb: 1000},
+		}}},
+	}
+	for name, late := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			older := made.connectAs(1)
+			made.ready(older)
+			order := start(1)
+			order.Demand.Movable, order.Demand.Saves, order.Demand.Priority = true, true, 1
+			made.startsRun(older, order)
+			made.connectAs(2)
+			older.tell(late)
+			made.pass(time.Second)
+			if !made.runs() {
+				t.Error("the run was stopped by what came on an older connection")
+			}
+		})
+	}
+}
--- a/agent/order.go
+++ b/agent/order.go
@@ -53,7 +53,7 @@
 		return wire.StartOutcome_START_WRONG_WORKER
 	case !claimed || order.GetEpoch() != held.epoch || held.owner != owner:
 		return wire.StartOutcome_START_STALE
-	case !state.ready() || !earlier(held.until, agent.endsUntil(held.until)).After(now.Add(stopBefore)):
+	case !state.ready() || !agent.endsUntil(held.until).After(now.Add(stopBefore)):
 		return wire.StartOutcome_START_NOT_READY
 	case state.beat.Draining:
 		return wire.StartOutcome_START_DRAINING
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -28,8 +28,8 @@
 	lastingBackoff = 200 * time.Millisecond
 )
 
-// crashed reports whether a worker crashed under the run.
-func (reason EndReason) crashed() bool { return reason == EndCrashed || reason == EndCrashedBeside }
+// Crashed reports whether a worker crashed under the run.
+func (reason EndReason) Crashed() bool { return reason == EndCrashed || reason == EndCrashedBeside }
 
 // Start notes that a task is started at a place, under the next attempt. The
 // members of a gang are started one after another under the attempt of the first.
@@ -108,7 +108,7 @@
 	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
 		return false
 	}
-	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && !reason.crashed() {
+	if present && task.state != TaskState_TASK_STARTED && reason != EndDone && !reason.Crashed() {
 		return false
 	}
 	if checkpoint != "" && present {
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -171,7 +171,8 @@
 	if end.GetProven() {
 		task.Outlived(end.GetAttempt())
 	}
-	if !made.End(task, end.GetAttempt(), endReason(end.GetReason()), end.GetCheckpoint(), now) {
+	reason := endReason(end.GetReason())
+	if !made.End(task, end.GetAttempt(), reason, end.GetCheckpoint(), now) {
 		owner.logEarlier(task, end)
 		held.settleLive(made)
 		return
@@ -180,7 +181,7 @@
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())),
 		slog.Duration("recorded", recorded))
 	owner.meters.ended.Add(owner.ctx, 1, telemetry.By("reason", end.GetReason().String()))
-	if crashed(end.GetReason()) && task.State() == job.TaskState_TASK_FAILED {
+	if reason.Crashed() && task.State() == job.TaskState_TASK_FAILED {
 		owner.log(event.TaskGivenUp, slog.String("task", end.GetTask()), slog.Int("crashes", task.Crashes()), slog.Int("doubts", task.Doubts()))
 	}
 	view.noteOutcome(end.GetReason(), now)
@@ -214,11 +215,6 @@
 	}
 }
 
-// crashed reports whether a run was lost because its worker crashed, and may be why.
-func crashed(reason wire.EndReason) bool {
-	return reason == wire.EndReason_END_CRASHED || reason == wire.EndReason_END_CRASHED_BESIDE
-}
-
 func endReason(reason wire.EndReason) job.EndReason {
 	switch reason {
 	case wire.EndReason_END_DONE:
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -148,7 +148,8 @@
 	}
 	for _, record := range runs.Records {
 		if !handedIn[job.SubmissionKey(record.Key)] {
-			// Progress is written once its job was read, so the job was dropped since.
+			// Progress is written once its job was read, so the job was dropped since. One
+			// whose record can't be read is still there, and keeps its progress.
 			held.dropProgress(record.Key)
 			continue
 		}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"ambertiller.example/ambertiller/standin/relay"
 	"ambertiller.example/ambertiller/standin/wirestore"
 	"ambertiller.example/ambertiller/standin/wireworker"
 )
@@ -31,28 +32,13 @@
 var faults = []fault{
 	{"path of one owner held up", func(ctx context.Context, made *site, draw *rand.Rand) {
 		path, whose := made.paths[draw.IntN(len(made.paths))], isOwner(made.gateways[draw.IntN(gatewayCount)])
-		toServer, toClient := directions(draw)
-		path.Hold(whose, toServer, toClient)
-		sleep(ctx, length(draw))
-		path.LetGo()
+		holdUp(ctx, draw, whose, path)
 	}},
 	{"paths to an agent held up", func(ctx context.Context, made *site, draw *rand.Rand) {
-		path := made.paths[draw.IntN(len(made.paths))]
-		toServer, toClient := directions(draw)
-		path.Hold(everyone, toServer, toClient)
-		sleep(ctx, length(draw))
-		path.LetGo()
+		holdUp(ctx, draw, everyone, made.paths[draw.IntN(len(made.paths))])
 	}},
 	{"paths of an owner held up", func(ctx context.Context, made *site, draw *rand.Rand) {
-		whose := isOwner(made.gateways[draw.IntN(gatewayCount)])
-		toServer, toClient := directions(draw)
-		for _, path := range made.paths {
-			path.Hold(whose, toServer, toClient)
-		}
-		sleep(ctx, length(draw))
-		for _, path := range made.paths {
-			path.LetGo()
-		}
+		holdUp(ctx, draw, isOwner(made.gateways[draw.IntN(gatewayCount)]), made.paths...)
 	}},
 	{"open connections to an agent silent", func(_ context.Context, made *site, draw *rand.Rand) {
 		toServer, toClient := directions(draw)
@@ -62,11 +48,7 @@
 		made.paths[draw.IntN(len(made.paths))].Reset()
 	}},
 	{"store of one process held up", func(ctx context.Context, made *site, draw *rand.Rand) {
-		struck := made.any(draw)
-		toServer, toClient := directions(draw)
-		struck.store.Hold(everyone, toServer, toClient)
-		sleep(ctx, length(draw))
-		struck.store.LetGo()
+		holdUp(ctx, draw, everyone, made.any(draw).store)
 	}},
 	{"store of one process reset", func(_ context.Context, made *site, draw *rand.Rand) {
 		made.any(draw).store.Reset()
@@ -133,6 +115,18 @@
 	return made.agents[draw.IntN(len(made.agents))]
 }
 
+// holdUp holds relays up for a while, in directions that it draws.
+func holdUp(ctx context.Context, draw *rand.Rand, whose func(greeting []byte) bool, relays ...*relay.Relay) {
+	toServer, toClient := directions(draw)
+	for _, between := range relays {
+		between.Hold(whose, toServer, toClient)
+	}
+	sleep(ctx, length(draw))
+	for _, between := range relays {
+		between.LetGo()
+	}
+}
+
 // directions draws one direction or both.
 func directions(draw *rand.Rand) (toServer, toClient bool) {
 	chosen := draw.IntN(4)
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -64,7 +65,7 @@
 	for number := range agents {
 		made.addAgent(ctx, t, number, fmt.Sprintf("%s.2.%d", network, number+1))
 	}
-	for _, begun := range append(made.agents, made.gateways...) {
+	for _, begun := range slices.Concat(made.agents, made.gateways) {
 		if err := begun.start(); err != nil {
 			t.Fatal(err)
 		}
@@ -129,7 +130,7 @@
 	for _, path := range made.paths {
 		path.LetGo()
 	}
-	for _, begun := range append(append([]*process(nil), made.agents...), made.gateways...) {
+	for _, begun := range slices.Concat(made.agents, made.gateways) {
 		begun.store.LetGo()
 	}
 	for _, machine := range made.machines {
