--- a/agent/ends.go
+++ b/agent/ends.go
@@ -62,6 +62,7 @@
 // noteEnd takes in an end that the worker lists.
 func (agent *Agent) noteEnd(state *workerState, end platform.End, now time.Time) {
 	if end.Number <= state.listed {
+		agent.noteListedAgain(state, end)
 		return
 	}
 	if state.listed == 0 {
@@ -89,6 +90,16 @@
 	agent.statusChanged()
 }
 
+// noteListedAgain logs an end that the worker lists under the number of another one.
+func (agent *Agent) noteListedAgain(state *workerState, end platform.End) {
+	known, waits := state.ends[end.Number]
+	if !waits || known.told.GetTask() == end.Task && known.told.GetAttempt() == end.Attempt {
+		return
+	}
+	agent.log(event.EndPassedOver, slog.String("task", end.Task), slog.Int("attempt", int(end.Attempt)), slog.Int64("number", end.Number),
+		slog.String("known", known.told.GetTask()))
+}
+
 func endReason(how platform.EndHow) wire.EndReason {
 	reasons := map[platform.EndHow]wire.EndReason{
 		platform.EndDone:    wire.EndReason_END_DONE,
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -62,6 +62,7 @@
 		return
 	}
 	changed := !current.beat.SameWorker(beat)
+	agent.noteBorn(current, beat.Born)
 	current.beat = beat
 	current.noteLeaving(now)
 	if changed {
@@ -74,7 +75,7 @@
 	agent.log(event.WorkerSeen,
 		slog.String("worker", beat.Incarnation), slog.String("service", beat.Service), slog.String("address", beat.Address),
 		slog.Bool("draining", beat.Draining), slog.Int64("milli_cpu", beat.MilliCPU), slog.Int64("memory_mb", beat.MemoryMB),
-		slog.Duration("remaining", beat.Remaining))
+		slog.Duration("remaining", beat.Remaining), slog.String("born", beat.Born))
 }
 
 // endIncarnation notes that an incarnation is over: what ran there has ended.
--- a/agent/look.go
+++ b/agent/look.go
@@ -73,6 +73,7 @@
 		state.givenUp = nil // It did not crash.
 		agent.statusChanged()
 	}
+	agent.noteBorn(state, held.Born)
 	state.noteClock(held.Clock, now)
 	state.noteAnswer(asked.at, now)
 	state.lookAt = now
@@ -90,6 +91,18 @@
 	agent.pace(state, true, now)
 }
 
+// noteBorn logs that the worker says of itself that it started at another moment than before.
+func (agent *Agent) noteBorn(state *workerState, born string) {
+	if born == "" || born == state.born {
+		return
+	}
+	if state.born != "" {
+		agent.log(event.WorkerStartedAgain, slog.String("worker", state.beat.Incarnation), slog.String("born", state.born),
+			slog.String("again", born), slog.Int64("listed", state.listed), slog.Int64("seen", state.seen))
+	}
+	state.born = born
+}
+
 func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
 	if platform.IsOtherIncarnation(err) {
 		// One worker stands on a machine, and it is another one now.
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -26,6 +26,9 @@
 	// durable holds numbers above seen.
 	durable map[int64]bool
 
+	// born is when the worker last said that it started, as it said it.
+	born string
+
 	aliveAt   time.Time // when the worker lived for certain
 	signAt    time.Time // when the last sign of that was seen
 	known     bool      // the worker has told what runs under this agent's token
@@ -86,7 +89,7 @@
 
 func newWorkerState(beat platform.Heartbeat, calls *platform.Worker, token int64, now time.Time) *workerState {
 	return &workerState{
-		beat: beat, calls: calls, token: token,
+		beat: beat, calls: calls, token: token, born: beat.Born,
 		runs: map[string]*runState{}, ends: map[int64]*unkeptEnd{}, durable: map[int64]bool{},
 		clockAt: now, lapseBy: now.Add(leaseMost), aliveAt: now, signAt: now,
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -157,6 +157,8 @@
 	EndKept
 	EndVoid
 	ConnectionReplaced
+	WorkerStartedAgain
+	EndPassedOver
 )
 
 // LinesDropped speaks of the log itself.
@@ -186,6 +188,8 @@
 	crashRelease = "0.7"
 	// settleRelease is the one in which it can be told how each end was settled.
 	settleRelease = "0.8"
+	// rebornRelease is the one that tells the lives of a worker apart.
+	rebornRelease = "0.9"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -317,6 +321,8 @@
 	{EndKept, slog.LevelInfo, "end kept", "The end of a run that had waited is in the store. The attribute after says for how long it had waited.", settleRelease},
 	{EndVoid, slog.LevelWarn, "end void", "The end of a run was not in the store when its owner's grant was over, so the worker's lease was let run out: the owner may have started the task elsewhere, and the end does not count. Everything else on the worker has ended with the lease.", settleRelease},
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is ended. What was on its way there has no effect. The attribute by counts the newer one.", settleRelease},
+	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker says of itself that it started at another moment than the incarnation that the agent takes care of: it has started again under its id. The attributes give both moments, in milliseconds since 1970, and up to which number the earlier one had been told to forget its ends.", rebornRelease},
+	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end had already. The end is not read, so its owner never hears of it.", rebornRelease},
 }
 
 // Catalogue returns every event, by rising code.
