--- /dev/null
+++ b/agent/again_test.go
@@ -0,0 +1,420 @@
+package agent_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wireworker"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// The tests of this file are of failures that users met.
+//
+// What they saw: tasks that had ended as done were started again, and jobs that were accepted did
+// not end though most of the workers' room was free.
+//
+// The order of events: a worker with dozens of ends behind it is gone and starts again under its id. Its
+// agent takes it for the one before. The new life numbers its ends from 1; those up to the number that
+// the agent had read last are passed over unread, and the agent's word on how far it has read has
+// the worker forget them, which is the note that counts. Two looks later the run is missed and told as
+// lost. Its owner starts the task again: done twice, or again and again until the day is over, while
+// the steps after it wait.
+//
+// The cause: an id was taken for one life of a worker. Everything that is known of a worker was kept under
+// it: numbers of ends, clock, lease, fencing token, heartbeats, runs, who has ended.
+//
+// The evidence: after the restart the agent's log has no end until number 58, one above the last number of the
+// life before; in between two dozen runs ended as done for the worker and were lost to the agent. Of 1,867
+// lost runs of the other record all were on workers that had started again.
+
+// bornBench is a bench whose worker says when it started.
+func bornBench(t *testing.T) *bench {
+	made := newBench(t)
+	made.worker = wireworker.NewDated(worker, made.clock)
+	made.present.Store(made.worker)
+	return made
+}
+
+// says has a life of the worker send a heartbeat with a number.
+func (made *bench) says(of *wireworker.Worker, sequence int, state string) int {
+	made.t.Helper()
+	return made.saysAs(made.beatOf(of, sequence, state))
+}
+
+func (made *bench) saysAs(body string) int {
+	answer := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPut, "/v1/instances/"+worker, strings.NewReader(body))
+	platform.BeatHandler(made.beside).ServeHTTP(answer, request)
+	return answer.Code
+}
+
+func (made *bench) beatOf(of *wireworker.Worker, sequence int, state string) string {
+	return fmt.Sprintf(`{"service":"verbale","address":%q,"zone":%q,"state":%q,"capacity":{"cpu":4000,"mem_mb":8000},"seq":%d,"born":%d}`,
+		strings.TrimPrefix(made.server.URL, "http://"), domain, state, sequence, of.Born())
+}
+
+// startAgain has the worker start again under its id after it was away for a while.
+func (made *bench) startAgain(away time.Duration) {
+	made.t.Helper()
+	next := made.worker.StartAgain()
+	made.server.CloseClientConnections()
+	made.passSilently(away)
+	made.worker = next
+	made.present.Store(next)
+}
+
+// attachTo connects an owner to the agent of a life that is ready, and has it grant a minute.
+func (made *bench) attachTo(of *wireworker.Worker) *stream {
+	made.t.Helper()
+	made.says(of, 1, "ready")
+	owner := made.attach(1)
+	made.readyAs(owner, of)
+	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+	return owner
+}
+
+// readyAs waits until a life was asked what runs, and the owner is told that it is ready. That is told
+// without the moment of its start by a build that doesn't know lives apart.
+func (made *bench) readyAs(owner *stream, of *wireworker.Worker) {
+	made.t.Helper()
+	made.until(func() bool {
+		looks, _ := of.Looks()
+		status := owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil }).GetStatus()
+		return looks > 0 && status.GetReady() && (status.GetBorn() == of.Born() || status.GetBorn() == 0)
+	})
+}
+
+// startAt orders a run of a task on a life.
+func startAt(of *wireworker.Worker, task string, attempt int32) *wire.StartOrder {
+	order := start(1)
+	order.Task, order.Attempt, order.Born = task, attempt, of.Born()
+	return order
+}
+
+// numbered names a task of the job.
+func numbered(number int) string { return fmt.Sprintf("0123456789abcdef.0.0.%d", number) }
+
+// runsHere has the owner order a run, and waits until it goes.
+func (made *bench) runsHere(owner *stream, order *wire.StartOrder) {
+	made.t.Helper()
+	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{order}})
+	made.until(func() bool {
+		attempt, runs := made.worker.Running(order.GetTask())
+		return runs && attempt == order.GetAttempt()
+	})
+}
+
+// told returns the ends that the owner was told of a run.
+func (owner *stream) told(task string, attempt int32) []*wire.RunEnd {
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	var ends []*wire.RunEnd
+	for _, message := range owner.received {
+		for _, end := range message.GetEnds() {
+			if end.GetTask() == task && end.GetAttempt() == attempt {
+				ends = append(ends, end)
+			}
+		}
+	}
+	return ends
+}
+
+// seen has the owner say that an end is in the store.
+func (owner *stream) seen(end *wire.RunEnd) {
+	owner.tell(&wire.OwnerMessage{Seen: []*wire.EndSeen{{Worker: end.GetWorker(), Number: end.GetNumber(), Born: end.GetBorn()}}})
+}
+
+// endsAsDone has runs on the worker end, waits until the owner is told, and has it note them.
+func (made *bench) endsAsDone(owner *stream, count int) {
+	made.t.Helper()
+	for number := range count {
+		made.runsHere(owner, startAt(made.worker, numbered(number), 1))
+		made.worker.End(numbered(number), "done")
+		made.until(func() bool { return len(owner.told(numbered(number), 1)) > 0 })
+		owner.seen(owner.told(numbered(number), 1)[0])
+	}
+	made.until(func() bool { _, seen := made.worker.Looks(); return seen == int64(count) })
+}
+
+// TestEndsOfTheNextLifeAreRead: the owner hears of each end of the next life, whose numbers begin anew,
+// and the worker is told to forget none before its owner has noted it.
+func TestEndsOfTheNextLifeAreRead(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.endsAsDone(owner, 3)
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	for number := 3; number < 6; number++ {
+		made.runsHere(owner, startAt(made.worker, numbered(number), 1))
+		made.worker.End(numbered(number), "done")
+	}
+	made.pass(4 * time.Second)
+	if _, seen := made.worker.Looks(); seen != 0 {
+		t.Errorf("the worker was told to forget its ends up to %d, of which none was noted", seen)
+	}
+	for number := 3; number < 6; number++ {
+		ends := owner.told(numbered(number), 1)
+		if len(ends) != 1 || ends[0].GetReason() != wire.EndReason_END_DONE {
+			t.Errorf("the end of %s was told as %v", numbered(number), ends)
+		}
+	}
+}
+
+// TestLateWordOnAnEndOfBefore: that an end of the life before is in the store has no effect on the next one,
+// also where it is an owner of an earlier build that says it, which knows of ids alone.
+func TestLateWordOnAnEndOfBefore(t *testing.T) {
+	for name, dated := range map[string]bool{"of this build": true, "of an earlier build": false} {
+		t.Run(name, func(t *testing.T) {
+			made := bornBench(t)
+			owner := made.attachTo(made.worker)
+			made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+			made.worker.End(numbered(0), "done")
+			made.until(func() bool { return len(owner.told(numbered(0), 1)) > 0 })
+			before := owner.told(numbered(0), 1)[0]
+			made.startAgain(300 * time.Millisecond)
+			made.says(made.worker, 1, "ready")
+			made.readyAs(owner, made.worker)
+			made.runsHere(owner, startAt(made.worker, numbered(1), 1))
+			made.worker.End(numbered(1), "done")
+			made.pass(time.Second)
+			if !dated {
+				before.Born = 0
+			}
+			owner.seen(before)
+			made.pass(2 * time.Second)
+			if _, seen := made.worker.Looks(); seen != 0 {
+				t.Errorf("the worker was told to forget its ends up to %d", seen)
+			}
+		})
+	}
+}
+
+// TestWorkerThatLeftIsUsedAgain: it may start again under its id.
+func TestWorkerThatLeftIsUsedAgain(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.says(made.worker, 2, "draining")
+	made.pass(200 * time.Millisecond)
+	made.beside.Left(worker)
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+}
+
+// TestHeartbeatsOfTheNextLifeCount: their numbers begin anew, and what they say holds.
+func TestHeartbeatsOfTheNextLifeCount(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.says(made.worker, 40, "ready")
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	made.says(made.worker, 2, "draining")
+	made.until(func() bool {
+		owner.tell(&wire.OwnerMessage{})
+		return owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus().GetDraining() }) != nil
+	})
+}
+
+// TestHeartbeatOfTheLifeBeforeIsLate: it may arrive after that of the next one, and changes nothing.
+func TestHeartbeatOfTheLifeBeforeIsLate(t *testing.T) {
+	made := bornBench(t)
+	first := made.worker
+	owner := made.attachTo(first)
+	made.startAgain(200 * time.Millisecond)
+	second := made.worker
+	made.startAgain(200 * time.Millisecond) // Twice within one heartbeat.
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+	for range 3 {
+		made.says(first, 90, "draining")
+		made.says(second, 91, "draining")
+		made.pass(500 * time.Millisecond)
+	}
+	made.pass(2 * time.Second)
+	if ends := owner.told(numbered(0), 1); len(ends) > 0 {
+		t.Errorf("the run was told as over: %v", ends)
+	}
+	last := owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil })
+	if last.GetStatus().GetBorn() != made.worker.Born() || last.GetStatus().GetDraining() {
+		t.Errorf("takes care of %v", last.GetStatus())
+	}
+}
+
+// TestOrdersForTheLifeBefore: none of them has any effect on the next one.
+func TestOrdersForTheLifeBefore(t *testing.T) {
+	made := bornBench(t)
+	first := made.worker
+	owner := made.attachTo(first)
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	made.runsHere(owner, startAt(made.worker, numbered(1), 1))
+	if got := made.starts(owner, startAt(first, task, 1)); got != wire.StartOutcome_START_WRONG_WORKER {
+		t.Errorf("the start was answered %v", got)
+	}
+	owner.tell(&wire.OwnerMessage{Stops: []*wire.StopOrder{{Shard: shard, Epoch: 1, Task: numbered(1), Attempt: 1, Worker: worker, Born: first.Born()}}})
+	owner.tell(&wire.OwnerMessage{Preempts: []*wire.PreemptOrder{{
+		Shard: shard, Epoch: 1, Worker: worker, Born: first.Born(), Demand: &wire.Demand{MilliCpu: 4000, MemoryMb: 100, Priority: -1},
+	}}})
+	made.pass(time.Second)
+	if _, runs := made.worker.Running(numbered(1)); !runs {
+		t.Error("the run of the present life was stopped")
+	}
+}
+
+// TestLeaseOfTheNextLife: its clock begins again, so that a lease is reckoned on readings of it alone.
+func TestLeaseOfTheNextLife(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.pass(20 * time.Second)
+	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+	made.pass(2 * time.Second)
+	if left := made.worker.LeaseEnd() - made.worker.Clock(); left <= 0 || left > 5*time.Second {
+		t.Errorf("the worker runs on for %v without its agent", left)
+	}
+}
+
+// TestLateStartOfTheLifeBefore: a start without an answer may be carried out by the next life, which has seen
+// no fencing token. Its owner is not told that it did not start while it goes, nor that it is lost once it
+// has ended: the task would be started beside it, or after its end.
+func TestLateStartOfTheLifeBefore(t *testing.T) {
+	tests := map[string]struct {
+		goes func(made *bench)
+		want wire.EndReason
+	}{
+		"it goes":      {func(*bench) {}, wire.EndReason_END_STOPPED},
+		"it has ended": {func(made *bench) { made.worker.End(task, "done") }, wire.EndReason_END_DONE},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := bornBench(t)
+			first := made.worker
+			owner := made.attachTo(first)
+			first.Fail(func(path string) wireworker.Fault {
+				if path == "/v1/run-start" {
+					return wireworker.FaultLate
+				}
+				return wireworker.FaultReset
+			})
+			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task, 1)}})
+			made.passSilently(200 * time.Millisecond)
+			made.startAgain(100 * time.Millisecond)
+			made.worker.CarryOut()
+			if !made.runs() {
+				t.Fatal("the late start was not carried out")
+			}
+			test.goes(made)
+			made.says(made.worker, 1, "ready")
+			made.readyAs(owner, made.worker)
+			made.until(func() bool { return len(owner.told(task, 1)) > 0 })
+			made.pass(time.Second)
+			ends := owner.told(task, 1)
+			if len(ends) != 1 || ends[0].GetReason() != test.want {
+				t.Errorf("told as over by %v", ends)
+			}
+			if owner.outcome() == wire.StartOutcome_START_WORKER_FAILED {
+				t.Error("told as not started")
+			}
+			made.worker.CarryOut()
+			if made.runs() {
+				t.Error("it goes again")
+			}
+		})
+	}
+}
+
+// TestStartThatIsLateAfterTheTakeOver: once owners have been told that a life is over, the next one obeys no
+// order of it any more.
+func TestStartThatIsLateAfterTheTakeOver(t *testing.T) {
+	made := bornBench(t)
+	first := made.worker
+	owner := made.attachTo(first)
+	first.Fail(func(path string) wireworker.Fault {
+		if path == "/v1/run-start" {
+			return wireworker.FaultLate
+		}
+		return wireworker.FaultReset
+	})
+	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task, 1)}})
+	made.passSilently(200 * time.Millisecond)
+	made.startAgain(100 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.until(func() bool {
+		return len(owner.told(task, 1)) > 0 || owner.outcome() != wire.StartOutcome_START_UNSPECIFIED
+	})
+	made.worker.CarryOut()
+	if made.runs() {
+		t.Error("the start was carried out after its owner was told that it is over")
+	}
+}
+
+// TestCrashUnderOneID: a run that had just begun when its worker went down may be why, also where the worker
+// starts again under its id.
+func TestCrashUnderOneID(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.runsHere(owner, startAt(made.worker, task, 1))
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.endOf(owner, wire.EndReason_END_CRASHED)
+}
+
+// TestAnswerOfTheNextLife: the worker may be found to have started again by its answer, before it sends a
+// heartbeat. Nothing more is asked of it then as of the life before, and owners give it nothing.
+func TestAnswerOfTheNextLife(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.endsAsDone(owner, 3)
+	made.startAgain(300 * time.Millisecond)
+	made.pass(time.Second)
+	if _, seen := made.worker.Looks(); seen != 0 {
+		t.Errorf("the worker was told to forget its ends up to %d", seen)
+	}
+	last := owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil })
+	if last.GetStatus().GetReady() {
+		t.Error("told as ready")
+	}
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+}
+
+// TestWorkersOfTheEarlierTerm: a worker that does not say when it started is used as before, and one that
+// says it in one heartbeat is not taken for another one by a heartbeat that lacks it.
+func TestWorkersOfTheEarlierTerm(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.runsHere(owner, startAt(made.worker, task, 1))
+	foreign := map[string]string{
+		"missing":    `"seq":9`,
+		"a text":     `"seq":9,"born":"1700000000000"`,
+		"not whole":  `"seq":9,"born":1700000000000.5`,
+		"no number":  `"seq":9,"born":null`,
+		"not a date": `"seq":9,"born":-4`,
+		"a list":     `"seq":9,"born":[1]`,
+	}
+	sound := made.beatOf(made.worker, 9, "draining")
+	for name, tail := range foreign {
+		body := sound[:strings.Index(sound, `"seq"`)] + tail + "}"
+		if code := made.saysAs(body); name != "missing" && code != http.StatusBadRequest {
+			t.Errorf("%s: answered %d", name, code)
+		}
+	}
+	made.pass(2 * time.Second)
+	last := owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil })
+	if last.GetStatus().GetDraining() || last.GetStatus().GetBorn() != made.worker.Born() || !made.runs() {
+		t.Errorf("takes care of %v", last.GetStatus())
+	}
+}
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -123,6 +124,8 @@
 	clock  *clockwork.FakeClock
 	beside *agent.Agent
 	worker *wireworker.Worker
+	// present is the worker that stands at the address.
+	present atomic.Pointer[wireworker.Worker]
 	// began is when the present agent was made.
 	began time.Time
 	ctx   context.Context
@@ -134,7 +137,10 @@
 func newBench(t *testing.T) *bench {
 	clock := clockwork.NewFakeClock()
 	made := &bench{t: t, clock: clock, worker: wireworker.New(worker, clock)}
-	made.server = httptest.NewServer(made.worker)
+	made.present.Store(made.worker)
+	made.server = httptest.NewServer(http.HandlerFunc(func(answer http.ResponseWriter, request *http.Request) {
+		made.present.Load().ServeHTTP(answer, request)
+	}))
 	ctx, cancel := context.WithCancel(context.Background())
 	made.ctx = ctx
 	t.Cleanup(func() {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -16,6 +16,8 @@
 	// faultEvery is the pause between two faults, on average, laterEvery the same of laterFaults.
 	faultEvery = 700 * time.Millisecond
 	laterEvery = 4 * time.Second
+	// againEvery is the same of againFaults.
+	againEvery = 2 * time.Second
 	// shortMost and longMost bound how long a fault lasts: runs on an agent that is silent are
 	// taken for over after 5.8 s, and after a change of owner after 11.8 s.
 	shortMost = 3 * time.Second
@@ -107,6 +109,53 @@
 	}},
 }
 
+// againFaults are those of workers that start again, drawn on their own for the same reason. What strikes the
+// agent meanwhile has it miss the end of a life, or two of them.
+var againFaults = []fault{
+	{"worker starts again", func(ctx context.Context, made *site, draw *rand.Rand) {
+		startOver(ctx, made.machines[draw.IntN(len(made.machines))], draw)
+	}},
+	{"worker starts again, its agent paused", func(ctx context.Context, made *site, draw *rand.Rand) {
+		number := draw.IntN(len(made.machines))
+		meanwhile(ctx, made, number, draw, func() { made.agents[number].pause(ctx, length(draw)) })
+	}},
+	{"worker starts again, its agent killed", func(ctx context.Context, made *site, draw *rand.Rand) {
+		number := draw.IntN(len(made.machines))
+		meanwhile(ctx, made, number, draw, func() { made.agents[number].signal(syscall.SIGKILL) })
+	}},
+	{"worker starts again, its agent cut off", func(ctx context.Context, made *site, draw *rand.Rand) {
+		number := draw.IntN(len(made.machines))
+		meanwhile(ctx, made, number, draw, func() { holdUp(ctx, draw, everyone, made.paths[number], made.agents[number].store) })
+	}},
+}
+
+// meanwhile has a worker start again while something befalls its agent.
+func meanwhile(ctx context.Context, made *site, number int, draw *rand.Rand, befalls func()) {
+	own := rand.New(rand.NewPCG(draw.Uint64(), 0))
+	var striking sync.WaitGroup
+	striking.Go(befalls)
+	sleep(ctx, time.Duration(own.Int64N(int64(awayMost))))
+	startOver(ctx, made.machines[number], own)
+	striking.Wait()
+}
+
+// awayMost is how long a worker that starts again is away at most, which is less than its lease. Two of three
+// times it starts again once, else twice in a row; now and then under an id of its own.
+const awayMost = 1500 * time.Millisecond
+
+// startOver has a worker be away once or twice.
+func startOver(ctx context.Context, struck *machine, draw *rand.Rand) {
+	for range 1 + draw.IntN(3)/2 {
+		away := time.Duration(draw.Int64N(int64(awayMost)))
+		if draw.IntN(4) == 0 {
+			struck.crash(away)
+		} else {
+			struck.startAgain(away)
+		}
+		sleep(ctx, away+time.Duration(draw.Int64N(int64(awayMost))))
+	}
+}
+
 // any draws a process.
 func (made *site) any(draw *rand.Rand) *process {
 	if draw.IntN(2) == 0 {
@@ -148,6 +197,9 @@
 	if _, kept := regressions[seed]; !kept {
 		striking.Go(func() { made.strike(ctx, laterFaults, laterEvery, seed, seed+1, log) })
 	}
+	if !drawnBefore(seed) {
+		striking.Go(func() { made.strike(ctx, againFaults, againEvery, seed, seed+2, log) })
+	}
 	made.strike(ctx, faults, faultEvery, seed, seed, log)
 	striking.Wait()
 	made.heal()
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -48,7 +48,7 @@
 }
 
 // newSite starts a deployment on addresses of loopback that begin with network.
-func newSite(ctx context.Context, t *testing.T, dir, binary, network string, agents int) *site {
+func newSite(ctx context.Context, t *testing.T, dir, binary, network string, agents int, dated func(number int) bool) *site {
 	t.Helper()
 	made := &site{dir: dir, binary: binary, store: wirestore.New(shardCount, time.Now), book: newLedger(), relayed: map[string]string{}}
 	made.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, []byte(published))
@@ -63,7 +63,7 @@
 		made.gateways = append(made.gateways, newProcess(ctx, t, made, "gateway", fmt.Sprintf("edge-%d", number), fmt.Sprintf("%s.1.%d", network, number+1), ""))
 	}
 	for number := range agents {
-		made.addAgent(ctx, t, number, fmt.Sprintf("%s.2.%d", network, number+1))
+		made.addAgent(ctx, t, number, fmt.Sprintf("%s.2.%d", network, number+1), dated(number))
 	}
 	for _, begun := range slices.Concat(made.agents, made.gateways) {
 		if err := begun.start(); err != nil {
@@ -74,9 +74,9 @@
 	return made
 }
 
-func (made *site) addAgent(ctx context.Context, t *testing.T, number int, ip string) {
+func (made *site) addAgent(ctx context.Context, t *testing.T, number int, ip string, dated bool) {
 	t.Helper()
-	beside := newMachine(fmt.Sprintf("i-%d", number), made.book)
+	beside := newMachine(fmt.Sprintf("i-%d", number), dated, made.book)
 	t.Cleanup(func() {
 		beside.server.CloseClientConnections()
 		beside.server.Close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,15 @@
 	23: "the same, and an agent that had come back was granted time on the clock of its process before",
 }
 
+// lastBefore is the highest of the regressions that were found before workers started again under their ids.
+const lastBefore = 23
+
+// drawnBefore reports whether a seed is one of them: it is played with what was drawn then.
+func drawnBefore(seed uint64) bool {
+	_, kept := regressions[seed]
+	return kept && seed <= lastBefore
+}
+
 // TestProcessSoak plays seeds of faults against real processes, side by side.
 func TestProcessSoak(t *testing.T) {
 	binary := build(t)
@@ -57,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	dir := logsDir(t, seed)
-	made := newSite(ctx, t, dir, binary, freeNetwork(t), number(t, "AMBERTILLER_SOAK_AGENTS", agentsDefault))
+	made := newSite(ctx, t, dir, binary, freeNetwork(t), number(t, "AMBERTILLER_SOAK_AGENTS", agentsDefault), datedOf(seed))
 	log := openLog(t, dir)
 	sleep(ctx, calmFirst)
 	suffering, end := context.WithTimeout(ctx, lasting(t))
@@ -78,6 +87,15 @@
 	t.Logf("seed %d: %d jobs accepted, %d runs, %d promises broken", seed, len(made.book.accepted()), runs, len(broken))
 }
 
+// datedOf tells which machines have workers that say when they started: by the seed two of three, and none in
+// a seed that broke a promise before there were such workers.
+func datedOf(seed uint64) func(number int) bool {
+	if drawnBefore(seed) {
+		return func(int) bool { return false }
+	}
+	return func(number int) bool { return (uint64(number)+seed)%3 != 0 }
+}
+
 // settle waits until what was accepted has ended.
 func settle(ctx context.Context, made *site, caller *client) {
 	deadline := time.Now().Add(settleMost)
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -32,18 +32,21 @@
 	name   string
 	book   *ledger
 	server *httptest.Server
+	// dated has its workers say when they started: they may start again under their id.
+	dated bool
 
 	mu       sync.Mutex
 	lives    int
+	ids      int // how many ids its workers have had
 	worker   *wireworker.Worker
 	sequence int64
 	downTill time.Time
 	silent   chan struct{} // closed once the worker answers again; nil while it does
 }
 
-func newMachine(name string, book *ledger) *machine {
-	made := &machine{name: name, book: book}
-	made.live()
+func newMachine(name string, dated bool, book *ledger) *machine {
+	made := &machine{name: name, dated: dated, book: book}
+	made.live(nil)
 	made.server = httptest.NewServer(made)
 	return made
 }
@@ -51,12 +54,16 @@
 // address is where the worker is called.
 func (machine *machine) address() string { return strings.TrimPrefix(machine.server.URL, "http://") }
 
-// live begins the next life, with the lock held or before anyone knows of the machine.
-func (machine *machine) live() {
+// live begins the next life, with the lock held or before anyone knows of the machine: one that was made
+// under the id of the life before, or nil for one with an id of its own.
+func (machine *machine) live(worker *wireworker.Worker) {
 	machine.lives++
 	machine.sequence = 0
+	if worker == nil {
+		machine.ids++
+		worker = machine.anotherWorker()
+	}
 	life := machine.lifeName()
-	worker := wireworker.New(life, clockwork.NewRealClock())
 	worker.Watch(func(change wireworker.Change) {
 		machine.book.note(life, change)
 		if change.Kind == wireworker.Started {
@@ -66,6 +73,17 @@
 	machine.worker = worker
 }
 
+func (machine *machine) anotherWorker() *wireworker.Worker {
+	if machine.dated {
+		return wireworker.NewDated(machine.id(), clockwork.NewRealClock())
+	}
+	return wireworker.New(machine.id(), clockwork.NewRealClock())
+}
+
+// id is what the present worker calls itself.
+func (machine *machine) id() string { return fmt.Sprintf("%s-id-%d", machine.name, machine.ids) }
+
+// lifeName names the present life in the ledger.
 func (machine *machine) lifeName() string {
 	return fmt.Sprintf("%s-life-%d", machine.name, machine.lives)
 }
@@ -100,7 +118,7 @@
 // ServeHTTP is the worker's address.
 func (machine *machine) ServeHTTP(answer http.ResponseWriter, request *http.Request) {
 	machine.mu.Lock()
-	silent := machine.silent
+	silent, arrivedAt := machine.silent, machine.lives
 	machine.mu.Unlock()
 	if silent != nil {
 		// What has arrived is carried out once the worker goes on, also if nobody waits.
@@ -112,18 +130,42 @@
 		request.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	worker := machine.current()
-	if worker == nil {
+	if worker == nil || silent != nil && machine.livesSince(arrivedAt) {
+		// What a process held up ends with it.
 		panic(http.ErrAbortHandler)
 	}
 	worker.ServeHTTP(answer, request)
 }
 
-// crash ends the present life; the next one stands there after a while.
+// livesSince reports whether another life has begun since there were so many.
+func (machine *machine) livesSince(lives int) bool {
+	machine.mu.Lock()
+	defer machine.mu.Unlock()
+	return machine.lives != lives
+}
+
+// crash ends the present life; the next one, with an id of its own, stands there after a while.
 func (machine *machine) crash(away time.Duration) {
+	machine.end(away, func(over *wireworker.Worker) *wireworker.Worker {
+		over.Stop()
+		return nil
+	})
+}
+
+// startAgain is crash for a worker that starts again under its id, if it is one that says when it started.
+func (machine *machine) startAgain(away time.Duration) {
+	if !machine.dated {
+		machine.crash(away)
+		return
+	}
+	machine.end(away, (*wireworker.Worker).StartAgain)
+}
+
+func (machine *machine) end(away time.Duration, next func(over *wireworker.Worker) *wireworker.Worker) {
 	machine.mu.Lock()
 	machine.downTill = time.Now().Add(away)
 	over := machine.lifeName()
-	machine.live()
+	machine.live(next(machine.worker))
 	machine.mu.Unlock()
 	machine.server.CloseClientConnections()
 	machine.book.crash(over)
@@ -167,16 +209,20 @@
 func (machine *machine) beat(ctx context.Context, control string) {
 	machine.mu.Lock()
 	machine.sequence++
-	life, sequence, down := machine.lifeName(), machine.sequence, time.Now().Before(machine.downTill)
+	id, sequence, down := machine.id(), machine.sequence, time.Now().Before(machine.downTill)
+	born := ""
+	if machine.dated {
+		born = fmt.Sprintf(`,"born":%d`, machine.worker.Born())
+	}
 	machine.mu.Unlock()
 	if down {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":8000,"mem_mb":16000},"labels":["a","r1"],"seq":%d}`,
-		machine.address(), sequence)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/v1/instances/"+life, strings.NewReader(body))
+	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":8000,"mem_mb":16000},"labels":["a","r1"],"seq":%d%s}`,
+		machine.address(), sequence, born)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/v1/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/standin/wireworker/serve.go
+++ b/standin/wireworker/serve.go
@@ -17,6 +17,9 @@
 	if worker.fault != nil {
 		fault = worker.fault(request.URL.Path)
 	}
+	if worker.over {
+		fault = FaultReset
+	}
 	worker.mu.Unlock()
 	if fault == FaultReset {
 		panic(http.ErrAbortHandler)
@@ -37,13 +40,14 @@
 
 type clockBody struct {
 	ClockMs int64  `json:"clock_ms"`
+	Born    int64  `json:"born,omitempty"`
 	Reason  string `json:"reason,omitempty"`
 }
 
 func (worker *Worker) reply(answer http.ResponseWriter, status int, reason string) {
 	answer.Header().Set("Content-Type", "application/json")
 	answer.WriteHeader(status)
-	_ = json.NewEncoder(answer).Encode(clockBody{worker.clock(), reason})
+	_ = json.NewEncoder(answer).Encode(clockBody{worker.clock(), worker.born, reason})
 }
 
 // takeBody decodes a call; one that it can't decode is answered.
@@ -145,6 +149,9 @@
 	}
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
+	if worker.over {
+		panic(http.ErrAbortHandler)
+	}
 	worker.list(answer)
 }
 
@@ -178,7 +185,8 @@
 	answer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(answer).Encode(struct {
 		ClockMs  int64   `json:"clock_ms"`
+		Born     int64   `json:"born,omitempty"`
 		Running  [][]any `json:"running"`
 		Finished [][]any `json:"finished_at"`
-	}{worker.clock(), running, ended})
+	}{worker.clock(), worker.born, running, ended})
 }
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -1,7 +1,8 @@
 // Package wireworker is a small stand-in for a worker of the users' platform: it
 // takes starts, stops and looks over HTTP, keeps a lease on its own clock, and
 // lists ends until it is told that they have been seen. It is for tests. Runs
-// end when the test says so, or when the lease does.
+// end when the test says so, or when the lease does. A worker that says when it started may start
+// again under its id; one that doesn't has a new id in each life.
 //
 // # Usage
 //
@@ -62,7 +63,11 @@
 	incarnation string
 	clocks      clockwork.Clock
 
+	// born is when this life began, in milliseconds since 1970; 0 for a worker that doesn't say it.
+	born int64
+
 	mu       sync.Mutex
+	over     bool // the life has ended: nothing is answered
 	began    time.Time
 	running  map[string]*run
 	highest  map[string]int32 // attempts that ended or were stopped
@@ -90,6 +95,38 @@
 	}
 }
 
+// NewDated returns a worker that runs nothing and says when it started.
+func NewDated(incarnation string, clocks clockwork.Clock) *Worker {
+	made := New(incarnation, clocks)
+	made.born = clocks.Now().UnixMilli()
+	return made
+}
+
+// Born returns when this life began, in milliseconds since 1970; 0 for a worker that doesn't say it.
+func (worker *Worker) Born() int64 { return worker.born }
+
+// StartAgain ends this life and returns the next one under the same id. Of what this one knew it has
+// nothing; orders that were late may still be carried out there.
+func (worker *Worker) StartAgain() *Worker {
+	next := NewDated(worker.incarnation, worker.clocks)
+	next.born = max(next.born, worker.born+1)
+	worker.Stop()
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	next.late, worker.late = worker.late, nil
+	return next
+}
+
+// Stop ends this life: it answers nothing any more, and nothing is noted of it.
+func (worker *Worker) Stop() {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.over = true
+	worker.watch = func(Change) {}
+	close(worker.changed)
+	worker.changed = make(chan struct{})
+}
+
 // Fail has fault decide what befalls each call from here on.
 func (worker *Worker) Fail(fault func(path string) Fault) {
 	worker.mu.Lock()
@@ -254,6 +291,8 @@
 	worker.lapse()
 	known, found := worker.running[order.Task]
 	switch {
+	case worker.over:
+		return "over"
 	case order.FencingToken < worker.token:
 		return "fence"
 	case order.DeadlineMs <= worker.clock():
