--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -41,12 +41,15 @@
 }
 
 // says has a life of the worker send a heartbeat with a number.
-func (made *bench) says(of *wireworker.Worker, sequence int, state string) int {
+func (made *bench) says(of *wireworker.Worker, sequence int, state string) {
 	made.t.Helper()
-	return made.saysAs(made.beatOf(of, sequence, state))
+	if code := made.beatWith(made.beatOf(of, sequence, state)); code != http.StatusOK {
+		made.t.Fatalf("the heartbeat was answered %d", code)
+	}
 }
 
-func (made *bench) saysAs(body string) int {
+// beatWith sends a heartbeat as it stands and returns how it was answered.
+func (made *bench) beatWith(body string) int {
 	answer := httptest.NewRecorder()
 	request := httptest.NewRequest(http.MethodPut, "/v1/instances/"+worker, strings.NewReader(body))
 	platform.BeatHandler(made.beside).ServeHTTP(answer, request)
@@ -90,9 +93,9 @@
 }
 
 // startAt orders a run of a task on a life.
-func startAt(of *wireworker.Worker, task string, attempt int32) *wire.StartOrder {
+func startAt(of *wireworker.Worker, task string) *wire.StartOrder {
 	order := start(1)
-	order.Task, order.Attempt, order.Born = task, attempt, of.Born()
+	order.Task, order.Born = task, of.Born()
 	return order
 }
 
@@ -109,14 +112,14 @@
 	})
 }
 
-// told returns the ends that the owner was told of a run.
-func (owner *stream) told(task string, attempt int32) []*wire.RunEnd {
+// told returns the ends that the owner was told of a task.
+func (owner *stream) told(task string) []*wire.RunEnd {
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
 	var ends []*wire.RunEnd
 	for _, message := range owner.received {
 		for _, end := range message.GetEnds() {
-			if end.GetTask() == task && end.GetAttempt() == attempt {
+			if end.GetTask() == task {
 				ends = append(ends, end)
 			}
 		}
@@ -133,10 +136,10 @@
 func (made *bench) endsAsDone(owner *stream, count int) {
 	made.t.Helper()
 	for number := range count {
-		made.runsHere(owner, startAt(made.worker, numbered(number), 1))
+		made.runsHere(owner, startAt(made.worker, numbered(number)))
 		made.worker.End(numbered(number), "done")
-		made.until(func() bool { return len(owner.told(numbered(number), 1)) > 0 })
-		owner.seen(owner.told(numbered(number), 1)[0])
+		made.until(func() bool { return len(owner.told(numbered(number))) > 0 })
+		owner.seen(owner.told(numbered(number))[0])
 	}
 	made.until(func() bool { _, seen := made.worker.Looks(); return seen == int64(count) })
 }
@@ -151,7 +154,7 @@
 	made.says(made.worker, 1, "ready")
 	made.readyAs(owner, made.worker)
 	for number := 3; number < 6; number++ {
-		made.runsHere(owner, startAt(made.worker, numbered(number), 1))
+		made.runsHere(owner, startAt(made.worker, numbered(number)))
 		made.worker.End(numbered(number), "done")
 	}
 	made.pass(4 * time.Second)
@@ -159,7 +162,7 @@
 		t.Errorf("the worker was told to forget its ends up to %d, of which none was noted", seen)
 	}
 	for number := 3; number < 6; number++ {
-		ends := owner.told(numbered(number), 1)
+		ends := owner.told(numbered(number))
 		if len(ends) != 1 || ends[0].GetReason() != wire.EndReason_END_DONE {
 			t.Errorf("the end of %s was told as %v", numbered(number), ends)
 		}
@@ -173,14 +176,14 @@
 		t.Run(name, func(t *testing.T) {
 			made := bornBench(t)
 			owner := made.attachTo(made.worker)
-			made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+			made.runsHere(owner, startAt(made.worker, numbered(0)))
 			made.worker.End(numbered(0), "done")
-			made.until(func() bool { return len(owner.told(numbered(0), 1)) > 0 })
-			before := owner.told(numbered(0), 1)[0]
+			made.until(func() bool { return len(owner.told(numbered(0))) > 0 })
+			before := owner.told(numbered(0))[0]
 			made.startAgain(300 * time.Millisecond)
 			made.says(made.worker, 1, "ready")
 			made.readyAs(owner, made.worker)
-			made.runsHere(owner, startAt(made.worker, numbered(1), 1))
+			made.runsHere(owner, startAt(made.worker, numbered(1)))
 			made.worker.End(numbered(1), "done")
 			made.pass(time.Second)
 			if !dated {
@@ -205,7 +208,7 @@
 	made.startAgain(300 * time.Millisecond)
 	made.says(made.worker, 1, "ready")
 	made.readyAs(owner, made.worker)
-	made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+	made.runsHere(owner, startAt(made.worker, numbered(0)))
 }
 
 // TestHeartbeatsOfTheNextLifeCount: their numbers begin anew, and what they say holds.
@@ -233,14 +236,14 @@
 	made.startAgain(200 * time.Millisecond) // Twice within one heartbeat.
 	made.says(made.worker, 1, "ready")
 	made.readyAs(owner, made.worker)
-	made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+	made.runsHere(owner, startAt(made.worker, numbered(0)))
 	for range 3 {
 		made.says(first, 90, "draining")
 		made.says(second, 91, "draining")
 		made.pass(500 * time.Millisecond)
 	}
 	made.pass(2 * time.Second)
-	if ends := owner.told(numbered(0), 1); len(ends) > 0 {
+	if ends := owner.told(numbered(0)); len(ends) > 0 {
 		t.Errorf("the run was told as over: %v", ends)
 	}
 	last := owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil })
@@ -257,8 +260,8 @@
 	made.startAgain(300 * time.Millisecond)
 	made.says(made.worker, 1, "ready")
 	made.readyAs(owner, made.worker)
-	made.runsHere(owner, startAt(made.worker, numbered(1), 1))
-	if got := made.starts(owner, startAt(first, task, 1)); got != wire.StartOutcome_START_WRONG_WORKER {
+	made.runsHere(owner, startAt(made.worker, numbered(1)))
+	if got := made.starts(owner, startAt(first, task)); got != wire.StartOutcome_START_WRONG_WORKER {
 		t.Errorf("the start was answered %v", got)
 	}
 	owner.tell(&wire.OwnerMessage{Stops: []*wire.StopOrder{{Shard: shard, Epoch: 1, Task: numbered(1), Attempt: 1, Worker: worker, Born: first.Born()}}})
@@ -275,12 +278,14 @@
 func TestLeaseOfTheNextLife(t *testing.T) {
 	made := bornBench(t)
 	owner := made.attachTo(made.worker)
-	made.pass(20 * time.Second)
-	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+	for range 20 {
+		made.pass(time.Second)
+		owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+	}
 	made.startAgain(300 * time.Millisecond)
 	made.says(made.worker, 1, "ready")
 	made.readyAs(owner, made.worker)
-	made.runsHere(owner, startAt(made.worker, numbered(0), 1))
+	made.runsHere(owner, startAt(made.worker, numbered(0)))
 	made.pass(2 * time.Second)
 	if left := made.worker.LeaseEnd() - made.worker.Clock(); left <= 0 || left > 5*time.Second {
 		t.Errorf("the worker runs on for %v without its agent", left)
@@ -309,7 +314,7 @@
 				}
 				return wireworker.FaultReset
 			})
-			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task, 1)}})
+			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task)}})
 			made.passSilently(200 * time.Millisecond)
 			made.startAgain(100 * time.Millisecond)
 			made.worker.CarryOut()
@@ -319,9 +324,9 @@
 			test.goes(made)
 			made.says(made.worker, 1, "ready")
 			made.readyAs(owner, made.worker)
-			made.until(func() bool { return len(owner.told(task, 1)) > 0 })
+			made.until(func() bool { return len(owner.told(task)) > 0 })
 			made.pass(time.Second)
-			ends := owner.told(task, 1)
+			ends := owner.told(task)
 			if len(ends) != 1 || ends[0].GetReason() != test.want {
 				t.Errorf("told as over by %v", ends)
 			}
@@ -348,12 +353,12 @@
 		}
 		return wireworker.FaultReset
 	})
-	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task, 1)}})
+	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task)}})
 	made.passSilently(200 * time.Millisecond)
 	made.startAgain(100 * time.Millisecond)
 	made.says(made.worker, 1, "ready")
 	made.until(func() bool {
-		return len(owner.told(task, 1)) > 0 || owner.outcome() != wire.StartOutcome_START_UNSPECIFIED
+		return len(owner.told(task)) > 0 || owner.outcome() != wire.StartOutcome_START_UNSPECIFIED
 	})
 	made.worker.CarryOut()
 	if made.runs() {
@@ -366,7 +371,7 @@
 func TestCrashUnderOneID(t *testing.T) {
 	made := bornBench(t)
 	owner := made.attachTo(made.worker)
-	made.runsHere(owner, startAt(made.worker, task, 1))
+	made.runsHere(owner, startAt(made.worker, task))
 	made.startAgain(300 * time.Millisecond)
 	made.says(made.worker, 1, "ready")
 	made.endOf(owner, wire.EndReason_END_CRASHED)
@@ -396,7 +401,7 @@
 func TestWorkersOfTheEarlierTerm(t *testing.T) {
 	made := bornBench(t)
 	owner := made.attachTo(made.worker)
-	made.runsHere(owner, startAt(made.worker, task, 1))
+	made.runsHere(owner, startAt(made.worker, task))
 	foreign := map[string]string{
 		"missing":    `"seq":9`,
 		"a text":     `"seq":9,"born":"1700000000000"`,
@@ -407,8 +412,9 @@
 	}
 	sound := made.beatOf(made.worker, 9, "draining")
 	for name, tail := range foreign {
-		body := sound[:strings.Index(sound, `"seq"`)] + tail + "}"
-		if code := made.saysAs(body); name != "missing" && code != http.StatusBadRequest {
+		before, _, _ := strings.Cut(sound, `"seq"`)
+		body := before + tail + "}"
+		if code := made.beatWith(body); name != "missing" && code != http.StatusBadRequest {
 			t.Errorf("%s: answered %d", name, code)
 		}
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,13 @@
 // raises its fencing token and asks the worker what runs: the worker obeys no
 // lower token from there on, so the answer settles it.
 //
+// # Workers that start again
+//
+// A worker may start again under its id. It then holds nothing of before, not the fencing token either,
+// and a call that was meant for the life before may still be carried out. So that life is over only once
+// the next one has answered, obeys no token that the life before was sent, and runs nothing that was
+// ordered of it; see [successor].
+//
 // # Runs that are stopped for others, or ahead of an end
 //
 // Tasks that fill are slowed while they disturb those that serve, and evicted where
@@ -56,6 +63,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/loop"
@@ -121,8 +129,10 @@
 	// started any more in an evacuated failure domain.
 	EvacuateWithin time.Duration
 	// Connect returns a client of one incarnation of the worker.
-	Connect func(address, incarnation string) *platform.Worker
-	Clock   clockwork.Clock
+	Connect func(address string, of incarnation.Name) *platform.Worker
+	// LeaseMost is the longest lease that the worker takes; a longer one is cut down to it.
+	LeaseMost time.Duration
+	Clock     clockwork.Clock
 	// Suspended tells for how long the machine has been suspended, which Clock does not
 	// count; nil for never.
 	Suspended func() time.Duration
@@ -140,9 +150,10 @@
 
 	worker *workerState // nil until one has sent a heartbeat
 	next   *successor   // nil while no other incarnation has sent one
-	gone   map[string]bool
-	lost   []*wire.RunEnd // ends of runs whose incarnation is over
-	ended  []string       // incarnations that have ended for certain
+	gone   map[incarnation.Name]bool
+	former former             // what is left of the incarnations before
+	lost   []*wire.RunEnd     // ends of runs whose incarnation is over
+	ended  []incarnation.Name // incarnations that have ended for certain
 	// endedNews wakes the registration.
 	endedNews chan struct{}
 	owners    map[*session]bool
@@ -167,7 +178,8 @@
 		id:        uuid.NewString(),
 		decisions: loop.New(options.Clock),
 		started:   options.Clock.Now(),
-		gone:      map[string]bool{},
+		gone:      map[incarnation.Name]bool{},
+		former:    former{token: options.FirstToken},
 		endedNews: make(chan struct{}, 1),
 
 		operatorWanted: make(chan struct{}, 1),
@@ -191,6 +203,7 @@
 
 // step does what is due.
 func (agent *Agent) step(now time.Time) {
+	agent.askAgain(now)
 	if agent.worker != nil {
 		agent.stopUnowned(now)
 		agent.giveUpLost(now)
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -15,6 +15,7 @@
 
 	"ambertiller.example/ambertiller/agent"
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/standin/wireworker"
@@ -157,8 +158,8 @@
 	made.beside = agent.New(agent.Options{
 		Name: "side-1", Shards: shards, FirstToken: made.clock.Now().UnixMilli(), Clock: made.clock, Events: event.Discard(),
 		EvacuateWithin: evacuateWithin, Suspended: func() time.Duration { return time.Duration(made.slept.Load()) },
-		Connect: func(address, incarnation string) *platform.Worker {
-			return platform.NewWorker(address, incarnation, platform.Transport())
+		Connect: func(address string, of incarnation.Name) *platform.Worker {
+			return platform.NewWorker(address, of, platform.Transport())
 		},
 	})
 	made.began = made.clock.Now()
@@ -171,7 +172,7 @@
 // heartbeat is what the worker says of itself first.
 func (made *bench) heartbeat() platform.Heartbeat {
 	return platform.Heartbeat{
-		Incarnation: worker, Service: "verbale", Address: strings.TrimPrefix(made.server.URL, "http://"),
+		Incarnation: incarnation.New(worker, 0), Service: "verbale", Address: strings.TrimPrefix(made.server.URL, "http://"),
 		MilliCPU: 4000, MemoryMB: 8000, Sequence: 1, FailureDomain: domain,
 	}
 }
--- a/agent/crash_test.go
+++ b/agent/crash_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/standin/wireworker"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -35,8 +36,8 @@
 // replace has another incarnation stand in its place and send a heartbeat.
 func (made *bench) replace() {
 	beat := made.heartbeat()
-	beat.Incarnation = "i-2"
-	next := httptest.NewServer(wireworker.New(beat.Incarnation, made.clock))
+	beat.Incarnation = incarnation.New("i-2", 0)
+	next := httptest.NewServer(wireworker.New(beat.Incarnation.ID(), made.clock))
 	made.t.Cleanup(func() {
 		next.CloseClientConnections()
 		next.Close()
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -72,7 +72,7 @@
 	}
 	state.listed = end.Number
 	told := &wire.RunEnd{
-		Worker: state.beat.Incarnation, Number: end.Number, Task: end.Task, Attempt: end.Attempt,
+		Worker: state.life.ID(), Born: state.life.Born(), Number: state.toldAbove + end.Number, Task: end.Task, Attempt: end.Attempt,
 		Reason: endReason(end.How), Checkpoint: end.Checkpoint,
 	}
 	shard := agent.shardOf(end.Task)
@@ -115,17 +115,18 @@
 // noteSeen lets the worker forget the ends that are durable, in their order.
 func (agent *Agent) noteSeen(seen *wire.EndSeen, now time.Time) {
 	state := agent.worker
-	if state == nil || state.beat.Incarnation != seen.GetWorker() {
+	if state == nil || !state.life.MayBe(seen.Incarnation()) {
 		return
 	}
-	if seen.GetNumber() <= state.seen {
+	number := seen.GetNumber() - state.toldAbove
+	if number <= state.seen {
 		return
 	}
-	if end, waited := state.ends[seen.GetNumber()]; waited {
+	if end, waited := state.ends[number]; waited {
 		agent.logKept(end, now)
 	}
-	delete(state.ends, seen.GetNumber())
-	state.durable[seen.GetNumber()] = true
+	delete(state.ends, number)
+	state.durable[number] = true
 	for state.durable[state.seen+1] {
 		state.seen++
 		delete(state.durable, state.seen)
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -4,7 +4,10 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/telemetry"
 )
@@ -26,43 +29,65 @@
 }
 
 // Refused implements platform.Beats.
-func (agent *Agent) Refused(incarnation string, err error) {
-	agent.decisions.Post(func(time.Time) {
-		agent.log(event.HeartbeatRefused, slog.String("worker", incarnation), slog.Any("error", err))
-	})
+func (agent *Agent) Refused(id string, err error) {
+	agent.decisions.Post(func(time.Time) { agent.logRefused(id, err) })
+}
+
+func (agent *Agent) logRefused(id string, err error) {
+	agent.log(event.HeartbeatRefused, slog.String("worker", id), slog.Any("error", err))
 }
 
 // Left implements platform.Beats.
-func (agent *Agent) Left(incarnation string) {
+func (agent *Agent) Left(id string) {
 	agent.decisions.Post(func(now time.Time) {
-		agent.log(event.WorkerLeft, slog.String("worker", incarnation))
-		agent.endIncarnation(incarnation, endLeft, now)
+		agent.log(event.WorkerLeft, slog.String("worker", id))
+		agent.noteLeft(id, now)
 	})
 }
 
+// noteLeft takes in that a worker has left, which says by its id alone that it does. It may be word of an
+// earlier life that comes late: the present one leaves only after it has said that it drains. One that is
+// gone all the same is found out by its silence.
+func (agent *Agent) noteLeft(id string, now time.Time) {
+	current := agent.worker
+	switch {
+	case current == nil && agent.former.life.IsDated() && agent.former.life.ID() == id:
+		// That life has ended already, or it is word of one before it.
+	case current == nil || current.life.ID() != id:
+		agent.endIncarnation(incarnation.New(id, 0), endLeft, now)
+	case !current.life.IsDated() || current.beat.Draining:
+		agent.endIncarnation(current.life, endLeft, now)
+	}
+}
+
 func (agent *Agent) noteBeat(beat platform.Heartbeat, now time.Time) {
 	if agent.gone[beat.Incarnation] {
 		return
 	}
 	current := agent.worker
-	if current != nil && current.beat.Incarnation == beat.Incarnation {
+	switch {
+	case current == nil:
+		agent.takeCareOf(beat, agent.options.Connect(beat.Address, beat.Incarnation), now)
+	case current.life.MayBe(beat.Incarnation):
 		agent.noteBeatAgain(current, beat, now)
-		return
-	}
-	if current != nil {
+	default:
 		agent.noteSuccessor(beat)
-		return
 	}
-	agent.takeCareOf(beat, agent.options.Connect(beat.Address, beat.Incarnation), now)
 }
 
+// errUndated says why a heartbeat is passed over that may be of any life of its worker.
+var errUndated = errors.New("the heartbeat does not say when the worker started, which those before it do")
+
 // noteBeatAgain takes in a heartbeat of the incarnation that is known.
 func (agent *Agent) noteBeatAgain(current *workerState, beat platform.Heartbeat, now time.Time) {
+	if current.beat.Incarnation.IsDated() && !beat.Incarnation.IsDated() {
+		agent.logRefused(beat.Incarnation.ID(), errUndated)
+		return
+	}
 	if beat.Sequence < current.beat.Sequence {
 		return
 	}
 	changed := !current.beat.SameWorker(beat)
-	agent.noteBorn(current, beat.Born)
 	current.beat = beat
 	current.noteLeaving(now)
 	if changed {
@@ -73,24 +98,37 @@
 
 func (agent *Agent) logWorker(beat platform.Heartbeat) {
 	agent.log(event.WorkerSeen,
-		slog.String("worker", beat.Incarnation), slog.String("service", beat.Service), slog.String("address", beat.Address),
+		slog.String("worker", beat.Incarnation.ID()), slog.Int64("born", beat.Incarnation.Born()), slog.String("service", beat.Service), slog.String("address", beat.Address),
 		slog.Bool("draining", beat.Draining), slog.Int64("milli_cpu", beat.MilliCPU), slog.Int64("memory_mb", beat.MemoryMB),
-		slog.Duration("remaining", beat.Remaining), slog.String("born", beat.Born))
+		slog.Duration("remaining", beat.Remaining))
+}
+
+// former is what is left of the incarnations before the present one.
+type former struct {
+	// life is the last of them.
+	life incarnation.Name
+	// token is above all that they were sent, told the highest number under which an end of them was told.
+	token int64
+	told  int64
 }
 
 // endIncarnation notes that an incarnation is over: what ran there has ended.
-func (agent *Agent) endIncarnation(incarnation string, how incarnationEnd, now time.Time) {
-	if !agent.gone[incarnation] {
-		agent.gone[incarnation] = true
-		agent.noteEnded(incarnation)
+func (agent *Agent) endIncarnation(over incarnation.Name, how incarnationEnd, now time.Time) {
+	if !agent.gone[over] {
+		agent.gone[over] = true
+		agent.noteEnded(over)
 	}
 	ended := agent.worker
-	if ended == nil || ended.beat.Incarnation != incarnation {
+	if ended == nil || ended.life != over {
 		return
 	}
 	agent.worker = nil
-	agent.log(event.WorkerLost, slog.String("worker", incarnation), slog.Int("runs", len(ended.runs)), slog.String("how", string(how)),
-		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.signAt)))
+	agent.former = former{life: over, token: ended.token + 1, told: ended.toldAbove + ended.listed}
+	about := []slog.Attr{
+		slog.Int("runs", len(ended.runs)), slog.String("how", string(how)),
+		slog.Bool("draining", ended.beat.Draining), slog.Duration("unanswered", now.Sub(ended.signAt)),
+	}
+	agent.log(event.WorkerLost, append(over.Attributes(), about...)...)
 	agent.meters.lost.Add(agent.ctx, 1, telemetry.By("how", string(how)))
 	agent.tellEnded(ended, how)
 	for _, end := range ended.ends {
--- a/agent/life_test.go
+++ b/agent/life_test.go
@@ -40,7 +40,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			state := newWorkerState(platform.Heartbeat{}, nil, 1, began.Add(-long))
+			state := newWorkerState(platform.Heartbeat{}, nil, former{token: 1}, began.Add(-long))
 			run := &runState{task: "task", sentAt: began, found: test.found}
 			state.runs[run.task] = run
 			test.note(state)
@@ -58,7 +58,7 @@
 // while the worker was silent. Beside one that was suspected before the others are told apart.
 func TestSuspects(t *testing.T) {
 	began := time.UnixMilli(1_800_000_000_000)
-	state := newWorkerState(platform.Heartbeat{}, nil, 1, began)
+	state := newWorkerState(platform.Heartbeat{}, nil, former{token: 1}, began)
 	plain := &runState{task: "plain", sentAt: began}
 	old := &runState{task: "old", sentAt: began.Add(-time.Second), suspect: true}
 	state.runs[plain.task], state.runs[old.task] = plain, old
--- a/agent/look.go
+++ b/agent/look.go
@@ -14,7 +14,7 @@
 // look asks the worker what runs and what has ended, and renews its lease.
 func (agent *Agent) look(now time.Time) {
 	state := agent.worker
-	if state.looking || now.Before(state.lookAt) {
+	if state.looking || state.overtaken || now.Before(state.lookAt) {
 		return
 	}
 	wait := agent.lookWait(state)
@@ -28,6 +28,10 @@
 		state.extended(leaseEnd)
 	}
 	asked := look{at: now, seen: state.seen, token: state.token, settles: state.unsettled}
+	if state.failures > 0 {
+		// It may have started again, and would forget ends of its next life.
+		asked.seen = 0
+	}
 	state.looking = true
 	go func() {
 		ctx, cancel := context.WithTimeout(agent.ctx, wait+callTimeout)
@@ -63,17 +67,20 @@
 }
 
 func (agent *Agent) noteLook(state *workerState, asked look, held platform.Held, err error, now time.Time) {
+	if state.overtaken {
+		return // The answer is of before, or none.
+	}
 	if err != nil {
 		agent.noteFailedLook(state, err, now)
 		return
 	}
 	if state.failures > 0 {
-		agent.log(event.WorkerBack, slog.String("worker", state.beat.Incarnation), slog.Int("failures", state.failures))
+		agent.log(event.WorkerBack, slog.String("worker", state.life.ID()), slog.Int("failures", state.failures))
 		state.failures = 0
 		state.givenUp = nil // It did not crash.
 		agent.statusChanged()
 	}
-	agent.noteBorn(state, held.Born)
+	agent.noteDate(state, held.Incarnation)
 	state.noteClock(held.Clock, now)
 	state.noteAnswer(asked.at, now)
 	state.lookAt = now
@@ -91,22 +98,13 @@
 	agent.pace(state, true, now)
 }
 
-// noteBorn logs that the worker says of itself that it started at another moment than before.
-func (agent *Agent) noteBorn(state *workerState, born string) {
-	if born == "" || born == state.born {
+func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
+	if agent.notesOtherLife(state, err, now) {
 		return
 	}
-	if state.born != "" {
-		agent.log(event.WorkerStartedAgain, slog.String("worker", state.beat.Incarnation), slog.String("born", state.born),
-			slog.String("again", born), slog.Int64("listed", state.listed), slog.Int64("seen", state.seen))
-	}
-	state.born = born
-}
-
-func (agent *Agent) noteFailedLook(state *workerState, err error, now time.Time) {
 	if platform.IsOtherIncarnation(err) {
 		// One worker stands on a machine, and it is another one now.
-		agent.endIncarnation(state.beat.Incarnation, endReplaced, now)
+		agent.endIncarnation(state.life, endReplaced, now)
 		return
 	}
 	var refused *platform.StartError
@@ -120,7 +118,7 @@
 	state.failures++
 	state.lookAt = now.Add(failedPause)
 	if state.failures == 1 {
-		agent.log(event.WorkerSilent, slog.String("worker", state.beat.Incarnation), slog.Any("error", err))
+		agent.log(event.WorkerSilent, slog.String("worker", state.life.ID()), slog.Any("error", err))
 		agent.statusChanged()
 	}
 }
--- a/agent/order.go
+++ b/agent/order.go
@@ -33,7 +33,7 @@
 	agent.meters.orders.Add(agent.ctx, 1, telemetry.By("outcome", outcome.String()))
 	if outcome != wire.StartOutcome_START_STARTED {
 		agent.logRun(event.OrderRefused, run, slog.String("outcome", outcome.String()))
-		owner.results = append(owner.results, &wire.StartResult{Task: run.task, Attempt: run.attempt, Worker: order.GetWorker(), Outcome: outcome})
+		owner.results = append(owner.results, &wire.StartResult{Task: run.task, Attempt: run.attempt, Worker: order.GetWorker(), Born: order.GetBorn(), Outcome: outcome})
 		return
 	}
 	agent.logRun(event.OrderTaken, run, slog.String("owner", owner.name), slog.Int64("connection", owner.connection))
@@ -49,7 +49,7 @@
 	state := agent.worker
 	held, claimed := agent.claims[order.GetShard()]
 	switch {
-	case state == nil || state.beat.Incarnation != order.GetWorker():
+	case state == nil || !state.life.MayBe(order.Incarnation()):
 		return wire.StartOutcome_START_WRONG_WORKER
 	case !claimed || order.GetEpoch() != held.epoch || held.owner != owner:
 		return wire.StartOutcome_START_STALE
@@ -114,7 +114,7 @@
 			agent.notStarted(state, run, refusedBy(verdict), err)
 			return
 		}
-		if again && try < startTries && run.phase == phaseStarting {
+		if again && try < startTries && run.phase == phaseStarting && !state.overtaken {
 			agent.sendStart(state, run, order, try+1, now)
 			return
 		}
@@ -125,8 +125,10 @@
 		agent.logRun(event.OrderUnsettled, run, slog.Any("error", err))
 		run.phase = phaseUnsettled
 		state.unsettled++
-		state.token++
-		state.lookAt = now
+		if !agent.notesOtherLife(state, err, now) {
+			state.token++
+			state.lookAt = now
+		}
 	}
 }
 
@@ -166,7 +168,7 @@
 func (agent *Agent) noteStop(order *wire.StopOrder, now time.Time) {
 	state := agent.worker
 	held, claimed := agent.claims[order.GetShard()]
-	if state == nil || state.beat.Incarnation != order.GetWorker() || !claimed || order.GetEpoch() < held.epoch {
+	if state == nil || !state.life.MayBe(order.Incarnation()) || !claimed || order.GetEpoch() < held.epoch {
 		return
 	}
 	run, found := state.runs[order.GetTask()]
--- a/agent/register.go
+++ b/agent/register.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 )
@@ -27,11 +28,11 @@
 // has taken it or ctx ends.
 func (agent *Agent) Register(ctx context.Context, store *platform.Store, address string) {
 	for ctx.Err() == nil {
-		var ended []string
+		var ended []incarnation.Name
 		if !agent.decisions.Ask(ctx, func(time.Time) { ended = slices.Clone(agent.ended) }) {
 			return
 		}
-		agent.registerOnce(ctx, store, &job.AgentRecord{Name: agent.options.Name, Address: address, Ended: ended})
+		agent.registerOnce(ctx, store, job.NewAgentRecord(agent.options.Name, address, ended))
 		select {
 		case <-ctx.Done():
 		case <-agent.endedNews:
@@ -51,7 +52,7 @@
 		err := appendOnce(ctx, store, add)
 		if err == nil {
 			agent.options.Events.Log(ctx, event.AgentRegistered, slog.String("address", record.GetAddress()),
-				slog.Int("ended", len(record.GetEnded())), slog.Int("tries", tries))
+				slog.Int("ended", len(record.GetEnded())+len(record.GetOver())), slog.Int("tries", tries))
 			return
 		}
 		if tries == 1 {
@@ -65,8 +66,8 @@
 }
 
 // noteEnded has the store told that an incarnation has ended for certain.
-func (agent *Agent) noteEnded(incarnation string) {
-	agent.ended = append(agent.ended, incarnation)
+func (agent *Agent) noteEnded(over incarnation.Name) {
+	agent.ended = append(agent.ended, over)
 	if len(agent.ended) > endedKept {
 		agent.ended = agent.ended[1:]
 	}
--- a/agent/session.go
+++ b/agent/session.go
@@ -156,6 +156,6 @@
 		return
 	}
 	held.owner.results = append(held.owner.results, &wire.StartResult{
-		Task: run.task, Attempt: run.attempt, Worker: state.beat.Incarnation, Outcome: outcome,
+		Task: run.task, Attempt: run.attempt, Worker: state.life.ID(), Born: state.life.Born(), Outcome: outcome,
 	})
 }
--- a/agent/successor_test.go
+++ b/agent/successor_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/standin/wireworker"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -24,9 +25,9 @@
 			made := newBench(t)
 			made.worker.Put(task, 1, time.Hour)
 			owner := made.attach(1)
-			for sequence, incarnation := range order {
+			for sequence, id := range order {
 				beat := made.heartbeat()
-				beat.Incarnation, beat.Sequence = incarnation, int64(sequence+1)
+				beat.Incarnation, beat.Sequence = incarnation.New(id, 0), int64(sequence+1)
 				made.beside.Beat(beat)
 				made.pass(100 * time.Millisecond)
 			}
@@ -59,10 +60,10 @@
 	})
 	owner := made.attach(1)
 	earlier, present := made.heartbeat(), made.heartbeat()
-	earlier.Incarnation = "i-0"
+	earlier.Incarnation = incarnation.New("i-0", 0)
 	made.beside.Beat(earlier)
 	made.beside.Beat(present)
-	made.beside.Left(earlier.Incarnation)
+	made.beside.Left(earlier.Incarnation.ID())
 	made.beside.Beat(present)
 	tells := func(message *wire.AgentMessage) bool { return message.GetStatus().GetWorker() == worker }
 	made.until(func() bool { return owner.last(tells) != nil })
@@ -92,7 +93,7 @@
 	made.passSilently(300 * time.Millisecond)
 	lapses := made.worker.LeaseEnd()
 	late := made.heartbeat()
-	late.Incarnation = "i-0"
+	late.Incarnation = incarnation.New("i-0", 0)
 	for made.worker.Clock() < lapses-100*time.Millisecond {
 		made.beside.Beat(late)
 		made.passSilently(200 * time.Millisecond)
--- a/agent/tell.go
+++ b/agent/tell.go
@@ -142,7 +142,7 @@
 	}
 	free := state.room()
 	status := &wire.WorkerStatus{
-		Worker: state.beat.Incarnation, Service: state.beat.Service, FailureDomain: state.beat.FailureDomain,
+		Worker: state.life.ID(), Born: state.life.Born(), Service: state.beat.Service, FailureDomain: state.beat.FailureDomain,
 		Labels: state.beat.Labels, Machine: state.beat.Machine,
 		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
 		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -3,15 +3,21 @@
 import (
 	"time"
 
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/wire"
 )
 
 // workerState is what the agent knows of one incarnation.
 type workerState struct {
+	// life names the incarnation, by its answers where its heartbeats don't say when it started.
+	life  incarnation.Name
 	beat  platform.Heartbeat
 	calls *platform.Worker
 	token int64
+	// overtaken is set once another life under the same id has answered: this one is over, and nothing
+	// may be asked in its name any more. What ran on it is told once the next one is taken care of.
+	overtaken bool
 
 	runs map[string]*runState
 	// ends are those that are not in the store yet, by number.
@@ -23,12 +29,13 @@
 	// to which all are durable and the worker may forget them.
 	listed int64
 	seen   int64
+	// toldAbove is added to the numbers of ends that owners are told. The numbers of each life begin
+	// anew; what owners are told goes on, so that a late word on an end of an earlier life is about none
+	// of this one, also from an owner that knows of ids alone.
+	toldAbove int64
 	// durable holds numbers above seen.
 	durable map[int64]bool
 
-	// born is when the worker last said that it started, as it said it.
-	born string
-
 	aliveAt   time.Time // when the worker lived for certain
 	signAt    time.Time // when the last sign of that was seen
 	known     bool      // the worker has told what runs under this agent's token
@@ -87,9 +94,9 @@
 // before this one renewed its lease last.
 const leaseMost = time.Duration(float64(leaseLength) * (1 + clockSlack))
 
-func newWorkerState(beat platform.Heartbeat, calls *platform.Worker, token int64, now time.Time) *workerState {
+func newWorkerState(beat platform.Heartbeat, calls *platform.Worker, after former, now time.Time) *workerState {
 	return &workerState{
-		beat: beat, calls: calls, token: token, born: beat.Born,
+		life: beat.Incarnation, beat: beat, calls: calls, token: after.token, toldAbove: after.told,
 		runs: map[string]*runState{}, ends: map[int64]*unkeptEnd{}, durable: map[int64]bool{},
 		clockAt: now, lapseBy: now.Add(leaseMost), aliveAt: now, signAt: now,
 	}
@@ -107,5 +114,5 @@
 }
 
 func (state *workerState) ready() bool {
-	return state.known && state.failures == 0 && state.described()
+	return state.known && !state.overtaken && state.failures == 0 && state.described()
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -13,6 +13,7 @@
 	"ambertiller.example/ambertiller/agent"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/gateway"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/kernel"
 	"ambertiller.example/ambertiller/owner"
 	"ambertiller.example/ambertiller/platform"
@@ -166,8 +167,9 @@
 	beside := agent.New(agent.Options{
 		Name: settings.Name(), FailureDomain: settings.FailureDomain(), Shards: settings.Parts(), FirstToken: made.clock.Now().UnixMilli(), HarmAfter: settings.HarmAfter(),
 		EvacuateWithin: settings.EvacuateWithin(), RestoreTakes: settings.RestoreTakes(), SaveEvery: settings.SaveEvery(),
-		Connect: func(address, incarnation string) *platform.Worker {
-			return platform.NewWorker(address, incarnation, transport)
+		LeaseMost: settings.LeaseMost(),
+		Connect: func(address string, of incarnation.Name) *platform.Worker {
+			return platform.NewWorker(address, of, transport)
 		},
 		Clock: made.clock, Suspended: made.clocks.Suspended, Events: made.events, Meters: made.metering.Provider(),
 	})
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -6,12 +6,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 )
 
 var (
 	now   = time.UnixMilli(1_800_000_000_000)
-	place = job.Place{Worker: "i-1", Agent: "10.0.0.1:7001"}
+	place = job.Place{Worker: incarnation.New("i-1", 0), Agent: "10.0.0.1:7001"}
 )
 
 func made(change func(submission *job.Submission)) *job.Job {
--- a/job/progress.go
+++ b/job/progress.go
@@ -1,6 +1,10 @@
 package job
 
-import "time"
+import (
+	"time"
+
+	"ambertiller.example/ambertiller/incarnation"
+)
 
 // Progress returns the record of what has become of the job.
 func (job *Job) Progress() *Progress {
@@ -34,7 +38,8 @@
 		return record
 	}
 	if places[task.place] == 0 {
-		kept.Workers = append(kept.Workers, task.place.Worker)
+		kept.Workers = append(kept.Workers, task.place.Worker.ID())
+		kept.Born = append(kept.Born, task.place.Worker.Born())
 		kept.Agents = append(kept.Agents, task.place.Agent)
 		places[task.place] = int32(len(kept.Workers))
 	}
@@ -73,7 +78,16 @@
 	}
 	task.state = record.GetState()
 	if at := int(record.GetWorker()); at > 0 && at <= len(kept.GetWorkers()) && at <= len(kept.GetAgents()) {
-		task.place = Place{Worker: kept.GetWorkers()[at-1], Agent: kept.GetAgents()[at-1]}
+		task.place = kept.place(at - 1)
 		task.startedAt = now
 	}
 }
+
+// place returns the place that stands at an index. Records of earlier builds name workers by their ids alone.
+func (kept *Progress) place(at int) Place {
+	started := int64(0)
+	if at < len(kept.GetBorn()) {
+		started = kept.GetBorn()[at]
+	}
+	return Place{Worker: incarnation.New(kept.GetWorkers()[at], started), Agent: kept.GetAgents()[at]}
+}
--- a/job/task.go
+++ b/job/task.go
@@ -8,12 +8,14 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/incarnation"
 )
 
 // Place is where a run was ordered.
 type Place struct {
 	// Worker is the incarnation of the worker.
-	Worker string
+	Worker incarnation.Name
 	// Agent is the address of the agent beside it.
 	Agent string
 }
--- a/owner/advice.go
+++ b/owner/advice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 )
@@ -31,9 +32,9 @@
 type stepAdvice struct {
 	terms   *job.Advice
 	service string
-	tickets map[string]string // by worker, of those that may run it
-	asked   map[string]bool   // the workers that the tickets' answers were about
-	until   time.Time         // when the tickets end
+	tickets map[incarnation.Name]string // of the workers that may run it: each holds for one life
+	asked   map[incarnation.Name]bool   // the workers that the tickets' answers were about
+	until   time.Time                   // when the tickets end
 	askedAt time.Time
 	waiting bool // a question is queued or on its way
 }
@@ -52,7 +53,7 @@
 
 // ticket returns the ticket for a start at a worker, and whether it may run the
 // task at all. Without advice every worker may.
-func (owner *Owner) ticket(task *job.Task, worker string, now time.Time) (string, bool) {
+func (owner *Owner) ticket(task *job.Task, worker incarnation.Name, now time.Time) (string, bool) {
 	if task.Job().Submission().GetAdvice() == nil {
 		return "", true
 	}
@@ -111,7 +112,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(owner.ctx, limit)
 		defer cancel()
-		advice, err := owner.options.Advisor.Advise(ctx, name, workers)
+		advice, err := owner.options.Advisor.Advise(ctx, name, idsOf(workers))
 		owner.decisions.Post(func(now time.Time) {
 			owner.advised.asking = false
 			known.waiting = false
@@ -121,6 +122,15 @@
 	}()
 }
 
+// idsOf returns the ids by which the service knows workers.
+func idsOf(workers []incarnation.Name) []string {
+	ids := make([]string, 0, len(workers))
+	for _, worker := range workers {
+		ids = append(ids, worker.ID())
+	}
+	return ids
+}
+
 // answerTime is how long the service says that a question about some workers takes.
 func (known *stepAdvice) answerTime(workers int) time.Duration {
 	return time.Duration(known.terms.GetDecideMs()+known.terms.GetEachMs()*int64(workers)) * time.Millisecond
@@ -136,14 +146,14 @@
 }
 
 // workersToAsk returns workers of the service that were not asked about.
-func (owner *Owner) workersToAsk(known *stepAdvice) []string {
-	var workers []string
+func (owner *Owner) workersToAsk(known *stepAdvice) []incarnation.Name {
+	var workers []incarnation.Name
 	for _, view := range owner.agents {
 		status := view.status()
-		if view.link == nil || !status.GetReady() || status.GetDraining() || status.GetService() != known.service || known.asked[status.GetWorker()] {
+		if view.link == nil || !status.GetReady() || status.GetDraining() || status.GetService() != known.service || known.asked[view.incarnation()] {
 			continue
 		}
-		workers = append(workers, status.GetWorker())
+		workers = append(workers, view.incarnation())
 		if len(workers) == askedMost {
 			break
 		}
@@ -152,19 +162,19 @@
 }
 
 // noteAdvice takes in the answer to a question about some workers.
-func (owner *Owner) noteAdvice(name string, known *stepAdvice, workers []string, advice platform.Advice, err error, now time.Time) {
+func (owner *Owner) noteAdvice(name string, known *stepAdvice, workers []incarnation.Name, advice platform.Advice, err error, now time.Time) {
 	if err != nil {
 		owner.log(event.AdviceFailed, slog.String("step", name), slog.Any("error", err))
 		return
 	}
 	if known.asked == nil || now.After(known.until) {
-		known.asked, known.tickets = map[string]bool{}, map[string]string{}
+		known.asked, known.tickets = map[incarnation.Name]bool{}, map[incarnation.Name]string{}
 	}
 	for _, worker := range workers {
 		known.asked[worker] = true
-	}
-	for worker, ticket := range advice.Tickets {
-		known.tickets[worker] = ticket
+		if ticket, good := advice.Tickets[worker.ID()]; good {
+			known.tickets[worker] = ticket
+		}
 	}
 	// All tickets end with the earliest: those of this answer.
 	known.until = now.Add(advice.Valid)
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/status"
@@ -51,7 +52,7 @@
 
 	runs map[string]*runEntry
 	// ended holds the incarnations that have ended for certain.
-	ended map[string]bool
+	ended map[incarnation.Name]bool
 	// failures counts runs that failed in a row, avoidUntil is how long nothing
 	// more than a trial is placed there.
 	failures   int
@@ -65,6 +66,9 @@
 	preemptedAt time.Time
 }
 
+// incarnation names the worker's present life, the zero name while none is known.
+func (view *agentView) incarnation() incarnation.Name { return view.status().Incarnation() }
+
 // status returns what is known of the agent's worker.
 func (view *agentView) status() *wire.WorkerStatus { return view.heard.Whole() }
 
@@ -72,7 +76,7 @@
 func newView(address string) *agentView {
 	return &agentView{
 		address: address, heard: status.NewHeard(), runs: map[string]*runEntry{},
-		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[string]bool{},
+		message: &wire.OwnerMessage{}, claimSeq: map[int]int64{}, ended: map[incarnation.Name]bool{},
 	}
 }
 
@@ -115,13 +119,13 @@
 			continue
 		}
 		if view := owner.agentAt(registered.GetAddress()); view != nil {
-			owner.noteEndedWorkers(view, registered.GetEnded(), now)
+			owner.noteEndedWorkers(view, registered.EndedIncarnations(), now)
 		}
 	}
 }
 
 // noteEndedWorkers releases the runs of incarnations that have ended for certain.
-func (owner *Owner) noteEndedWorkers(view *agentView, ended []string, now time.Time) {
+func (owner *Owner) noteEndedWorkers(view *agentView, ended []incarnation.Name, now time.Time) {
 	for _, worker := range ended {
 		view.ended[worker] = true
 	}
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -170,11 +170,12 @@
 	return count
 }
 
-// holding counts the tasks of the same step and round that the worker has.
+// holding counts the tasks of the same step and round that the machine has, on whichever life of its worker: one
+// that was ordered of an earlier life may still go on.
 func (worker *candidate) holding(task *job.Task) int32 {
 	count := int32(0)
 	for _, member := range task.Job().Members(task) {
-		if member.State() == job.TaskState_TASK_STARTED && member.Place().Worker == worker.view.status().GetWorker() {
+		if member.State() == job.TaskState_TASK_STARTED && member.Place().Agent == worker.view.address {
 			count++
 		}
 	}
--- a/owner/entry_test.go
+++ b/owner/entry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -49,7 +50,7 @@
 			of := job.New(handed, 0)
 			task := of.Tasks()[0]
 			for range test.ends {
-				of.Start(task, job.Place{Worker: life, Agent: agentAt}, time.UnixMilli(0))
+				of.Start(task, job.Place{Worker: incarnation.New(life, 0), Agent: agentAt}, time.UnixMilli(0))
 				of.End(task, task.Attempt(), job.EndInterrupted, "", time.UnixMilli(0))
 			}
 			if got := movable(task); got != test.want {
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"ambertiller.example/ambertiller/agent"
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/owner"
@@ -117,8 +118,8 @@
 	begun.beside = agent.New(agent.Options{
 		Name: begun.name, Shards: fleetShards, FirstToken: made.clock.Now().UnixMilli(), Clock: made.clock, Events: event.Discard(),
 		EvacuateWithin: 5 * time.Second,
-		Connect: func(address, incarnation string) *platform.Worker {
-			return platform.NewWorker(address, incarnation, platform.Transport())
+		Connect: func(address string, of incarnation.Name) *platform.Worker {
+			return platform.NewWorker(address, of, platform.Transport())
 		},
 	})
 	listening, err := rpc.Listen(ctx, "127.0.0.1:0", nil, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterAgent(mux, begun.beside) })
@@ -226,7 +227,7 @@
 	machine.sequence++
 	machine.beatAt = now
 	machine.beside.Beat(platform.Heartbeat{
-		Incarnation: fmt.Sprintf("%s-life-%d", machine.name, machine.lives), Service: "verbale",
+		Incarnation: incarnation.New(fmt.Sprintf("%s-life-%d", machine.name, machine.lives), 0), Service: "verbale",
 		Address: strings.TrimPrefix(machine.server.URL, "http://"), MilliCPU: 8000, MemoryMB: 8000, Sequence: machine.sequence,
 	})
 }
--- a/owner/place.go
+++ b/owner/place.go
@@ -195,7 +195,7 @@
 		if !worker.fits(task) || best != nil && !better(task, worker, best) {
 			continue
 		}
-		if _, allowed := owner.ticket(task, worker.view.status().GetWorker(), now); allowed {
+		if _, allowed := owner.ticket(task, worker.view.incarnation(), now); allowed {
 			best = worker
 		}
 	}
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -39,7 +39,7 @@
 		if now.Sub(worker.view.preemptedAt) < preemptEvery || worker.fits(task) || !worker.fitsOnceReclaimed(task) {
 			continue
 		}
-		if _, allowed := owner.ticket(task, worker.view.status().GetWorker(), now); !allowed {
+		if _, allowed := owner.ticket(task, worker.view.incarnation(), now); !allowed {
 			continue
 		}
 		if missing := worker.missing(task); best == nil || missing < least {
@@ -55,7 +55,7 @@
 	view.preemptedAt = now
 	demand := demandOf(task, now)
 	view.message.Preempts = append(view.message.Preempts, &wire.PreemptOrder{
-		Shard: int32(task.Job().Shard()), Epoch: owner.shards[task.Job().Shard()].epoch, Worker: view.status().GetWorker(), Demand: demand,
+		Shard: int32(task.Job().Shard()), Epoch: owner.shards[task.Job().Shard()].epoch, Worker: view.status().GetWorker(), Born: view.status().GetBorn(), Demand: demand,
 	})
 	owner.log(event.RunPreempted, slog.String("task", task.Name()), slog.String("worker", view.status().GetWorker()),
 		slog.Int("for_priority", int(demand.GetPriority())),
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -27,11 +28,12 @@
 	view.heardAt = now
 	view.uptime = time.Duration(message.GetUptimeNanos())
 	view.noteAnswered(message.GetHandled(), now)
-	before := view.status().GetWorker()
+	before := view.incarnation()
 	if view.heard.Note(message) {
 		owner.placeDue = true
 	}
-	if view.status().GetWorker() != before {
+	if view.incarnation() != before {
+		// Doubts are about a life: what failed on one says nothing of the next.
 		view.failures, view.avoidUntil = 0, time.Time{}
 	}
 	view.noteReflected()
@@ -68,10 +70,13 @@
 	for _, run := range message.GetRuns() {
 		listed[run.GetTask()] = run
 	}
-	worker := view.status().GetWorker()
+	worker := view.incarnation()
 	for name, entry := range view.runs {
 		run, found := listed[name]
-		if found && run.GetAttempt() == entry.attempt && worker == entry.place.Worker {
+		if found && run.GetAttempt() == entry.attempt && worker.ID() == entry.place.Worker.ID() {
+			// On which life of its worker a run goes is for the agent to say: an order that was late may
+			// have been carried out by the next one.
+			entry.place.Worker = worker
 			owner.noteListed(view, entry, run, now)
 			owner.noteProgressOf(view, entry, run, now)
 			continue
@@ -94,30 +99,35 @@
 }
 
 // noteUnlisted looks at a run that its agent does not list.
-func (owner *Owner) noteUnlisted(view *agentView, entry *runEntry, worker string, now time.Time) {
-	if worker == "" {
+func (owner *Owner) noteUnlisted(view *agentView, entry *runEntry, worker incarnation.Name, now time.Time) {
+	if worker.IsZero() || !view.status().GetReady() {
+		// One that has not answered may be known by a heartbeat that was held up.
 		return
 	}
-	if worker != entry.place.Worker {
-		// A machine has one worker: another incarnation that answers there means
-		// that the one before it has ended, with all that it ran. One that has not
-		// answered may be known by a heartbeat that was held up.
-		if view.status().GetReady() {
-			owner.release(view, entry, "its worker's incarnation is over", now)
-		}
+	if worker.ID() != entry.place.Worker.ID() {
+		// A machine has one worker: another one that answers there means that the one before it has ended,
+		// with all that it ran.
+		owner.release(view, entry, "its worker's incarnation is over", now)
 		return
 	}
+	// Another life under the same id may have carried the order out, which its agent tells to an owner
+	// whose message it has handled.
 	handled := view.hasHandled(entry.sequence)
 	if entry.prior {
 		handled = view.hasHandled(view.claimSeq[entry.held.number])
 	}
-	if handled && view.status().GetReady() {
-		owner.release(view, entry, "not listed by its agent", now)
+	if !handled {
+		return
+	}
+	reason := "not listed by its agent"
+	if worker.IsAnotherLifeOf(entry.place.Worker) {
+		reason = "its worker has started again"
 	}
+	owner.release(view, entry, reason, now)
 }
 
 // noteStray stops a run that should not be.
-func (owner *Owner) noteStray(view *agentView, name string, run *wire.RunStatus, worker string) {
+func (owner *Owner) noteStray(view *agentView, name string, run *wire.RunStatus, worker incarnation.Name) {
 	ref, err := job.ParseRef(name)
 	if err != nil {
 		owner.log(event.RecordUnreadable, slog.String("task", name), slog.Any("error", err))
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -37,14 +37,14 @@
 	made := task.Job()
 	held := owner.shards[made.Shard()]
 	waited, obstacle := task.Waited(now)
-	made.Start(task, job.Place{Worker: view.status().GetWorker(), Agent: view.address}, now)
+	made.Start(task, job.Place{Worker: view.incarnation(), Agent: view.address}, now)
 	entry := newEntry(held, task, now)
 	entry.ticket, _ = owner.ticket(task, entry.place.Worker, now)
 	view.runs[entry.name] = entry
 	if task.Suspect() {
 		view.suspectUntil = now.Add(suspectsApart)
 	}
-	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
+	owner.logRun(event.RunPlaced, entry, slog.String("worker", entry.place.Worker.ID()), slog.Int64("born", entry.place.Worker.Born()), slog.Int64("milli_cpu", entry.demand.GetMilliCpu()),
 		slog.Bool("fills", entry.demand.GetFills()), slog.String("image", entry.demand.GetImage()), slog.Int64("target_ms", entry.demand.GetTargetMs()), slog.Int64("estimate_ms", task.Spec().GetEstimateMs()),
 		slog.Int64("free_milli_cpu", view.status().GetFreeMilliCpu()), slog.Int64("free_memory_mb", view.status().GetFreeMemoryMb()),
 		slog.Duration("age", now.Sub(view.heardAt)), slog.Duration("waited", waited), slog.String("obstacle", obstacle))
@@ -57,7 +57,7 @@
 	if view.runs[entry.name] != entry {
 		return
 	}
-	if view.link == nil || view.status().GetWorker() != entry.place.Worker || entry.task.Job().Ended() {
+	if view.link == nil || view.incarnation() != entry.place.Worker || entry.task.Job().Ended() {
 		// Never ordered, so it never ran.
 		owner.release(view, entry, "its place went away before the order", now)
 		return
@@ -68,19 +68,19 @@
 	}
 	made := entry.task.Job()
 	view.message.Starts = append(view.message.Starts, &wire.StartOrder{
-		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker,
+		Shard: int32(entry.held.number), Epoch: entry.held.epoch, Task: entry.name, Attempt: entry.attempt, Worker: entry.place.Worker.ID(), Born: entry.place.Worker.Born(),
 		Spec: made.Submission().GetSpec(), Checkpoint: made.CheckpointOf(entry.task), Ticket: entry.ticket, Demand: entry.demand, Suspect: entry.task.Suspect(),
 	})
 	entry.sequence = view.sequence + 1
 	entry.orderedAt = now
 	entry.prior = false
-	owner.logRun(event.RunOrdered, entry, slog.String("worker", entry.place.Worker), slog.Int64("message", entry.sequence))
+	owner.logRun(event.RunOrdered, entry, slog.String("worker", entry.place.Worker.ID()), slog.Int64("message", entry.sequence))
 }
 
 // confirm notes that a run has started.
 func (owner *Owner) confirm(entry *runEntry, now time.Time) {
 	if !entry.confirmed {
-		owner.logRun(event.RunStarted, entry, slog.String("worker", entry.place.Worker))
+		owner.logRun(event.RunStarted, entry, slog.String("worker", entry.place.Worker.ID()))
 	}
 	entry.confirmed = true
 	entry.task.Accepted()
@@ -93,7 +93,7 @@
 // noteResult takes in whether a run has started.
 func (owner *Owner) noteResult(view *agentView, result *wire.StartResult, now time.Time) {
 	entry, found := view.runs[result.GetTask()]
-	if !found || entry.attempt != result.GetAttempt() || entry.place.Worker != result.GetWorker() {
+	if !found || entry.attempt != result.GetAttempt() || !entry.place.Worker.MayBe(result.Incarnation()) {
 		return
 	}
 	if result.GetOutcome() == wire.StartOutcome_START_STARTED {
@@ -104,7 +104,7 @@
 	if entry.task.Attempt() != entry.attempt {
 		return
 	}
-	owner.logRun(event.RunNotStarted, entry, slog.String("worker", entry.place.Worker), slog.String("outcome", result.GetOutcome().String()))
+	owner.logRun(event.RunNotStarted, entry, slog.String("worker", entry.place.Worker.ID()), slog.String("outcome", result.GetOutcome().String()))
 	owner.meters.refused.Add(owner.ctx, 1, telemetry.By("outcome", result.GetOutcome().String()))
 	made := entry.task.Job()
 	if result.GetOutcome() == wire.StartOutcome_START_NO_ROOM {
@@ -153,7 +153,7 @@
 		return
 	}
 	held.after = append(held.after, func(time.Time) {
-		view.message.Seen = append(view.message.Seen, &wire.EndSeen{Worker: end.GetWorker(), Number: end.GetNumber()})
+		view.message.Seen = append(view.message.Seen, &wire.EndSeen{Worker: end.GetWorker(), Born: end.GetBorn(), Number: end.GetNumber()})
 	})
 }
 
@@ -236,7 +236,7 @@
 		return
 	}
 	made := entry.task.Job()
-	owner.logRun(event.RunLost, entry, slog.String("worker", entry.place.Worker), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())),
+	owner.logRun(event.RunLost, entry, slog.String("worker", entry.place.Worker.ID()), slog.Int64("born", entry.place.Worker.Born()), slog.String("reason", reason), slog.Duration("after", now.Sub(entry.task.StartedAt())),
 		slog.Bool("attached", view.link != nil), slog.Duration("unheard", now.Sub(view.heardAt)), slog.Bool("inherited", entry.inherited))
 	owner.meters.lost.Add(owner.ctx, 1, telemetry.By("reason", reason))
 	made.Release(entry.task, now)
--- a/owner/suspect_test.go
+++ b/owner/suspect_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -98,7 +99,7 @@
 			of := made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Affinity = "r-1" })
 			task := of.Tasks()[0]
 			for attempt := int32(1); attempt <= test.crashes; attempt++ {
-				of.Start(task, job.Place{Worker: life, Agent: agentAt}, made.clock.Now())
+				of.Start(task, job.Place{Worker: incarnation.New(life, 0), Agent: agentAt}, made.clock.Now())
 				of.End(task, attempt, job.EndCrashed, "", made.clock.Now())
 			}
 			worker := func(number int, free int64, rack string) *candidate {
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -86,9 +87,9 @@
 }
 
 // orderStop has a run stopped with the next message.
-func (view *agentView) orderStop(held *shard, task string, attempt int32, worker string) {
+func (view *agentView) orderStop(held *shard, task string, attempt int32, worker incarnation.Name) {
 	view.message.Stops = append(view.message.Stops, &wire.StopOrder{
-		Shard: int32(held.number), Epoch: held.epoch, Task: task, Attempt: attempt, Worker: worker,
+		Shard: int32(held.number), Epoch: held.epoch, Task: task, Attempt: attempt, Worker: worker.ID(), Born: worker.Born(),
 	})
 }
 
--- a/status/heard.go
+++ b/status/heard.go
@@ -45,7 +45,7 @@
 		heard.tolerances[known.GetImage()] = known.GetMilliCpu()
 	}
 	return whole.GetFreeMilliCpu() > before.GetFreeMilliCpu() || whole.GetFreeMemoryMb() > before.GetFreeMemoryMb() ||
-		whole.GetReady() && !before.GetReady() || whole.GetWorker() != before.GetWorker()
+		whole.GetReady() && !before.GetReady() || whole.Incarnation() != before.Incarnation()
 }
 
 func (heard *Heard) noteChange(change *wire.StatusChange) bool {
--- a/status/told.go
+++ b/status/told.go
@@ -39,7 +39,7 @@
 
 // sameBut reports whether two states of a worker differ only in what a change can tell.
 func sameBut(before, now *wire.WorkerStatus) bool {
-	return before.GetWorker() == now.GetWorker() && before.GetService() == now.GetService() &&
+	return before.Incarnation() == now.Incarnation() && before.GetService() == now.GetService() &&
 		before.GetFailureDomain() == now.GetFailureDomain() && before.GetMachine() == now.GetMachine() &&
 		slices.Equal(before.GetLabels(), now.GetLabels()) &&
 		before.GetMilliCpu() == now.GetMilliCpu() && before.GetMemoryMb() == now.GetMemoryMb() &&
