owner: a worker in doubt is tried beside a task that lasts; tickets end one by one

Findings by reading, each with a test first seen failing. A worker with two failures in a row was given a run only while it had none of that owner's; beside a task that lasts it had one for ever. The tickets of a step were taken to hold as long as those of the last answer, so that an earlier one was refused and all were forgotten.

--- a/owner/advice.go
+++ b/owner/advice.go
@@ -32,13 +32,19 @@
 type stepAdvice struct {
 	terms   *job.Advice
 	service string
-	tickets map[incarnation.Name]string // of the workers that may run it: each holds for one life
+	tickets map[incarnation.Name]ticket // of the workers that may run it: each holds for one life
 	asked   map[incarnation.Name]bool   // the workers that the tickets' answers were about
-	until   time.Time                   // when the tickets end
+	until   time.Time                   // when the last of the tickets ends
 	askedAt time.Time
 	waiting bool // a question is queued or on its way
 }
 
+// ticket lets tasks of a step start at one life of a worker until it ends.
+type ticket struct {
+	text  string
+	until time.Time
+}
+
 // adviceQueue asks for advice, one question at a time, as the service takes them.
 type adviceQueue struct {
 	steps  map[string]*stepAdvice
@@ -58,11 +64,14 @@
 		return "", true
 	}
 	known, found := owner.advised.steps[stepName(task)]
-	if !found || now.After(known.until.Add(-adviceMargin)) {
+	if !found {
 		return "", false
 	}
-	ticket, good := known.tickets[worker]
-	return ticket, good
+	held, good := known.tickets[worker]
+	if !good || now.After(held.until.Add(-adviceMargin)) {
+		return "", false
+	}
+	return held.text, true
 }
 
 // wantAdvice queues a question for the step of a task that found no place.
@@ -168,16 +177,15 @@
 		return
 	}
 	if known.asked == nil || now.After(known.until) {
-		known.asked, known.tickets = map[incarnation.Name]bool{}, map[incarnation.Name]string{}
+		known.asked, known.tickets = map[incarnation.Name]bool{}, map[incarnation.Name]ticket{}
 	}
+	known.until = now.Add(advice.Valid)
 	for _, worker := range workers {
 		known.asked[worker] = true
-		if ticket, good := advice.Tickets[worker.ID()]; good {
-			known.tickets[worker] = ticket
+		if text, good := advice.Tickets[worker.ID()]; good {
+			known.tickets[worker] = ticket{text: text, until: known.until}
 		}
 	}
-	// All tickets end with the earliest: those of this answer.
-	known.until = now.Add(advice.Valid)
 	owner.placeDue = true
 	owner.log(event.AdviceTaken, slog.String("step", name), slog.Int("asked", len(workers)),
 		slog.Int("good", len(advice.Tickets)), slog.Duration("valid", advice.Valid))
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -25,8 +25,8 @@
 	// evacuated is set where the worker's failure domain is: nothing is started there.
 	evacuated bool
 	// trial is set after failures: the worker is given one run until it has shown
-	// that it does.
-	trial bool
+	// that it does. tried is set while it has one.
+	trial, tried bool
 	// hasSuspect is set where a suspect has just been started: no other one is for a while.
 	hasSuspect bool
 	// patience is the share that a filling task of the present job should find
@@ -45,6 +45,7 @@
 		worker := newCandidate(view)
 		worker.evacuated = owner.evacuated(view)
 		worker.hasSuspect = now.Before(view.suspectUntil)
+		worker.tried = view.onTrial(now)
 		workers = append(workers, worker)
 	}
 	return workers
@@ -71,6 +72,7 @@
 func (worker *candidate) place(task *job.Task, demand *wire.Demand) {
 	worker.take(demand)
 	worker.hasSuspect = worker.hasSuspect || task.Suspect()
+	worker.tried = true
 }
 
 // take takes what a start needs from what is free.
@@ -108,7 +110,7 @@
 		return holdsEnough
 	case worker.hasSuspect && task.Suspect():
 		return hasSuspect
-	case worker.trial && len(worker.view.runs) > 0:
+	case worker.trial && worker.tried:
 		return inDoubt
 	}
 	return unobstructed
--- /dev/null
+++ b/owner/doubt_test.go
@@ -0,0 +1,85 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/incarnation"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// TestDoubtBesideATaskThatLasts: a worker in doubt is tried also beside a task that lasts, which never ends and
+// so never shows that the worker does. While it is tried it is given nothing else.
+func TestDoubtBesideATaskThatLasts(t *testing.T) {
+	tests := map[string]struct {
+		lasts  bool
+		atWork time.Duration
+		want   bool
+	}{
+		"a task that lasts, at work":        {true, 2 * doubtLength, true},
+		"a task that lasts, just begun":     {true, doubtLength / 2, false},
+		"a task that shows it when it ends": {false, 2 * doubtLength, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			made.submitChanged(func(handed *job.Submission) { handed.Steps[0].Lasting = test.lasts })
+			made.attachAndStart()
+			made.hear(&wire.AgentMessage{Complete: true, Runs: listed()})
+			made.clock.Advance(test.atWork)
+			made.owner.joinedAt = made.clock.Now()
+			made.hear(&wire.AgentMessage{Complete: true, Runs: listed()})
+			made.view.failures, made.view.avoidUntil = failuresBeforeDoubt, time.Time{}
+			handed := submission()
+			handed.Id, handed.Steps[0].Count = otherJob(), 3
+			made.read(record(t, job.SubmissionKey(handed.Id), handed))
+			made.step()
+			placed := 0
+			for _, task := range made.held.jobs[handed.Id].Tasks() {
+				if task.State() == job.TaskState_TASK_STARTED {
+					placed++
+				}
+			}
+			if placed > 1 || (placed == 1) != test.want {
+				t.Errorf("%d tasks were placed", placed)
+			}
+		})
+	}
+}
+
+// otherJob names another job of the same shard.
+func otherJob() string {
+	for id := []byte(jobID); ; id[0]++ {
+		if string(id) != jobID && job.ShardOf(string(id), 8) == job.ShardOf(jobID, 8) {
+			return string(id)
+		}
+	}
+}
+
+// TestTicketsEndOneByOne: that of an earlier answer ends before that of a later one. It would be refused, and with
+// it all tickets of the step would be forgotten.
+func TestTicketsEndOneByOne(t *testing.T) {
+	made := newBench(t)
+	of := made.submitChanged(func(handed *job.Submission) { handed.Advice = terms() })
+	made.attach()
+	task, name := of.Tasks()[0], stepName(of.Tasks()[0])
+	known := &stepAdvice{terms: terms(), service: "verbale"}
+	made.owner.advised.steps[name] = known
+	answer := func(id string) {
+		made.owner.noteAdvice(name, known, []incarnation.Name{incarnation.New(id, 0)},
+			platform.Advice{Tickets: map[string]string{id: "t-" + id}, Valid: 3 * time.Second}, nil, made.clock.Now())
+	}
+	answer(life)
+	made.clock.Advance(2 * time.Second)
+	answer("i-2")
+	made.clock.Advance(1500 * time.Millisecond)
+	now := made.clock.Now()
+	if _, good := made.owner.ticket(task, incarnation.New(life, 0), now); good {
+		t.Error("the earlier ticket is taken to hold")
+	}
+	if _, good := made.owner.ticket(task, incarnation.New("i-2", 0), now); !good {
+		t.Error("the later ticket is taken to have ended")
+	}
+}
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -202,6 +202,17 @@
 		slog.Int("present", int(task.Attempt())), slog.String("state", task.State().String()), slog.String("worker", end.GetWorker()))
 }
 
+// onTrial reports whether a run goes that will show whether the worker does. One that lasts shows it by not
+// failing for as long as a doubt: it has no end to wait for, and nothing else would be placed beside it.
+func (view *agentView) onTrial(now time.Time) bool {
+	for _, entry := range view.runs {
+		if !entry.confirmed || !entry.task.Spec().GetLasting() || now.Sub(entry.task.StartedAt()) < doubtLength {
+			return true
+		}
+	}
+	return false
+}
+
 // noteOutcome judges a worker by what becomes of its runs.
 func (view *agentView) noteOutcome(reason wire.EndReason, now time.Time) {
 	switch reason {
