agent: owners are told numbers of ends that begin anew with no life and no process

An owner keeps its word on ends until it has connected anew, and may say it to the agent's next process. Since numbers went on over lives in one process, those of the next one stood for other ends, which the worker forgot unread. Now a number tells the process too, and a word on one that was not told is passed over.

--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -198,6 +198,41 @@
 	}
 }
 
+// TestWordOnAnEndThatAnAgentBeforeTold: an owner keeps what it has to say until it has connected anew, and may
+// say it to another process of the agent. What that one was told by the worker may have another number.
+func TestWordOnAnEndThatAnAgentBeforeTold(t *testing.T) {
+	made := bornBench(t)
+	owner := made.attachTo(made.worker)
+	made.endsAsDone(owner, 3)
+	made.startAgain(300 * time.Millisecond)
+	made.says(made.worker, 1, "ready")
+	made.readyAs(owner, made.worker)
+	made.runsHere(owner, startAt(made.worker, numbered(3)))
+	made.worker.End(numbered(3), "done")
+	made.until(func() bool { return len(owner.told(numbered(3))) > 0 })
+	made.kill()
+	made.pass(200 * time.Millisecond)
+	made.begin()
+	again := made.attachTo(made.worker)
+	for number := 4; number < 8; number++ {
+		made.runsHere(again, startAt(made.worker, numbered(number)))
+		made.worker.End(numbered(number), "done")
+	}
+	made.until(func() bool { return len(again.told(numbered(7))) > 0 })
+	again.seen(owner.told(numbered(3))[0]) // It was the fourth of that process, and is the first of its life.
+	for number := 3; number < 6; number++ {
+		again.seen(again.told(numbered(number))[0])
+	}
+	made.pass(2 * time.Second)
+	if _, seen := made.worker.Looks(); seen != 3 {
+		t.Errorf("the worker was told to forget its ends up to %d", seen)
+	}
+	for number := 6; number < 8; number++ {
+		again.seen(again.told(numbered(number))[0])
+	}
+	made.until(func() bool { _, seen := made.worker.Looks(); return seen == 5 })
+}
+
 // TestWorkerThatLeftIsUsedAgain: it may start again under its id.
 func TestWorkerThatLeftIsUsedAgain(t *testing.T) {
 	made := bornBench(t)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -179,7 +179,7 @@
 		decisions: loop.New(options.Clock),
 		started:   options.Clock.Now(),
 		gone:      map[incarnation.Name]bool{},
-		former:    former{token: options.FirstToken},
+		former:    former{token: options.FirstToken, told: firstTold(options.FirstToken)},
 		endedNews: make(chan struct{}, 1),
 
 		operatorWanted: make(chan struct{}, 1),
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -14,6 +14,17 @@
 // takes 20 ms, and 0.9 s where the store is slow.
 const endWaitsAfter = time.Second
 
+// numbersPerMilli is how many numbers of ends an agent has for each millisecond: a worker ends some tens of
+// runs a second.
+const numbersPerMilli = 1 << 20
+
+// firstTold returns what an agent adds to the numbers of the first life that it takes care of. A life's numbers
+// begin at 1; those that owners are told begin anew with no life and no process of an agent, whose first fencing
+// token is the moment of its start. So a late word on an end of an earlier life, or one that its owner had
+// meant for the process before, is about none of those told now. It may come from an owner of an earlier
+// build too, which knows of ids alone.
+func firstTold(firstToken int64) int64 { return firstToken * numbersPerMilli }
+
 // unkeptEnd is an end that the worker has listed and that is not in the store yet.
 type unkeptEnd struct {
 	told     *wire.RunEnd
@@ -119,7 +130,7 @@
 		return
 	}
 	number := seen.GetNumber() - state.toldAbove
-	if number <= state.seen {
+	if number <= state.seen || number > state.listed {
 		return
 	}
 	if end, waited := state.ends[number]; waited {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -29,9 +29,7 @@
 	// to which all are durable and the worker may forget them.
 	listed int64
 	seen   int64
-	// toldAbove is added to the numbers of ends that owners are told. The numbers of each life begin
-	// anew; what owners are told goes on, so that a late word on an end of an earlier life is about none
-	// of this one, also from an owner that knows of ids alone.
+	// toldAbove is added to the numbers of ends that owners are told; see [firstTold].
 	toldAbove int64
 	// durable holds numbers above seen.
 	durable map[int64]bool
