--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -62,6 +62,8 @@
 	server *httptest.Server
 	// path is what owners reach the agent by.
 	path *relay.Relay
+	// dated has the worker say when it started, and start again under its id.
+	dated bool
 	// crashers are the tasks that bring a worker down.
 	crashers map[string]bool
 
@@ -105,7 +107,7 @@
 }
 
 func (made *fleet) newMachine(ctx context.Context, store *platform.Store, number int, crashers []string) *machine {
-	begun := &machine{name: fmt.Sprintf("side-%d", number), fleet: made, crashers: map[string]bool{}, started: map[string]int{}, noted: map[string]bool{}}
+	begun := &machine{name: fmt.Sprintf("side-%d", number), fleet: made, dated: number%2 == 1, crashers: map[string]bool{}, started: map[string]int{}, noted: map[string]bool{}}
 	for _, task := range crashers {
 		begun.crashers[task] = true
 	}
@@ -136,10 +138,17 @@
 	return begun
 }
 
-// live begins the next life of the worker.
+// live begins the next life of the worker: under the id of the one before where it says when it started.
 func (machine *machine) live() {
 	machine.lives++
-	machine.worker = wireworker.New(fmt.Sprintf("%s-life-%d", machine.name, machine.lives), machine.fleet.clock)
+	switch {
+	case !machine.dated:
+		machine.worker = wireworker.New(fmt.Sprintf("%s-life-%d", machine.name, machine.lives), machine.fleet.clock)
+	case machine.worker == nil:
+		machine.worker = wireworker.NewDated(machine.name, machine.fleet.clock)
+	default:
+		machine.worker = machine.worker.StartAgain()
+	}
 	machine.worker.Watch(machine.noteChange)
 	machine.begun = map[string]time.Time{}
 	machine.sequence, machine.beatAt, machine.downAt = 0, time.Time{}, time.Time{}
@@ -227,7 +236,7 @@
 	machine.sequence++
 	machine.beatAt = now
 	machine.beside.Beat(platform.Heartbeat{
-		Incarnation: incarnation.New(fmt.Sprintf("%s-life-%d", machine.name, machine.lives), 0), Service: "verbale",
+		Incarnation: incarnation.New(machine.worker.ID(), machine.worker.Born()), Service: "verbale",
 		Address: strings.TrimPrefix(machine.server.URL, "http://"), MilliCPU: 8000, MemoryMB: 8000, Sequence: machine.sequence,
 	})
 }
--- a/report/history.go
+++ b/report/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 )
 
@@ -148,20 +149,25 @@
 	return past.jobs[id]
 }
 
-func (past *history) worker(id string) *workerHistory {
+// worker returns what is known of the life of a worker that a line is about.
+func (past *history) worker(one *line) *workerHistory {
+	id := one.life()
 	if past.workers[id] == nil {
 		past.workers[id] = &workerHistory{id: id}
 	}
 	return past.workers[id]
 }
 
+// life names the incarnation that a line is about.
+func (one *line) life() string { return incarnation.New(one.Worker, one.Born).String() }
+
 // noteWorkerSeen takes in a heartbeat. A machine has one worker, so another
 // incarnation there was over by then.
 func (past *history) noteWorkerSeen(one *line) {
-	if before := past.machines[one.Name]; before != nil && before.id != one.Worker && before.goneAt.IsZero() {
+	if before := past.machines[one.Name]; before != nil && before.id != one.life() && before.goneAt.IsZero() {
 		before.goneAt = one.At
 	}
-	seen := past.worker(one.Worker)
+	seen := past.worker(one)
 	seen.seen(one)
 	past.machines[one.Name] = seen
 }
@@ -194,12 +200,13 @@
 	}
 	past.endUnseen(task, one)
 	run := &runHistory{
-		attempt: one.Attempt, worker: one.Worker, image: one.Image, fills: one.Fills, serves: one.TargetMillis > 0,
+		attempt: one.Attempt, worker: one.life(), image: one.Image, fills: one.Fills, serves: one.TargetMillis > 0,
 		milliCPU: one.MilliCPU, estimate: time.Duration(one.EstimateMillis) * time.Millisecond,
 		placedAt: one.At, waited: one.Waited, obstacle: one.Obstacle, how: runGoesOn, pace: 1, pacedAt: one.At,
 	}
 	task.runs = append(task.runs, run)
-	past.worker(one.Worker).runs = append(past.worker(one.Worker).runs, run)
+	on := past.worker(one)
+	on.runs = append(on.runs, run)
 }
 
 // endUnseen ends a task's last run where its end is not in the logs: the task is placed
--- a/report/line.go
+++ b/report/line.go
@@ -23,6 +23,7 @@
 	Task           string        `json:"task"`
 	Attempt        int32         `json:"attempt"`
 	Worker         string        `json:"worker"`
+	Born           int64         `json:"born"`
 	MilliCPU       int64         `json:"milli_cpu"`
 	Fills          bool          `json:"fills"`
 	Image          string        `json:"image"`
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// TestLivesOfAWorker: a worker that starts again under its id is listed once for each life.
+func TestLivesOfAWorker(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:00Z","name":"side-1","event":902,"worker":"i-1","born":1790000000000,"milli_cpu":1000}
+{"time":"2026-01-01T00:00:04Z","name":"side-1","event":902,"worker":"i-1","born":1790000004000,"milli_cpu":1000}
+{"time":"2026-01-01T00:00:06Z","name":"side-1","event":902,"worker":"i-1","born":1790000004000,"milli_cpu":1000}
+`
+	found, err := report.Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(found.Workers) != 2 || found.Workers[0].Worker == found.Workers[1].Worker {
+		t.Errorf("listed %+v", found.Workers)
+	}
+}
+
 // TestRunsWithoutAnEnd: a run of which no end is in the logs is over once its task has been
 // placed anew. The case that forced it is an owner that was killed before the store had its
 // start: its worker seemed to hold more than it has.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,10 +26,15 @@
 
 // regressions are the seeds that broke a promise, and by what.
 var regressions = map[uint64]string{
-	11: "an end that its owner was not told outlived the owner's grant",
-	21: "the same",
-	22: "the same, and an order that came late on an older connection was taken",
-	23: "the same, and an agent that had come back was granted time on the clock of its process before",
+	11:  "an end that its owner was not told outlived the owner's grant",
+	21:  "the same",
+	22:  "the same, and an order that came late on an older connection was taken",
+	23:  "the same, and an agent that had come back was granted time on the clock of its process before",
+	1:   "a worker that started again under its id was taken for the one before",
+	2:   "the same",
+	3:   "the same",
+	4:   "the same",
+	126: "a word on an end that was meant for the agent's process before it named another one to the next",
 }
 
 // lastBefore is the highest of the regressions that were found before workers started again under their ids.
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -102,6 +102,9 @@
 	return made
 }
 
+// ID returns what the worker calls itself.
+func (worker *Worker) ID() string { return worker.incarnation }
+
 // Born returns when this life began, in milliseconds since 1970; 0 for a worker that doesn't say it.
 func (worker *Worker) Born() int64 { return worker.born }
 
