--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -459,3 +459,19 @@
 		t.Errorf("takes care of %v", last.GetStatus())
 	}
 }
+
+// TestWorkerWhoseAnswersSayItAlone: the lives of a worker whose heartbeats don't say when it started are told apart
+// by its answers.
+func TestWorkerWhoseAnswersSayItAlone(t *testing.T) {
+	made := bornBench(t)
+	made.beat()
+	owner := made.attach(1)
+	made.readyAs(owner, made.worker)
+	owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+	made.endsAsDone(owner, 2)
+	made.startAgain(300 * time.Millisecond)
+	made.pass(time.Second)
+	if _, seen := made.worker.Looks(); seen != 0 {
+		t.Errorf("the worker was told to forget its ends up to %d", seen)
+	}
+}
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -76,7 +76,7 @@
 }
 
 // errUndated says why a heartbeat is passed over that may be of any life of its worker.
-var errUndated = errors.New("the heartbeat does not say when the worker started, which those before it do")
+var errUndated = errors.New("the heartbeat does not say when the worker started, as earlier ones do")
 
 // noteBeatAgain takes in a heartbeat of the incarnation that is known.
 func (agent *Agent) noteBeatAgain(current *workerState, beat platform.Heartbeat, now time.Time) {
--- a/agent/order.go
+++ b/agent/order.go
@@ -202,6 +202,7 @@
 				state.noteAnswer(run.stopSentAt, now)
 				return
 			}
+			agent.notesOtherLife(state, err, now)
 			// Sent again after stopAgain, while the run is listed.
 			if run.phase == phaseStopping {
 				run.phase = phaseRunning
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -166,8 +166,11 @@
 	if err == nil {
 		return
 	}
-	agent.decisions.Post(func(time.Time) {
+	agent.decisions.Post(func(now time.Time) {
 		agent.log(event.OrderUnsettled, slog.String("task", run.task), slog.String("order", "pace"), slog.Any("error", err))
 		run.pace = before
+		if agent.worker == state {
+			agent.notesOtherLife(state, err, now)
+		}
 	})
 }
--- a/agent/successor.go
+++ b/agent/successor.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// noteSuccessorAsked takes in whether an incarnation is the one at its address. One that
+// noteSuccessorAsked takes in whether an incarnation is the one at its address. One with another id that
 // neither answers nor is denied takes over if the present one does not answer either and its
 // lease has run out: only then are its runs over for certain, whichever of the two stands
 // there. Else it is asked again with its next heartbeat.
