--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -327,6 +327,21 @@
 	}
 }
 
+// startsAgainUnanswered has the owner order a start that gets no answer and is still on its way when the worker
+// starts again.
+func (made *bench) startsAgainUnanswered(owner *stream) {
+	made.t.Helper()
+	made.worker.Fail(func(path string) wireworker.Fault {
+		if path == "/v1/run-start" {
+			return wireworker.FaultLate
+		}
+		return wireworker.FaultReset
+	})
+	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(made.worker, task)}})
+	made.passSilently(200 * time.Millisecond)
+	made.startAgain(100 * time.Millisecond)
+}
+
 // TestLateStartOfTheLifeBefore: a start without an answer may be carried out by the next life, which has seen
 // no fencing token. Its owner is not told that it did not start while it goes, nor that it is lost once it
 // has ended: the task would be started beside it, or after its end.
@@ -341,17 +356,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			made := bornBench(t)
-			first := made.worker
-			owner := made.attachTo(first)
-			first.Fail(func(path string) wireworker.Fault {
-				if path == "/v1/run-start" {
-					return wireworker.FaultLate
-				}
-				return wireworker.FaultReset
-			})
-			owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task)}})
-			made.passSilently(200 * time.Millisecond)
-			made.startAgain(100 * time.Millisecond)
+			owner := made.attachTo(made.worker)
+			made.startsAgainUnanswered(owner)
 			made.worker.CarryOut()
 			if !made.runs() {
 				t.Fatal("the late start was not carried out")
@@ -380,17 +386,8 @@
 // order of it any more.
 func TestStartThatIsLateAfterTheTakeOver(t *testing.T) {
 	made := bornBench(t)
-	first := made.worker
-	owner := made.attachTo(first)
-	first.Fail(func(path string) wireworker.Fault {
-		if path == "/v1/run-start" {
-			return wireworker.FaultLate
-		}
-		return wireworker.FaultReset
-	})
-	owner.tell(&wire.OwnerMessage{Starts: []*wire.StartOrder{startAt(first, task)}})
-	made.passSilently(200 * time.Millisecond)
-	made.startAgain(100 * time.Millisecond)
+	owner := made.attachTo(made.worker)
+	made.startsAgainUnanswered(owner)
 	made.says(made.worker, 1, "ready")
 	made.until(func() bool {
 		return len(owner.told(task)) > 0 || owner.outcome() != wire.StartOutcome_START_UNSPECIFIED
