agent: the next life of a worker is asked under a token that it obeys; soak: the store away and without its history

A look for the life before, under a token raised since the agent started, may reach the next life first; that one then refused the agent's question, which came under the first token, for good, and its room stood unused. Now it is asked under the token of the life before, and under a higher one where it refuses that. The soak also has the store away as a whole and without its history, and checks what a worker holds; a silent store reads a call to its end, lest it never notice that its caller is gone.

--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -472,3 +472,35 @@
 		t.Errorf("the worker was told to forget its ends up to %d", seen)
 	}
 }
+
+// TestNextLifeThatHasSeenALaterToken: a look for the life before, under a token that was raised since the agent
+// started, may reach the next life first. That one is taken care of all the same. The case that forced it: the
+// next life refused each question for its token, and its room stood unused for good.
+func TestNextLifeThatHasSeenALaterToken(t *testing.T) {
+	tests := map[string]time.Duration{"raised by this agent": 0, "raised by an agent whose clock was ahead": time.Minute}
+	for name, ahead := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := bornBench(t)
+			owner := made.attachTo(made.worker)
+			made.worker.Fail(func(path string) wireworker.Fault {
+				if path == "/v1/run-start" {
+					return wireworker.FaultReset
+				}
+				return wireworker.FaultNone
+			})
+			if got := made.starts(owner, startAt(made.worker, task)); got != wire.StartOutcome_START_WORKER_FAILED {
+				t.Fatalf("the start was answered %v", got)
+			}
+			made.startAgain(300 * time.Millisecond)
+			made.until(func() bool { looks, _ := made.worker.Looks(); return looks > 0 })
+			made.worker.RaiseToken(ahead)
+			made.pass(500 * time.Millisecond)
+			for beat := range 3 {
+				made.says(made.worker, beat+1, "ready")
+				made.pass(500 * time.Millisecond)
+			}
+			made.readyAs(owner, made.worker)
+			made.runsHere(owner, startAt(made.worker, numbered(1)))
+		})
+	}
+}
--- a/agent/successor.go
+++ b/agent/successor.go
@@ -57,6 +57,10 @@
 	}
 	next.asking = true
 	token := max(agent.options.FirstToken, next.fence)
+	if current := agent.worker; current != nil && next.beat.Incarnation.IsAnotherLifeOf(current.life) {
+		// A call that was meant for the life before may have brought its token there.
+		token = max(token, current.token)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(agent.ctx, callTimeout)
 		defer cancel()
@@ -96,6 +100,14 @@
 	case current != nil && next.beat.Incarnation.IsAnotherLifeOf(current.life):
 		if err == nil {
 			agent.noteNextLife(current, next, token, held, now)
+			return
+		}
+		var refused *platform.StartError
+		if errors.As(err, &refused) && refused.Reason() == platform.RefusedFence && current.overtaken {
+			// It has seen the token of an agent whose clock was ahead. Nobody looks at the life before any
+			// more, which would have found that out.
+			current.token += tokenStep
+			next.fence = current.token + 1
 		}
 	case err == nil || current == nil || current.failures > 0 && !now.Before(current.lapseBy):
 		agent.takeOver(next, now)
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -18,6 +18,8 @@
 	// askWithin bounds a client's call, triesMost how often one job is handed in.
 	askWithin = 3 * time.Second
 	triesMost = 5
+	// taskMilliCPU is what each task asks for.
+	taskMilliCPU = 400
 	// cancelShare is the share of jobs that their clients cancel.
 	cancelShare = 0.05
 )
@@ -82,7 +84,7 @@
 		if number > 0 {
 			after = fmt.Sprintf(`,"after":[%d]`, number-1)
 		}
-		texts = append(texts, fmt.Sprintf(`{"count":%d,"cpu":400,"mem_mb":64,"estimate_ms":600%s}`, count, after))
+		texts = append(texts, fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":600%s}`, count, taskMilliCPU, after))
 	}
 	return `{"spec":"s","steps":[` + strings.Join(texts, ",") + `]}`
 }
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -18,6 +18,9 @@
 	laterEvery = 4 * time.Second
 	// againEvery is the same of againFaults.
 	againEvery = 2 * time.Second
+	// storeEvery is the same of storeFaults, storeAwayMost how long the store is away as a whole at most.
+	storeEvery    = 6 * time.Second
+	storeAwayMost = 6 * time.Second
 	// shortMost and longMost bound how long a fault lasts: runs on an agent that is silent are
 	// taken for over after 5.8 s, and after a change of owner after 11.8 s.
 	shortMost = 3 * time.Second
@@ -102,14 +105,34 @@
 	}},
 }
 
-// laterFaults are drawn on their own, so that what a seed draws of the others stays the same.
+// faultLists are the lists of faults, each drawn on its own: what a seed draws of one stays the same when another
+// one is added at the end.
+var faultLists = []struct {
+	faults []fault
+	every  time.Duration
+}{{faults, faultEvery}, {laterFaults, laterEvery}, {againFaults, againEvery}, {storeFaults, storeEvery}}
+
+// storeFaults are those of the store as a whole.
+var storeFaults = []fault{
+	{"store away", func(ctx context.Context, made *site, draw *rand.Rand) {
+		kind := []wirestore.Fault{wirestore.FaultSilent, wirestore.FaultReset, wirestore.FaultBusy}[draw.IntN(3)]
+		made.store.Fail(func(string) wirestore.Fault { return kind })
+		sleep(ctx, time.Duration(draw.Int64N(int64(storeAwayMost))))
+		made.store.Fail(nil)
+	}},
+	{"store without its history", func(_ context.Context, made *site, _ *rand.Rand) {
+		made.store.DropHistory()
+	}},
+}
+
+// laterFaults were added after faults.
 var laterFaults = []fault{
 	{"settings read again", func(_ context.Context, made *site, draw *rand.Rand) {
 		made.any(draw).signal(syscall.SIGHUP)
 	}},
 }
 
-// againFaults are those of workers that start again, drawn on their own for the same reason. What strikes the
+// againFaults are those of workers that start again. What strikes the
 // agent meanwhile has it miss the end of a life, or two of them.
 var againFaults = []fault{
 	{"worker starts again", func(ctx context.Context, made *site, draw *rand.Rand) {
@@ -190,17 +213,12 @@
 	return time.Duration(draw.Int64N(int64(longMost)))
 }
 
-// suffer strikes the site with faults that overlap until ctx ends, and waits for the last of them. A
-// seed that ever broke a promise is played with what was drawn then.
+// suffer strikes the site with faults that overlap until ctx ends, and waits for the last of them.
 func (made *site) suffer(ctx context.Context, seed uint64, log func(format string, about ...any)) {
 	var striking sync.WaitGroup
-	if _, kept := regressions[seed]; !kept {
-		striking.Go(func() { made.strike(ctx, laterFaults, laterEvery, seed, seed+1, log) })
-	}
-	if !drawnBefore(seed) {
-		striking.Go(func() { made.strike(ctx, againFaults, againEvery, seed, seed+2, log) })
+	for number, list := range faultLists[:listsOf(seed)] {
+		striking.Go(func() { made.strike(ctx, list.faults, list.every, seed, seed+uint64(number), log) })
 	}
-	made.strike(ctx, faults, faultEvery, seed, seed, log)
 	striking.Wait()
 	made.heal()
 }
--- a/soak/ledger_caught_test.go
+++ b/soak/ledger_caught_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +73,18 @@
 			}
 			start(book, second, taskAttempts+1)
 		}, "BUDGET"},
+		"more than the worker has": {func(book *ledger) {
+			book.handIn(id, &jobLedger{attempts: taskAttempts, steps: []int32{21}})
+			for index := range workerMilliCPU/taskMilliCPU + 1 {
+				book.note(first, wireworker.Change{Kind: wireworker.Started, Task: fmt.Sprintf("%s.0.0.%d", id, index), Attempt: 1})
+			}
+		}, "LIMIT"},
+		"all that the worker has": {func(book *ledger) {
+			book.handIn(id, &jobLedger{attempts: taskAttempts, steps: []int32{21}})
+			for index := range workerMilliCPU / taskMilliCPU {
+				book.note(first, wireworker.Change{Kind: wireworker.Started, Task: fmt.Sprintf("%s.0.0.%d", id, index), Attempt: 1})
+			}
+		}, ""},
 		"a step before its turn": {func(book *ledger) {
 			book.note(first, wireworker.Change{Kind: wireworker.Started, Task: after, Attempt: 1})
 		}, "ORDER"},
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -101,6 +101,9 @@
 		earlier.followed = true
 	}
 	task.running[life] = change.Attempt
+	if holds := book.runningOn(life) * taskMilliCPU; holds > workerMilliCPU {
+		book.breach("LIMIT", "%s run %d starts on %s, which then holds %d thousandths of a core of %d", change.Task, change.Attempt, life, holds, workerMilliCPU)
+	}
 	ref, err := job.ParseRef(change.Task)
 	if err != nil {
 		book.breach("UNASKED", "%s: %v", change.Task, err)
@@ -109,6 +112,17 @@
 	book.noteJobStart(task, ref, change)
 }
 
+// runningOn counts the runs on a life.
+func (book *ledger) runningOn(life string) int {
+	count := 0
+	for _, task := range book.tasks {
+		if _, runs := task.running[life]; runs {
+			count++
+		}
+	}
+	return count
+}
+
 func (book *ledger) noteJobStart(task *taskLedger, ref job.Ref, change wireworker.Change) {
 	of, known := book.jobs[ref.Job]
 	if !known {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,30 +20,36 @@
 	// calmFirst lets the processes find each other.
 	calmFirst     = 3 * time.Second
 	agentsDefault = 6
-	seedDefault   = 1
+	seedDefault   = 6
 	clients       = 2
 )
 
-// regressions are the seeds that broke a promise, and by what.
-var regressions = map[uint64]string{
-	11:  "an end that its owner was not told outlived the owner's grant",
-	21:  "the same",
-	22:  "the same, and an order that came late on an older connection was taken",
-	23:  "the same, and an agent that had come back was granted time on the clock of its process before",
-	1:   "a worker that started again under its id was taken for the one before",
-	2:   "the same",
-	3:   "the same",
-	4:   "the same",
-	126: "a word on an end that was meant for the agent's process before it named another one to the next",
+// regression is a seed that broke a promise. It is played with the lists of faults that there were then.
+type regression struct {
+	lists int
+	cause string
 }
 
-// lastBefore is the highest of the regressions that were found before workers started again under their ids.
-const lastBefore = 23
+// regressions are the seeds that broke a promise, and by what.
+var regressions = map[uint64]regression{
+	11:  {1, "an end that its owner was not told outlived the owner's grant"},
+	21:  {1, "the same"},
+	22:  {1, "the same, and an order that came late on an older connection was taken"},
+	23:  {1, "the same, and an agent that had come back was granted time on the clock of its process before"},
+	1:   {3, "a worker that started again under its id was taken for the one before"},
+	2:   {3, "the same"},
+	3:   {3, "the same"},
+	4:   {3, "the same"},
+	5:   {4, "a worker that had started again refused its agent's questions for their token, and was never used again"},
+	126: {3, "a word on an end that was meant for the agent's process before it named another one to the next"},
+}
 
-// drawnBefore reports whether a seed is one of them: it is played with what was drawn then.
-func drawnBefore(seed uint64) bool {
-	_, kept := regressions[seed]
-	return kept && seed <= lastBefore
+// listsOf returns how many lists of faults a seed is played with.
+func listsOf(seed uint64) int {
+	if kept, found := regressions[seed]; found {
+		return kept.lists
+	}
+	return len(faultLists)
 }
 
 // TestProcessSoak plays seeds of faults against real processes, side by side.
@@ -95,7 +101,7 @@
 // datedOf tells which machines have workers that say when they started: by the seed two of three, and none in
 // a seed that broke a promise before there were such workers.
 func datedOf(seed uint64) func(number int) bool {
-	if drawnBefore(seed) {
+	if listsOf(seed) < 3 {
 		return func(int) bool { return false }
 	}
 	return func(number int) bool { return (uint64(number)+seed)%3 != 0 }
--- a/soak/worker_test.go
+++ b/soak/worker_test.go
@@ -19,6 +19,8 @@
 
 const (
 	beatEvery = 1100 * time.Millisecond
+	// workerMilliCPU is what a worker has.
+	workerMilliCPU = 8000
 	// lapseEvery is how often a worker's lease is looked at.
 	lapseEvery = 5 * time.Millisecond
 	// workLeast and workMost are what a run works, failShare the share of runs that fail.
@@ -220,8 +222,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":8000,"mem_mb":16000},"labels":["a","r1"],"seq":%d%s}`,
-		machine.address(), sequence, born)
+	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":%d,"mem_mb":16000},"labels":["a","r1"],"seq":%d%s}`,
+		machine.address(), workerMilliCPU, sequence, born)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/v1/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		return
--- a/standin/wirestore/wirestore.go
+++ b/standin/wirestore/wirestore.go
@@ -10,6 +10,7 @@
 package wirestore
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -120,6 +121,8 @@
 	case FaultReset:
 		panic(http.ErrAbortHandler)
 	case FaultSilent:
+		// The end of a connection is noticed only once the body has been read.
+		_, _ = io.Copy(io.Discard, request.Body)
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	case FaultLost:
