agent, owner: a run that its agent never got is over also while the worker is silent

A run that an owner had put into the store and not ordered, before its shard was dealt to another one, was released only once the worker was ready: never, where it is silent for good, or where a new agent has no worker. The agent says now that it accounts for all that runs, once the worker has listed it or every lease must be over; both tests were seen failing.

--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -504,3 +504,52 @@
 		})
 	}
 }
+
+// TestWhatAnAgentAccountsFor: an agent knows all that runs once its worker has listed it, also while that is silent
+// later, and without any worker once every lease that an agent before may have renewed is over.
+func TestWhatAnAgentAccountsFor(t *testing.T) {
+	accounts := func(owner *stream) bool {
+		return owner.last(func(message *wire.AgentMessage) bool { return message.GetStatus() != nil }).GetStatus().GetAccounted()
+	}
+	speaks := func(made *bench, owner *stream, length time.Duration) {
+		for begin := made.clock.Now(); made.clock.Now().Sub(begin) < length; {
+			owner.tell(&wire.OwnerMessage{GrantUntilNanos: int64(time.Hour)})
+			made.passSilently(500 * time.Millisecond)
+		}
+	}
+	t.Run("no worker has come", func(t *testing.T) {
+		made := newBench(t)
+		owner := made.attach(1)
+		speaks(made, owner, 3*time.Second)
+		if accounts(owner) {
+			t.Error("accounts for runs whose lease may go on")
+		}
+		speaks(made, owner, 3*time.Second)
+		if !accounts(owner) {
+			t.Error("accounts for nothing though every lease is over")
+		}
+	})
+	t.Run("the worker is silent from the start", func(t *testing.T) {
+		made := newBench(t)
+		made.crash()
+		made.beat()
+		owner := made.attach(1)
+		speaks(made, owner, 3*time.Second)
+		if accounts(owner) {
+			t.Error("accounts for runs whose lease may go on")
+		}
+		speaks(made, owner, 3*time.Second)
+		if !accounts(owner) {
+			t.Error("accounts for nothing though every lease is over")
+		}
+	})
+	t.Run("the worker falls silent", func(t *testing.T) {
+		made := newBench(t)
+		owner := made.attachReady(1)
+		made.crash()
+		speaks(made, owner, time.Second)
+		if !accounts(owner) {
+			t.Error("does not account for what the worker had listed")
+		}
+	})
+}
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -80,6 +80,11 @@
 	}
 }
 
+// leaseMost is for how long a worker may run on at most by this process's clock, whatever it was told.
+func (agent *Agent) leaseMost() time.Duration {
+	return time.Duration(float64(max(agent.options.LeaseMost, leaseLength)) * (1 + clockSlack))
+}
+
 func (agent *Agent) grantOf(shard int32) time.Time {
 	if held, found := agent.claims[shard]; found {
 		return held.until
--- a/agent/look.go
+++ b/agent/look.go
@@ -92,7 +92,7 @@
 	}
 	agent.noteRunning(state, asked, held, now)
 	if !state.known {
-		state.known = true
+		state.known, state.listedAll = true, true
 		agent.statusChanged()
 	}
 	agent.pace(state, true, now)
--- a/agent/successor.go
+++ b/agent/successor.go
@@ -213,7 +213,7 @@
 	if beat.Incarnation.IsAnotherLifeOf(agent.former.life) {
 		// It may have been given a lease by a call that was meant for the life before. On its clock,
 		// which began anew, that ends as late as a lease can.
-		agent.worker.lapseBy = now.Add(time.Duration(float64(max(agent.options.LeaseMost, leaseLength)) * (1 + clockSlack)))
+		agent.worker.lapseBy = now.Add(agent.leaseMost())
 	}
 	agent.worker.noteLeaving(now)
 	agent.statusChanged()
--- a/agent/tell.go
+++ b/agent/tell.go
@@ -138,7 +138,7 @@
 func (agent *Agent) status(now time.Time) *wire.WorkerStatus {
 	state := agent.worker
 	if state == nil {
-		return &wire.WorkerStatus{}
+		return &wire.WorkerStatus{Accounted: agent.uptime(now) >= agent.leaseMost()}
 	}
 	free := state.room()
 	status := &wire.WorkerStatus{
@@ -147,7 +147,7 @@
 		MilliCpu: state.beat.MilliCPU, MemoryMb: state.beat.MemoryMB, Accelerators: state.beat.Accelerators,
 		Draining: state.beat.Draining, RemainingMs: state.beat.Remaining.Milliseconds(),
 		FreeMilliCpu: free.MilliCPU, FreeMemoryMb: free.MemoryMB(), FreeAccelerators: free.Accelerators,
-		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(),
+		FillMilliCpu: free.fillMilliCPU, ServingMilliCpu: free.servingMilliCPU, Ready: state.ready(), Accounted: state.accounted(now),
 		Reclaimable: state.reclaimable(),
 	}
 	agent.tolerances(state, status, now)
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -37,6 +37,7 @@
 	aliveAt   time.Time // when the worker lived for certain
 	signAt    time.Time // when the last sign of that was seen
 	known     bool      // the worker has told what runs under this agent's token
+	listedAll bool      // it has told so at least once
 	looking   bool      // a look is on its way
 	lookAt    time.Time
 	failures  int
@@ -111,6 +112,12 @@
 	return true
 }
 
+// accounted reports whether the agent knows all that runs: the worker has listed it since the agent is there, or
+// whatever an agent before had started must have lapsed.
+func (state *workerState) accounted(now time.Time) bool {
+	return state.listedAll || !now.Before(state.lapseBy)
+}
+
 func (state *workerState) ready() bool {
 	return state.known && !state.overtaken && state.failures == 0 && state.described()
 }
--- a/owner/again_test.go
+++ b/owner/again_test.go
@@ -207,3 +207,42 @@
 		t.Errorf("asks about %v", again)
 	}
 }
+
+// TestInheritedRunOnASilentWorker: a run that an owner before had put into the store and never ordered is known to no
+// agent. It is over once the agent can account for all that runs, though its worker is silent for good or
+// none has come: it would wait for an end that nobody will tell.
+func TestInheritedRunOnASilentWorker(t *testing.T) {
+	silent := bornWorker(bornFirst)
+	silent.Ready = false
+	accounted := bornWorker(bornFirst)
+	accounted.Ready, accounted.Accounted = false, true
+	tests := map[string]struct {
+		status *wire.WorkerStatus
+		runs   []*wire.RunStatus
+		goesOn bool
+	}{
+		"the agent can't account for it":         {silent, nil, true},
+		"the agent lists it":                     {accounted, listed(), true},
+		"the agent accounts for all, without":    {accounted, nil, false},
+		"no worker, and the lease may go on":     {&wire.WorkerStatus{}, nil, true},
+		"no worker, and every lease is over":     {&wire.WorkerStatus{Accounted: true}, nil, false},
+		"another worker, which has not answered": {&wire.WorkerStatus{Worker: "i-9", Accounted: true}, nil, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			made := newBench(t)
+			of := made.kept(bornFirst)
+			made.attach()
+			made.hear(&wire.AgentMessage{Status: test.status, Complete: true, Runs: test.runs})
+			if !goesOn(of) {
+				t.Fatal("released before the agent had heard of the claim")
+			}
+			made.step()
+			made.sent()
+			made.hear(&wire.AgentMessage{Status: test.status, Complete: true, Runs: test.runs})
+			if goesOn(of) != test.goesOn {
+				t.Errorf("goes on: %v", goesOn(of))
+			}
+		})
+	}
+}
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -100,14 +100,16 @@
 
 // noteUnlisted looks at a run that its agent does not list.
 func (owner *Owner) noteUnlisted(view *agentView, entry *runEntry, worker incarnation.Name, now time.Time) {
-	if worker.IsZero() || !view.status().GetReady() {
-		// One that has not answered may be known by a heartbeat that was held up.
+	status := view.status()
+	if !status.GetReady() && !status.GetAccounted() {
 		return
 	}
-	if worker.ID() != entry.place.Worker.ID() {
+	if !worker.IsZero() && worker.ID() != entry.place.Worker.ID() {
 		// A machine has one worker: another one that answers there means that the one before it has ended,
-		// with all that it ran.
-		owner.release(view, entry, "its worker's incarnation is over", now)
+		// with all that it ran. One that has not answered may be known by a heartbeat that was held up.
+		if status.GetReady() {
+			owner.release(view, entry, "its worker's incarnation is over", now)
+		}
 		return
 	}
 	// Another life under the same id may have carried the order out, which its agent tells to an owner
@@ -121,6 +123,9 @@
 	}
 	reason := "not listed by its agent"
 	if worker.IsAnotherLifeOf(entry.place.Worker) {
+		if !status.GetReady() {
+			return
+		}
 		reason = "its worker has started again"
 	}
 	owner.release(view, entry, reason, now)
--- a/status/told.go
+++ b/status/told.go
@@ -45,7 +45,7 @@
 		before.GetMilliCpu() == now.GetMilliCpu() && before.GetMemoryMb() == now.GetMemoryMb() &&
 		before.GetAccelerators() == now.GetAccelerators() &&
 		before.GetDraining() == now.GetDraining() && before.GetRemainingMs() == now.GetRemainingMs() &&
-		before.GetReady() == now.GetReady()
+		before.GetReady() == now.GetReady() && before.GetAccounted() == now.GetAccounted()
 }
 
 // change returns what has changed of the worker since it was last told, nil for nothing,
