--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -125,7 +125,7 @@
 	}},
 }
 
-// laterFaults were added after faults.
+// laterFaults strike a process without taking anything from it.
 var laterFaults = []fault{
 	{"settings read again", func(_ context.Context, made *site, draw *rand.Rand) {
 		made.any(draw).signal(syscall.SIGHUP)
