agent: the refusal of a next life in a function of its own; two bounds of a lease with names of their own

Cause: a read of the whole change. A switch had a second decision nested in one of its cases, a constant and a method of the package were both called leaseMost though one leaves out leases reckoned on another life's clock, and a test's comment named another grant than the test gives. Change: one function taken out, one method renamed, comments; no decision, bound or assertion differs.

--- a/agent/again_test.go
+++ b/agent/again_test.go
@@ -77,7 +77,7 @@
 	made.present.Store(next)
 }
 
-// attachTo connects an owner to the agent of a life that is ready, and has it grant a minute.
+// attachTo connects an owner to the agent of a life that is ready, and has it grant time for the whole test.
 func (made *bench) attachTo(of *wireworker.Worker) *stream {
 	made.t.Helper()
 	made.says(of, 1, "ready")
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -80,8 +80,9 @@
 	}
 }
 
-// leaseMost is for how long a worker may run on at most by this process's clock, whatever it was told.
-func (agent *Agent) leaseMost() time.Duration {
+// longestLease is for how long a worker may run on at most by this process's clock, whatever it was told: also by a
+// lease that was reckoned on the clock of another life, which leaseMost leaves out.
+func (agent *Agent) longestLease() time.Duration {
 	return time.Duration(float64(max(agent.options.LeaseMost, leaseLength)) * (1 + clockSlack))
 }
 
--- a/agent/successor.go
+++ b/agent/successor.go
@@ -98,22 +98,28 @@
 	case platform.IsOtherIncarnation(err):
 		agent.noteStale(next)
 	case current != nil && next.beat.Incarnation.IsAnotherLifeOf(current.life):
-		if err == nil {
-			agent.noteNextLife(current, next, token, held, now)
+		if err != nil {
+			current.noteNextLifeRefused(next, err)
 			return
 		}
-		var refused *platform.StartError
-		if errors.As(err, &refused) && refused.Reason() == platform.RefusedFence && current.overtaken {
-			// It has seen the token of an agent whose clock was ahead. Nobody looks at the life before any
-			// more, which would have found that out.
-			current.token += tokenStep
-			next.fence = current.token + 1
-		}
+		agent.noteNextLife(current, next, token, held, now)
 	case err == nil || current == nil || current.failures > 0 && !now.Before(current.lapseBy):
 		agent.takeOver(next, now)
 	}
 }
 
+// noteNextLifeRefused raises the token of the questions to the next life where it refuses them for theirs: it has
+// seen that of an agent whose clock was ahead. Nobody looks at the life before any more, which would have found
+// that out.
+func (state *workerState) noteNextLifeRefused(next *successor, err error) {
+	var refused *platform.StartError
+	if !state.overtaken || !errors.As(err, &refused) || refused.Reason() != platform.RefusedFence {
+		return
+	}
+	state.token += tokenStep
+	next.fence = state.token + 1
+}
+
 // noteStale drops an incarnation whose heartbeat was late.
 func (agent *Agent) noteStale(next *successor) {
 	agent.next = nil
@@ -216,7 +222,7 @@
 	if beat.Incarnation.IsAnotherLifeOf(agent.former.life) {
 		// It may have been given a lease by a call that was meant for the life before. On its clock,
 		// which began anew, that ends as late as a lease can.
-		agent.worker.lapseBy = now.Add(agent.leaseMost())
+		agent.worker.lapseBy = now.Add(agent.longestLease())
 	}
 	agent.worker.noteLeaving(now)
 	agent.statusChanged()
--- a/agent/tell.go
+++ b/agent/tell.go
@@ -138,7 +138,7 @@
 func (agent *Agent) status(now time.Time) *wire.WorkerStatus {
 	state := agent.worker
 	if state == nil {
-		return &wire.WorkerStatus{Accounted: agent.uptime(now) >= agent.leaseMost()}
+		return &wire.WorkerStatus{Accounted: agent.uptime(now) >= agent.longestLease()}
 	}
 	free := state.room()
 	status := &wire.WorkerStatus{
