agent, owner, job: registrations of a fleet no longer feed themselves

Cause: all agents append to one partition, which takes an append each 4 ms, so that the last of 800 waits 3.2 s. A try was given up after 1.5 s, went on waiting in the store, and was followed by another one 0.2 s later: more was offered than taken, for good. Each record woke the reads of all gateways. It multiplies agents by gateways.

Change: a try is waited for beyond what the store lets wait, one at a time; after a refusal the next comes later each time, spread. A record that the store has is not written again. Agents register in four partitions by the hash of their names; readers let records gather for 250 ms between reads that find some.

By 4 ms and four partitions 800 agents take 0.8 s, 1,600 1.6 s (reckoned).

--- a/agent/register.go
+++ b/agent/register.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
@@ -15,9 +18,13 @@
 )
 
 const (
-	// registerTimeout bounds a try, registerPause keeps tries apart.
-	registerTimeout = 1500 * time.Millisecond
-	registerPause   = 200 * time.Millisecond
+	// registerTimeout bounds a try. A partition that has more than 2 s of appends waiting
+	// refuses another one, so what is not answered by then was lost and doesn't wait in line.
+	registerTimeout = 4 * time.Second
+	// registerPause and registerSlower bound the pause before the next try, which doubles
+	// with each. It is spread, so that agents that were refused together don't come again together.
+	registerPause  = 250 * time.Millisecond
+	registerSlower = 4 * time.Second
 	// endedKept bounds the incarnations of one machine that the store is told
 	// of; runs of earlier ones have long been given up.
 	endedKept = 8
@@ -26,13 +33,29 @@
 // Register puts the agent's address into the store, where owners find it, and
 // again whenever an incarnation of the worker has ended. It tries until the store
 // has taken it or ctx ends.
+//
+// One append is on its way at a time, and one that waits its turn is waited for: a whole fleet may
+// register at once, and tries that are given up while they wait would make the line longer for all.
 func (agent *Agent) Register(ctx context.Context, store *platform.Store, address string) {
-	for ctx.Err() == nil {
-		var ended []incarnation.Name
-		if !agent.decisions.Ask(ctx, func(time.Time) { ended = slices.Clone(agent.ended) }) {
+	var taken *job.AgentRecord // by the store
+	retry := newRegisterBackOff()
+	for tries := 1; ctx.Err() == nil; tries++ {
+		record, asked := agent.record(ctx, address)
+		if !asked {
 			return
 		}
-		agent.registerOnce(ctx, store, job.NewAgentRecord(agent.options.Name, address, ended))
+		if taken == nil || !proto.Equal(record, taken) {
+			if err := agent.registerOnce(ctx, store, record); err != nil {
+				agent.noteRegisterFailed(ctx, tries, err)
+				agent.sleep(ctx, retry.NextBackOff())
+				continue
+			}
+			agent.options.Events.Log(ctx, event.AgentRegistered, slog.String("address", address),
+				slog.Int("ended", len(record.GetEnded())+len(record.GetOver())), slog.Int("tries", tries))
+			taken = record
+		}
+		retry.Reset()
+		tries = 0
 		select {
 		case <-ctx.Done():
 		case <-agent.endedNews:
@@ -40,28 +63,49 @@
 	}
 }
 
-func (agent *Agent) registerOnce(ctx context.Context, store *platform.Store, record *job.AgentRecord) {
+func newRegisterBackOff() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = registerPause
+	retry.Multiplier = 2
+	retry.MaxInterval = registerSlower
+	return retry
+}
+
+// record returns what the store is to know of the agent; false once the agent has ended.
+func (agent *Agent) record(ctx context.Context, address string) (*job.AgentRecord, bool) {
+	var ended []incarnation.Name
+	if !agent.decisions.Ask(ctx, func(time.Time) { ended = slices.Clone(agent.ended) }) {
+		return nil, false
+	}
+	return job.NewAgentRecord(agent.options.Name, address, ended), true
+}
+
+// registerOnce appends the agent's record, with one try.
+func (agent *Agent) registerOnce(ctx context.Context, store *platform.Store, record *job.AgentRecord) error {
 	value, err := proto.Marshal(record)
 	if err != nil {
-		// A message that was just built always encodes.
-		agent.options.Events.Log(ctx, event.RecordUnreadable, slog.Any("error", err))
-		return
+		return errors.Wrap(err, "encode the agent's record")
 	}
-	add := platform.Append{Topic: job.TopicAgents, Part: job.AgentsPart, Records: []platform.Record{{Key: agent.options.Name, Value: value}}}
-	for tries := 1; ctx.Err() == nil; tries++ {
-		err := appendOnce(ctx, store, add)
-		if err == nil {
-			agent.options.Events.Log(ctx, event.AgentRegistered, slog.String("address", record.GetAddress()),
-				slog.Int("ended", len(record.GetEnded())+len(record.GetOver())), slog.Int("tries", tries))
-			return
-		}
-		if tries == 1 {
-			agent.options.Events.Log(ctx, event.StoreLost, slog.Any("error", err))
-		}
-		select {
-		case <-ctx.Done():
-		case <-agent.options.Clock.After(registerPause):
-		}
+	ctx, cancel := clockwork.WithTimeout(ctx, agent.options.Clock, registerTimeout)
+	defer cancel()
+	_, err = store.Append(ctx, platform.Append{
+		Topic: job.TopicAgents, Part: job.AgentsPart(agent.options.Name, agent.options.Shards),
+		Records: []platform.Record{{Key: agent.options.Name, Value: value}},
+	})
+	return err
+}
+
+// noteRegisterFailed logs the first of the tries that fail in a row.
+func (agent *Agent) noteRegisterFailed(ctx context.Context, tries int, err error) {
+	if tries == 1 {
+		agent.options.Events.Log(ctx, event.StoreLost, slog.Any("error", err))
+	}
+}
+
+func (agent *Agent) sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-agent.options.Clock.After(length):
 	}
 }
 
@@ -76,10 +120,3 @@
 	default:
 	}
 }
-
-func appendOnce(ctx context.Context, store *platform.Store, add platform.Append) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	_, err := store.Append(ctx, add)
-	return err
-}
--- a/job/keys.go
+++ b/job/keys.go
@@ -13,8 +13,16 @@
 	TopicLearned = "keyed.learned"
 )
 
-// AgentsPart is the only partition of TopicAgents that is used.
-const AgentsPart = 0
+// agentsPartsMost bounds the partitions that agents register in. A partition takes its
+// appends in turn, and all agents of a fleet may register at once: several make the last of
+// them known sooner, and each is one more read that every reader waits in.
+const agentsPartsMost = 4
+
+// AgentsParts returns how many partitions of TopicAgents are used, of so many that a topic has.
+func AgentsParts(parts int) int { return min(parts, agentsPartsMost) }
+
+// AgentsPart returns the partition of TopicAgents that holds an agent's record.
+func AgentsPart(agent string, parts int) int { return ShardOf(agent, AgentsParts(parts)) }
 
 // LearnedKey is the key of the only record of TopicLearned, which lies in the
 // partition with the number of SharedShard.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -15,8 +15,12 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// agentsWait is how long a read waits for an agent to register.
-const agentsWait = 4 * time.Second
+const (
+	// agentsWait is how long a read waits for an agent to register.
+	agentsWait = 4 * time.Second
+	// agentsGather is how long records of agents gather between two reads that find some.
+	agentsGather = 250 * time.Millisecond
+)
 
 // agentView is what the owner knows of one agent and its worker.
 type agentView struct {
@@ -82,16 +86,29 @@
 
 // followAgents keeps up with the agents that are registered in the store.
 func (owner *Owner) followAgents(ctx context.Context) {
+	for part := range job.AgentsParts(owner.options.Shards) {
+		go owner.followAgentsIn(ctx, part)
+	}
+}
+
+// followAgentsIn keeps up with the agents that are registered in one partition. After records
+// have come it lets more gather: agents register together, and a read for each of their
+// records by each reader would grow with the product of both.
+func (owner *Owner) followAgentsIn(ctx context.Context, part int) {
 	next := int64(-1)
 	for ctx.Err() == nil {
-		tail, err := owner.readAgents(ctx, next)
+		tail, err := owner.readAgents(ctx, part, next)
 		if err != nil {
 			next = owner.agentsAfter(err, next)
 			owner.sleep(ctx, storePause)
 			continue
 		}
 		next = tail.Next
+		if len(tail.Records) == 0 {
+			continue
+		}
 		owner.decisions.Post(func(now time.Time) { owner.noteAgents(tail, now) })
+		owner.sleep(ctx, agentsGather)
 	}
 }
 
@@ -102,13 +119,13 @@
 	return next
 }
 
-func (owner *Owner) readAgents(ctx context.Context, next int64) (platform.Tail, error) {
+func (owner *Owner) readAgents(ctx context.Context, part int, next int64) (platform.Tail, error) {
 	ctx, cancel := context.WithTimeout(ctx, agentsWait+tailOver)
 	defer cancel()
 	if next < 0 {
-		return owner.options.Store.Newest(ctx, job.TopicAgents, job.AgentsPart)
+		return owner.options.Store.Newest(ctx, job.TopicAgents, part)
 	}
-	return owner.options.Store.Read(ctx, job.TopicAgents, job.AgentsPart, next, agentsWait)
+	return owner.options.Store.Read(ctx, job.TopicAgents, part, next, agentsWait)
 }
 
 func (owner *Owner) noteAgents(tail platform.Tail, now time.Time) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -151,7 +151,7 @@
 func (owner *Owner) Run(ctx context.Context) {
 	owner.ctx = ctx
 	go owner.keepMembership(owner.joining)
-	go owner.followAgents(ctx)
+	owner.followAgents(ctx)
 	owner.decisions.Run(ctx, stepEvery, owner.step)
 	owner.stopJoining()
 }
--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -39,6 +39,10 @@
 		answer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !store.awaitTurn(topicPart{request.URL.Query().Get("topic"), int(number(request, "part"))}) {
+		answer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	kept := store.partition(request)
--- a/standin/wirestore/wirestore.go
+++ b/standin/wirestore/wirestore.go
@@ -28,6 +28,8 @@
 	FaultSilent       // not done and never answered, until the caller gives up
 )
 
+type topicCall struct{ call, topic string }
+
 // Store is the stand-in. It is an http.Handler.
 type Store struct {
 	parts int
@@ -38,6 +40,9 @@
 	group map[string]*group
 	fault func(call string) Fault
 	calls map[string]int
+	// topicCalls counts calls by their path and topic.
+	topicCalls map[topicCall]int
+	turns      turns
 	// topicFaults decide what befalls appends, by topic.
 	topicFaults map[string]func() Fault
 	// rewrites change the values that are appended, by topic.
@@ -48,7 +53,7 @@
 func New(parts int, now func() time.Time) *Store {
 	return &Store{
 		parts: parts, now: now, kept: map[topicPart]*partition{}, grown: make(chan struct{}),
-		group: map[string]*group{}, calls: map[string]int{}, topicFaults: map[string]func() Fault{},
+		group: map[string]*group{}, calls: map[string]int{}, topicCalls: map[topicCall]int{}, topicFaults: map[string]func() Fault{},
 		rewrites: map[string]func(value []byte) []byte{},
 	}
 }
@@ -81,6 +86,13 @@
 	return store.calls[call]
 }
 
+// TopicCalls returns how often a call was made for a topic.
+func (store *Store) TopicCalls(call, topic string) int {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.topicCalls[topicCall{call, topic}]
+}
+
 // DropHistory removes all records but the newest of each key, as far as reads
 // by offset go.
 func (store *Store) DropHistory() {
@@ -137,6 +149,7 @@
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	store.calls[call]++
+	store.topicCalls[topicCall{call, topic}]++
 	if fault, found := store.topicFaults[topic]; found && call == "/v1/log-append" {
 		return fault()
 	}
