candidacy, owner, platform: only entries with a seat offer themselves as owners and connect to agents

Cause: each entry that might be dealt a shard kept a stream to each agent: entries times agents, 147,200 on 184 entries and 800 agents, though at most 16 own a shard; and any of them was dealt one, also those with a tenth of a core. It multiplies entries by agents.

Change: a second group of the store deals seats, twice as many as shards; who has one joins the group of owners and connects. Strong entries (by the processors that the settings name) always ask for one, weak ones while the strong are too few to bear the shards, by what the store says of owners. Seats are kept for 10 s of silence, so a process that comes back has its seat at once.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"ambertiller.example/ambertiller/agent"
+	"ambertiller.example/ambertiller/candidacy"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/gateway"
 	"ambertiller.example/ambertiller/incarnation"
@@ -96,13 +97,14 @@
 	pool := rpc.NewPool(nil)
 	owning := owner.New(owner.Options{
 		Name: settings.Name(), Address: address, FailureDomain: settings.FailureDomain(), Shards: settings.Parts(),
-		Grant: min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
+		Strong: candidacy.Strong(settings.Cores()),
+		Grant:  min(grantMost, settings.LeaseMost()), Silent: max(ownerSilent, settings.MembershipLeast()), StatusKept: settings.StatusKept(),
 		Store: made.store, Advisor: advisor(settings), Dial: rpc.DialOne, Clock: made.clock, Suspended: made.clocks.Suspended,
 		Events: made.events, Meters: made.metering.Provider(),
 	})
 	front := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Parts(), Store: made.store, Owner: owning,
-		Self: owner.Member(settings.Name(), address), Pool: pool, Clock: made.clock, Events: made.events, Meters: made.metering.Provider(),
+		Self: owning.Member(), Pool: pool, Clock: made.clock, Events: made.events, Meters: made.metering.Provider(),
 	})
 	running := &Gateway{Daemon: Daemon{kern: kernel.New(), events: made.events}}
 	return running, registerAll(running.kern,
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -96,6 +96,8 @@
 	OwnersUnknown
 	LearnedTakenUp
 	LearnedNotKept
+	CandidacyBegun
+	CandidacyEnded
 )
 
 // Jobs: handed in, decided on, ended.
@@ -190,6 +192,8 @@
 	settleRelease = "0.8"
 	// rebornRelease is the one that tells the lives of a worker apart.
 	rebornRelease = "0.9"
+	// fleetRelease is the one in which only some entries of a fleet are candidates for shards.
+	fleetRelease = "0.10"
 )
 
 // catalogue is the single source of docs/EVENTS.md.
@@ -266,6 +270,8 @@
 	{OwnersUnknown, slog.LevelWarn, "owners unknown", "The store does not say which entry owns which shard. The owners known before are asked on until it does.", preemptRelease},
 	{LearnedTakenUp, slog.LevelInfo, "learned interference taken up", "What earlier processes had learned of which tasks disturb which was read from the store and is told to the agents.", reportRelease},
 	{LearnedNotKept, slog.LevelWarn, "learned interference not kept", "The store refused what was learned of interference, since another entry has taken the shard over that it is kept with.", reportRelease},
+	{CandidacyBegun, slog.LevelInfo, "candidacy begun", "This entry offers itself as an owner of shards from here on and connects to all agents. The attribute strong says whether its machine bears the work of an owner; others are candidates only while they are needed.", fleetRelease},
+	{CandidacyEnded, slog.LevelInfo, "candidacy ended", "This entry no longer offers itself as an owner of shards: enough others do.", fleetRelease},
 
 	{JobAccepted, slog.LevelInfo, "job accepted", "A job is in the store and its client was told so.", platformRelease},
 	{JobRefused, slog.LevelInfo, "job refused", "A job was not taken and will never run from this request. The attributes give the reason and when to come back.", platformRelease},
--- a/job/keys.go
+++ b/job/keys.go
@@ -35,6 +35,12 @@
 // OwnersGroup is the group that deals shards to entries.
 const OwnersGroup = "owners"
 
+// SeatsGroup is the group that deals seats to entries: those that have one join OwnersGroup.
+const SeatsGroup = "seats"
+
+// SeatTopics are the topics whose partitions stand for seats.
+func SeatTopics() []string { return []string{TopicJobs, TopicRuns} }
+
 const (
 	submissionPrefix   = "j"
 	cancellationPrefix = "c"
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -25,7 +25,9 @@
 // agentView is what the owner knows of one agent and its worker.
 type agentView struct {
 	address string
-	link    *link // nil while not attached
+	// leave ends the connections to the agent.
+	leave context.CancelFunc
+	link  *link // nil while not attached
 	// connections counts those that were made.
 	connections int64
 	id          string
@@ -161,15 +163,27 @@
 // agentAt returns the view of the agent at an address, and begins to connect to
 // one that is new.
 func (owner *Owner) agentAt(address string) *agentView {
-	if view, known := owner.agents[address]; known || address == "" {
+	if view, known := owner.agents[address]; known || address == "" || owner.withdrawn {
 		return view
 	}
 	view := newView(address)
 	owner.agents[address] = view
-	go owner.keepAttached(view)
+	ctx, leave := context.WithCancel(owner.ctx)
+	view.leave = leave
+	go owner.keepAttached(ctx, view)
 	return view
 }
 
+// withdraw ends all connections to agents, and what is known of them with these. What was read of
+// agents before has no effect any more.
+func (owner *Owner) withdraw() {
+	owner.withdrawn = true
+	for _, view := range owner.agents {
+		view.leave()
+	}
+	clear(owner.agents)
+}
+
 // forget drops what was on its way for a shard that is no longer owned.
 func (view *agentView) forget(held *shard) {
 	for name, entry := range view.runs {
--- a/owner/bench_test.go
+++ b/owner/bench_test.go
@@ -44,7 +44,7 @@
 		server.Close()
 	})
 	return New(Options{
-		Name: "edge-1", Address: "10.0.0.9:7000", Shards: 8, Grant: 6 * time.Second, Silent: 1500 * time.Millisecond,
+		Name: "edge-1", Strong: true, Address: "10.0.0.9:7000", Shards: 8, Grant: 6 * time.Second, Silent: 1500 * time.Millisecond,
 		Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.Transport()), Clock: clock, Events: event.Discard(),
 	})
 }
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -34,22 +34,22 @@
 	cancel context.CancelFunc
 }
 
-// keepAttached connects to an agent, again and again.
-func (owner *Owner) keepAttached(view *agentView) {
+// keepAttached connects to an agent, again and again, until ctx ends.
+func (owner *Owner) keepAttached(ctx context.Context, view *agentView) {
 	pause := attachPause
-	for owner.ctx.Err() == nil {
-		if owner.attach(view) {
+	for ctx.Err() == nil {
+		if owner.attach(ctx, view) {
 			pause = attachPause
 		}
-		owner.sleep(owner.ctx, pause)
+		owner.sleep(ctx, pause)
 		pause = min(pause*2, attachSlower)
 	}
 }
 
 // attach connects once and stays until the connection ends. It reports whether
 // the agent was reached.
-func (owner *Owner) attach(view *agentView) bool {
-	ctx, cancel := context.WithCancel(owner.ctx)
+func (owner *Owner) attach(ctx context.Context, view *agentView) bool {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialled, done := context.WithTimeout(ctx, dialTimeout)
 	conn, err := owner.options.Dial(dialled, view.address)
@@ -97,7 +97,7 @@
 	view.link = made
 	view.connections++
 	view.message = &wire.OwnerMessage{
-		Owner: owner.self(), FailureDomain: owner.options.FailureDomain, TakesChanges: true, Connection: view.connections,
+		Owner: owner.Member(), FailureDomain: owner.options.FailureDomain, TakesChanges: true, Connection: view.connections,
 	}
 	view.sequence, view.handled = 0, 0
 	view.claimSeq = map[int]int64{}
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -96,7 +96,7 @@
 		return platform.NewStore(strings.TrimPrefix(served.URL, "http://"), platform.Transport())
 	}
 	made.owner = owner.New(owner.Options{
-		Name: "edge-1", Address: "10.0.0.9:7000", Shards: fleetShards, Grant: 5 * time.Second, Silent: 1500 * time.Millisecond,
+		Name: "edge-1", Strong: true, Address: "10.0.0.9:7000", Shards: fleetShards, Grant: 5 * time.Second, Silent: 1500 * time.Millisecond,
 		StatusKept: time.Minute, Store: calls(), Dial: rpc.DialOne, Clock: clock, Events: event.Discard(),
 	})
 	for number := range machines {
--- a/owner/membership.go
+++ b/owner/membership.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
@@ -21,13 +19,12 @@
 
 // keepMembership joins the group, and again and again, until ctx ends.
 func (owner *Owner) keepMembership(ctx context.Context) {
-	defer close(owner.joined)
 	heard := int64(0)
 	lost := time.Time{}
 	for ctx.Err() == nil {
 		sent, sentAfter := owner.options.Clock.Now(), owner.suspended()
 		if owner.renew.Load() {
-			if err := owner.leaveGroup(ctx); err != nil {
+			if err := owner.leaveGroup(ctx, job.OwnersGroup, owner.Member()); err != nil {
 				lost = owner.noteStoreLost(ctx, lost, sent, err)
 				owner.sleep(ctx, joinEvery)
 				continue
@@ -60,7 +57,7 @@
 func (owner *Owner) join(ctx context.Context, heard int64) (platform.Deal, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	return owner.options.Store.Join(ctx, job.OwnersGroup, owner.self(), job.TopicJobs, owner.options.Silent, heard)
+	return owner.options.Store.Join(ctx, job.OwnersGroup, owner.Member(), []string{job.TopicJobs}, owner.options.Silent, heard)
 }
 
 func (owner *Owner) noteStoreLost(ctx context.Context, lost, now time.Time, err error) time.Time {
@@ -89,9 +86,6 @@
 			owner.giveUp(held, "dealt to another entry", now)
 		}
 	}
-	if owner.leaving {
-		return
-	}
 	for number := range dealt {
 		_, owned := owner.shards[number]
 		if !owned && deal.Generation > owner.fenced[number] {
@@ -99,25 +93,3 @@
 		}
 	}
 }
-
-// Leave gives all shards up, so that others take them at once.
-func (owner *Owner) Leave(ctx context.Context) error {
-	// No join may reach the store after the leave: it would bring shards back
-	// to an entry that no longer schedules them.
-	owner.stopJoining()
-	<-owner.joined
-	owner.decisions.Ask(ctx, func(now time.Time) {
-		owner.leaving = true
-		for _, held := range owner.shards {
-			owner.giveUp(held, "the process stops", now)
-		}
-	})
-	return owner.leaveGroup(ctx)
-}
-
-func (owner *Owner) leaveGroup(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	err := owner.options.Store.Leave(ctx, job.OwnersGroup, owner.self())
-	return errors.Wrap(err, "leave the group of owners")
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,9 @@
 	FailureDomain string
 	// Shards is how many shards there are.
 	Shards int
+	// Strong is set where the machine bears the work of an owner; others offer themselves as
+	// far as they are needed.
+	Strong bool
 	// Grant is how long runs go on without word from their owner.
 	Grant time.Duration
 	// Silent is after how long without a join the store deals a member's
@@ -97,10 +100,13 @@
 	options   Options
 	decisions *loop.Loop
 	ctx       context.Context // ends the calls of the owner with it
-	// joining ends the membership, joined is closed once it has ended.
-	joining     context.Context
-	stopJoining context.CancelFunc
-	joined      chan struct{}
+	// stopApplying ends the candidacy, applied is closed once it has ended.
+	applying     context.Context
+	stopApplying context.CancelFunc
+	applied      chan struct{}
+	// present is nil while the entry does not offer itself as an owner. Only the candidacy changes it, and
+	// Leave once that has ended.
+	present *standing
 	// renew has the membership leave the group before it joins. A process that
 	// comes back before it was missed would else be dealt its shards under the
 	// epoch that it wrote with before, and a late append of its earlier life
@@ -108,10 +114,11 @@
 	renew atomic.Bool
 
 	joinedAt time.Time
-	leaving  bool
 	shards   map[int]*shard
 	fenced   map[int]int64
 	agents   map[string]*agentView
+	// withdrawn is set while the entry has left the agents.
+	withdrawn bool
 	// knowledge is what is known of evacuations.
 	knowledge operator.Knowledge
 	placeDue  bool
@@ -126,19 +133,19 @@
 
 // New returns an owner that owns nothing until Run.
 func New(options Options) *Owner {
-	joining, stopJoining := context.WithCancel(context.Background())
+	applying, stopApplying := context.WithCancel(context.Background())
 	made := &Owner{
-		options:     options,
-		decisions:   loop.New(options.Clock),
-		joining:     joining,
-		stopJoining: stopJoining,
-		joined:      make(chan struct{}),
-		shards:      map[int]*shard{},
-		fenced:      map[int]int64{},
-		agents:      map[string]*agentView{},
-		sent:        traffic.New(options.Meters),
-		meters:      newMeters(options.Meters),
-		advised:     adviceQueue{steps: map[string]*stepAdvice{}},
+		options:      options,
+		decisions:    loop.New(options.Clock),
+		applying:     applying,
+		stopApplying: stopApplying,
+		applied:      make(chan struct{}),
+		shards:       map[int]*shard{},
+		fenced:       map[int]int64{},
+		agents:       map[string]*agentView{},
+		sent:         traffic.New(options.Meters),
+		meters:       newMeters(options.Meters),
+		advised:      adviceQueue{steps: map[string]*stepAdvice{}},
 	}
 	made.renew.Store(true)
 	if options.Suspended != nil {
@@ -150,15 +157,26 @@
 // Run schedules until ctx ends.
 func (owner *Owner) Run(ctx context.Context) {
 	owner.ctx = ctx
-	go owner.keepMembership(owner.joining)
-	owner.followAgents(ctx)
+	go owner.keepCandidacy(owner.applying)
 	owner.decisions.Run(ctx, stepEvery, owner.step)
-	owner.stopJoining()
+	owner.stopApplying()
 }
 
-// Member is the name under which the entry joins the group: its address tells
-// others where to reach it.
-func Member(name, address string) string { return name + memberSeparator + address }
+// Member is the name under which the entry joins groups: it begins with what its machine bears, and its
+// address tells others where to reach it.
+func (owner *Owner) Member() string {
+	mark := weakMark
+	if owner.options.Strong {
+		mark = strongMark
+	}
+	return mark + owner.options.Name + memberSeparator + owner.options.Address
+}
+
+const (
+	// strongMark begins the name of a member that bears the work of an owner, weakMark that of another one.
+	strongMark = "strong/"
+	weakMark   = "weak/"
+)
 
 // memberSeparator stands in no node's name and no address.
 const memberSeparator = "|"
@@ -169,9 +187,6 @@
 	return address
 }
 
-// self is the name under which this entry joins the group.
-func (owner *Owner) self() string { return Member(owner.options.Name, owner.options.Address) }
-
 func (owner *Owner) step(now time.Time) {
 	for _, held := range owner.shards {
 		owner.forgetOld(held, now)
--- a/owner/registration_test.go
+++ b/owner/registration_test.go
@@ -56,7 +56,7 @@
 	}
 	for number := range readers {
 		scheduling := owner.New(owner.Options{
-			Name: fmt.Sprintf("edge-%d", number), Address: fmt.Sprintf("10.0.1.%d:7000", number), Shards: fleetShards,
+			Name: fmt.Sprintf("edge-%d", number), Strong: true, Address: fmt.Sprintf("10.0.1.%d:7000", number), Shards: fleetShards,
 			Grant: 5 * time.Second, Silent: time.Hour, StatusKept: time.Minute, Store: calls(), Clock: clock, Events: event.Discard(),
 			Dial: func(context.Context, string) (drpc.Conn, error) { return nil, errors.New("nobody is there") },
 		})
@@ -108,8 +108,8 @@
 		// tries is how many appends an agent may make on average: one, unless the store refuses.
 		tries int
 	}{
-		"a fleet":                                 {150, 20 * time.Millisecond, 1},
-		"one of twice the size":                   {300, 20 * time.Millisecond, 1},
+		"a fleet":               {150, 20 * time.Millisecond, 1},
+		"one of twice the size": {300, 20 * time.Millisecond, 1},
 		"one that is more than the line may hold": {300, 40 * time.Millisecond, 4},
 	}
 	for name, test := range tests {
--- /dev/null
+++ b/owner/standing.go
@@ -0,0 +1,199 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/candidacy"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/job"
+)
+
+const (
+	// applyEvery is how often an entry asks for its seat again.
+	applyEvery = time.Second
+	// seatSilent is after how long without a word the store deals an entry's seats to others. Shards pass on
+	// much sooner, to those that stand; a process that comes back within this time has its seat at once.
+	seatSilent = 10 * time.Second
+)
+
+// standing is one period in which the entry offers itself as an owner: it is a member of the group of owners
+// and connected to all agents.
+type standing struct {
+	// joining ends the membership, joined is closed once it has ended.
+	joining     context.Context
+	stopJoining context.CancelFunc
+	joined      chan struct{}
+	// stopFollowing ends the connections to agents.
+	stopFollowing context.CancelFunc
+}
+
+// keepCandidacy has the entry offer itself as an owner while it is a candidate, until ctx ends.
+func (owner *Owner) keepCandidacy(ctx context.Context) {
+	defer close(owner.applied)
+	seat := candidacy.New(candidacy.Options{Name: owner.options.Name, Strong: owner.options.Strong, Shards: owner.options.Shards})
+	heard := int64(0)
+	lost := time.Time{}
+	for ctx.Err() == nil {
+		asked := owner.options.Clock.Now()
+		owner.look(ctx, seat)
+		generation, err := owner.keepSeat(ctx, seat, heard)
+		if err != nil {
+			lost = owner.noteStoreLost(ctx, lost, asked, err)
+		} else {
+			owner.noteStoreBack(ctx, lost, asked)
+			lost = time.Time{}
+		}
+		if !owner.stand(ctx, seat) {
+			return
+		}
+		if generation != heard && seat.Applies() {
+			// Naming the new generation hands over what is no longer held.
+			heard = generation
+			continue
+		}
+		heard = generation
+		owner.sleep(ctx, applyEvery)
+	}
+}
+
+// keepSeat asks for a seat or leaves it, as the candidacy says. It returns the generation that the store named last, 0
+// once the entry has left.
+func (owner *Owner) keepSeat(ctx context.Context, seat *candidacy.Candidacy, heard int64) (int64, error) {
+	if seat.Applies() {
+		return owner.applyForSeat(ctx, seat, heard)
+	}
+	if heard == 0 {
+		return 0, nil
+	}
+	if err := owner.leaveGroup(ctx, job.SeatsGroup, owner.Member()); err != nil {
+		return heard, err
+	}
+	return 0, nil
+}
+
+// look finds out what the candidacy needs to know.
+func (owner *Owner) look(ctx context.Context, seat *candidacy.Candidacy) {
+	if seat.LooksAtOwners(owner.options.Clock.Now()) {
+		owner.lookAt(ctx, job.OwnersGroup, seat.NoteOwners)
+	}
+	if seat.LooksAtHolders(owner.options.Clock.Now()) {
+		owner.lookAt(ctx, job.SeatsGroup, seat.NoteHolders)
+	}
+}
+
+// lookAt has note take in which entries hold something of a group. What the store does not say is asked for again, and
+// the entry goes on as it is until then.
+func (owner *Owner) lookAt(ctx context.Context, group string, note func(holders candidacy.Holders, now time.Time)) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	members, err := owner.options.Store.Holders(ctx, group)
+	if err != nil {
+		owner.log(event.OwnersUnknown, slog.Any("error", err))
+		return
+	}
+	holders := candidacy.Holders{Self: slices.Contains(members, owner.Member())}
+	for _, member := range members {
+		if strings.HasPrefix(member, weakMark) {
+			holders.Weak++
+			continue
+		}
+		holders.Strong++
+	}
+	note(holders, owner.options.Clock.Now())
+}
+
+// applyForSeat asks for a seat, or stays in it. It returns the generation that the store names.
+func (owner *Owner) applyForSeat(ctx context.Context, seat *candidacy.Candidacy, heard int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	silent := max(seatSilent, owner.options.Silent)
+	deal, err := owner.options.Store.Join(ctx, job.SeatsGroup, owner.Member(), job.SeatTopics(), silent, heard)
+	if err != nil {
+		return heard, err
+	}
+	seat.NoteDealt(len(deal.Parts))
+	return deal.Generation, nil
+}
+
+// stand begins or ends to stand where the candidacy says so. It reports false once the owner has ended.
+func (owner *Owner) stand(ctx context.Context, seat *candidacy.Candidacy) bool {
+	stands := false
+	if !owner.decisions.Ask(ctx, func(now time.Time) { stands = seat.Stands(len(owner.shards), now) }) {
+		return false
+	}
+	switch {
+	case stands && owner.present == nil:
+		owner.log(event.CandidacyBegun, slog.Bool("strong", owner.options.Strong))
+		owner.present = owner.beginStanding(ctx)
+	case !stands && owner.present != nil:
+		owner.log(event.CandidacyEnded, slog.Bool("strong", owner.options.Strong))
+		err := owner.endStanding(ctx, "not a candidate any more")
+		if err != nil {
+			// The store takes a silent member out by itself.
+			owner.log(event.StoreLost, slog.Any("error", err))
+		}
+	}
+	return true
+}
+
+func (owner *Owner) beginStanding(ctx context.Context) *standing {
+	owner.decisions.Ask(ctx, func(time.Time) { owner.withdrawn = false })
+	begun := &standing{joined: make(chan struct{})}
+	begun.joining, begun.stopJoining = context.WithCancel(owner.ctx)
+	following, stopFollowing := context.WithCancel(owner.ctx)
+	begun.stopFollowing = stopFollowing
+	owner.renew.Store(true)
+	go func() {
+		defer close(begun.joined)
+		owner.keepMembership(begun.joining)
+	}()
+	owner.followAgents(following)
+	return begun
+}
+
+// endStanding gives all shards up, so that others take them at once, and leaves the agents.
+func (owner *Owner) endStanding(ctx context.Context, reason string) error {
+	ended := owner.present
+	owner.present = nil
+	// No join may reach the store after the leave: it would bring shards back
+	// to an entry that no longer schedules them.
+	ended.stopJoining()
+	<-ended.joined
+	// Once the loop of decisions has ended there is nothing left to give up.
+	owner.decisions.Ask(ctx, func(now time.Time) {
+		for _, held := range owner.shards {
+			owner.giveUp(held, reason, now)
+		}
+	})
+	err := owner.leaveGroup(ctx, job.OwnersGroup, owner.Member())
+	ended.stopFollowing()
+	owner.decisions.Ask(ctx, func(time.Time) { owner.withdraw() })
+	return err
+}
+
+// Leave gives all shards up, so that others take them at once.
+func (owner *Owner) Leave(ctx context.Context) error {
+	owner.stopApplying()
+	<-owner.applied
+	var left error
+	if owner.present != nil {
+		left = owner.endStanding(ctx, "the process stops")
+	}
+	err := owner.leaveGroup(ctx, job.SeatsGroup, owner.Member())
+	if left != nil {
+		return left
+	}
+	return err
+}
+
+func (owner *Owner) leaveGroup(ctx context.Context, group, member string) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	return errors.Wrapf(owner.options.Store.Leave(ctx, group, member), "leave the group %q", group)
+}
--- a/standin/wirestore/group.go
+++ b/standin/wirestore/group.go
@@ -39,22 +39,23 @@
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	joined := store.named(body.Group)
+	joined.topics, joined.parts = body.Topics, store.parts
 	now := store.now()
 	joined.expire(now)
 	at := slices.IndexFunc(joined.members, func(known *member) bool { return known.name == body.Member })
 	if at < 0 {
 		joined.members = append(joined.members, &member{name: body.Member})
 		at = len(joined.members) - 1
-		joined.deal(store.parts)
+		joined.deal()
 	}
 	joined.members[at].silent = time.Duration(body.TTLMs) * time.Millisecond
 	joined.members[at].heardAt = now
 	joined.members[at].heard = body.Generation
 	joined.handOver(body.Member, body.Generation)
 	parts := [][]any{}
-	for part, owner := range joined.owners {
-		if owner == body.Member && joined.owed[part] == owner {
-			parts = append(parts, []any{body.Topics[0], part, 0})
+	for slot, owner := range joined.owners {
+		if owner == body.Member && joined.owed[slot] == owner {
+			parts = append(parts, joined.row(slot, 0))
 		}
 	}
 	reply(answer, http.StatusOK, struct {
@@ -63,16 +64,22 @@
 	}{joined.generation, parts})
 }
 
-// deal spreads the partitions evenly over the members. A partition passes on
+// row describes a partition, with what else is told of it.
+func (joined *group) row(slot int, more ...any) []any {
+	return append([]any{joined.topics[slot/joined.parts], slot % joined.parts}, more...)
+}
+
+// deal spreads the partitions of all topics evenly over the members. A partition passes on
 // once its owner has heard of it.
-func (joined *group) deal(parts int) {
+func (joined *group) deal() {
 	joined.generation++
 	if len(joined.members) == 0 {
 		joined.owners, joined.owed = map[int]string{}, map[int]string{}
 		return
 	}
-	for part := range parts {
-		to := joined.members[part*len(joined.members)/parts].name
+	slots := len(joined.topics) * joined.parts
+	for part := range slots {
+		to := joined.members[part*len(joined.members)/slots].name
 		joined.owed[part] = to
 		if joined.owners[part] == "" {
 			joined.owners[part] = to
@@ -105,13 +112,12 @@
 }
 
 func (joined *group) dropAbsent() {
-	parts := len(joined.owners)
 	for part, owner := range joined.owners {
 		if !slices.ContainsFunc(joined.members, func(known *member) bool { return known.name == owner }) {
 			joined.owners[part] = ""
 		}
 	}
-	joined.deal(parts)
+	joined.deal()
 }
 
 func (store *Store) leave(answer http.ResponseWriter, request *http.Request) {
@@ -131,10 +137,11 @@
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	asked := store.named(request.URL.Query().Get("group"))
+	asked.expire(store.now())
 	rows := [][]any{}
-	for part, owner := range asked.owners {
+	for slot, owner := range asked.owners {
 		if owner != "" {
-			rows = append(rows, []any{"topic", part, owner, 0})
+			rows = append(rows, asked.row(slot, owner, 0))
 		}
 	}
 	reply(answer, http.StatusOK, struct {
@@ -152,6 +159,10 @@
 type group struct {
 	generation int64
 	members    []*member
-	owners     map[int]string // by partition
-	owed       map[int]string // to whom a partition goes once its owner has heard
+	// topics are those whose partitions are dealt, of which each has so many parts. A slot counts them one topic
+	// after the other.
+	topics []string
+	parts  int
+	owners map[int]string // by slot
+	owed   map[int]string // to whom a slot goes once its owner has heard
 }
