--- a/candidacy/candidacy.go
+++ b/candidacy/candidacy.go
@@ -38,7 +38,7 @@
 	ownersLeast = 2
 	strongLeast = 3
 	// strongLookEvery and weakLookEvery are how often an entry that is no candidate looks at who owns shards.
-	strongLookEvery = 500 * time.Millisecond
+	strongLookEvery = time.Second
 	weakLookEvery   = 1500 * time.Millisecond
 	// holdersEvery is how often an entry that has applied looks at who holds the seats.
 	holdersEvery = 5 * time.Second
