--- a/candidacy/candidacy.go
+++ b/candidacy/candidacy.go
@@ -48,6 +48,9 @@
 	strongPatience = time.Second
 	weakPatience   = 2500 * time.Millisecond
 	weakSpread     = 2500 * time.Millisecond
+	// nobodyPatience and nobodySpread are the same for a weak entry while nobody owns a shard: jobs stand still.
+	nobodyPatience = time.Second
+	nobodySpread   = 1500 * time.Millisecond
 	// settleFor is how long a candidate stays one that is not wanted any more: seats may be dealt anew at
 	// any moment, and an entry that has just connected to all agents is soon wanted again.
 	settleFor = 10 * time.Second
@@ -162,15 +165,19 @@
 	if seat.fewSince.IsZero() {
 		seat.fewSince = now
 	}
-	if now.Sub(seat.fewSince) >= seat.patience() {
+	if now.Sub(seat.fewSince) >= seat.patience(owners) {
 		seat.applies = true
 		seat.wantedAt = now
 	}
 }
 
-func (seat *Candidacy) patience() time.Duration {
-	if seat.options.Self.Strong {
+// patience is for how long the entry leaves it to others where owners are too few.
+func (seat *Candidacy) patience(owners []Entry) time.Duration {
+	switch {
+	case seat.options.Self.Strong:
 		return strongPatience
+	case len(owners) == 0:
+		return nobodyPatience + seat.part(nobodySpread)
 	}
 	return weakPatience + seat.part(weakSpread)
 }
--- a/candidacy/candidacy_test.go
+++ b/candidacy/candidacy_test.go
@@ -101,6 +101,10 @@
 			{5 * time.Second, few, few, 0, 0, true},
 			{time.Minute, few, entriesOf(1, 8, weakSelf), 1, 1, true},
 		}},
+		"a weak one is there sooner where nobody is": {false, fleetAgents, []look{
+			{0, nil, entriesOf(2, 0), 0, 0, false},
+			{3 * time.Second, nil, entriesOf(2, 0), 0, 0, true},
+		}},
 		"a weak one that comes back is there at once": {false, fleetAgents, []look{
 			{0, few, entriesOf(1, 8, weakSelf), 1, 2, true},
 		}},
