--- a/agent/evict.go
+++ b/agent/evict.go
@@ -21,8 +21,7 @@
 	// slowedMost is how long a run stays slowed before it is moved whatever it
 	// disturbs, and slowedPercent the pace that counts as such. Runs that saved nothing
 	// would stay at a twentieth of their pace for up to 40 s, and their jobs would wait.
-	// Either of these moves makes up for the other; without both a day is worth 0.026
-	// less (18 pairs). They cost 16 core-seconds of work a day that is done twice.
+	// Either of these moves makes up for the other.
 	slowedMost    = 1500 * time.Millisecond
 	slowedPercent = 60
 	// slowedRestartedMost is up to which progress such a run is moved that saves none.
@@ -30,8 +29,7 @@
 )
 
 // evictWorst stops the run that disturbs most, so that its owner finds a worker that
-// bears it, or else the one that has been slowed for the longest. Without any moves a day
-// is worth 0.08 less (18 pairs of days), mostly in batch work that is late.
+// bears it, or else the one that has been slowed for the longest. Without any moves batch work is late.
 func (agent *Agent) evictWorst(state *workerState, servings []interference.Serving, fills []interference.Fill, paces map[string]float64, now time.Time) {
 	if now.Sub(agent.paced.evictedAt) < evictEvery {
 		return
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -90,9 +90,7 @@
 }
 
 // pace adapts the pace of the filling runs to the tails of the serving ones. Without it
-// serving tasks are over their targets for 280 s a day instead of 131 s, and on one day in
-// six one of them for longer than is allowed (18 days); batch work gains as much as they
-// lose.
+// serving tasks are over their targets for longer than is allowed.
 func (agent *Agent) pace(state *workerState, looked bool, now time.Time) {
 	servings, fills := state.sharing(now)
 	if looked {
--- a/agent/work.go
+++ b/agent/work.go
@@ -37,8 +37,7 @@
 }
 
 // gainsByMove reports whether a run that goes at a pace where it is would end sooner if it
-// began again elsewhere. Without it 1,870 runs were stopped a day where a run goes on 0.6 s
-// after a move, with it 1,678 (-193 [-366, -63], 10 pairs of days), at the same worth.
+// began again elsewhere. It guards against moves that cost a run more than they gain it.
 func (agent *Agent) gainsByMove(run *runState, pace float64) bool {
 	if pace <= 0 {
 		return true
--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -103,8 +103,7 @@
 }
 
 // hold lowers the paces of the tasks that may disturb a serving task, or of all,
-// once its target has been missed for long. Without it targets are missed for 18 s a day
-// more (18 pairs of days).
+// once its target has been missed for long.
 func (model *Model) hold(serving Serving, state *servingState, fills []Fill, paces map[string]float64) {
 	for _, fill := range fills {
 		suspect := model.suspects(serving, fill.Image)
--- a/owner/place.go
+++ b/owner/place.go
@@ -18,8 +18,7 @@
 	fillShare = 0.3
 	// tolerableShare is how much of what it asks for a filling task should be
 	// able to use without harm to serving tasks, while its job has time to wait
-	// for such a place. It sinks with the time that the job has left. Without any such
-	// wait a day is worth 0.047 less (18 pairs of days).
+	// for such a place. It sinks with the time that the job has left.
 	tolerableShare = 1.0
 	// patientSlack is the share of its spare time that a job has left from
 	// which on the whole of tolerableShare is asked for.
@@ -28,8 +27,7 @@
 	// that bears it; a job must not stand still for 3 s while there is room.
 	idleMost = 1500 * time.Millisecond
 	// servingUnused is the part of what serving tasks hold that they leave
-	// unused on average: their load is about two fifths of it. 0.5 was
-	// measured too, and left processors unused.
+	// unused on average: their load is about two fifths of it.
 	servingUnused = 0.6
 )
 
@@ -128,8 +126,7 @@
 
 // betterToServe keeps serving tasks of one image together, on as few workers as
 // hold them. Which filling images disturb depends on the serving one, so a worker
-// with one kind bears more kinds of filling ones, and one without any bears all. Spread
-// over the emptiest workers instead, a day is worth 0.068 less (18 pairs of days).
+// with one kind bears more kinds of filling ones, and one without any bears all.
 func betterToServe(image string, a, b *candidate) bool {
 	if a.serves(image) != b.serves(image) {
 		return a.serves(image)
@@ -149,8 +146,7 @@
 }
 
 // refusalsBorne is how often in a row a lasting task is refused for room before it looks for
-// more than what just suffices. With any task that was refused once, days of 95 machines
-// were worth less: places that are not the best cost more than refusals.
+// more than what just suffices: places that are not the best cost more than a refusal.
 const refusalsBorne = 2
 
 // betterOnceRefused prefers workers with room for a task twice over, of these a different
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -15,8 +15,8 @@
 const preemptEvery = 700 * time.Millisecond
 
 // preemptFor asks the worker that has to stop the least for it to make room for a
-// task that found no place. Tasks that fill wait instead: they take what is left. Without
-// it a day is worth 0.014 less (18 pairs of days). It reports whether a worker was asked.
+// task that found no place. Tasks that fill wait instead: they take what is left. It reports whether
+// a worker was asked.
 func (owner *Owner) preemptFor(task *job.Task, workers []*candidate, now time.Time) bool {
 	if task.Spec().GetFills() || task.Spec().GetGang() {
 		return false
--- a/owner/share.go
+++ b/owner/share.go
@@ -7,9 +7,9 @@
 // shareEvery is how often an agent is told: weights move over seconds.
 const shareEvery = 1500 * time.Millisecond
 
-// share tells an agent what the readings of all workers have taught. With what each has
-// learned alone a day is worth 0.056 less (18 pairs of days). An agent that keeps what it
-// is told hears of what has changed since; another one of all that others have learned.
+// share tells an agent what the readings of all workers have taught: one worker alone sees few of the
+// pairs of images. An agent that keeps what it is told hears of what has changed since; another one of
+// all that others have learned.
 func (owner *Owner) share(view *agentView, now time.Time) {
 	table := owner.learned()
 	if table == nil || !view.greeted || now.Sub(view.sharedAt) < shareEvery {
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -20,7 +20,7 @@
 )
 
 // noteProgressOf stops a run that stands still, so that its task goes on at
-// another worker. Without it a day is worth 0.019 less (18 pairs of days).
+// another worker.
 func (owner *Owner) noteProgressOf(view *agentView, entry *runEntry, run *wire.RunStatus, now time.Time) {
 	if run.GetPercent() != entry.percent || entry.movedAt.IsZero() {
 		entry.percent = run.GetPercent()
--- a/status/told.go
+++ b/status/told.go
@@ -13,9 +13,7 @@
 	// toleranceStep is the share of itself by which a tolerance has to differ from what was
 	// told to be told anew, and leastToleranceStep the share of the worker's processors
 	// below which that does not sink. Tolerances move with each reading of a tail, 2.5
-	// times a second, and small ones decide: with a step of a 64th of the processors for
-	// all, which is what a small task asks for, days of 11 workers were worth 0.025 less
-	// (18 pairs, with another fault).
+	// times a second, and small ones decide.
 	toleranceStep      = 0.1
 	leastToleranceStep = 1.0 / 640
 )
