agent, owner: one pause for what waits in an agent; a generation is taken over in one place

Found by reading the change again: FollowOperator had the pause of its own that Register's tries now have as a function, and keepCandidacy took the generation over on two paths.

--- a/agent/evacuated.go
+++ b/agent/evacuated.go
@@ -81,10 +81,7 @@
 		news, err := operator.NewReader(store, agent.options.Clock).Read(ctx)
 		if err != nil {
 			agent.options.Events.Log(ctx, event.StoreLost, slog.Any("error", err))
-			select {
-			case <-ctx.Done():
-			case <-agent.options.Clock.After(operatorPause):
-			}
+			agent.sleep(ctx, operatorPause)
 			continue
 		}
 		agent.decisions.Post(func(time.Time) { agent.learnEvacuations(news.Evacuations, news.AsOf) })
--- a/owner/standing.go
+++ b/owner/standing.go
@@ -53,13 +53,12 @@
 		if !owner.stand(ctx, seat) {
 			return
 		}
-		if generation != heard && seat.Applies() {
-			// Naming the new generation hands over what is no longer held.
-			heard = generation
-			continue
-		}
+		// Naming a new generation at once hands over what is no longer held.
+		named := generation == heard || !seat.Applies()
 		heard = generation
-		owner.sleep(ctx, applyEvery)
+		if named {
+			owner.sleep(ctx, applyEvery)
+		}
 	}
 }
 
