wire, settings, events: interfaces of the parts for hard load

Cause: owners, agents and gateways each decide by what they know alone; the two customers with hard load need decisions that they make together. Result: tests of feature, event, command, owner, agent, gateway pass; no message is sent yet, so nothing else changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,6 +63,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/lease"
@@ -138,6 +139,8 @@
 	Events    *event.Logger
 	// Meters creates the metric instruments. Nil creates none.
 	Meters metric.MeterProvider
+	// Features are the optional features that are enabled.
+	Features feature.Set
 }
 
 // Agent manages the worker on its machine.
--- a/command/platform.go
+++ b/command/platform.go
@@ -13,6 +13,7 @@
 
 	"ambertiller.example/ambertiller/daemon"
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/platform"
 )
 
@@ -36,20 +37,20 @@
 
 func gatewayCommand() *cli.Command {
 	return platformCommand("gateway", "run a gateway on the platform: it serves clients and schedules their jobs",
-		func(ctx context.Context, settings platform.Settings, events *event.Logger) (reloadableRole, error) {
-			return daemon.NewGateway(ctx, settings, events)
+		func(ctx context.Context, settings platform.Settings, features feature.Set, events *event.Logger) (reloadableRole, error) {
+			return daemon.NewGateway(ctx, settings, features, events)
 		})
 }
 
 func agentCommand() *cli.Command {
 	return platformCommand("agent", "run an agent on the platform: the process that runs next to one worker",
-		func(ctx context.Context, settings platform.Settings, events *event.Logger) (reloadableRole, error) {
-			return daemon.NewAgent(ctx, settings, events)
+		func(ctx context.Context, settings platform.Settings, features feature.Set, events *event.Logger) (reloadableRole, error) {
+			return daemon.NewAgent(ctx, settings, features, events)
 		})
 }
 
 // roleConstructor creates a role of the platform without starting it.
-type roleConstructor func(ctx context.Context, settings platform.Settings, events *event.Logger) (reloadableRole, error)
+type roleConstructor func(ctx context.Context, settings platform.Settings, features feature.Set, events *event.Logger) (reloadableRole, error)
 
 // platformCommand returns the command that runs a role of the platform.
 func platformCommand(name, usage string, newRole roleConstructor) *cli.Command {
@@ -59,6 +60,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info", Sources: envVar("LOG_LEVEL")},
+			&cli.StringSliceFlag{Name: "enable", Usage: "features to enable, separated by commas: backlog, admission, shares, promises, offers", Sources: envVar("ENABLE")},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error { return runPlatformRole(ctx, cmd, newRole) },
@@ -73,6 +75,10 @@
 	if err != nil {
 		return newUsageError("%v", err)
 	}
+	features, err := feature.Parse(cmd.StringSlice("enable"))
+	if err != nil {
+		return newUsageError("--enable: %v; see `ambertiller help %s`", err, cmd.Name)
+	}
 	if cmd.Bool("check") {
 		return nil
 	}
@@ -94,7 +100,7 @@
 		<-logWritten
 	}()
 	go logDroppedLines(logCtx, writer, events)
-	role, err := newRole(ctx, platformSettings, events)
+	role, err := newRole(ctx, platformSettings, features, events)
 	if err != nil {
 		return err
 	}
--- a/command/platform_test.go
+++ b/command/platform_test.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// TestUnknownFeature checks that a role does not start with a feature that it doesn't have.
+func TestUnknownFeature(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "local.toml")
+	text := "node_name = \"edge-1\"\nip = \"127.0.0.1\"\ninternal_ports = [7720, 7735]\n" +
+		"[bounds]\nmax_hold_ms = 6000\ngrace_s = 6\n[platform]\naddress = \"127.0.0.1:8169\"\nparts = 8\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, _, stderr := runCommand("gateway", "--settings", path, "--check", "--enable", "backlog,admision")
+	if code != command.ExitUsage || !strings.Contains(stderr, "there is no feature admision") {
+		t.Errorf("exit code %d, stderr %q", code, stderr)
+	}
+}
+
 // TestPlatformSettingsMissing checks that the error for a missing settings file names the
 // environment variable that gives its path.
 func TestPlatformSettingsMissing(t *testing.T) {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -13,6 +13,7 @@
 	"ambertiller.example/ambertiller/agent"
 	"ambertiller.example/ambertiller/candidacy"
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/gateway"
 	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/kernel"
@@ -87,7 +88,7 @@
 }
 
 // NewGateway returns the process of a gateway, which isn't started yet.
-func NewGateway(ctx context.Context, settings platform.Settings, events *event.Logger) (*Gateway, error) {
+func NewGateway(ctx context.Context, settings platform.Settings, features feature.Set, events *event.Logger) (*Gateway, error) {
 	deps, err := newDependencies(ctx, "gateway", settings, events)
 	if err != nil {
 		return nil, err
@@ -99,11 +100,12 @@
 		Strong:        candidacy.IsStrong(settings.Cores()),
 		GrantDuration: min(maxGrant, settings.MaxLease()), MemberTimeout: max(defaultMemberTimeout, settings.MinMemberTimeout()), JobRetention: settings.JobRetention(),
 		Store: deps.store, Advisor: newAdvisor(settings), Dial: rpc.DialUnpooled, Clock: deps.clock, Suspended: deps.bootClocks.SuspendedFor,
-		Events: deps.events, Meters: deps.metrics.Provider(),
+		Events: deps.events, Meters: deps.metrics.Provider(), Features: features,
 	})
 	handler := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Partitions(), Store: deps.store, Owner: shardOwner,
 		MemberName: shardOwner.MemberName(), Pool: pool, Clock: deps.clock, Events: deps.events, Meters: deps.metrics.Provider(),
+		Features: features,
 	})
 	daemon := &Gateway{Daemon: Daemon{kern: kernel.New(), events: deps.events}}
 	return daemon, registerAll(daemon.kern,
@@ -158,7 +160,7 @@
 }
 
 // NewAgent returns the process of an agent, which isn't started yet.
-func NewAgent(ctx context.Context, settings platform.Settings, events *event.Logger) (*Agent, error) {
+func NewAgent(ctx context.Context, settings platform.Settings, features feature.Set, events *event.Logger) (*Agent, error) {
 	deps, err := newDependencies(ctx, "agent", settings, events)
 	if err != nil {
 		return nil, err
@@ -173,6 +175,7 @@
 			return platform.NewWorker(address, id, transport)
 		},
 		Clock: deps.clock, Suspended: deps.bootClocks.SuspendedFor, Events: deps.events, Meters: deps.metrics.Provider(),
+		Features: features,
 	})
 	daemon := &Agent{Daemon: Daemon{kern: kernel.New(), events: deps.events}}
 	return daemon, registerAll(daemon.kern,
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -7,7 +7,8 @@
 
 // Codes are grouped by hundreds: 1xx for the process, 2xx for routing, 3xx for placement and tasks, 4xx for
 // the log and the state, 5xx for configuration and policies, 6xx for guards, 7xx for the platform's store,
-// 8xx for jobs, and 9xx for agents.
+// 8xx for jobs, 9xx for agents, and 10xx for what owners, agents and gateways decide together while resources
+// are short.
 const (
 	ProcessStarted Code = 100 + iota
 	ProcessStopping
--- /dev/null
+++ b/feature/feature.go
@@ -0,0 +1,76 @@
+// Package feature selects optional behavior of the roles on the users' platform. Every feature is off unless
+// it is enabled.
+//
+// A feature that needs two processes takes effect only where both have it enabled. A process serves another
+// one that lacks it, or is of an earlier build, as if neither had it.
+//
+// # Usage
+//
+//	enabled, err := feature.Parse([]string{"backlog", "admission"})
+//	if enabled.Has(feature.Admission) { ... }
+package feature
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Feature is one feature, by the name under which it is enabled.
+type Feature string
+
+// The features.
+const (
+	// Backlog makes entries tell each other what the jobs of their queues wait for, and forecast when a job
+	// would end.
+	Backlog Feature = "backlog"
+	// Admission refuses a job at once if its forecast end is too late to be of use to its caller.
+	Admission Feature = "admission"
+	// Shares divides a service's workers among queues of one priority while there is too little room.
+	Shares Feature = "shares"
+	// Promises makes agents divide their free resources among the owners that wait for them.
+	Promises Feature = "promises"
+	// Offers makes agents offer a fill run to its owner, which finds another worker first, in place of
+	// evicting it.
+	Offers Feature = "offers"
+)
+
+// requirements holds the features that a feature needs.
+var requirements = map[Feature][]Feature{
+	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Promises: nil, Offers: nil,
+}
+
+// Set is a set of enabled features. The zero value has none.
+type Set struct {
+	enabled []Feature
+}
+
+// Parse returns the set of the features named. The error lists every unknown name, and every feature whose
+// requirements are not enabled.
+func Parse(names []string) (Set, error) {
+	set := Set{}
+	var faults []string
+	for _, name := range names {
+		feature := Feature(strings.TrimSpace(name))
+		if _, known := requirements[feature]; !known {
+			faults = append(faults, "there is no feature "+string(feature))
+			continue
+		}
+		set.enabled = append(set.enabled, feature)
+	}
+	for _, feature := range set.enabled {
+		for _, required := range requirements[feature] {
+			if !set.Has(required) {
+				faults = append(faults, string(feature)+" needs "+string(required))
+			}
+		}
+	}
+	if len(faults) > 0 {
+		return Set{}, errors.New(strings.Join(faults, "; "))
+	}
+	return set, nil
+}
+
+// Has reports whether a feature is enabled.
+func (set Set) Has(feature Feature) bool { return slices.Contains(set.enabled, feature) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/owner"
 	"ambertiller.example/ambertiller/platform"
@@ -64,6 +65,8 @@
 	Events     *event.Logger
 	// Meters creates the metric instruments. Nil creates none.
 	Meters metric.MeterProvider
+	// Features are the optional features that are enabled.
+	Features feature.Set
 }
 
 // Gateway is the http.Handler that serves the clients of queues.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -39,12 +39,14 @@
 	"storj.io/drpc"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/lease"
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/traffic"
+	"ambertiller.example/ambertiller/wire"
 )
 
 const (
@@ -94,11 +96,16 @@
 	Events    *event.Logger
 	// Meters creates the metric instruments; nil for none.
 	Meters metric.MeterProvider
+	// Features are the optional features that are enabled.
+	Features feature.Set
 }
 
 // Owner schedules the jobs of its shards. Its state is accessed on the event loop only, except where a field
 // says otherwise.
 type Owner struct {
+	// Calls of later builds are answered with the code Unimplemented.
+	wire.DRPCPeerUnimplementedServer
+
 	options   Options
 	eventLoop *loop.Loop
 	ctx       context.Context // the context of Run, parent of all calls that the owner makes
@@ -126,6 +133,7 @@
 	agentsDropped bool
 	// evacuationState says which failure domains are evacuated, and as of when that is known.
 	evacuationState  operator.EvacuationState
+	peerBacklogs     peerBacklogs
 	placementChanges placementChanges
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
 	// of the metrics was last increased.
