agent: TestOwnerWithoutEvacuations observes the read of the store

Cause: the test let 4 ms of real time pass between the call of the store that it counted and the order that the answer should decide. With a machine under load the answer came later.

Change: the test answers the agent's reads itself. A second order, sent while the first read has no answer, must be refused as well, and requests a second read; that one begins after the evacuations of the first are queued, so the third order must be decided by them. No time is waited for between these.

--- a/agent/evacuation_test.go
+++ b/agent/evacuation_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -120,16 +121,29 @@
 			if test.evacuated != "" {
 				store.Put(platform.OperatorTopic, 0, platform.EvacuationKey(test.evacuated), []byte("{}"))
 			}
-			server := httptest.NewServer(store)
+			reads, answer := make(chan struct{}, 8), make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+				reads <- struct{}{}
+				<-answer
+				store.ServeHTTP(w, request)
+			}))
 			t.Cleanup(server.Close)
+			t.Cleanup(func() { close(answer) })
 			go h.agent.FollowOperator(h.ctx, platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.NewTransport()))
 			owner := h.attachReadyOwner(1)
 			owner.uptime = nil
 			if got := h.orderStart(owner, newStartOrder(1)); got != wire.StartOutcome_START_NOT_READY {
 				t.Fatalf("start outcome %v before the agent has read evacuations, want START_NOT_READY", got)
 			}
-			h.waitFor(func() bool { return store.Calls("/v1/log-newest") > 0 })
-			h.advance(200 * time.Millisecond)
+			<-reads
+			owner.clearReceived()
+			if got := h.orderStart(owner, newStartOrder(1)); got != wire.StartOutcome_START_NOT_READY {
+				t.Fatalf("start outcome %v while the store has not answered, want START_NOT_READY", got)
+			}
+			answer <- struct{}{}
+			// The second order has requested another read, which begins after the evacuations of the first
+			// one are queued for the event loop.
+			<-reads
 			owner.clearReceived()
 			if got := h.orderStart(owner, newStartOrder(1)); got != test.want {
 				t.Errorf("start outcome %v, want %v", got, test.want)
