owner: a slow store doesn't hide the number of agents from candidates

Cause: countAgents read four partitions one after another within the timeout of one call. A store that answers in 175 ms or more never gave the number of agents to entries that are not candidates: with a count of 0 they took three strong owners for too few and became candidates again and again (80 to 110 connections instead of 15 with answers after 200 ms, and fewer than 8 shards owned for 16 to 33 s, trials of 30 to 120 s). Change: each read has its own timeout.

--- a/owner/candidacy.go
+++ b/owner/candidacy.go
@@ -134,10 +134,11 @@
 		seat.SetAgentCount(count)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
 	for partition := range job.AgentPartitions(owner.options.Shards) {
-		tail, err := owner.options.Store.Newest(ctx, job.TopicAgents, partition)
+		// A slow store answers each read in time, but not all of them within the timeout of one.
+		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		tail, err := owner.options.Store.Newest(callCtx, job.TopicAgents, partition)
+		cancel()
 		if err != nil {
 			owner.log(event.OwnersUnknown, slog.Any("error", err))
 			return
--- a/owner/candidacy_test.go
+++ b/owner/candidacy_test.go
@@ -22,8 +22,11 @@
 	"ambertiller.example/ambertiller/standin/wirestore"
 )
 
-// storeLatency is how long the fake store takes to answer a call.
-const storeLatency = 10 * time.Millisecond
+const (
+	// storeLatency is how long the fake store takes to answer a call, slowStoreLatency how long a slow one does.
+	storeLatency     = 10 * time.Millisecond
+	slowStoreLatency = 250 * time.Millisecond
+)
 
 // entryGroup is a group of entries over one fake store. The agents registered in the store accept no
 // connections. The group lives in a synctest bubble: time passes only while all entries wait for it.
@@ -35,7 +38,7 @@
 }
 
 // newEntryGroup starts entries on strong and weak machines. The strong ones come first.
-func newEntryGroup(t *testing.T, strong, weak, agents int) *entryGroup {
+func newEntryGroup(t *testing.T, strong, weak, agents int, latency time.Duration) *entryGroup {
 	clock := clockwork.NewRealClock() // It reads the time of the bubble.
 	store := wirestore.New(8, clock.Now)
 	for number := range agents {
@@ -52,7 +55,7 @@
 		owner := New(Options{
 			Name: fmt.Sprintf("edge-%d", number), Strong: number < strong, Address: fmt.Sprintf("10.0.1.%d:7000", number), Shards: 8,
 			GrantDuration: 6 * time.Second, MemberTimeout: 1500 * time.Millisecond, Clock: clock, Events: event.Discard(),
-			Store: platform.NewStore("store", directTransport{store}),
+			Store: platform.NewStore("store", directTransport{store, latency}),
 			Dial: func(context.Context, string) (drpc.Conn, error) {
 				dials.Add(1)
 				return nil, errors.New("nobody answers")
@@ -68,12 +71,15 @@
 
 // directTransport calls a handler without a network: a goroutine that waits for a network does not let the
 // time of a bubble pass.
-type directTransport struct{ handler http.Handler }
+type directTransport struct {
+	handler http.Handler
+	latency time.Duration
+}
 
 // RoundTrip implements http.RoundTripper.
 func (transport directTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	select {
-	case <-time.After(storeLatency):
+	case <-time.After(transport.latency):
 	case <-request.Context().Done():
 		return nil, request.Context().Err()
 	}
@@ -122,7 +128,7 @@
 	)
 	// An entry that owns a shard remains a candidate even if its seat has been assigned to another entry.
 	limit := (candidacy.SeatCount(8) + 8) * agents
-	g := newEntryGroup(t, strong, weak, agents)
+	g := newEntryGroup(t, strong, weak, agents, storeLatency)
 	for begin := time.Now(); time.Since(begin) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
 		synctest.Wait()
 		views, shards := g.counts()
@@ -146,10 +152,28 @@
 	}
 }
 
+// TestSlowStoreNeedsNoFurtherCandidates: the owners of a store that answers slowly keep their shards. It guards
+// against entries that never learn the number of agents, take the owners for too few and become candidates.
+func TestSlowStoreNeedsNoFurtherCandidates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const strong, weak, agents = 20, 10, 5
+		g := newEntryGroup(t, strong, weak, agents, slowStoreLatency)
+		// By then entries that were candidates only for a moment have handed over their shards.
+		time.Sleep(30 * time.Second)
+		for begin := time.Now(); time.Since(begin) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
+			synctest.Wait()
+			views, shards := g.counts()
+			if limit := (candidacy.SeatCount(8) + 8) * agents; shards != 8 || views > limit {
+				t.Fatalf("after %v %d shards are owned, want 8, with %d connections to agents, want %d at most", time.Since(begin), shards, views, limit)
+			}
+		}
+	})
+}
+
 // TestWeakEntriesTakeOver: weak entries own the shards once all strong ones are gone.
 func TestWeakEntriesTakeOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newEntryGroup(t, 9, 5, 3)
+		g := newEntryGroup(t, 9, 5, 3, storeLatency)
 		time.Sleep(5 * time.Second)
 		for number := range 9 {
 			g.kills[number]()
