backlog: what waits at all owners, and forecasts of when jobs end

Cause: a job's end depends on what is ahead of it at all owners together, which no owner and no gateway knew; callers learned by waiting that a job came too late. Change: package backlog sums up open jobs by queue and need, adds up the owners' backlogs while every shard is covered by a report of at most 3 s, forecasts start and end, and learns from what came of forecasts. Owners answer Peer.Backlog and log each forecast beside its outcome; gateways follow the backlogs once a second. All of it is off without feature backlog.

--- /dev/null
+++ b/backlog/backlog_test.go
@@ -0,0 +1,229 @@
+package backlog_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/backlog"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// waitingRow returns a row whose tasks wait for room, with 10 core seconds of work ahead and a rate of 2 cores.
+func waitingRow() *wire.QueueBacklog {
+	return &wire.QueueBacklog{
+		Queue: "r-2", Service: "verbale", Priority: 1, Need: wire.TaskNeed_NEED_RESERVED, OpenJobs: 3, WaitingTasks: 2,
+		WaitingCoreMs: 10_000, EndedCoreMs: 10_000, WindowMs: backlog.Window.Milliseconds(),
+	}
+}
+
+// TestWorkAhead checks which work is ahead of a job of priority 1 with a task of one core for one second.
+func TestWorkAhead(t *testing.T) {
+	tests := map[string]struct {
+		change     func(row *wire.QueueBacklog, submission *job.Submission)
+		known      bool
+		start, end time.Duration
+	}{
+		"same priority":      {func(*wire.QueueBacklog, *job.Submission) {}, true, 5 * time.Second, 6 * time.Second},
+		"more urgent work":   {func(row *wire.QueueBacklog, _ *job.Submission) { row.Priority = 0 }, true, 5 * time.Second, 6 * time.Second},
+		"less urgent work":   {func(row *wire.QueueBacklog, _ *job.Submission) { row.Priority = 2 }, true, 0, time.Second},
+		"another service":    {func(row *wire.QueueBacklog, _ *job.Submission) { row.Service = "sunt" }, true, 0, time.Second},
+		"another need":       {func(row *wire.QueueBacklog, _ *job.Submission) { row.Need = wire.TaskNeed_NEED_FILL }, true, 0, time.Second},
+		"nothing lacks room": {func(row *wire.QueueBacklog, _ *job.Submission) { row.WaitingTasks = 0 }, true, 0, time.Second},
+		"nothing has ended":  {func(row *wire.QueueBacklog, _ *job.Submission) { row.EndedCoreMs = 0 }, false, 0, 0},
+		"workers fill up":    {func(row *wire.QueueBacklog, _ *job.Submission) { row.UsedMilliCpu = 10_000 }, true, time.Second, 2 * time.Second},
+		"shorter window":     {func(row *wire.QueueBacklog, _ *job.Submission) { row.WindowMs /= 2 }, true, 2500 * time.Millisecond, 3500 * time.Millisecond},
+		"scheduled job":      {func(_ *wire.QueueBacklog, submission *job.Submission) { submission.Rounds = 2 }, false, 0, 0},
+		"wide job":           {func(_ *wire.QueueBacklog, submission *job.Submission) { submission.Steps[0].Count = 8 }, true, 5 * time.Second, 9 * time.Second},
+		"long-running":       {func(_ *wire.QueueBacklog, submission *job.Submission) { submission.Steps[0].Lasting = true }, true, 0, 0},
+		"far too much ahead": {func(row *wire.QueueBacklog, _ *job.Submission) { row.WaitingCoreMs = math.MaxInt64 }, true, time.Hour, time.Hour},
+		"long-running behind": {func(row *wire.QueueBacklog, submission *job.Submission) {
+			submission.Steps[0].Lasting = true
+			row.Need, row.EndedCoreMs = wire.TaskNeed_NEED_LASTING, 0
+		}, false, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			row, submission := waitingRow(), newSubmission("1")
+			submission.Priority = 1
+			test.change(row, submission)
+			summary := backlog.NewSummary()
+			summary.AddMessage(row)
+			forecast, known := summary.Forecast(backlog.NewWork(job.New(submission, 0)), time.Second)
+			if known != test.known || forecast.Start() != test.start || forecast.End() != test.end {
+				t.Errorf("known %v, start %v, end %v", known, forecast.Start(), forecast.End())
+			}
+			if known && (forecast.Deviation() != forecast.End() || forecast.Age() != time.Second) {
+				t.Errorf("deviation %v, age %v", forecast.Deviation(), forecast.Age())
+			}
+		})
+	}
+}
+
+// TestSum checks what is known after reports that came late, twice, from two owners at once, or not at all. The
+// sum is taken 1 s after the reports came, over 3 shards.
+func TestSum(t *testing.T) {
+	report := func(owner string, ageMs int64, jobs int32, shards ...int32) *wire.OwnerBacklog {
+		return &wire.OwnerBacklog{Owner: owner, AgeMs: ageMs, Shards: shards, Queues: []*wire.QueueBacklog{{Queue: "r-1", OpenJobs: jobs}}}
+	}
+	tests := map[string]struct {
+		reports []*wire.OwnerBacklog
+		missing []int
+		jobs    int32
+		age     time.Duration
+	}{
+		"none":                  {nil, []int{0, 1, 2}, 0, 0},
+		"all":                   {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1), report("b", 500, 2, 2)}, nil, 3, 1500 * time.Millisecond},
+		"one owner is silent":   {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1)}, []int{2}, 1, time.Second},
+		"without shards":        {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2), report("b", 0, 2)}, nil, 1, time.Second},
+		"told late":             {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
+		"told twice":            {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
+		"told in reverse":       {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
+		"moved as a whole":      {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1), report("b", 900, 2, 2), report("c", 0, 2, 2)}, nil, 3, time.Second},
+		"moved in part":         {[]*wire.OwnerBacklog{report("a", 900, 1, 0, 1), report("b", 0, 2, 1, 2)}, []int{0}, 2, time.Second},
+		"of another deployment": {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2, 3)}, []int{0, 1, 2}, 0, 0},
+		"same shard twice":      {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 0)}, []int{0, 1, 2}, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			table := backlog.NewTable()
+			for _, report := range test.reports {
+				table.Put(report.GetOwner(), report, now)
+			}
+			sum := table.Sum(3, now.Add(time.Second))
+			jobs := int32(0)
+			for _, row := range sum.Summary().Messages() {
+				jobs += row.GetOpenJobs()
+			}
+			if !slices.Equal(sum.Missing(), test.missing) || sum.IsKnown() != (test.missing == nil) || jobs != test.jobs || sum.Age() != test.age {
+				t.Errorf("missing %v, known %v, %d jobs, age %v", sum.Missing(), sum.IsKnown(), jobs, sum.Age())
+			}
+			table.Prune(now.Add(backlog.MaxAge + time.Millisecond))
+			if left := table.Backlogs("", now); len(left) != 0 {
+				t.Errorf("kept when too old: %v", left)
+			}
+		})
+	}
+}
+
+// learner has jobs that are expected to wait for 9 s and to take 1 s, and learns from what they took.
+type learner struct {
+	now      time.Time
+	outcomes *backlog.Outcomes
+	summary  *backlog.Summary
+	jobs     int
+}
+
+func newLearner() *learner {
+	summary := backlog.NewSummary()
+	row := waitingRow()
+	row.Queue, row.Priority, row.WaitingCoreMs = "r-1", 0, 18_000
+	summary.AddMessage(row)
+	return &learner{now: time.Unix(1000, 0), outcomes: backlog.NewOutcomes(), summary: summary}
+}
+
+// forecast makes a forecast of a new job, whose outcome will be learned from, and returns the job's ID.
+func (l *learner) forecast() string {
+	l.jobs++
+	id := fmt.Sprint(l.jobs)
+	work := backlog.NewWork(job.New(newSubmission(id), 0))
+	l.outcomes.Apply(l.summary, l.now)
+	expected, _ := l.summary.Expect(work)
+	forecast, _ := l.summary.Forecast(work, 0)
+	l.outcomes.Expect(id, work, expected, forecast, l.now)
+	return id
+}
+
+func (l *learner) ratio() float64 {
+	l.outcomes.Apply(l.summary, l.now)
+	return l.summary.Messages()[0].GetOutcomeRatio()
+}
+
+// TestLearningIsStable checks that the ratio converges to the true one although forecasts are corrected by it, that
+// it follows a change, and that it is forgotten.
+func TestLearningIsStable(t *testing.T) {
+	l := newLearner()
+	for _, truth := range []float64{3, 0.5, 20, 0.01, 1} {
+		for range 10 {
+			var ids []string
+			for range 20 {
+				id := l.forecast()
+				ids = append(ids, id)
+			}
+			l.now = l.now.Add(time.Duration(truth * float64(10*time.Second)))
+			for _, id := range ids {
+				l.outcomes.End(id, true, l.now)
+			}
+			if ratio := l.ratio(); ratio < 1.0/16 || ratio > 8 {
+				t.Fatalf("ratio %v is out of bounds", ratio)
+			}
+		}
+		want := min(max(truth, 1.0/16), 8)
+		if ratio := l.ratio(); math.Abs(ratio-want) > 0.1*want {
+			t.Errorf("ratio %v after jobs that took %v times the expected time", ratio, truth)
+		}
+	}
+	id := l.forecast()
+	l.now = l.now.Add(80 * time.Second)
+	l.outcomes.End(id, true, l.now)
+	before := l.ratio()
+	l.now = l.now.Add(time.Hour)
+	if after := l.ratio(); before < 1.5 || math.Abs(after-1) > 0.01 {
+		t.Errorf("ratio %v, and %v an hour later", before, after)
+	}
+}
+
+// TestLateJobsCount checks that the ratio rises while jobs that are late are still open, also if they are cancelled
+// then, and that jobs of another owner don't count any more.
+func TestLateJobsCount(t *testing.T) {
+	l := newLearner()
+	for range 8 {
+		l.forecast()
+	}
+	if ratio := l.ratio(); ratio != 0 {
+		t.Fatalf("ratio %v of nothing", ratio)
+	}
+	l.now = l.now.Add(40 * time.Second)
+	if ratio := l.ratio(); ratio < 3.5 || ratio > 4 {
+		t.Errorf("ratio %v while all jobs have taken 4 times the expected time", ratio)
+	}
+	for id := range 8 {
+		if id < 4 {
+			l.outcomes.Forget(fmt.Sprint(id + 1))
+		} else if _, counted := l.outcomes.End(fmt.Sprint(id+1), false, l.now); !counted {
+			t.Error("a cancelled job that was late does not count")
+		}
+	}
+	if ratio := l.ratio(); ratio < 3 || ratio > 4 {
+		t.Errorf("ratio %v after late jobs were cancelled", ratio)
+	}
+	id := l.forecast()
+	if _, counted := l.outcomes.End(id, false, l.now); counted {
+		t.Error("a job that was cancelled in time counts")
+	}
+}
+
+// TestSizeOfBacklog checks that the bytes of a backlog depend on its queues, not on the number of jobs.
+func TestSizeOfBacklog(t *testing.T) {
+	size := func(jobs int) int {
+		summary := backlog.NewSummary()
+		l := newLoad(t)
+		for index := range jobs {
+			submission := newSubmission(fmt.Sprint(index))
+			submission.Queue = fmt.Sprintf("r-%d", index%10)
+			summary.AddJob(job.New(submission, 0), l, l.now)
+		}
+		return proto.Size(&wire.OwnerBacklog{Owner: "a", Shards: []int32{1}, Queues: summary.Messages()})
+	}
+	few, many := size(10), size(10_000)
+	t.Logf("%d bytes for 10 jobs in 10 queues, %d for 10,000", few, many)
+	if many > 10*100 || many > 2*few {
+		t.Errorf("%d bytes for 10 jobs in 10 queues, %d for 10,000", few, many)
+	}
+}
--- /dev/null
+++ b/backlog/expect.go
@@ -0,0 +1,98 @@
+package backlog
+
+import "time"
+
+// maxExpected bounds forecasts. No caller waits that long, and a small rate would otherwise exceed the range of
+// a duration.
+const maxExpected = time.Hour
+
+// Expectation is when a job would start and end by the backlog alone, without what was learned from outcomes.
+type Expectation struct {
+	start, end time.Duration
+	ahead      ahead
+}
+
+// ahead is what is ahead of a job, and how fast it drains.
+type ahead struct {
+	waitingTasks               int32
+	waitingCoreMs, endedCoreMs int64
+	usedMilliCPU               int64
+}
+
+// End returns the time until the job ends.
+func (expected Expectation) End() time.Duration { return expected.end }
+
+// WaitingCoreMs returns the work that waits ahead of the job.
+func (expected Expectation) WaitingCoreMs() int64 { return expected.ahead.waitingCoreMs }
+
+// EndedCoreMs returns the work of the job's service and need that ended within Window.
+func (expected Expectation) EndedCoreMs() int64 { return expected.ahead.endedCoreMs }
+
+// UsedMilliCPU returns what the running tasks of the job's service and need use.
+func (expected Expectation) UsedMilliCPU() int64 { return expected.ahead.usedMilliCPU }
+
+// Expect returns when a job is expected to start and to end. It reports false if that can't be told: tasks ahead
+// of the job lack room while no work of its need has ended lately, or the job runs by a schedule.
+//
+// Ahead of a job is the waiting work of the same service and need in queues that are at least as urgent. Work
+// waits if the placement has found no room for one of its tasks; otherwise the job starts at once.
+func (summary *Summary) Expect(work Work) (Expectation, bool) {
+	if work.scheduled {
+		return Expectation{}, false
+	}
+	found := summary.ahead(work)
+	if found.waitingTasks == 0 {
+		return Expectation{end: work.criticalPath, ahead: found}, true
+	}
+	if found.endedCoreMs == 0 {
+		return Expectation{}, false
+	}
+	start := found.drainTime(found.waitingCoreMs)
+	end := start + max(work.criticalPath, found.drainTime(work.coreMs))
+	return Expectation{start: start, end: end, ahead: found}, true
+}
+
+// drainTime returns how long the workers take for an amount of work. The rate is that of the work that ended
+// within Window or, if it is higher, the processors that running tasks use: while a burst fills the workers,
+// hardly any of its work has ended yet.
+func (ahead ahead) drainTime(coreMs int64) time.Duration {
+	perWindow := max(ahead.endedCoreMs, ahead.usedMilliCPU*Window.Milliseconds()/millisPerCore)
+	return scale(Window, float64(coreMs)/float64(perWindow))
+}
+
+// ahead returns what is ahead of a job. Running and ended work counts in queues of any priority, because the room
+// that less urgent work gives up goes to the job.
+func (summary *Summary) ahead(work Work) ahead {
+	total := ahead{}
+	for key, found := range summary.rows {
+		if key.service != work.key.service || key.need != work.key.need {
+			continue
+		}
+		total.endedCoreMs += found.message.GetEndedCoreMs()
+		total.usedMilliCPU += found.message.GetUsedMilliCpu()
+		if key.priority <= work.key.priority {
+			total.waitingTasks += found.message.GetWaitingTasks()
+			total.waitingCoreMs += found.message.GetWaitingCoreMs()
+		}
+	}
+	return total
+}
+
+// Forecast returns when a job would start and end, as expected and corrected by what was learned from outcomes in
+// its queue. Before anything is learned, the deviation is the whole time to the end. A long-running job has no
+// end, so the end of its forecast is its start. The age is that of the backlogs in the summary.
+func (summary *Summary) Forecast(work Work, age time.Duration) (Forecast, bool) {
+	expected, known := summary.Expect(work)
+	if !known {
+		return Forecast{}, false
+	}
+	ratio, deviation := 1.0, 1.0
+	if found := summary.rows[work.key]; found != nil && found.message.GetOutcomeRatio() > 0 {
+		ratio, deviation = found.message.GetOutcomeRatio(), found.message.GetOutcomeDeviation()
+	}
+	return NewForecast(scale(expected.start, ratio), scale(expected.end, ratio), scale(expected.end, deviation), age), true
+}
+
+func scale(duration time.Duration, factor float64) time.Duration {
+	return time.Duration(min(float64(duration)*factor, float64(maxExpected)))
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -164,6 +164,13 @@
 	EndPassedOver
 )
 
+// What owners and gateways know of the backlog of all owners.
+const (
+	JobForecast Code = 1000 + iota
+	BacklogKnown
+	BacklogUnknown
+)
+
 // LinesDropped is about the log itself.
 const LinesDropped Code = 190
 
@@ -196,6 +203,8 @@
 	incarnationRelease = "0.9"
 	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
 	candidacyRelease = "0.10"
+	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
+	hardLoadRelease = "0.11"
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -331,6 +340,10 @@
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is closed. Messages in transit on it have no effect. The attribute by is the number of the newer connection.", endTrackingRelease},
 	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker reports another start time than that of the incarnation that the agent manages: it has restarted under the same ID. The attributes give both start times, in milliseconds since 1970, and the number up to which the earlier incarnation had been told to forget its ends.", incarnationRelease},
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
+
+	{JobForecast, slog.LevelInfo, "job forecast", "A job has ended of which the end had been forecast when its owner read it. The attributes give the forecast of the start and of the end with its deviation, the age of the oldest backlog that it was based on, the work ahead of the job, the work that had ended in the 5 s before and the processors in use, the end expected by these before it was corrected by earlier outcomes, the time that the job took, and the ratio of that time to the expected one.", hardLoadRelease},
+	{BacklogKnown, slog.LevelInfo, "backlog known", "The gateway knows the backlogs of all owners again, so it can forecast when jobs end. The attribute age is that of the oldest one.", hardLoadRelease},
+	{BacklogUnknown, slog.LevelWarn, "backlog unknown", "The gateway has no recent backlog of the shards in the attribute missing. It forecasts nothing, and no job is refused by a forecast, until it has.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
 )
@@ -17,6 +18,9 @@
 // Run reads the records that operators write until ctx ends. It puts new configurations in force, and passes
 // the evacuated failure domains to the owner in this process.
 func (gateway *Gateway) Run(ctx context.Context) {
+	if gateway.options.Features.Has(feature.Backlog) {
+		go gateway.backlogs.run(ctx)
+	}
 	reader := operator.NewReader(gateway.options.Store, gateway.options.Clock)
 	for ctx.Err() == nil {
 		update, err := reader.Read(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	options       Options
 	configuration atomic.Pointer[platform.Configuration]
 	directory     *ownerDirectory
+	backlogs      *backlogFollower
 	shuttingDown  atomic.Bool
 	breaker       circuitBreaker
 	metrics       metrics
@@ -81,7 +82,10 @@
 
 // New returns a gateway that refuses all requests until Run has read a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, directory: newOwnerDirectory(options), metrics: newMetrics(options.Meters)}
+	directory := newOwnerDirectory(options)
+	return &Gateway{
+		options: options, directory: directory, backlogs: newBacklogFollower(options, directory), metrics: newMetrics(options.Meters),
+	}
 }
 
 // IsReady reports whether the gateway has a configuration and is not shutting down.
@@ -151,6 +155,7 @@
 		gateway.respondRefused(writer, id, err.Error())
 		return
 	}
+	gateway.backlogs.recordSubmission(receivedAt)
 	result := gateway.appendRecord(request.Context(), id, job.SubmissionKey(id), value)
 	gateway.respondAppend(writer, request, result, id, event.JobAccepted, configuration.Version(), receivedAt)
 }
--- a/job/ready.go
+++ b/job/ready.go
@@ -19,6 +19,9 @@
 	return ready
 }
 
+// IsDue reports whether the task's round may start.
+func (task *Task) IsDue(now time.Time) bool { return !now.Before(task.job.roundDueAt(task.round)) }
+
 func (job *Job) canStart(task *Task, now time.Time) bool {
 	if now.Before(task.retryAt) || now.Before(job.roundDueAt(task.round)) {
 		return false
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -25,6 +25,7 @@
 	attachedAgents   metric.Int64Gauge
 	workersExamined  metric.Int64Counter
 	evacuatedDomains metric.Int64Gauge
+	forecastRatio    metric.Float64Histogram
 }
 
 // newMetrics creates the instruments. Errors are ignored: the library returns them only for invalid names,
@@ -45,9 +46,13 @@
 	m.attachedAgents, _ = meter.Int64Gauge("ambertiller.agent.attached", metric.WithDescription("Agents that this owner is connected to."))
 	m.workersExamined, _ = meter.Int64Counter("ambertiller.place.looked", metric.WithDescription("Workers that were looked at for a place, once for each job."))
 	m.evacuatedDomains, _ = meter.Int64Gauge("ambertiller.failure_domain.evacuated", metric.WithDescription("Failure domains that operators have evacuated, as this owner knows."))
+	m.forecastRatio, _ = meter.Float64Histogram("ambertiller.job.forecast.ratio", metric.WithDescription("Time that jobs took, divided by the time that was forecast, by queue."), metric.WithExplicitBucketBoundaries(forecastRatioBuckets...))
 	return m
 }
 
+// forecastRatioBuckets are finer around 1, where the forecast is right.
+var forecastRatioBuckets = []float64{0.1, 0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 3, 5, 10}
+
 // recordJobEnd counts a job that has ended, and records the time since it was submitted.
 func (m *metrics) recordJobEnd(ctx context.Context, j *job.Job) {
 	m.jobsEnded.Add(ctx, 1, telemetry.WithAttribute("state", j.State().String()))
--- a/owner/records.go
+++ b/owner/records.go
@@ -26,6 +26,9 @@
 		return
 	}
 	j := job.New(submission, s.number)
+	if s.loaded {
+		owner.forecastJob(j, now)
+	}
 	s.jobs[j.ID()] = j
 	s.live[j.ID()] = j
 	if s.loaded {
@@ -121,6 +124,7 @@
 	s.afterFlush = append(s.afterFlush, func(now time.Time) {
 		s.endStoredAt[j.ID()] = now
 		owner.metrics.recordJobEnd(owner.ctx, j)
+		owner.recordOutcome(s, j, now)
 		owner.log(event.JobEnded, slog.String("job", j.ID()), slog.String("state", j.State().String()),
 			slog.Duration("took", j.EndedAt().Sub(time.UnixMilli(j.Submission().GetSubmittedMs()))),
 			slog.Duration("past_objective", j.EndedAt().Sub(j.Objective())))
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -86,6 +86,7 @@
 	run.confirmed = true
 	run.task.ResetRefusals()
 	if run.task.Job().MarkRunning(now) {
+		owner.backlogs.outcomes.Start(run.task.Job().ID(), now)
 		owner.metrics.jobWait.Record(owner.ctx, now.Sub(time.UnixMilli(run.task.Job().Submission().GetSubmittedMs())).Seconds())
 		owner.markDirty(run.shard, run.task.Job())
 	}
@@ -184,6 +185,9 @@
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())),
 		slog.Duration("recorded", storeLatency))
 	owner.metrics.runsEnded.Add(owner.ctx, 1, telemetry.WithAttribute("reason", end.GetReason().String()))
+	if reason == job.EndDone {
+		s.ended.AddTask(task, now)
+	}
 	if reason.IsCrash() && task.State() == job.TaskState_TASK_FAILED {
 		owner.log(event.TaskGivenUp, slog.String("task", end.GetTask()), slog.Int("crashes", task.Crashes()), slog.Int("doubts", task.AmbiguousCrashes()))
 	}
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"ambertiller.example/ambertiller/backlog"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
@@ -52,6 +53,8 @@
 	pruning bool
 	// learned holds the interference estimates; nil except for job.InterferenceShard.
 	learned *learnedTable
+	// ended counts what ended lately, since the shard was loaded.
+	ended *backlog.Ended
 	// endStoredAt is when this process learned that the end of a job is in the store.
 	endStoredAt map[string]time.Time
 }
@@ -61,7 +64,7 @@
 	s := &shard{
 		number: number, epoch: epoch, acquiredAt: now,
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
-		endStoredAt: map[string]time.Time{}, cancelled: map[string]bool{},
+		endStoredAt: map[string]time.Time{}, cancelled: map[string]bool{}, ended: backlog.NewEnded(now),
 	}
 	if number == job.InterferenceShard {
 		s.learned = newLearnedTable()
@@ -85,6 +88,7 @@
 		return
 	}
 	delete(owner.shards, s.number)
+	owner.forgetForecasts(s)
 	for _, view := range owner.agents {
 		view.dropShard(s)
 		if s.number == job.InterferenceShard {
@@ -162,6 +166,7 @@
 		}
 	}
 	s.loaded = true
+	s.ended = backlog.NewEnded(now)
 	s.nextOffset = jobs.Next
 	owner.adoptRuns(s, now)
 	owner.placementChanges.addAll()
