gateway, backlog: log a backlog that never becomes known; clearer names

Cause: in a trial of four entries over the test store, one of them without the feature, the others' forecasts stayed unknown without a line that says why. Change: a backlog that is still unknown 10 s after the first round is logged, once. "Room" in new identifiers is now "resources", the word of the glossary.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -14,7 +14,7 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// waitingRow returns a row whose tasks wait for room, with 10 core seconds of work ahead and a rate of 2 cores.
+// waitingRow returns a row whose tasks wait, with 10 core seconds of work ahead and a rate of 2 cores.
 func waitingRow() *wire.QueueBacklog {
 	return &wire.QueueBacklog{
 		Queue: "r-2", Service: "verbale", Priority: 1, Need: wire.TaskNeed_NEED_RESERVED, OpenJobs: 3, WaitingTasks: 2,
@@ -34,7 +34,7 @@
 		"less urgent work":   {func(row *wire.QueueBacklog, _ *job.Submission) { row.Priority = 2 }, true, 0, time.Second},
 		"another service":    {func(row *wire.QueueBacklog, _ *job.Submission) { row.Service = "sunt" }, true, 0, time.Second},
 		"another need":       {func(row *wire.QueueBacklog, _ *job.Submission) { row.Need = wire.TaskNeed_NEED_FILL }, true, 0, time.Second},
-		"nothing lacks room": {func(row *wire.QueueBacklog, _ *job.Submission) { row.WaitingTasks = 0 }, true, 0, time.Second},
+		"nothing waits":      {func(row *wire.QueueBacklog, _ *job.Submission) { row.WaitingTasks = 0 }, true, 0, time.Second},
 		"nothing has ended":  {func(row *wire.QueueBacklog, _ *job.Submission) { row.EndedCoreMs = 0 }, false, 0, 0},
 		"workers fill up":    {func(row *wire.QueueBacklog, _ *job.Submission) { row.UsedMilliCpu = 10_000 }, true, time.Second, 2 * time.Second},
 		"shorter window":     {func(row *wire.QueueBacklog, _ *job.Submission) { row.WindowMs /= 2 }, true, 2500 * time.Millisecond, 3500 * time.Millisecond},
--- a/backlog/expect.go
+++ b/backlog/expect.go
@@ -9,11 +9,11 @@
 // Expectation is when a job would start and end by the backlog alone, without what was learned from outcomes.
 type Expectation struct {
 	start, end time.Duration
-	ahead      ahead
+	ahead      workAhead
 }
 
-// ahead is what is ahead of a job, and how fast it drains.
-type ahead struct {
+// workAhead is what is ahead of a job, and how fast it drains.
+type workAhead struct {
 	waitingTasks               int32
 	waitingCoreMs, endedCoreMs int64
 	usedMilliCPU               int64
@@ -32,38 +32,38 @@
 func (expected Expectation) UsedMilliCPU() int64 { return expected.ahead.usedMilliCPU }
 
 // Expect returns when a job is expected to start and to end. It reports false if that can't be told: tasks ahead
-// of the job lack room while no work of its need has ended lately, or the job runs by a schedule.
+// of the job lack resources while no work of its need has ended lately, or the job runs by a schedule.
 //
 // Ahead of a job is the waiting work of the same service and need in queues that are at least as urgent. Work
-// waits if the placement has found no room for one of its tasks; otherwise the job starts at once.
+// waits if the placement has found no worker for one of its tasks; otherwise the job starts at once.
 func (summary *Summary) Expect(work Work) (Expectation, bool) {
 	if work.scheduled {
 		return Expectation{}, false
 	}
-	found := summary.ahead(work)
-	if found.waitingTasks == 0 {
-		return Expectation{end: work.criticalPath, ahead: found}, true
+	ahead := summary.workAhead(work)
+	if ahead.waitingTasks == 0 {
+		return Expectation{end: work.criticalPath, ahead: ahead}, true
 	}
-	if found.endedCoreMs == 0 {
+	if ahead.endedCoreMs == 0 {
 		return Expectation{}, false
 	}
-	start := found.drainTime(found.waitingCoreMs)
-	end := start + max(work.criticalPath, found.drainTime(work.coreMs))
-	return Expectation{start: start, end: end, ahead: found}, true
+	start := ahead.drainTime(ahead.waitingCoreMs)
+	end := start + max(work.criticalPath, ahead.drainTime(work.coreMs))
+	return Expectation{start: start, end: end, ahead: ahead}, true
 }
 
 // drainTime returns how long the workers take for an amount of work. The rate is that of the work that ended
 // within Window or, if it is higher, the processors that running tasks use: while a burst fills the workers,
 // hardly any of its work has ended yet.
-func (ahead ahead) drainTime(coreMs int64) time.Duration {
+func (ahead workAhead) drainTime(coreMs int64) time.Duration {
 	perWindow := max(ahead.endedCoreMs, ahead.usedMilliCPU*Window.Milliseconds()/millisPerCore)
 	return scale(Window, float64(coreMs)/float64(perWindow))
 }
 
-// ahead returns what is ahead of a job. Running and ended work counts in queues of any priority, because the room
-// that less urgent work gives up goes to the job.
-func (summary *Summary) ahead(work Work) ahead {
-	total := ahead{}
+// workAhead returns what is ahead of a job. Running and ended work counts in queues of any priority, because the
+// resources that less urgent work frees go to the job.
+func (summary *Summary) workAhead(work Work) workAhead {
+	total := workAhead{}
 	for key, found := range summary.rows {
 		if key.service != work.key.service || key.need != work.key.need {
 			continue
--- a/backlog/load_test.go
+++ b/backlog/load_test.go
@@ -44,9 +44,9 @@
 	took       time.Duration
 }
 
-// ProgressPercent and LacksRoom make load implement backlog.Tasks.
+// ProgressPercent and LacksResources make load implement backlog.Tasks.
 func (l *load) ProgressPercent(*job.Task) int32 { return 50 }
-func (l *load) LacksRoom(*job.Task) bool        { return true }
+func (l *load) LacksResources(*job.Task) bool   { return true }
 
 func newLoad(t *testing.T) *load {
 	l := &load{
--- a/backlog/summary.go
+++ b/backlog/summary.go
@@ -26,8 +26,8 @@
 type Tasks interface {
 	// ProgressPercent returns how much of its work a started task has done.
 	ProgressPercent(task *job.Task) int32
-	// LacksRoom reports whether a waiting task would start if there were more room on the workers.
-	LacksRoom(task *job.Task) bool
+	// LacksResources reports whether a waiting task would start if the workers had more free resources.
+	LacksResources(task *job.Task) bool
 }
 
 // Summary is what the open jobs of queues wait for and use. It has a row for each queue and need.
@@ -93,7 +93,7 @@
 		message.UsedMilliCpu += spec.GetMilliCpu()
 		message.RunningCoreMs += stepCoreMs(spec) * int64(100-min(max(tasks.ProgressPercent(task), 0), 100)) / 100
 	case job.TaskState_TASK_WAITING:
-		if task.IsUnplaced() && !tasks.LacksRoom(task) {
+		if task.IsUnplaced() && !tasks.LacksResources(task) {
 			// Only its own constraints keep the task from starting, so it is ahead of no other.
 			return
 		}
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -22,6 +22,9 @@
 	backlogInterval = time.Second
 	// backlogIdleAfter is how long after the last submission an entry without shards goes on asking.
 	backlogIdleAfter = 10 * time.Second
+	// backlogStartTime is how long after the first round it is not logged that the backlog is unknown. Meanwhile
+	// the owners take their shards.
+	backlogStartTime = 10 * time.Second
 	// maxOwnersAsked bounds how many owners are asked for the sum of all backlogs in one round, so that a round
 	// ends before the sum of an earlier one is too old.
 	maxOwnersAsked = 3
@@ -39,9 +42,10 @@
 	updateOwner func(backlogs []*wire.OwnerBacklog)
 	metrics     backlogMetrics
 
-	// table and loggedKnown are used by the goroutine of run only.
-	table       *backlog.Table
-	loggedKnown bool
+	// These are used by the goroutine of run only. logged is the event that was logged last, 0 if none was.
+	table     *backlog.Table
+	logged    event.Code
+	startedAt time.Time // of the first round
 
 	mu          sync.Mutex
 	submittedAt time.Time
@@ -195,14 +199,23 @@
 	}
 	current, age, known := follower.current(now)
 	follower.metrics.record(ctx, current, age)
-	if known == follower.loggedKnown {
-		return
-	}
-	follower.loggedKnown = known
 	code := event.BacklogUnknown
 	if known {
 		code = event.BacklogKnown
 	}
+	follower.logChange(ctx, code, sum, age, now)
+}
+
+// logChange logs whether the backlog is known when that changes. At the start it is unknown for a while.
+func (follower *backlogFollower) logChange(ctx context.Context, code event.Code, sum backlog.Sum, age time.Duration, now time.Time) {
+	if follower.startedAt.IsZero() {
+		follower.startedAt = now
+	}
+	starting := follower.logged == 0 && now.Sub(follower.startedAt) < backlogStartTime
+	if code == follower.logged || code == event.BacklogUnknown && starting {
+		return
+	}
+	follower.logged = code
 	follower.options.Events.Log(ctx, code, slog.Any("missing", sum.Missing()), slog.Duration("age", age))
 }
 
--- a/gateway/backlog_test.go
+++ b/gateway/backlog_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// TestBacklogNeverKnown checks that a backlog that stays unknown from the start is logged once, and not at once.
+func TestBacklogNeverKnown(t *testing.T) {
+	owners := newFakeOwners(t, newBacklog(0), map[string]*wire.OwnerBacklog{"m-2": newBacklog(1)})
+	owners.update()
+	if text := owners.lines.String(); text != "" {
+		t.Errorf("logged at the start: %s", text)
+	}
+	for range 20 {
+		owners.update()
+	}
+	if text := owners.lines.String(); strings.Count(text, "backlog unknown") != 1 || !strings.Contains(text, `"missing":[2]`) {
+		t.Errorf("logged %s", text)
+	}
+}
+
 // TestEntryWithoutShards checks that an entry without shards asks one owner, falls back to another one, and stops
 // asking when no client has submitted a job for a while.
 func TestEntryWithoutShards(t *testing.T) {
--- a/owner/backlog.go
+++ b/owner/backlog.go
@@ -134,9 +134,9 @@
 	return 0
 }
 
-// LacksRoom implements backlog.Tasks. A task that no worker is large enough for, or that waits because of its own
-// constraints, would wait with any amount of room.
-func (tasks taskKnowledge) LacksRoom(task *job.Task) bool {
+// LacksResources implements backlog.Tasks. A task that no worker is large enough for, or that waits because of its own
+// constraints, would wait with any amount of free resources.
+func (tasks taskKnowledge) LacksResources(task *job.Task) bool {
 	spec := task.Spec()
 	largest, hasWorkers := tasks.largest[task.Job().Submission().GetService()]
 	if hasWorkers && (spec.GetMilliCpu() > largest.GetMilliCpu() || spec.GetMemoryMb() > largest.GetMemoryMb() || spec.GetAccelerators() > largest.GetAccelerators()) {
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// TestLacksRoom checks that a task that would wait with any amount of room is not ahead of others.
-func TestLacksRoom(t *testing.T) {
+// TestLacksResources checks that a task that would wait with any amount of free resources is not ahead of others.
+func TestLacksResources(t *testing.T) {
 	tests := map[string]struct {
 		change   func(submission *job.Submission)
 		obstacle obstacle
@@ -169,8 +169,8 @@
 			h.attach()
 			task := h.submitWith(test.change).Tasks()[0]
 			task.MarkUnplaced(string(test.obstacle), h.clock.Now())
-			if lacks := h.owner.newTaskKnowledge(h.clock.Now()).LacksRoom(task); lacks != test.lacks {
-				t.Errorf("lacks room: %v", lacks)
+			if lacks := h.owner.newTaskKnowledge(h.clock.Now()).LacksResources(task); lacks != test.lacks {
+				t.Errorf("lacks resources: %v", lacks)
 			}
 		})
 	}
