backlog, owner, trace: shorter lines, durations of forecasts readable in a trace

Cause: `ambertiller trace` printed the forecast's durations as numbers of nanoseconds; several lines were too long to read. Change: the attributes are forecast_start and forecast_end, and trace knows them. The load test holds the worst tenth of forecasts to its bound, no longer the median alone.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -25,37 +25,55 @@
 // TestWorkAhead checks which work is ahead of a job of priority 1 with a task of one core for one second.
 func TestWorkAhead(t *testing.T) {
 	tests := map[string]struct {
-		change     func(row *wire.QueueBacklog, submission *job.Submission)
-		known      bool
+		row        func(row *wire.QueueBacklog)
+		submission func(submission *job.Submission)
+		unknown    bool
 		start, end time.Duration
 	}{
-		"same priority":      {func(*wire.QueueBacklog, *job.Submission) {}, true, 5 * time.Second, 6 * time.Second},
-		"more urgent work":   {func(row *wire.QueueBacklog, _ *job.Submission) { row.Priority = 0 }, true, 5 * time.Second, 6 * time.Second},
-		"less urgent work":   {func(row *wire.QueueBacklog, _ *job.Submission) { row.Priority = 2 }, true, 0, time.Second},
-		"another service":    {func(row *wire.QueueBacklog, _ *job.Submission) { row.Service = "sunt" }, true, 0, time.Second},
-		"another need":       {func(row *wire.QueueBacklog, _ *job.Submission) { row.Need = wire.TaskNeed_NEED_FILL }, true, 0, time.Second},
-		"nothing waits":      {func(row *wire.QueueBacklog, _ *job.Submission) { row.WaitingTasks = 0 }, true, 0, time.Second},
-		"nothing has ended":  {func(row *wire.QueueBacklog, _ *job.Submission) { row.EndedCoreMs = 0 }, false, 0, 0},
-		"workers fill up":    {func(row *wire.QueueBacklog, _ *job.Submission) { row.UsedMilliCpu = 10_000 }, true, time.Second, 2 * time.Second},
-		"shorter window":     {func(row *wire.QueueBacklog, _ *job.Submission) { row.WindowMs /= 2 }, true, 2500 * time.Millisecond, 3500 * time.Millisecond},
-		"scheduled job":      {func(_ *wire.QueueBacklog, submission *job.Submission) { submission.Rounds = 2 }, false, 0, 0},
-		"wide job":           {func(_ *wire.QueueBacklog, submission *job.Submission) { submission.Steps[0].Count = 8 }, true, 5 * time.Second, 9 * time.Second},
-		"long-running":       {func(_ *wire.QueueBacklog, submission *job.Submission) { submission.Steps[0].Lasting = true }, true, 0, 0},
-		"far too much ahead": {func(row *wire.QueueBacklog, _ *job.Submission) { row.WaitingCoreMs = math.MaxInt64 }, true, time.Hour, time.Hour},
-		"long-running behind": {func(row *wire.QueueBacklog, submission *job.Submission) {
-			submission.Steps[0].Lasting = true
-			row.Need, row.EndedCoreMs = wire.TaskNeed_NEED_LASTING, 0
-		}, false, 0, 0},
+		"same priority": {start: 5 * time.Second, end: 6 * time.Second},
+		"more urgent work": {
+			row: func(row *wire.QueueBacklog) { row.Priority = 0 }, start: 5 * time.Second, end: 6 * time.Second,
+		},
+		"less urgent work":  {row: func(row *wire.QueueBacklog) { row.Priority = 2 }, end: time.Second},
+		"another service":   {row: func(row *wire.QueueBacklog) { row.Service = "sunt" }, end: time.Second},
+		"another need":      {row: func(row *wire.QueueBacklog) { row.Need = wire.TaskNeed_NEED_FILL }, end: time.Second},
+		"nothing waits":     {row: func(row *wire.QueueBacklog) { row.WaitingTasks = 0 }, end: time.Second},
+		"nothing has ended": {row: func(row *wire.QueueBacklog) { row.EndedCoreMs = 0 }, unknown: true},
+		"workers fill up": {
+			row: func(row *wire.QueueBacklog) { row.UsedMilliCpu = 10_000 }, start: time.Second, end: 2 * time.Second,
+		},
+		"shorter window": {
+			row: func(row *wire.QueueBacklog) { row.WindowMs /= 5 }, start: time.Second, end: 2 * time.Second,
+		},
+		"far too much ahead": {
+			row: func(row *wire.QueueBacklog) { row.WaitingCoreMs = math.MaxInt64 }, start: time.Hour, end: time.Hour,
+		},
+		"scheduled job": {submission: func(submission *job.Submission) { submission.Rounds = 2 }, unknown: true},
+		"wide job": {
+			submission: func(submission *job.Submission) { submission.Steps[0].Count = 8 },
+			start:      5 * time.Second, end: 9 * time.Second,
+		},
+		"long-running job": {submission: func(submission *job.Submission) { submission.Steps[0].Lasting = true }},
+		"long-running job behind others": {
+			row:        func(row *wire.QueueBacklog) { row.Need, row.EndedCoreMs = wire.TaskNeed_NEED_LASTING, 0 },
+			submission: func(submission *job.Submission) { submission.Steps[0].Lasting = true },
+			unknown:    true,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			row, submission := waitingRow(), newSubmission("1")
 			submission.Priority = 1
-			test.change(row, submission)
+			if test.row != nil {
+				test.row(row)
+			}
+			if test.submission != nil {
+				test.submission(submission)
+			}
 			summary := backlog.NewSummary()
 			summary.AddMessage(row)
 			forecast, known := summary.Forecast(backlog.NewWork(job.New(submission, 0)), time.Second)
-			if known != test.known || forecast.Start() != test.start || forecast.End() != test.end {
+			if known == test.unknown || forecast.Start() != test.start || forecast.End() != test.end {
 				t.Errorf("known %v, start %v, end %v", known, forecast.Start(), forecast.End())
 			}
 			if known && (forecast.Deviation() != forecast.End() || forecast.Age() != time.Second) {
@@ -68,26 +86,28 @@
 // TestSum checks what is known after reports that came late, twice, from two owners at once, or not at all. The
 // sum is taken 1 s after the reports came, over 3 shards.
 func TestSum(t *testing.T) {
+	type reports []*wire.OwnerBacklog
 	report := func(owner string, ageMs int64, jobs int32, shards ...int32) *wire.OwnerBacklog {
-		return &wire.OwnerBacklog{Owner: owner, AgeMs: ageMs, Shards: shards, Queues: []*wire.QueueBacklog{{Queue: "r-1", OpenJobs: jobs}}}
+		queues := []*wire.QueueBacklog{{Queue: "r-1", OpenJobs: jobs}}
+		return &wire.OwnerBacklog{Owner: owner, AgeMs: ageMs, Shards: shards, Queues: queues}
 	}
 	tests := map[string]struct {
-		reports []*wire.OwnerBacklog
+		reports reports
 		missing []int
 		jobs    int32
 		age     time.Duration
 	}{
 		"none":                  {nil, []int{0, 1, 2}, 0, 0},
-		"all":                   {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1), report("b", 500, 2, 2)}, nil, 3, 1500 * time.Millisecond},
-		"one owner is silent":   {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1)}, []int{2}, 1, time.Second},
-		"without shards":        {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2), report("b", 0, 2)}, nil, 1, time.Second},
-		"told late":             {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
-		"told twice":            {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
-		"told in reverse":       {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
-		"moved as a whole":      {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1), report("b", 900, 2, 2), report("c", 0, 2, 2)}, nil, 3, time.Second},
-		"moved in part":         {[]*wire.OwnerBacklog{report("a", 900, 1, 0, 1), report("b", 0, 2, 1, 2)}, []int{0}, 2, time.Second},
-		"of another deployment": {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 1, 2, 3)}, []int{0, 1, 2}, 0, 0},
-		"same shard twice":      {[]*wire.OwnerBacklog{report("a", 0, 1, 0, 0)}, []int{0, 1, 2}, 0, 0},
+		"all":                   {reports{report("a", 0, 1, 0, 1), report("b", 500, 2, 2)}, nil, 3, 1500 * time.Millisecond},
+		"one owner is silent":   {reports{report("a", 0, 1, 0, 1)}, []int{2}, 1, time.Second},
+		"without shards":        {reports{report("a", 0, 1, 0, 1, 2), report("b", 0, 2)}, nil, 1, time.Second},
+		"told late":             {reports{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
+		"told twice":            {reports{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
+		"told in reverse":       {reports{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
+		"moved as a whole":      {reports{report("a", 0, 1, 0, 1), report("b", 900, 2, 2), report("c", 0, 2, 2)}, nil, 3, time.Second},
+		"moved in part":         {reports{report("a", 900, 1, 0, 1), report("b", 0, 2, 1, 2)}, []int{0}, 2, time.Second},
+		"of another deployment": {reports{report("a", 0, 1, 0, 1, 2, 3)}, []int{0, 1, 2}, 0, 0},
+		"same shard twice":      {reports{report("a", 0, 1, 0, 0)}, []int{0, 1, 2}, 0, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -101,7 +121,8 @@
 			for _, row := range sum.Summary().Messages() {
 				jobs += row.GetOpenJobs()
 			}
-			if !slices.Equal(sum.Missing(), test.missing) || sum.IsKnown() != (test.missing == nil) || jobs != test.jobs || sum.Age() != test.age {
+			isKnown := test.missing == nil
+			if !slices.Equal(sum.Missing(), test.missing) || sum.IsKnown() != isKnown || jobs != test.jobs || sum.Age() != test.age {
 				t.Errorf("missing %v, known %v, %d jobs, age %v", sum.Missing(), sum.IsKnown(), jobs, sum.Age())
 			}
 			table.Prune(now.Add(backlog.MaxAge + time.Millisecond))
--- a/backlog/load_test.go
+++ b/backlog/load_test.go
@@ -116,7 +116,8 @@
 		}
 		summary.AddEnded(l.ended[shard], l.now)
 		l.outcomes.Apply(summary, l.now)
-		l.table.Put(fmt.Sprint(shard), &wire.OwnerBacklog{Shards: []int32{int32(shard)}, Queues: summary.Messages()}, l.now)
+		report := &wire.OwnerBacklog{Shards: []int32{int32(shard)}, Queues: summary.Messages()}
+		l.table.Put(fmt.Sprint(shard), report, l.now)
 	}
 }
 
@@ -179,24 +180,21 @@
 
 	for name, jobs := range map[string][]*playedJob{"quiet": quiet, "quiet again": quietAgain} {
 		for _, played := range jobs {
-			if !played.known || played.forecast.Start() != 0 || played.started.Sub(played.arrivedAt) > step {
-				t.Errorf("%s: forecast to start after %v (known %v), started after %v", name, played.forecast.Start(), played.known, played.started.Sub(played.arrivedAt))
+			waited := played.started.Sub(played.arrivedAt)
+			if !played.known || played.forecast.Start() != 0 || waited > step {
+				t.Errorf("%s: forecast to start after %v (known %v), started after %v", name, played.forecast.Start(), played.known, waited)
 			}
 		}
 	}
 	late := overload[len(overload)/3:] // those before that arrive while the cores fill up
-	bounds := map[string]struct {
-		jobs   []*playedJob
-		median float64
-	}{
-		"quiet": {quiet, 0.5}, "overload": {late, 0.5}, "after the burst": {afterBurst, 0.5}, "quiet again": {quietAgain, 0.5},
-	}
-	for name, test := range bounds {
-		shares := l.errors(test.jobs)
+	const bound = 0.5
+	phases := map[string][]*playedJob{"quiet": quiet, "overload": late, "after the burst": afterBurst, "quiet again": quietAgain}
+	for name, jobs := range phases {
+		shares := l.errors(jobs)
 		median, most := shares[len(shares)/2], shares[len(shares)*9/10]
 		t.Logf("%s: %d forecasts, off by %.2f in the median, %.2f in the worst tenth", name, len(shares), median, most)
-		if median > test.median {
-			t.Errorf("%s: forecasts are off by %.2f of the time taken in the median", name, median)
+		if most > bound {
+			t.Errorf("%s: forecasts are off by %.2f of the time taken in the worst tenth", name, most)
 		}
 	}
 	if waited := burst[len(burst)-1].started.Sub(burst[len(burst)-1].arrivedAt); waited < 5*time.Second {
--- a/backlog/summary.go
+++ b/backlog/summary.go
@@ -19,7 +19,9 @@
 }
 
 func newRowKey(submission *job.Submission, need wire.TaskNeed) rowKey {
-	return rowKey{queue: submission.GetQueue(), service: submission.GetService(), priority: submission.GetPriority(), need: need}
+	return rowKey{
+		queue: submission.GetQueue(), service: submission.GetService(), priority: submission.GetPriority(), need: need,
+	}
 }
 
 // Tasks tells what an owner knows of tasks beyond the state of their jobs.
@@ -132,7 +134,9 @@
 
 // AddMessage adds the row of another summary.
 func (summary *Summary) AddMessage(added *wire.QueueBacklog) {
-	key := rowKey{queue: added.GetQueue(), service: added.GetService(), priority: added.GetPriority(), need: added.GetNeed()}
+	key := rowKey{
+		queue: added.GetQueue(), service: added.GetService(), priority: added.GetPriority(), need: added.GetNeed(),
+	}
 	into := summary.rowFor(key)
 	into.addOutcome(added)
 	message := into.message
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -66,7 +66,9 @@
 }
 
 // requestBacklog requests the backlog of another entry or, with merged set, the sum that it knows.
-func (directory *ownerDirectory) requestBacklog(ctx context.Context, member string, merged bool) (*wire.OwnerBacklog, error) {
+func (directory *ownerDirectory) requestBacklog(
+	ctx context.Context, member string, merged bool,
+) (*wire.OwnerBacklog, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	reply, err := directory.peerClient(member).Backlog(ctx, &wire.BacklogRequest{Merged: merged})
@@ -199,24 +201,27 @@
 	}
 	current, age, known := follower.current(now)
 	follower.metrics.record(ctx, current, age)
-	code := event.BacklogUnknown
-	if known {
-		code = event.BacklogKnown
+	if code := follower.change(known, now); code != 0 {
+		follower.options.Events.Log(ctx, code, slog.Any("missing", sum.Missing()), slog.Duration("age", age))
 	}
-	follower.logChange(ctx, code, sum, age, now)
 }
 
-// logChange logs whether the backlog is known when that changes. At the start it is unknown for a while.
-func (follower *backlogFollower) logChange(ctx context.Context, code event.Code, sum backlog.Sum, age time.Duration, now time.Time) {
+// change returns the event to log if the backlog has become known or unknown, else 0. At the start the backlog is
+// unknown for a while, which is not logged.
+func (follower *backlogFollower) change(known bool, now time.Time) event.Code {
 	if follower.startedAt.IsZero() {
 		follower.startedAt = now
 	}
+	code := event.BacklogUnknown
+	if known {
+		code = event.BacklogKnown
+	}
 	starting := follower.logged == 0 && now.Sub(follower.startedAt) < backlogStartTime
-	if code == follower.logged || code == event.BacklogUnknown && starting {
-		return
+	if code == follower.logged || !known && starting {
+		return 0
 	}
 	follower.logged = code
-	follower.options.Events.Log(ctx, code, slog.Any("missing", sum.Missing()), slog.Duration("age", age))
+	return code
 }
 
 // backlogMetrics holds the metric instruments of the backlog.
@@ -232,9 +237,12 @@
 func newBacklogMetrics(provider metric.MeterProvider) backlogMetrics {
 	meter := telemetry.Meter(provider, "gateway")
 	instruments := backlogMetrics{recorded: map[string]bool{}}
-	instruments.age, _ = meter.Float64Gauge("ambertiller.backlog.age", metric.WithUnit("s"), metric.WithDescription("Age of the oldest backlog of an owner that forecasts are based on."))
-	instruments.jobs, _ = meter.Int64Gauge("ambertiller.backlog.jobs", metric.WithDescription("Jobs of all owners that have not ended, by queue."))
-	instruments.waiting, _ = meter.Float64Gauge("ambertiller.backlog.waiting", metric.WithUnit("s"), metric.WithDescription("Estimated work of all owners that waits for workers, in seconds of one core, by queue."))
+	instruments.age, _ = meter.Float64Gauge("ambertiller.backlog.age", metric.WithUnit("s"),
+		metric.WithDescription("Age of the oldest backlog of an owner that forecasts are based on."))
+	instruments.jobs, _ = meter.Int64Gauge("ambertiller.backlog.jobs",
+		metric.WithDescription("Jobs of all owners that have not ended, by queue."))
+	instruments.waiting, _ = meter.Float64Gauge("ambertiller.backlog.waiting", metric.WithUnit("s"),
+		metric.WithDescription("Estimated work of all owners that waits for workers, in seconds of one core, by queue."))
 	return instruments
 }
 
--- a/owner/backlog.go
+++ b/owner/backlog.go
@@ -54,12 +54,14 @@
 	state := &owner.backlogs
 	age := now.Sub(state.computedAt)
 	if !merged {
+		own := state.own
 		return &wire.OwnerBacklog{
-			Owner: state.own.GetOwner(), AgeMs: age.Milliseconds(), Shards: state.own.GetShards(), Queues: state.own.GetQueues(),
+			Owner: own.GetOwner(), AgeMs: age.Milliseconds(), Shards: own.GetShards(), Queues: own.GetQueues(),
 		}
 	}
+	total := state.total
 	return &wire.OwnerBacklog{
-		AgeMs: (state.total.Age() + age).Milliseconds(), Shards: state.total.Covered(), Queues: state.total.Summary().Messages(),
+		AgeMs: (total.Age() + age).Milliseconds(), Shards: total.Covered(), Queues: total.Summary().Messages(),
 	}
 }
 
@@ -139,7 +141,9 @@
 func (tasks taskKnowledge) LacksResources(task *job.Task) bool {
 	spec := task.Spec()
 	largest, hasWorkers := tasks.largest[task.Job().Submission().GetService()]
-	if hasWorkers && (spec.GetMilliCpu() > largest.GetMilliCpu() || spec.GetMemoryMb() > largest.GetMemoryMb() || spec.GetAccelerators() > largest.GetAccelerators()) {
+	fits := spec.GetMilliCpu() <= largest.GetMilliCpu() && spec.GetMemoryMb() <= largest.GetMemoryMb() &&
+		spec.GetAccelerators() <= largest.GetAccelerators()
+	if hasWorkers && !fits {
 		return false
 	}
 	_, found := task.UnplacedFor(tasks.now)
@@ -184,16 +188,19 @@
 	if !known {
 		return
 	}
-	forecast := outcome.Forecast()
-	owner.log(event.JobForecast, slog.String("job", j.ID()), slog.String("queue", j.Submission().GetQueue()),
-		slog.String("need", backlog.NewWork(j).Need().String()), slog.Duration("start", forecast.Start()), slog.Duration("end", forecast.End()),
+	queue := j.Submission().GetQueue()
+	forecast, expected := outcome.Forecast(), outcome.Expected()
+	owner.log(event.JobForecast, slog.String("job", j.ID()), slog.String("queue", queue),
+		slog.String("need", backlog.NewWork(j).Need().String()),
+		slog.Duration("forecast_start", forecast.Start()), slog.Duration("forecast_end", forecast.End()),
 		slog.Duration("deviation", forecast.Deviation()), slog.Duration("age", forecast.Age()),
-		slog.Int64("waiting_core_ms", outcome.Expected().WaitingCoreMs()), slog.Int64("ended_core_ms", outcome.Expected().EndedCoreMs()),
-		slog.Int64("used_milli_cpu", outcome.Expected().UsedMilliCPU()),
-		slog.Duration("expected", outcome.Expected().End()), slog.Duration("took", outcome.Took()),
-		slog.Float64("ratio", outcome.Ratio()), slog.String("state", j.State().String()))
+		slog.Int64("waiting_core_ms", expected.WaitingCoreMs()), slog.Int64("ended_core_ms", expected.EndedCoreMs()),
+		slog.Int64("used_milli_cpu", expected.UsedMilliCPU()), slog.Duration("expected", expected.End()),
+		slog.Duration("took", outcome.Took()), slog.Float64("ratio", outcome.Ratio()),
+		slog.String("state", j.State().String()))
 	if forecast.End() > 0 {
-		owner.metrics.forecastRatio.Record(owner.ctx, float64(outcome.Took())/float64(forecast.End()), telemetry.WithAttribute("queue", j.Submission().GetQueue()))
+		ratio := float64(outcome.Took()) / float64(forecast.End())
+		owner.metrics.forecastRatio.Record(owner.ctx, ratio, telemetry.WithAttribute("queue", queue))
 	}
 }
 
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -46,7 +46,9 @@
 	m.attachedAgents, _ = meter.Int64Gauge("ambertiller.agent.attached", metric.WithDescription("Agents that this owner is connected to."))
 	m.workersExamined, _ = meter.Int64Counter("ambertiller.place.looked", metric.WithDescription("Workers that were looked at for a place, once for each job."))
 	m.evacuatedDomains, _ = meter.Int64Gauge("ambertiller.failure_domain.evacuated", metric.WithDescription("Failure domains that operators have evacuated, as this owner knows."))
-	m.forecastRatio, _ = meter.Float64Histogram("ambertiller.job.forecast.ratio", metric.WithDescription("Time that jobs took, divided by the time that was forecast, by queue."), metric.WithExplicitBucketBoundaries(forecastRatioBuckets...))
+	m.forecastRatio, _ = meter.Float64Histogram("ambertiller.job.forecast.ratio",
+		metric.WithDescription("Time that jobs took, divided by the time that was forecast, by queue."),
+		metric.WithExplicitBucketBoundaries(forecastRatioBuckets...))
 	return m
 }
 
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -94,7 +94,8 @@
 }
 
 // durationKeys are the keys of the attributes that hold durations in nanoseconds.
-var durationKeys = []string{"took", "age", "after", "ran", "retry_after", "since", "past_objective", "held", "valid", "waited", "recorded", "allowed", "left", "remaining"}
+var durationKeys = []string{"took", "age", "after", "ran", "retry_after", "since", "past_objective", "held", "valid", "waited", "recorded", "allowed", "left", "remaining",
+	"forecast_start", "forecast_end", "deviation", "expected"}
 
 func formatValue(key string, value any) string {
 	number, isNumber := value.(float64)
