owner: count no ends while the feature backlog is not enabled

Change: count only with the feature on. Result: TestBacklogOff failed before (an end was counted) and passes now.

--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// TestBacklogOff checks that an owner without the feature answers as one of an earlier build, and forecasts nothing.
+// TestBacklogOff checks that an owner without the feature answers as one of an earlier build, forecasts nothing and
+// counts no ends.
 func TestBacklogOff(t *testing.T) {
 	h := newHarness(t)
 	_, err := h.owner.Backlog(context.Background(), &wire.BacklogRequest{})
@@ -98,6 +99,13 @@
 	if h.owner.backlogs.own != nil {
 		t.Error("a backlog was computed")
 	}
+	h.attachAndStart()
+	h.receive(&wire.AgentMessage{Ends: []*wire.RunEnd{{Task: firstTask, Attempt: 1, Worker: workerID, Reason: wire.EndReason_END_DONE, Number: 1}}})
+	h.clock.Advance(time.Second)
+	summary := backlog.NewSummary()
+	if summary.AddEnded(h.shard.ended, h.clock.Now()); len(summary.Messages()) != 0 {
+		t.Errorf("counted %v", summary.Messages())
+	}
 }
 
 // TestNewShardHasNoRate checks that a shard is not reported before ends have been counted for MinWindow.
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/wire"
@@ -185,7 +186,7 @@
 		slog.String("worker", end.GetWorker()), slog.String("how", end.GetReason().String()), slog.Duration("ran", now.Sub(task.StartedAt())),
 		slog.Duration("recorded", storeLatency))
 	owner.metrics.runsEnded.Add(owner.ctx, 1, telemetry.WithAttribute("reason", end.GetReason().String()))
-	if reason == job.EndDone {
+	if reason == job.EndDone && owner.options.Features.Has(feature.Backlog) {
 		s.ended.AddTask(task, now)
 	}
 	if reason.IsCrash() && task.State() == job.TaskState_TASK_FAILED {
