backlog: forget what was learned of a quiet queue sooner, and its deviation too

Cause: a queue of which jobs took 8 times the expected time kept a ratio of 5.6 with a deviation of 0.02 for 3 minutes without any job. While forecasts by it keep callers away, there are no outcomes that could correct it. Change: half-life of 1 minute; the deviation goes back to 1 as the ratio does. Result: TestQuietQueueIsForgotten failed before with the figures above and passes now.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -248,3 +248,25 @@
 		t.Errorf("%d bytes for 10 jobs in 10 queues, %d for 10,000", few, many)
 	}
 }
+
+// TestQuietQueueIsForgotten checks that a queue whose callers were kept away by late forecasts, so that it has no
+// outcomes, is soon forecast with little correction again, and with the deviation of one that little is known of.
+func TestQuietQueueIsForgotten(t *testing.T) {
+	l := newLearner()
+	var ids []string
+	for range 50 {
+		ids = append(ids, l.forecast())
+	}
+	l.now = l.now.Add(80 * time.Second)
+	for _, id := range ids {
+		l.outcomes.End(id, true, l.now)
+	}
+	if ratio := l.ratio(); ratio < 7 {
+		t.Fatalf("ratio %v after jobs that took 8 times the expected time", ratio)
+	}
+	l.now = l.now.Add(3 * time.Minute)
+	ratio, deviation := l.ratio(), l.summary.Messages()[0].GetOutcomeDeviation()
+	if ratio > 2 || deviation < 0.5 {
+		t.Errorf("ratio %v, deviation %v after 3 minutes without outcomes", ratio, deviation)
+	}
+}
--- a/backlog/outcomes.go
+++ b/backlog/outcomes.go
@@ -13,9 +13,10 @@
 	// maxLearnedJobs is how many outcomes the mean ratio is taken over. The ratio follows a change of load
 	// after a few jobs, and one job that was held up by itself moves it by an eighth.
 	maxLearnedJobs = 8
-	// ratioHalfLife is how long it takes a ratio to lose half of its distance from 1, and half of its weight,
-	// without outcomes.
-	ratioHalfLife = 5 * time.Minute
+	// ratioHalfLife is how long it takes a ratio and a deviation to lose half of their distance from 1, and half
+	// of their weight, without outcomes. Late forecasts keep callers away, and without jobs nothing corrects
+	// them, so they must not outlast the load by much.
+	ratioHalfLife = time.Minute
 )
 
 // Outcomes learns the ratio of the time that jobs took to the time that was expected, by queue and need. Of a job
@@ -155,6 +156,7 @@
 	}
 	left := math.Exp2(-float64(max(now.Sub(known.at), 0)) / float64(ratioHalfLife))
 	known.ratio = 1 + (known.ratio-1)*left
+	known.deviation = 1 + (known.deviation-1)*left
 	known.jobs = max(known.jobs*left, 1)
 	known.at = now
 	return known
