backlog, owner: don't learn from jobs that their own constraints keep waiting

Cause: a job with a label that no worker has, read while its queue was known to wait, counted as late for as long as it was open. Alone in its queue it raised the ratio to 4.5, so the forecasts of all other callers of the queue were late because of one job. Change: the owner excludes such jobs when it computes its backlog. Their end is still logged, with ratio 0.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -270,3 +270,18 @@
 		t.Errorf("ratio %v, deviation %v after 3 minutes without outcomes", ratio, deviation)
 	}
 }
+
+// TestExcludedJobDoesNotCount checks that a job that its own constraints keep waiting doesn't raise the ratio of its
+// queue.
+func TestExcludedJobDoesNotCount(t *testing.T) {
+	l := newLearner()
+	id := l.forecast()
+	l.outcomes.Exclude(id)
+	l.now = l.now.Add(time.Minute)
+	if ratio := l.ratio(); ratio != 0 {
+		t.Errorf("ratio %v while the job waits", ratio)
+	}
+	if outcome, logged := l.outcomes.End(id, true, l.now); !logged || outcome.Ratio() != 0 || l.ratio() != 0 {
+		t.Errorf("logged %v, ratio of the job %v, of the queue %v", logged, outcome.Ratio(), l.ratio())
+	}
+}
--- a/backlog/outcomes.go
+++ b/backlog/outcomes.go
@@ -33,6 +33,7 @@
 	forecast  Forecast
 	since     time.Time
 	startedAt time.Time // zero until the job has started
+	excluded  bool
 }
 
 // learned is the mean of ratios and their mean absolute deviation from it.
@@ -83,6 +84,21 @@
 	}
 }
 
+// IsOpen reports whether something is expected of a job that has not ended.
+func (outcomes *Outcomes) IsOpen(id string) bool {
+	_, found := outcomes.open[id]
+	return found
+}
+
+// Exclude has a job not count, because its own constraints keep it waiting: other jobs of its queue don't wait as
+// long. It may go on waiting for as long as the queue exists.
+func (outcomes *Outcomes) Exclude(id string) {
+	if open, found := outcomes.open[id]; found {
+		open.excluded = true
+		outcomes.open[id] = open
+	}
+}
+
 // Forget drops a job of which the outcome won't be known.
 func (outcomes *Outcomes) Forget(id string) { delete(outcomes.open, id) }
 
@@ -132,7 +148,9 @@
 }
 
 // counts reports whether the time that the job takes can be compared with the expectation.
-func (open openJob) counts() bool { return open.expected.start > 0 || !open.startedAt.IsZero() }
+func (open openJob) counts() bool {
+	return !open.excluded && (open.expected.start > 0 || !open.startedAt.IsZero())
+}
 
 // timeSoFar returns the time that is compared with the expectation.
 func (open openJob) timeSoFar(now time.Time) time.Duration {
--- a/backlog/summary.go
+++ b/backlog/summary.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// IsHeld reports whether a job has a task that only the job's own constraints keep from starting.
+func IsHeld(j *job.Job, tasks Tasks, now time.Time) bool {
+	for _, task := range j.Tasks() {
+		if task.IsDue(now) && isHeld(task, tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+func isHeld(task *job.Task, tasks Tasks) bool {
+	return task.State() == job.TaskState_TASK_WAITING && task.IsUnplaced() && !tasks.LacksResources(task)
+}
+
 // addWaitingJobs adds jobs of which no task has started. The objective is the earliest of them.
 func addWaitingJobs(message *wire.QueueBacklog, count int32, objectiveMs int64) {
 	if count == 0 {
@@ -95,8 +109,8 @@
 		message.UsedMilliCpu += spec.GetMilliCpu()
 		message.RunningCoreMs += stepCoreMs(spec) * int64(100-min(max(tasks.ProgressPercent(task), 0), 100)) / 100
 	case job.TaskState_TASK_WAITING:
-		if task.IsUnplaced() && !tasks.LacksResources(task) {
-			// Only its own constraints keep the task from starting, so it is ahead of no other.
+		if isHeld(task, tasks) {
+			// The task would not start if others made room, so it is ahead of none.
 			return
 		}
 		message.WaitingCoreMs += stepCoreMs(spec)
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -183,3 +183,31 @@
 		})
 	}
 }
+
+// TestHeldJobDoesNotCount checks that a job that waits for a label that no worker has leaves the ratio of its queue as
+// it is, while one that waits for processors raises it when it is late.
+func TestHeldJobDoesNotCount(t *testing.T) {
+	tests := map[string]struct {
+		obstacle obstacle
+		counts   bool
+	}{
+		"label":        {obstacleLabel, false},
+		"busy workers": {"cpu", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newBacklogHarness(t)
+			h.owner.peerBacklogs = peerBacklogs{backlogs: []*wire.OwnerBacklog{h.peerBacklog()}, receivedAt: h.clock.Now()}
+			task := h.submitWith(func(*job.Submission) {}).Tasks()[0]
+			task.MarkUnplaced(string(test.obstacle), h.clock.Now())
+			h.clock.Advance(time.Minute)
+			own, err := h.requestBacklog(false)
+			if err != nil || len(own.GetQueues()) != 1 {
+				t.Fatalf("backlog %v, error %v", own, err)
+			}
+			if ratio := own.GetQueues()[0].GetOutcomeRatio(); (ratio > 1) != test.counts {
+				t.Errorf("ratio %v", ratio)
+			}
+		})
+	}
+}
