owner: don't learn the time that a job's end waits for the store

Cause: the outcome of a forecast was taken when the end was in the store. While the store is slow or away the jobs that end count as late, up to 8 times, and after it is back jobs are forecast late by it. Change: the time to the job's end counts, as in the line of the job's end. Result: the case 'store is slow' of TestForecastIsComparedWithOutcome failed before (ratio not 1.2 with 2 s of delay) and passes now.

--- a/owner/backlog.go
+++ b/owner/backlog.go
@@ -178,7 +178,8 @@
 	total.Summary().AddJob(j, owner.backlogs.tasks, now)
 }
 
-// recordOutcome compares the forecast of a job with the job's end, which is in the store.
+// recordOutcome compares the forecast of a job with the job's end, which is in the store. The time that the store took
+// for it is left out: it says nothing about the backlog, and the store may have been away.
 func (owner *Owner) recordOutcome(s *shard, j *job.Job, now time.Time) {
 	if !owner.options.Features.Has(feature.Backlog) {
 		return
@@ -187,7 +188,7 @@
 	if completed {
 		s.ended.AddJob(j, now)
 	}
-	outcome, known := owner.backlogs.outcomes.End(j.ID(), completed, now)
+	outcome, known := owner.backlogs.outcomes.End(j.ID(), completed, j.EndedAt())
 	if !known {
 		return
 	}
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -121,16 +121,18 @@
 // forecast when it ends, and that without that knowledge nothing is logged.
 func TestForecastIsComparedWithOutcome(t *testing.T) {
 	tests := map[string]struct {
-		change func(h *harness)
-		logged []string
+		change     func(h *harness)
+		logged     []string
+		storeDelay time.Duration
 	}{
-		"known":   {func(*harness) {}, []string{`"msg":"job forecast"`, `"queue":"r-1"`, `"need":"NEED_RESERVED"`, `"ratio":1.2,`, `"waiting_core_ms":4000`}},
-		"unknown": {func(h *harness) { h.owner.peerBacklogs = peerBacklogs{} }, nil},
-		"too old": {func(h *harness) { h.owner.peerBacklogs.receivedAt = h.clock.Now().Add(-backlog.MaxAge - 1) }, nil},
+		"store is slow": {func(*harness) {}, []string{`"ratio":1.2,`}, 2 * time.Second},
+		"known":         {func(*harness) {}, []string{`"msg":"job forecast"`, `"queue":"r-1"`, `"need":"NEED_RESERVED"`, `"ratio":1.2,`, `"waiting_core_ms":4000`}, 0},
+		"unknown":       {func(h *harness) { h.owner.peerBacklogs = peerBacklogs{} }, nil, 0},
+		"too old":       {func(h *harness) { h.owner.peerBacklogs.receivedAt = h.clock.Now().Add(-backlog.MaxAge - 1) }, nil, 0},
 		"moved": {func(h *harness) {
 			h.owner.backlogs.computedAt = time.Time{}
 			h.owner.peerBacklogs.backlogs[0].Shards[0] = int32(h.shard.number)
-		}, nil},
+		}, nil, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -141,6 +143,7 @@
 			h.attachAndStart()
 			h.clock.Advance(6 * time.Second)
 			h.receive(&wire.AgentMessage{Ends: []*wire.RunEnd{{Task: firstTask, Attempt: 1, Worker: workerID, Reason: wire.EndReason_END_DONE, Number: 1}}})
+			h.clock.Advance(test.storeDelay)
 			h.tick()
 			h.awaitWrites()
 			h.tick()
