gateway: forget the queues of backlog metrics that have left the backlog

Cause: each queue ever seen was kept and recorded every second for as long as the process ran. Change: a queue that has left the sum is recorded with zeros once, then forgotten. Result: TestQueueThatLeftIsRecordedOnce failed before and passes now.

--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -229,7 +229,7 @@
 	age     metric.Float64Gauge
 	jobs    metric.Int64Gauge
 	waiting metric.Float64Gauge
-	// recorded holds the queues that have been recorded. A queue without open jobs is recorded with zeros.
+	// recorded holds the queues that were recorded last. One that has left the sum is recorded with zeros once.
 	recorded map[string]bool
 }
 
@@ -261,5 +261,8 @@
 	for queue := range instruments.recorded {
 		instruments.jobs.Record(ctx, jobs[queue], telemetry.WithAttribute("queue", queue))
 		instruments.waiting.Record(ctx, waiting[queue].Seconds(), telemetry.WithAttribute("queue", queue))
+		if _, found := jobs[queue]; !found {
+			delete(instruments.recorded, queue)
+		}
 	}
 }
--- a/gateway/backlog_test.go
+++ b/gateway/backlog_test.go
@@ -149,3 +149,18 @@
 		})
 	}
 }
+
+// TestQueueThatLeftIsRecordedOnce checks that the metrics don't keep a queue that has left the backlog.
+func TestQueueThatLeftIsRecordedOnce(t *testing.T) {
+	all := newBacklog(0, 1, 2)
+	owners := newFakeOwners(t, all, nil)
+	owners.update()
+	if recorded := owners.follower.metrics.recorded; !recorded["r-1"] {
+		t.Errorf("recorded %v", recorded)
+	}
+	owners.own = &wire.OwnerBacklog{Shards: all.GetShards()}
+	owners.update()
+	if recorded := owners.follower.metrics.recorded; len(recorded) != 0 {
+		t.Errorf("recorded %v after the queue has left", recorded)
+	}
+}
