backlog: remove old outcomes, and prune ends in the order of their times

Cause: what was learned of a queue and need was kept for as long as the owner ran; each end that was added moved all ends of the last 5 s of its shard. Change: outcomes are removed after ten half-lives; ends are in order, so pruning looks at the old ones only. Result: TestOldOutcomesAreRemoved failed before and passes now; TestForecastUnderLoad is unchanged.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -285,3 +285,19 @@
 		t.Errorf("logged %v, ratio of the job %v, of the queue %v", logged, outcome.Ratio(), l.ratio())
 	}
 }
+
+// TestOldOutcomesAreRemoved checks that nothing is kept of a queue that had no outcomes for long.
+func TestOldOutcomesAreRemoved(t *testing.T) {
+	l := newLearner()
+	id := l.forecast()
+	l.now = l.now.Add(80 * time.Second)
+	l.outcomes.End(id, true, l.now)
+	for _, want := range []bool{true, true, false} {
+		row := newLearner().summary
+		l.outcomes.Apply(row, l.now)
+		if ratio := row.Messages()[0].GetOutcomeRatio(); (ratio > 0) != want {
+			t.Errorf("ratio %v, want one: %v", ratio, want)
+		}
+		l.now = l.now.Add(time.Hour)
+	}
+}
--- a/backlog/ended.go
+++ b/backlog/ended.go
@@ -1,7 +1,6 @@
 package backlog
 
 import (
-	"slices"
 	"time"
 
 	"ambertiller.example/ambertiller/job"
@@ -18,7 +17,7 @@
 // Ended counts the work and the jobs that ended within Window.
 type Ended struct {
 	since time.Time
-	ends  []end
+	ends  []end // in the order of their times
 }
 
 // end is the end of a task, or of a job if jobs is 1.
@@ -57,7 +56,9 @@
 
 // prune removes the ends that are older than Window.
 func (ended *Ended) prune(now time.Time) {
-	ended.ends = slices.DeleteFunc(ended.ends, func(counted end) bool { return now.Sub(counted.at) >= Window })
+	for len(ended.ends) > 0 && now.Sub(ended.ends[0].at) >= Window {
+		ended.ends = ended.ends[1:]
+	}
 }
 
 // window returns for how long ends have been counted, up to Window.
--- a/backlog/outcomes.go
+++ b/backlog/outcomes.go
@@ -17,6 +17,8 @@
 	// of their weight, without outcomes. Late forecasts keep callers away, and without jobs nothing corrects
 	// them, so they must not outlast the load by much.
 	ratioHalfLife = time.Minute
+	// forgetAfter is when a thousandth of what was learned is left.
+	forgetAfter = 10 * ratioHalfLife
 )
 
 // Outcomes learns the ratio of the time that jobs took to the time that was expected, by queue and need. Of a job
@@ -145,6 +147,16 @@
 		}
 		found.message.OutcomeRatio, found.message.OutcomeDeviation = current.ratio, current.deviation
 	}
+	outcomes.prune(now)
+}
+
+// prune removes what was learned of queues without recent outcomes, which may not exist any more.
+func (outcomes *Outcomes) prune(now time.Time) {
+	for key, known := range outcomes.learned {
+		if now.Sub(known.at) > forgetAfter {
+			delete(outcomes.learned, key)
+		}
+	}
 }
 
 // counts reports whether the time that the job takes can be compared with the expectation.
