backlog, owner: a job that has ended isn't late while its end waits for the store

Cause: until its end was in the store, a job counted as open and late, so the ratio rose with the length of a store outage. Change: its time stops at its end.

--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -301,3 +301,16 @@
 		l.now = l.now.Add(time.Hour)
 	}
 }
+
+// TestEndThatWaitsForStore checks that a job that has ended in time doesn't become late while its end waits for the
+// store.
+func TestEndThatWaitsForStore(t *testing.T) {
+	l := newLearner()
+	id := l.forecast()
+	l.now = l.now.Add(10 * time.Second)
+	l.outcomes.Stop(id, l.now)
+	l.now = l.now.Add(time.Minute)
+	if ratio := l.ratio(); ratio != 0 {
+		t.Errorf("ratio %v while the store is away", ratio)
+	}
+}
--- a/backlog/outcomes.go
+++ b/backlog/outcomes.go
@@ -35,6 +35,7 @@
 	forecast  Forecast
 	since     time.Time
 	startedAt time.Time // zero until the job has started
+	stoppedAt time.Time // zero until the job has ended
 	excluded  bool
 }
 
@@ -86,6 +87,14 @@
 	}
 }
 
+// Stop records that a job has ended, if its end is not in the store yet. Its time is that until now.
+func (outcomes *Outcomes) Stop(id string, now time.Time) {
+	if open, found := outcomes.open[id]; found && open.stoppedAt.IsZero() {
+		open.stoppedAt = now
+		outcomes.open[id] = open
+	}
+}
+
 // IsOpen reports whether something is expected of a job that has not ended.
 func (outcomes *Outcomes) IsOpen(id string) bool {
 	_, found := outcomes.open[id]
@@ -166,6 +175,9 @@
 
 // timeSoFar returns the time that is compared with the expectation.
 func (open openJob) timeSoFar(now time.Time) time.Duration {
+	if !open.stoppedAt.IsZero() {
+		now = open.stoppedAt
+	}
 	if open.expected.start > 0 {
 		return now.Sub(open.since)
 	}
