backlog, owner: don't learn from a job that is too wide for the free workers

Cause: a job of 100 tasks in a quiet queue is expected to take its critical path from the start. It takes many times that, so alone in its queue it raised the ratio to 4.5, and narrow jobs after it were forecast late. Change: a job that was expected to start at once and has tasks without a worker after its start does not count. Backlog's Outcomes decides which waiting jobs don't.

--- a/backlog/outcomes.go
+++ b/backlog/outcomes.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"ambertiller.example/ambertiller/job"
 )
 
 const (
@@ -95,14 +97,23 @@
 	}
 }
 
-// IsOpen reports whether something is expected of a job that has not ended.
-func (outcomes *Outcomes) IsOpen(id string) bool {
-	_, found := outcomes.open[id]
-	return found
+// ExcludeWaiting excludes a job if its time says nothing about that of other jobs: its own constraints keep a task
+// waiting, or it was expected to start at once and, since it started, has more tasks than the workers have room for.
+func (outcomes *Outcomes) ExcludeWaiting(j *job.Job, tasks Tasks, now time.Time) {
+	open, found := outcomes.open[j.ID()]
+	if !found || open.excluded {
+		return
+	}
+	isTooWide := open.expected.start == 0 && !open.startedAt.IsZero()
+	for _, task := range j.Tasks() {
+		if task.IsDue(now) && (isHeld(task, tasks) || isTooWide && isUnplaced(task)) {
+			outcomes.Exclude(j.ID())
+			return
+		}
+	}
 }
 
-// Exclude has a job not count, because its own constraints keep it waiting: other jobs of its queue don't wait as
-// long. It may go on waiting for as long as the queue exists.
+// Exclude has an open job not count, however long it takes.
 func (outcomes *Outcomes) Exclude(id string) {
 	if open, found := outcomes.open[id]; found {
 		open.excluded = true
--- a/backlog/summary.go
+++ b/backlog/summary.go
@@ -76,19 +76,13 @@
 	}
 }
 
-// IsHeld reports whether a job has a task that only the job's own constraints keep from starting.
-func IsHeld(j *job.Job, tasks Tasks, now time.Time) bool {
-	for _, task := range j.Tasks() {
-		if task.IsDue(now) && isHeld(task, tasks) {
-			return true
-		}
-	}
-	return false
+// isUnplaced reports whether a task waits because the placement has found no worker for it.
+func isUnplaced(task *job.Task) bool {
+	return task.State() == job.TaskState_TASK_WAITING && task.IsUnplaced()
 }
 
-func isHeld(task *job.Task, tasks Tasks) bool {
-	return task.State() == job.TaskState_TASK_WAITING && task.IsUnplaced() && !tasks.LacksResources(task)
-}
+// isHeld reports whether only its own constraints keep a task waiting.
+func isHeld(task *job.Task, tasks Tasks) bool { return isUnplaced(task) && !tasks.LacksResources(task) }
 
 // addWaitingJobs adds jobs of which no task has started. The objective is the earliest of them.
 func addWaitingJobs(message *wire.QueueBacklog, count int32, objectiveMs int64) {
--- a/owner/backlog.go
+++ b/owner/backlog.go
@@ -94,9 +94,7 @@
 		message.Shards = append(message.Shards, int32(s.number))
 		for _, j := range s.live {
 			summary.AddJob(j, owner.backlogs.tasks, now)
-			if outcomes := owner.backlogs.outcomes; outcomes.IsOpen(j.ID()) && backlog.IsHeld(j, owner.backlogs.tasks, now) {
-				outcomes.Exclude(j.ID())
-			}
+			owner.backlogs.outcomes.ExcludeWaiting(j, owner.backlogs.tasks, now)
 		}
 		summary.AddEnded(s.ended, now)
 	}
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -214,3 +214,26 @@
 		})
 	}
 }
+
+// TestWideJobDoesNotCount checks that a job that was expected to start at once, but has more tasks than the workers
+// can run together, leaves the ratio of its queue as it is.
+func TestWideJobDoesNotCount(t *testing.T) {
+	h, _ := newBacklogHarness(t)
+	peer := h.peerBacklog()
+	peer.Queues = nil
+	h.owner.peerBacklogs = peerBacklogs{backlogs: []*wire.OwnerBacklog{peer}, receivedAt: h.clock.Now()}
+	j := h.submitWith(func(submission *job.Submission) { submission.Steps[0].Count = 100 })
+	h.attachAndStart()
+	h.receive(&wire.AgentMessage{Results: []*wire.StartResult{{Task: firstTask, Attempt: 1, Worker: workerID, Outcome: wire.StartOutcome_START_STARTED}}})
+	if j.State() != job.State_STATE_RUNNING || len(j.ReadyTasks(h.clock.Now())) == 0 {
+		t.Fatalf("state %v, %d tasks are ready", j.State(), len(j.ReadyTasks(h.clock.Now())))
+	}
+	h.clock.Advance(time.Minute)
+	own, err := h.requestBacklog(false)
+	if err != nil || len(own.GetQueues()) != 1 || own.GetQueues()[0].GetWaitingTasks() == 0 {
+		t.Fatalf("backlog %v, error %v", own, err)
+	}
+	if ratio := own.GetQueues()[0].GetOutcomeRatio(); ratio > 1 {
+		t.Errorf("ratio %v", ratio)
+	}
+}
