--- a/agent/agent.go
+++ b/agent/agent.go
@@ -163,6 +163,7 @@
 	sessionCount int64
 	claims       map[int32]*claim
 	pacer        pacer
+	offerDesk    offerDesk
 	// evacuationState holds the known evacuations. evacuationsWanted makes FollowOperator read them from the
 	// store.
 	evacuationState   operator.EvacuationState
@@ -213,6 +214,7 @@
 		agent.voidEnds(now)
 		agent.stopBeforeLeave(now)
 		agent.logDelayedEnds(now)
+		agent.expireOffer(now)
 		agent.poll(now)
 	}
 	agent.pacer.mergeLearnedByAll(now)
--- a/agent/evict.go
+++ b/agent/evict.go
@@ -28,8 +28,8 @@
 	maxSlowedRestartPercent = 70
 )
 
-// evictOne evicts at most one fill run, which its owner then starts on a worker that tolerates it: the
-// movable run that interferes the most with serving runs, or else the one that has been slowed for the
+// evictOne evicts at most one fill run, or offers it to its owner, which then starts it on a worker that
+// tolerates it: the movable run that interferes the most with serving runs, or else the one that has been slowed for the
 // longest.
 func (agent *Agent) evictOne(state *workerState, servings []interference.ServingTask, fills []interference.FillTask, paces map[string]float64, now time.Time) {
 	if now.Sub(agent.pacer.lastEvictionAt) < evictionInterval {
@@ -37,14 +37,34 @@
 	}
 	for i := range fills {
 		run := state.runs[fills[i].Task]
-		fills[i].Movable = run.isEvictable(now) && run.losesLittleProgress(maxRestartPercent) && agent.benefitsFromMove(run, paces[run.task])
+		fills[i].Movable = run.isEvictable(now) && run.losesLittleProgress(maxRestartPercent) && agent.benefitsFromMove(run, paces[run.task]) &&
+			(agent.needsNoOffer(run, servings) || agent.mayOffer(run, paces[run.task], now))
 	}
 	if task, found := agent.pacer.model.EvictionCandidate(servings, fills, paces); found {
-		agent.evict(state, state.runs[task], now)
+		run := state.runs[task]
+		if agent.needsNoOffer(run, servings) {
+			agent.evict(state, run, now)
+			return
+		}
+		agent.offer(state, run, paces[task], now)
 		return
 	}
-	if run := state.longestSlowed(now); run != nil && agent.benefitsFromMove(run, paces[run.task]) {
-		agent.evict(state, run, now)
+	agent.moveLongestSlowed(state, paces, now)
+}
+
+// moveLongestSlowed evicts the run that has been slowed for the longest, or offers it to its owner.
+func (agent *Agent) moveLongestSlowed(state *workerState, paces map[string]float64, now time.Time) {
+	run := state.longestSlowed(now)
+	switch {
+	case run == nil:
+	case !agent.offersTo(run):
+		if agent.benefitsFromMove(run, paces[run.task]) {
+			agent.evict(state, run, now)
+		}
+	case !agent.gainsByMove(run, paces[run.task]):
+		run.offerBackoff.Extend(now) // The next run has its turn.
+	case agent.mayOffer(run, paces[run.task], now):
+		agent.offer(state, run, paces[run.task], now)
 	}
 }
 
@@ -65,7 +85,7 @@
 func (state *workerState) longestSlowed(now time.Time) *runState {
 	var longest *runState
 	for _, run := range state.runs {
-		if run.slowedSince.IsZero() || now.Sub(run.slowedSince) < maxSlowedTime || !run.isEvictable(now) || !run.losesLittleProgress(maxSlowedRestartPercent) {
+		if run.slowedSince.IsZero() || now.Sub(run.slowedSince) < maxSlowedTime || !run.isEvictable(now) || !run.losesLittleProgress(maxSlowedRestartPercent) || !run.offerBackoff.IsOver(now) {
 			continue
 		}
 		if longest == nil || run.slowedSince.Before(longest.slowedSince) {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -15,6 +15,7 @@
 	lostIncarnations metric.Int64Counter
 	evictions        metric.Int64Counter
 	paceChanges      metric.Int64Counter
+	moveOffers       metric.Int64Counter
 	leaseMargin      metric.Float64Gauge
 	runs             metric.Int64Gauge
 	pendingEnds      metric.Int64Gauge
@@ -30,6 +31,7 @@
 	m.lostIncarnations, _ = meter.Int64Counter("ambertiller.worker.lost", metric.WithDescription("Incarnations of the worker that are over, by how it became known."))
 	m.evictions, _ = meter.Int64Counter("ambertiller.fill.evicted", metric.WithDescription("Filling runs that were stopped for a serving one."))
 	m.paceChanges, _ = meter.Int64Counter("ambertiller.fill.paced", metric.WithDescription("Changes of the pace of filling runs."))
+	m.moveOffers, _ = meter.Int64Counter("ambertiller.move.offers", metric.WithDescription("Offers of slowed fill runs to their owners, by outcome."))
 	m.leaseMargin, _ = meter.Float64Gauge("ambertiller.lease.margin", metric.WithUnit("s"), metric.WithDescription("Time until the worker's lease has run out on the slowest clock."))
 	m.runs, _ = meter.Int64Gauge("ambertiller.worker.runs", metric.WithDescription("Runs on the worker."))
 	m.pendingEnds, _ = meter.Int64Gauge("ambertiller.worker.unseen_ends", metric.WithDescription("Ends that no owner has made durable yet."))
--- /dev/null
+++ b/agent/offers.go
@@ -0,0 +1,149 @@
+package agent
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/incarnation"
+	"ambertiller.example/ambertiller/interference"
+	"ambertiller.example/ambertiller/relocation"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// offerDesk holds the offers of slowed fill runs to their owners, with the session that the open one was made
+// on. It is unused unless feature.Offers is enabled.
+type offerDesk struct {
+	relocation.Desk
+	session *session
+}
+
+// outcomeNeedless is the outcome of an offer whose run needs no move any more, or can't make it.
+const outcomeNeedless relocation.Outcome = "needless"
+
+// offersTo reports whether the run may only be evicted once its owner has accepted an offer. It is false if the
+// owner is known not to take offers. While no owner is attached, nobody would place the run elsewhere.
+func (agent *Agent) offersTo(run *runState) bool {
+	if !agent.options.Features.Has(feature.Offers) {
+		return false
+	}
+	s := agent.attachedOwner(run)
+	return s == nil || s.takesOffers
+}
+
+// attachedOwner returns the session of the run's owner, or nil while there is none.
+func (agent *Agent) attachedOwner(run *runState) *session {
+	claim, claimed := agent.claims[run.shard]
+	if !claimed || !agent.sessions[claim.session] {
+		return nil
+	}
+	return claim.session
+}
+
+// needsNoOffer reports whether the run may be evicted without a destination: its owner takes no offers, or a
+// serving run beside it has missed its target for too long.
+func (agent *Agent) needsNoOffer(run *runState, servings []interference.ServingTask) bool {
+	return !agent.offersTo(run) || agent.pacer.model.IsOverdue(servings, run.demand.GetImage())
+}
+
+// mayOffer reports whether the run, which goes at a pace from 0 to 1, may be offered to its owner now.
+func (agent *Agent) mayOffer(run *runState, pace float64, now time.Time) bool {
+	return agent.attachedOwner(run) != nil && agent.gainsByMove(run, pace) && run.offerBackoff.IsOver(now) && agent.offerDesk.MayOffer(now)
+}
+
+// gainsByMove reports whether the run, which goes at a pace from 0 to 1, is slowed, and would save as much time
+// by a move as the move costs. Its owner may ask for more.
+func (agent *Agent) gainsByMove(run *runState, pace float64) bool {
+	percent := toPercent(pace)
+	return percent < slowedPercent && relocation.TimeSaved(run.remainingWork(), percent) >= agent.moveCost(run)
+}
+
+// toPercent returns a pace from 0 to 1 as a percentage.
+func toPercent(pace float64) int32 { return int32(math.Round(pace * fullPercent)) }
+
+// offer asks the run's owner whether another worker would take the run, which goes on meanwhile.
+func (agent *Agent) offer(state *workerState, run *runState, pace float64, now time.Time) {
+	s := agent.attachedOwner(run)
+	offer := agent.offerDesk.Open(run.task, run.attempt, now)
+	agent.offerDesk.session = s
+	percent := toPercent(pace)
+	remaining, cost := run.remainingWork(), agent.moveCost(run)
+	s.offers = append(s.offers, &wire.MoveOffer{
+		Number: offer.Number(), Task: run.task, Attempt: run.attempt, Percent: percent, RemainingMs: remaining.Milliseconds(),
+		MinGainMs: cost.Milliseconds(), LapsesNanos: int64(agent.uptime(offer.LapsesAt())),
+	})
+	agent.logRun(event.MoveOffered, run, slog.Int64("offer", offer.Number()), slog.String("owner", s.ownerName), slog.String("image", run.demand.GetImage()),
+		slog.Int("percent", int(percent)), slog.Duration("remaining", remaining), slog.Duration("saves", relocation.TimeSaved(remaining, percent)),
+		slog.Duration("least", cost), slog.Duration("age", now.Sub(state.provenAliveAt)))
+}
+
+// handleMoveAnswer applies an owner's answer to the open offer. It has no effect unless it comes in time, from
+// the present owner of the run, on the connection that the offer was made on.
+func (agent *Agent) handleMoveAnswer(s *session, answer *wire.MoveAnswer, now time.Time) {
+	state := agent.worker
+	claim, claimed := agent.claims[answer.GetShard()]
+	if state == nil || !state.incarnation.MayEqual(incarnation.New(answer.GetWorker(), answer.GetBorn())) {
+		return
+	}
+	if !claimed || claim.epoch != answer.GetEpoch() || claim.session != s || agent.offerDesk.session != s {
+		return
+	}
+	offer, outcome := agent.offerDesk.Answer(answer.GetNumber(), answer.GetTask(), answer.GetAttempt(), answer.GetAccepted(), now)
+	if outcome == relocation.Unknown {
+		return
+	}
+	run, found := state.offeredRun(offer)
+	switch {
+	case !found || outcome == relocation.Accepted && !agent.isMoveUseful(state, run, now):
+		agent.closeOffer(offer, outcomeNeedless, now)
+	case outcome == relocation.Accepted:
+		agent.closeOffer(offer, outcome, now)
+		agent.evict(state, run, now)
+	default:
+		run.offerBackoff.Extend(now)
+		agent.closeOffer(offer, outcome, now)
+	}
+}
+
+// offeredRun returns the run of an offer, and false if it has ended or is being stopped.
+func (state *workerState) offeredRun(offer relocation.Offer) (*runState, bool) {
+	run, found := state.runs[offer.Task()]
+	return run, found && run.attempt == offer.Attempt() && run.phase == phaseRunning
+}
+
+// isMoveUseful reports whether the run is still slowed, and would still gain by a move.
+func (agent *Agent) isMoveUseful(state *workerState, run *runState, now time.Time) bool {
+	servings, fills := state.interferenceTasks(now)
+	pace := agent.pacer.model.Paces(servings, fills)[run.task]
+	return run.isEvictable(now) && agent.gainsByMove(run, pace)
+}
+
+// expireOffer closes the open offer if its run has ended or it has lapsed. The run of an offer that was not
+// answered waits like one that was declined: its owner may be lost, or too busy.
+func (agent *Agent) expireOffer(now time.Time) {
+	open, found := agent.offerDesk.Current()
+	if !found {
+		return
+	}
+	run, runs := agent.worker.offeredRun(open)
+	if !runs {
+		agent.offerDesk.Withdraw()
+		agent.closeOffer(open, outcomeNeedless, now)
+		return
+	}
+	if offer, lapsed := agent.offerDesk.Lapse(now); lapsed {
+		run.offerBackoff.Extend(now)
+		agent.closeOffer(offer, relocation.Unanswered, now)
+	}
+}
+
+// closeOffer logs and counts what became of an offer.
+func (agent *Agent) closeOffer(offer relocation.Offer, outcome relocation.Outcome, now time.Time) {
+	agent.metrics.moveOffers.Add(agent.ctx, 1, telemetry.WithAttribute("outcome", string(outcome)))
+	agent.log(event.MoveAnswered, slog.String("task", offer.Task()), slog.Int("attempt", int(offer.Attempt())),
+		slog.Int64("offer", offer.Number()), slog.String("outcome", string(outcome)), slog.String("owner", agent.offerDesk.session.ownerName),
+		slog.Duration("age", offer.Age(now)))
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -37,6 +37,8 @@
 	acknowledgedSequence int64
 	// acceptsChanges is set for an owner that needs to be sent only what has changed.
 	acceptsChanges bool
+	// takesOffers is set for an owner that answers offers.
+	takesOffers bool
 	// statusEncoder holds the status of the worker that the owner was last sent, sentEstimates the
 	// interference estimates.
 	statusEncoder status.Encoder
@@ -44,6 +46,7 @@
 
 	results       []*wire.StartResult
 	ends          []*wire.RunEnd
+	offers        []*wire.MoveOffer
 	statusChanged bool
 	fullUpdateDue bool
 	lastSentAt    time.Time
@@ -107,6 +110,7 @@
 		s.ownerName = message.GetOwner()
 		s.isSameDomain = message.GetFailureDomain() == agent.options.FailureDomain
 		s.acceptsChanges = message.GetTakesChanges()
+		s.takesOffers = message.GetTakesOffers()
 		s.connectionNumber = message.GetConnection()
 		agent.sessionCount++
 		s.id = agent.sessionCount
@@ -128,6 +132,9 @@
 	for _, order := range message.GetStops() {
 		agent.handleStopOrder(order, now)
 	}
+	for _, answer := range message.GetMoves() {
+		agent.handleMoveAnswer(s, answer, now)
+	}
 	for _, order := range message.GetPreempts() {
 		agent.handlePreemptOrder(order, now)
 	}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -5,6 +5,7 @@
 
 	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/relocation"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -85,6 +86,8 @@
 	isSuspect         bool
 	targetMissedSince time.Time // when a serving run began to miss its target, zero while it meets it
 	missedPolls       int       // polls in a row whose answers did not list the run
+	// offerBackoff delays offers of the run to its owner; see package relocation.
+	offerBackoff relocation.Backoff
 }
 
 // runPhase is the phase that a run on the worker is in.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -164,6 +164,15 @@
 	EndPassedOver
 )
 
+// Moves of fill runs to other workers.
+const (
+	MoveOffered Code = 1040 + iota
+	MoveAnswered
+	MoveReserved
+	MoveDeclined
+	MoveReservationEnded
+)
+
 // LinesDropped is about the log itself.
 const LinesDropped Code = 190
 
@@ -196,6 +205,8 @@
 	incarnationRelease = "0.9"
 	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
 	candidacyRelease = "0.10"
+	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
+	hardLoadRelease = "0.11"
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -331,6 +342,12 @@
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is closed. Messages in transit on it have no effect. The attribute by is the number of the newer connection.", endTrackingRelease},
 	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker reports another start time than that of the incarnation that the agent manages: it has restarted under the same ID. The attributes give both start times, in milliseconds since 1970, and the number up to which the earlier incarnation had been told to forget its ends.", incarnationRelease},
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
+
+	{MoveOffered, slog.LevelInfo, "move offered", "An agent asked the owner of a slowed fill run whether another worker would take it. The run goes on meanwhile. The attributes give the run's pace, the work it has left, the time that the move would save, the least that it has to save, and the age of the worker's readings.", hardLoadRelease},
+	{MoveAnswered, slog.LevelInfo, "move answered", "What became of an agent's offer. The attribute outcome is accepted, and the run is stopped; declined, as no worker tolerates the run or the move would save too little; unanswered, as no answer came in time; or needless, as the run has ended, goes faster again or has another owner. Except for accepted, the run goes on.", hardLoadRelease},
+	{MoveReserved, slog.LevelInfo, "move reserved", "An owner accepted an offer and reserved room for the run on another worker. The attributes give the pace at which the run goes now, the time that the move saves, the least that it has to save, how often the task has been interrupted, what the destination's serving tasks tolerate, and the age of that information.", hardLoadRelease},
+	{MoveDeclined, slog.LevelDebug, "move declined", "An owner declined an offer. The attribute reason says why. While no worker tolerates the run, it stays slowed where it is.", hardLoadRelease},
+	{MoveReservationEnded, slog.LevelInfo, "move reservation ended", "Room that was reserved for a run is not reserved any more. The attribute reason is used if the run was stopped and its task was placed there, or else says why that did not happen. The attribute after says how long the room was reserved.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/interference/pacing.go
+++ b/interference/pacing.go
@@ -128,6 +128,18 @@
 	return found && (state.allStopped || (state.suspectsStopped || state.suspectsThrottled) && model.isSuspect(serving, image))
 }
 
+// IsOverdue reports whether a serving task has missed its target for so long that fill tasks of an image have to
+// leave without delay: they are already reduced to the least pace.
+func (model *Model) IsOverdue(servings []ServingTask, image string) bool {
+	for _, serving := range servings {
+		state, found := model.servingTasks[serving.Task]
+		if found && (state.allStopped || state.suspectsStopped && model.isSuspect(serving, image)) {
+			return true
+		}
+	}
+	return false
+}
+
 // EvictionCandidate returns the fill task that should be moved to another worker: the one that takes the most
 // headroom from the serving tasks, among the movable tasks whose pace is below evictionPace. The paces are
 // those returned by Paces. It returns false if there is no such task.
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		worker := newCandidate(view)
+		owner.subtractReserved(worker)
 		worker.evacuated = owner.isEvacuated(view)
 		worker.hasSuspect = now.Before(view.noSuspectsUntil)
 		worker.hasProbationRun = view.hasProbationRun(now)
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -100,6 +101,7 @@
 	view.connectionCount++
 	view.nextMessage = &wire.OwnerMessage{
 		Owner: owner.MemberName(), FailureDomain: owner.options.FailureDomain, TakesChanges: true, Connection: view.connectionCount,
+		TakesOffers: owner.options.Features.Has(feature.Offers),
 	}
 	view.sentSequence, view.handledSequence = 0, 0
 	view.claimSequences = map[int]int64{}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -25,6 +25,9 @@
 	attachedAgents   metric.Int64Gauge
 	workersExamined  metric.Int64Counter
 	evacuatedDomains metric.Int64Gauge
+	moveOffers       metric.Int64Counter
+	moveReservations metric.Int64Counter
+	moveGap          metric.Float64Histogram
 }
 
 // newMetrics creates the instruments. Errors are ignored: the library returns them only for invalid names,
@@ -45,6 +48,9 @@
 	m.attachedAgents, _ = meter.Int64Gauge("ambertiller.agent.attached", metric.WithDescription("Agents that this owner is connected to."))
 	m.workersExamined, _ = meter.Int64Counter("ambertiller.place.looked", metric.WithDescription("Workers that were looked at for a place, once for each job."))
 	m.evacuatedDomains, _ = meter.Int64Gauge("ambertiller.failure_domain.evacuated", metric.WithDescription("Failure domains that operators have evacuated, as this owner knows."))
+	m.moveOffers, _ = meter.Int64Counter("ambertiller.move.judged", metric.WithDescription("Offers of slowed fill runs that were answered, by verdict."))
+	m.moveReservations, _ = meter.Int64Counter("ambertiller.move.reservations", metric.WithDescription("Reservations of workers for fill runs that ended, by how."))
+	m.moveGap, _ = meter.Float64Histogram("ambertiller.move.gap", metric.WithUnit("s"), metric.WithDescription("Time from the end of a run that was stopped for a move to the next start of its task."))
 	return m
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -141,6 +141,7 @@
 	// learnedPublishedAt is when the interference estimates for agents were last recomputed.
 	learnedPublishedAt time.Time
 	advice             adviceQueue
+	moves              moves
 	traffic            *traffic.Counter
 	metrics            metrics
 	gaugesRecordedAt   time.Time
@@ -162,6 +163,7 @@
 		metrics:          newMetrics(options.Meters),
 		advice:           adviceQueue{steps: map[string]*stepAdvice{}},
 		placementChanges: newPlacementChanges(),
+		moves:            newMoves(),
 	}
 	owner.leaveBeforeJoin.Store(true)
 	if options.Suspended != nil {
@@ -212,9 +214,11 @@
 	for _, view := range owner.agents {
 		owner.releaseExpiredRuns(view, now)
 	}
+	owner.settleReservations(now)
 	if owner.placementChanges.isDue(now) {
 		owner.placeJobs(owner.placementChanges.take(now), now)
 	}
+	owner.answerOffers(now)
 	for _, s := range owner.shards {
 		owner.flushShard(s, now)
 	}
--- /dev/null
+++ b/owner/relocation.go
@@ -0,0 +1,261 @@
+package owner
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/incarnation"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/relocation"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// moves is the owner's state of offers to move fill runs. It is empty unless feature.Offers is enabled.
+type moves struct {
+	// offers are answered in the next tick.
+	offers []receivedOffer
+	book   *relocation.Book
+	// reserved holds the runs of the reservations in book, by task name.
+	reserved map[string]reservedMove
+	// stoppedAt holds the tasks whose runs were stopped while a worker was reserved for them, with the time
+	// at which the end arrived, until they have started again.
+	stoppedAt map[*job.Task]time.Time
+}
+
+// receivedOffer is an offer that an agent has sent on a connection.
+type receivedOffer struct {
+	source *agentView
+	conn   *agentConn
+	offer  *wire.MoveOffer
+}
+
+// reservedMove is a run for which a worker is reserved.
+type reservedMove struct {
+	run                 *trackedRun
+	source, destination *agentView
+	worker              incarnation.ID // of the destination
+}
+
+func newMoves() moves {
+	return moves{book: relocation.NewBook(), reserved: map[string]reservedMove{}, stoppedAt: map[*job.Task]time.Time{}}
+}
+
+// receiveOffers keeps the offers of an agent for the next tick.
+func (owner *Owner) receiveOffers(view *agentView, offers []*wire.MoveOffer) {
+	if !owner.options.Features.Has(feature.Offers) {
+		return
+	}
+	for _, offer := range offers {
+		owner.moves.offers = append(owner.moves.offers, receivedOffer{source: view, conn: view.conn, offer: offer})
+	}
+}
+
+// answerOffers answers the offers received since the last tick.
+func (owner *Owner) answerOffers(now time.Time) {
+	if len(owner.moves.offers) == 0 {
+		return
+	}
+	// Performance: one list for all offers of the tick. A worker that is reserved for one is not used for
+	// another, so the list need not be updated in between.
+	workers := owner.candidates(owner.agentViews(), now)
+	for _, worker := range workers {
+		worker.toleranceRatio = maxToleranceRatio
+	}
+	for _, received := range owner.moves.offers {
+		owner.answerOffer(received, workers, now)
+	}
+	owner.moves.offers = nil
+}
+
+// answerOffer answers one offer. It does not answer if the connection has ended or the shard is not owned and
+// loaded: the offer then lapses.
+func (owner *Owner) answerOffer(received receivedOffer, workers []*candidate, now time.Time) {
+	view, offer := received.source, received.offer
+	ref, err := job.ParseTaskRef(offer.GetTask())
+	if err != nil {
+		owner.log(event.RecordUnreadable, slog.String("task", offer.GetTask()), slog.Any("error", err))
+		return
+	}
+	s, j := owner.loadedJob(ref.Job)
+	if s == nil || view.conn != received.conn {
+		return
+	}
+	verdict := owner.judgeOffer(received, j, workers, now)
+	owner.metrics.moveOffers.Add(owner.ctx, 1, telemetry.WithAttribute("verdict", string(verdict)))
+	if verdict != verdictReserved {
+		owner.log(event.MoveDeclined, slog.String("task", offer.GetTask()), slog.Int("attempt", int(offer.GetAttempt())),
+			slog.Int64("offer", offer.GetNumber()), slog.String("reason", string(verdict)), slog.Int("percent", int(offer.GetPercent())),
+			slog.Int64("remaining_ms", offer.GetRemainingMs()), slog.Int("workers", len(workers)))
+	}
+	worker := view.incarnation()
+	view.nextMessage.Moves = append(view.nextMessage.Moves, &wire.MoveAnswer{
+		Number: offer.GetNumber(), Shard: int32(s.number), Epoch: s.epoch, Task: offer.GetTask(), Attempt: offer.GetAttempt(),
+		Worker: worker.WorkerID(), Born: worker.StartedMs(), Accepted: verdict == verdictReserved,
+	})
+}
+
+// offerVerdict is the decision about an offer: verdictReserved, or why it is declined.
+type offerVerdict string
+
+const (
+	verdictReserved   offerVerdict = "reserved"
+	verdictEnded      offerVerdict = "its job has ended"
+	verdictNotCurrent offerVerdict = "not the task's current run"
+	verdictFixed      offerVerdict = "not a fill task that runs by itself"
+	verdictLittleGain offerVerdict = "would save too little"
+	verdictNoWorker   offerVerdict = "no worker tolerates it"
+)
+
+// judgeOffer decides about an offer, and reserves a worker if it is accepted. An offer that is told twice is
+// accepted twice for one reservation.
+func (owner *Owner) judgeOffer(received receivedOffer, j *job.Job, workers []*candidate, now time.Time) offerVerdict {
+	offer := received.offer
+	run, found := received.source.runs[offer.GetTask()]
+	switch {
+	case j == nil || j.HasEnded():
+		return verdictEnded
+	case !found || run.attempt != offer.GetAttempt() || run.task.Attempt() != run.attempt:
+		return verdictNotCurrent
+	case run.task.Spec().GetGang() || !run.task.Spec().GetFills():
+		return verdictFixed
+	}
+	if earlier, reserved := owner.moves.book.For(run.taskName); reserved {
+		if earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
+			return verdictReserved
+		}
+		owner.endReservation(earlier, relocation.OfferedAgain, now)
+	}
+	saved := relocation.TimeSaved(time.Duration(offer.GetRemainingMs())*time.Millisecond, offer.GetPercent())
+	least := relocation.LeastGain(time.Duration(offer.GetMinGainMs())*time.Millisecond, run.task.Interruptions())
+	if saved < least {
+		return verdictLittleGain
+	}
+	destination := owner.bestDestination(run.task, received.source, workers, now)
+	if destination == nil || !owner.reserve(run, received, destination, now) {
+		owner.enqueueAdvice(run.task, now)
+		return verdictNoWorker
+	}
+	owner.logRun(event.MoveReserved, run, slog.Int64("offer", offer.GetNumber()), slog.String("worker", destination.view.incarnation().WorkerID()),
+		slog.Int("percent", int(offer.GetPercent())), slog.Duration("saves", saved), slog.Duration("least", least), slog.Int("interruptions", run.task.Interruptions()),
+		slog.Int64("tolerated_milli_cpu", destination.toleratedMilliCPU(run.demand.GetImage())), slog.Duration("age", now.Sub(destination.view.lastMessageAt)))
+	return verdictReserved
+}
+
+// bestDestination returns the best worker that tolerates the task in full, is not the source and is not
+// reserved for another move, or nil if there is none.
+func (owner *Owner) bestDestination(task *job.Task, source *agentView, workers []*candidate, now time.Time) *candidate {
+	others := slices.DeleteFunc(slices.Clone(workers), func(worker *candidate) bool {
+		_, reserved := owner.moves.book.At(worker.view.address)
+		return worker.view == source || reserved
+	})
+	return owner.bestWorker(task, others, now)
+}
+
+// reserve reserves a worker for a run that is offered. It returns false if the worker is reserved already.
+func (owner *Owner) reserve(run *trackedRun, received receivedOffer, destination *candidate, now time.Time) bool {
+	reservation := relocation.NewReservation(run.taskName, run.attempt, received.offer.GetNumber(), destination.view.address, now)
+	if !owner.moves.book.Reserve(reservation) {
+		return false
+	}
+	owner.moves.reserved[run.taskName] = reservedMove{
+		run: run, source: received.source, destination: destination.view, worker: destination.view.incarnation(),
+	}
+	return true
+}
+
+// subtractReserved subtracts what is reserved on the worker from its free resources, for all decisions.
+func (owner *Owner) subtractReserved(worker *candidate) {
+	if reservation, reserved := owner.moves.book.At(worker.view.address); reserved {
+		worker.reserve(owner.moves.reserved[reservation.Task()].run.demand)
+	}
+}
+
+// settleReservations ends the reservations that are over, and places the tasks whose runs have been stopped on
+// the workers reserved for them.
+func (owner *Owner) settleReservations(now time.Time) {
+	for _, reservation := range owner.moves.book.Reservations() {
+		move := owner.moves.reserved[reservation.Task()]
+		situation := owner.situationOf(move, now)
+		if situation.Waiting {
+			owner.moves.stoppedAt[move.run.task] = now
+		}
+		end, ended := reservation.EndIn(situation, now)
+		if !ended {
+			continue
+		}
+		if end == relocation.Used {
+			end = owner.placeMoved(reservation, move, now)
+		}
+		owner.endReservation(reservation, end, now)
+	}
+	for task := range owner.moves.stoppedAt {
+		if _, current := owner.loadedJob(task.Job().ID()); current != task.Job() || current.HasEnded() {
+			delete(owner.moves.stoppedAt, task)
+		}
+	}
+}
+
+// situationOf returns what is known now of a reservation's run and destination.
+func (owner *Owner) situationOf(move reservedMove, now time.Time) relocation.Situation {
+	view, task := move.destination, move.run.task
+	return relocation.Situation{
+		Released: owner.shards[move.run.shard.number] != move.run.shard,
+		Ended:    task.Job().HasEnded(),
+		Lost: owner.agents[view.address] != view || view.conn == nil || view.incarnation() != move.worker ||
+			now.Sub(view.lastMessageAt) > 2*grantInterval,
+		Draining:  view.status().GetDraining(),
+		Evacuated: owner.isEvacuated(view),
+		Running:   move.source.runs[move.run.taskName] == move.run,
+		Waiting:   task.State() == job.TaskState_TASK_WAITING && task.Attempt() == move.run.attempt,
+	}
+}
+
+// placeMoved places a task whose run has been stopped on the worker reserved for it, before any other task, if
+// the worker still fits. It returns how the reservation ends.
+func (owner *Owner) placeMoved(reservation relocation.Reservation, move reservedMove, now time.Time) relocation.End {
+	task, view := move.run.task, move.destination
+	if !slices.Contains(task.Job().ReadyTasks(now), task) {
+		return relocation.RunEnded // It has failed, and is to be started later.
+	}
+	owner.releaseReservation(reservation)
+	workers := owner.candidates(slices.Values([]*agentView{view}), now)
+	for _, worker := range workers {
+		worker.toleranceRatio = toleranceRatioFor(task.Job().SlackRatio(now))
+	}
+	if owner.bestWorker(task, workers, now) == nil {
+		return relocation.Unfit
+	}
+	owner.startTask(task, view, now)
+	return relocation.Used
+}
+
+// releaseReservation makes the reserved room available again.
+func (owner *Owner) releaseReservation(reservation relocation.Reservation) {
+	owner.moves.book.Release(reservation.Task())
+	if move, found := owner.moves.reserved[reservation.Task()]; found {
+		owner.placementChanges.addWorker(move.destination)
+	}
+	delete(owner.moves.reserved, reservation.Task())
+}
+
+// endReservation releases a reservation, and logs and counts why.
+func (owner *Owner) endReservation(reservation relocation.Reservation, end relocation.End, now time.Time) {
+	owner.releaseReservation(reservation)
+	owner.metrics.moveReservations.Add(owner.ctx, 1, telemetry.WithAttribute("end", string(end)))
+	owner.log(event.MoveReservationEnded, slog.String("task", reservation.Task()), slog.Int("attempt", int(reservation.Attempt())),
+		slog.String("agent", reservation.Destination()), slog.String("reason", string(end)), slog.Duration("after", reservation.Age(now)))
+}
+
+// recordMoveGap records how long a task that was moved was without a run.
+func (owner *Owner) recordMoveGap(task *job.Task, now time.Time) {
+	stoppedAt, moved := owner.moves.stoppedAt[task]
+	if !moved {
+		return
+	}
+	delete(owner.moves.stoppedAt, task)
+	owner.metrics.moveGap.Record(owner.ctx, now.Sub(stoppedAt).Seconds())
+}
--- /dev/null
+++ b/owner/relocation_test.go
@@ -0,0 +1,264 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/relocation"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	otherAddress = "10.0.0.2:7001"
+	secondTask   = jobID + ".0.0.1"
+)
+
+// moveHarness is a harness with two slowed fill runs on its agent's worker, and with a second worker. firstTask is
+// the task of one of them.
+type moveHarness struct {
+	*harness
+	job         *job.Job
+	destination *agentView
+	// sourceTolerance is what the serving tasks on the first worker tolerate.
+	sourceTolerance int64
+}
+
+func newMoveHarness(t *testing.T, features ...string) *moveHarness {
+	h := &moveHarness{harness: newHarness(t), sourceTolerance: -100}
+	enabled, err := feature.Parse(features)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.owner.options.Features = enabled
+	h.job = h.submitWith(func(submission *job.Submission) {
+		step := submission.Steps[0]
+		step.Fills, step.Image, step.Checkpointing, step.EstimateMs, step.Count = true, "f", true, 20000, 2
+	})
+	h.attach()
+	tolerant := idleWorkerStatus()
+	tolerant.ToleratedMilliCpu = 4000
+	h.receive(&wire.AgentMessage{Status: tolerant})
+	h.tick()
+	h.awaitWrites()
+	h.tick()
+	h.takeSent()
+	h.receive(&wire.AgentMessage{Results: []*wire.StartResult{{Task: firstTask, Attempt: 1, Worker: workerID, Outcome: wire.StartOutcome_START_STARTED}}})
+	h.destination = newAgentView(otherAddress)
+	h.owner.agents[otherAddress] = h.destination
+	h.owner.handleConnected(h.destination, &agentConn{outbox: make(chan *wire.OwnerMessage, 64), cancel: func() {}})
+	h.report(4000)
+	h.tick()
+	h.takeSent()
+	return h
+}
+
+// report has the second worker report how much it tolerates.
+func (h *moveHarness) report(tolerated int64) {
+	status := idleWorkerStatus()
+	status.Worker, status.ToleratedMilliCpu = "i-2", tolerated
+	h.owner.lastJoinAt = h.clock.Now()
+	h.owner.handleAgentMessage(h.destination, h.destination.conn, &wire.AgentMessage{Agent: "other", Status: status}, h.clock.Now())
+}
+
+func newOffer(number int64) *wire.MoveOffer {
+	return &wire.MoveOffer{Number: number, Task: firstTask, Attempt: 1, Percent: 20, RemainingMs: 15000, MinGainMs: 1500}
+}
+
+// offer has the agent offer its run, and returns the answers.
+func (h *moveHarness) offer(offers ...*wire.MoveOffer) []*wire.MoveAnswer {
+	h.receive(&wire.AgentMessage{Offers: offers, Status: h.sourceStatus()})
+	h.tick()
+	var answers []*wire.MoveAnswer
+	for _, message := range h.takeSent() {
+		answers = append(answers, message.GetMoves()...)
+	}
+	return answers
+}
+
+// sourceStatus returns the status of the first worker.
+func (h *moveHarness) sourceStatus() *wire.WorkerStatus {
+	status := idleWorkerStatus()
+	status.Tolerances = []*wire.Tolerance{{Image: "f", MilliCpu: h.sourceTolerance}}
+	return status
+}
+
+// endRuns has the agent report that the runs of tasks were stopped, and makes one tick.
+func (h *moveHarness) endRuns(tasks ...string) {
+	var ends []*wire.RunEnd
+	for i, task := range tasks {
+		ends = append(ends, &wire.RunEnd{Worker: workerID, Number: int64(i + 1), Task: task, Attempt: 1, Reason: wire.EndReason_END_STOPPED, Checkpoint: "c"})
+	}
+	h.receive(&wire.AgentMessage{Status: h.sourceStatus(), Ends: ends})
+	h.tick()
+}
+
+// freeMemory returns the memory of the second worker that the owner takes for free.
+func (h *moveHarness) freeMemory(t *testing.T) int64 {
+	for _, worker := range h.owner.candidates(h.owner.agentViews(), h.clock.Now()) {
+		if worker.view == h.destination {
+			return worker.free.MemoryMB()
+		}
+	}
+	t.Fatal("the second worker is no candidate")
+	return 0
+}
+
+// TestOfferIsAnswered checks which offers are accepted, declined or not answered.
+func TestOfferIsAnswered(t *testing.T) {
+	on := []string{"offers"}
+	tests := map[string]struct {
+		features []string
+		change   func(h *moveHarness, offer *wire.MoveOffer)
+		answered bool
+		accepted bool
+	}{
+		"a worker tolerates it": {on, func(*moveHarness, *wire.MoveOffer) {}, true, true},
+		"none tolerates it":     {on, func(h *moveHarness, _ *wire.MoveOffer) { h.report(900) }, true, false},
+		"only its own worker does": {on, func(h *moveHarness, _ *wire.MoveOffer) {
+			h.report(900)
+			h.sourceTolerance = 4000
+		}, true, false},
+		"none is connected":             {on, func(h *moveHarness, _ *wire.MoveOffer) { h.destination.conn = nil }, true, false},
+		"it gains too little":           {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Percent = 95 }, true, false},
+		"it costs more than it gains":   {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.MinGainMs = 7000 }, true, false},
+		"an earlier run":                {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Attempt = 0 }, true, false},
+		"its job has ended":             {on, func(h *moveHarness, _ *wire.MoveOffer) { h.job.Cancel(h.clock.Now()) }, true, false},
+		"its shard is not loaded":       {on, func(h *moveHarness, _ *wire.MoveOffer) { h.shard.loaded = false }, false, false},
+		"its shard is another owner's":  {on, func(h *moveHarness, _ *wire.MoveOffer) { delete(h.owner.shards, h.shard.number) }, false, false},
+		"its task has no readable name": {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Task = "?" }, false, false},
+		"the feature is off":            {nil, func(*moveHarness, *wire.MoveOffer) {}, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newMoveHarness(t, test.features...)
+			offer := newOffer(1)
+			test.change(h, offer)
+			answers := h.offer(offer)
+			if len(answers) > 0 != test.answered || test.answered && answers[0].GetAccepted() != test.accepted {
+				t.Fatalf("answers %v, want answered %v, accepted %v", answers, test.answered, test.accepted)
+			}
+			if reserved := len(h.owner.moves.reserved) == 1; reserved != test.accepted {
+				t.Errorf("reserved %v, want %v", reserved, test.accepted)
+			}
+		})
+	}
+}
+
+// TestSecondMoveNeedsMoreGain checks that a task that was interrupted is not moved for a gain that sufficed
+// before.
+func TestSecondMoveNeedsMoreGain(t *testing.T) {
+	for interruptions, accepted := range []bool{true, false} {
+		h := newMoveHarness(t, "offers")
+		offer := newOffer(1)
+		offer.MinGainMs = 4000 // It gains 6.4 s.
+		for range interruptions {
+			run := h.agent.runs[firstTask]
+			h.job.EndRun(run.task, run.attempt, job.EndInterrupted, "", h.clock.Now())
+			h.owner.startTask(run.task, h.agent, h.clock.Now())
+			offer.Attempt = run.task.Attempt()
+		}
+		if answers := h.offer(offer); len(answers) != 1 || answers[0].GetAccepted() != accepted {
+			t.Errorf("after %d interruptions: answers %v, want accepted %v", interruptions, answers, accepted)
+		}
+	}
+}
+
+// TestWorkerIsReservedForOneMove checks that a worker is not reserved for two runs, however much it tolerates.
+func TestWorkerIsReservedForOneMove(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	other := newOffer(2)
+	other.Task = secondTask
+	answers := h.offer(newOffer(1), other)
+	if len(answers) != 2 || !answers[0].GetAccepted() || answers[1].GetAccepted() {
+		t.Errorf("answers %v, want the first accepted and the second declined", answers)
+	}
+}
+
+// TestMovedTaskStartsOnReservedWorker checks that the worker is kept free for the run, and that its task is
+// placed there in the tick in which its end arrives, before a task that would else go first, and even if the
+// offer was told twice.
+func TestMovedTaskStartsOnReservedWorker(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	h.report(1000) // As much as one of the tasks asks for.
+	before := h.freeMemory(t)
+	offer := newOffer(1)
+	offer.Task = secondTask
+	answers := append(h.offer(offer), h.offer(offer)...)
+	if len(answers) != 2 || !answers[0].GetAccepted() || !answers[1].GetAccepted() || len(h.owner.moves.reserved) != 1 {
+		t.Fatalf("answers %v, %d reservations; want two answers for one", answers, len(h.owner.moves.reserved))
+	}
+	if after := h.freeMemory(t); after != before-100 {
+		t.Errorf("%d MB are free with the reservation, %d without", after, before)
+	}
+	if h.job.Tasks()[1].State() != job.TaskState_TASK_STARTED || h.agent.runs[secondTask] == nil {
+		t.Error("the run does not go on until its end arrives")
+	}
+	h.endRuns(firstTask, secondTask)
+	if h.destination.runs[secondTask] == nil || len(h.owner.moves.reserved) != 0 || h.freeMemory(t) != before-100 {
+		t.Errorf("runs %v, reservations %v; want the run on the second worker", h.destination.runs, h.owner.moves.reserved)
+	}
+	h.owner.confirmRun(h.destination.runs[secondTask], h.clock.Now())
+	if len(h.owner.moves.stoppedAt) != 0 {
+		t.Error("the gap of the move is not recorded")
+	}
+}
+
+// TestReservationFails checks that a reservation ends with its destination, its job or its time, and that the
+// task of a run that has been stopped waits for a place like any other then.
+func TestReservationFails(t *testing.T) {
+	tests := map[string]struct {
+		fail    func(h *moveHarness)
+		waiting bool // the run ends afterwards, and its task has to wait
+	}{
+		"the destination is lost":   {func(h *moveHarness) { h.owner.handleDisconnected(h.destination, h.destination.conn, nil) }, true},
+		"the destination is silent": {func(h *moveHarness) { h.clock.Advance(1900 * time.Millisecond) }, true},
+		"the destination drains":    {func(h *moveHarness) { h.destination.status().Draining = true }, true},
+		"the destination is evacuated": {func(h *moveHarness) {
+			h.destination.status().FailureDomain = evacuatedDomain
+			h.evacuate(1, evacuatedDomain)
+		}, true},
+		"it tolerates no more":  {func(h *moveHarness) { h.report(-2000) }, true},
+		"the owner is replaced": {func(h *moveHarness) { h.owner.moves = newMoves() }, false},
+		"the shard is released": {func(h *moveHarness) { h.owner.releaseShard(h.shard, "test", h.clock.Now()) }, false},
+		"the job is cancelled":  {func(h *moveHarness) { h.job.Cancel(h.clock.Now()) }, false},
+		"the end does not come": {func(h *moveHarness) { h.clock.Advance(relocation.ReservationTime); h.report(4000) }, false},
+		"the run is done before": {func(h *moveHarness) {
+			h.job.EndRun(h.job.Tasks()[0], 1, job.EndDone, "", h.clock.Now())
+			delete(h.agent.runs, firstTask)
+		}, false},
+		"it is offered again":        {func(h *moveHarness) { h.report(0); h.offer(newOffer(2)) }, false},
+		"the source's run has ended": {func(h *moveHarness) { delete(h.agent.runs, firstTask) }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newMoveHarness(t, "offers")
+			h.offer(newOffer(1))
+			test.fail(h)
+			if test.waiting {
+				h.endRuns(firstTask)
+			} else {
+				h.tick()
+			}
+			if len(h.owner.moves.reserved) != 0 || len(h.owner.moves.book.Reservations()) != 0 {
+				t.Errorf("still reserved: %v", h.owner.moves.book.Reservations())
+			}
+			if test.waiting && h.job.Tasks()[0].State() != job.TaskState_TASK_WAITING {
+				t.Errorf("the task is %v, want it to wait", h.job.Tasks()[0].State())
+			}
+		})
+	}
+}
+
+// TestStoppedRunWithoutReservation checks that a run that was stopped for the reservation of an earlier owner,
+// which is lost with that owner, is placed like any other task.
+func TestStoppedRunWithoutReservation(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	h.offer(newOffer(1))
+	h.owner.moves = newMoves()
+	h.endRuns(firstTask)
+	if h.destination.runs[firstTask] == nil {
+		t.Errorf("the task is %v, want it on the worker that tolerates it", h.job.Tasks()[0].State())
+	}
+}
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -81,6 +81,7 @@
 // confirmRun marks a run as started.
 func (owner *Owner) confirmRun(run *trackedRun, now time.Time) {
 	if !run.confirmed {
+		owner.recordMoveGap(run.task, now)
 		owner.logRun(event.RunStarted, run, slog.String("worker", run.place.Incarnation.WorkerID()))
 	}
 	run.confirmed = true
--- a/owner/update.go
+++ b/owner/update.go
@@ -21,7 +21,7 @@
 	}
 	owner.addEvacuations(view)
 	grantDue := now.Sub(view.sentAt) >= owner.sendInterval()
-	if !grantDue && !message.Owned && message.Evacuations == nil && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs)+len(message.Preempts) == 0 {
+	if !grantDue && !message.Owned && message.Evacuations == nil && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs)+len(message.Preempts)+len(message.Moves) == 0 {
 		return
 	}
 	owner.addGrant(view, now)
--- /dev/null
+++ b/relocation/book.go
@@ -0,0 +1,150 @@
+package relocation
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ReservationTime is the longest time for which a reservation lasts. It covers the answer to the agent, the stop
+// of the run, which may have to be sent twice, and the message with its end.
+const ReservationTime = 2 * time.Second
+
+// Reservation holds room on a worker for a run that is offered by the agent of another one.
+type Reservation struct {
+	task        string
+	attempt     int32
+	offer       int64
+	destination string
+	reservedAt  time.Time
+}
+
+// NewReservation returns a reservation for a run, in answer to the offer with a number. The destination is the
+// address of the agent of the worker that will take it.
+func NewReservation(task string, attempt int32, offer int64, destination string, now time.Time) Reservation {
+	return Reservation{task: task, attempt: attempt, offer: offer, destination: destination, reservedAt: now}
+}
+
+// Task returns the task that the destination is reserved for.
+func (reservation Reservation) Task() string { return reservation.task }
+
+// Attempt returns the attempt of the run that is to be stopped.
+func (reservation Reservation) Attempt() int32 { return reservation.attempt }
+
+// Destination returns the address of the destination's agent.
+func (reservation Reservation) Destination() string { return reservation.destination }
+
+// Age returns how long ago the reservation was made.
+func (reservation Reservation) Age(now time.Time) time.Duration {
+	return now.Sub(reservation.reservedAt)
+}
+
+// Answers reports whether the reservation was made for an offer, which may have been told twice.
+func (reservation Reservation) Answers(offer int64, attempt int32) bool {
+	return reservation.offer == offer && reservation.attempt == attempt
+}
+
+// Situation is what the owner knows now of a reservation's task and destination.
+type Situation struct {
+	// Released is set if the shard of the task is no longer owned, Ended if the job of the task has ended.
+	Released, Ended bool
+	// Lost is set if the destination's agent is not connected or its worker is another incarnation, Draining
+	// if the worker drains, and Evacuated if its failure domain is evacuated.
+	Lost, Draining, Evacuated bool
+	// Running is set while the run that is to be stopped has not ended, and Waiting if it was stopped and its
+	// task waits for a worker.
+	Running, Waiting bool
+}
+
+// End is why a reservation ended.
+type End string
+
+// The ends.
+const (
+	// Used means that the task is to be placed on the destination now.
+	Used                 End = "used"
+	Expired              End = "expired"
+	JobEnded             End = "job ended"
+	RunEnded             End = "run ended by itself"
+	ShardReleased        End = "shard released"
+	DestinationLost      End = "destination lost"
+	DestinationDrains    End = "destination drains"
+	DestinationEvacuated End = "destination evacuated"
+	// OfferedAgain means that the run has been offered again, under another number.
+	OfferedAgain End = "offered again"
+	// Unfit means that the destination has changed and can't take the task any more.
+	Unfit End = "no longer fits"
+)
+
+// EndIn returns why the reservation ends in a situation, and false if it goes on.
+func (reservation Reservation) EndIn(situation Situation, now time.Time) (End, bool) {
+	switch {
+	case situation.Released:
+		return ShardReleased, true
+	case situation.Ended:
+		return JobEnded, true
+	case situation.Lost:
+		return DestinationLost, true
+	case situation.Draining:
+		return DestinationDrains, true
+	case situation.Evacuated:
+		return DestinationEvacuated, true
+	case situation.Waiting:
+		return Used, true
+	case !situation.Running:
+		return RunEnded, true
+	case reservation.Age(now) >= ReservationTime:
+		return Expired, true
+	}
+	return "", false
+}
+
+// Book holds the reservations of an owner.
+type Book struct {
+	byTask        map[string]Reservation
+	byDestination map[string]string // the task
+}
+
+// NewBook returns a book without reservations.
+func NewBook() *Book {
+	return &Book{byTask: map[string]Reservation{}, byDestination: map[string]string{}}
+}
+
+// Reserve adds a reservation. It returns false, and adds nothing, if the task or the destination has one.
+func (book *Book) Reserve(reservation Reservation) bool {
+	_, taskReserved := book.byTask[reservation.task]
+	_, destinationReserved := book.byDestination[reservation.destination]
+	if taskReserved || destinationReserved {
+		return false
+	}
+	book.byTask[reservation.task] = reservation
+	book.byDestination[reservation.destination] = reservation.task
+	return true
+}
+
+// Release removes the reservation of a task, if it has one.
+func (book *Book) Release(task string) {
+	delete(book.byDestination, book.byTask[task].destination)
+	delete(book.byTask, task)
+}
+
+// For returns the reservation of a task, and whether there is one.
+func (book *Book) For(task string) (Reservation, bool) {
+	reservation, found := book.byTask[task]
+	return reservation, found
+}
+
+// At returns the reservation of a destination, and whether there is one.
+func (book *Book) At(destination string) (Reservation, bool) {
+	task, reserved := book.byDestination[destination]
+	return book.byTask[task], reserved
+}
+
+// Reservations returns all reservations, sorted by task.
+func (book *Book) Reservations() []Reservation {
+	var reservations []Reservation
+	for _, task := range slices.Sorted(maps.Keys(book.byTask)) {
+		reservations = append(reservations, book.byTask[task])
+	}
+	return reservations
+}
--- /dev/null
+++ b/relocation/relocation_test.go
@@ -0,0 +1,162 @@
+package relocation_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/relocation"
+)
+
+// epoch is when the tests begin.
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+// TestGain checks when a move saves enough, and that a further move has to save more.
+func TestGain(t *testing.T) {
+	tests := map[string]struct {
+		remaining     time.Duration
+		percent       int32
+		interruptions int
+		moves         bool
+	}{
+		"not slowed":            {10 * time.Second, 100, 0, false},
+		"slowed a little":       {10 * time.Second, 90, 0, false},
+		"at half its pace":      {10 * time.Second, 50, 0, true},
+		"at half, moved once":   {10 * time.Second, 50, 1, true},
+		"at half, moved twice":  {10 * time.Second, 50, 2, false},
+		"almost stopped, moved": {10 * time.Second, 5, 2, true},
+		"moved too often":       {time.Minute, 5, 3, false},
+		"nearly done":           {500 * time.Millisecond, 50, 0, false},
+		"no pace at all":        {time.Second, 0, 3, true},
+		"nothing left":          {0, 5, 0, false},
+		"nonsense":              {-time.Second, -5, -1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			saved := relocation.TimeSaved(test.remaining, test.percent)
+			if got := saved >= relocation.LeastGain(2*time.Second, test.interruptions); got != test.moves {
+				t.Errorf("moved: %v, saves %v", got, saved)
+			}
+		})
+	}
+}
+
+// TestAnswer checks that an answer has an effect once, for the run that was offered, before the offer lapses.
+func TestAnswer(t *testing.T) {
+	const inTime = 100 * time.Millisecond
+	tests := map[string]struct {
+		number   int64
+		task     string
+		attempt  int32
+		accepted bool
+		after    time.Duration
+		want     relocation.Outcome
+	}{
+		"accepted":           {1, "a", 2, true, inTime, relocation.Accepted},
+		"declined":           {1, "a", 2, false, inTime, relocation.Declined},
+		"just in time":       {1, "a", 2, true, 599 * time.Millisecond, relocation.Accepted},
+		"when it has lapsed": {1, "a", 2, true, 600 * time.Millisecond, relocation.Unknown},
+		"for another offer":  {2, "a", 2, true, inTime, relocation.Unknown},
+		"without a number":   {0, "", 0, true, inTime, relocation.Unknown},
+		"for another task":   {1, "b", 2, true, inTime, relocation.Unknown},
+		"for another run":    {1, "a", 1, true, inTime, relocation.Unknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var desk relocation.Desk
+			desk.Open("a", 2, epoch)
+			at := epoch.Add(test.after)
+			if _, got := desk.Answer(test.number, test.task, test.attempt, test.accepted, at); got != test.want {
+				t.Errorf("outcome %v, want %v", got, test.want)
+			}
+			if test.want == relocation.Unknown {
+				return
+			}
+			if _, got := desk.Answer(test.number, test.task, test.attempt, true, at); got != relocation.Unknown {
+				t.Errorf("outcome when told again %v", got)
+			}
+		})
+	}
+}
+
+// TestOneOfferAtATime checks the time between offers, with and without answers, and after a withdrawal.
+func TestOneOfferAtATime(t *testing.T) {
+	var desk relocation.Desk
+	offer := desk.Open("a", 1, epoch)
+	if desk.MayOffer(epoch.Add(500 * time.Millisecond)) {
+		t.Error("a second offer while one is open")
+	}
+	if _, lapsed := desk.Lapse(offer.LapsesAt().Add(-1)); lapsed {
+		t.Error("lapsed early")
+	}
+	if _, lapsed := desk.Lapse(offer.LapsesAt()); !lapsed || !desk.MayOffer(offer.LapsesAt()) {
+		t.Error("has not lapsed in time")
+	}
+	desk.Open("b", 1, offer.LapsesAt())
+	desk.Withdraw()
+	if desk.MayOffer(offer.LapsesAt().Add(299*time.Millisecond)) || !desk.MayOffer(offer.LapsesAt().Add(300*time.Millisecond)) {
+		t.Error("offers are not 300 ms apart")
+	}
+	var backoff relocation.Backoff
+	now := epoch
+	for _, want := range []time.Duration{600, 1200, 2400, 2400} {
+		backoff.Extend(now)
+		if backoff.IsOver(now.Add(want*time.Millisecond-1)) || !backoff.IsOver(now.Add(want*time.Millisecond)) {
+			t.Errorf("the backoff is not %d ms", want)
+		}
+	}
+}
+
+// TestReservationEnds checks when a reservation ends, and why.
+func TestReservationEnds(t *testing.T) {
+	tests := map[string]struct {
+		situation relocation.Situation
+		after     time.Duration
+		want      relocation.End
+	}{
+		"the run goes on":              {relocation.Situation{Running: true}, time.Second, ""},
+		"its end comes":                {relocation.Situation{Waiting: true}, time.Second, relocation.Used},
+		"its end comes late":           {relocation.Situation{Waiting: true}, 2 * time.Second, relocation.Used},
+		"its end does not come":        {relocation.Situation{Running: true}, 2 * time.Second, relocation.Expired},
+		"the run is done":              {relocation.Situation{}, time.Second, relocation.RunEnded},
+		"the job has ended":            {relocation.Situation{Ended: true, Waiting: true}, time.Second, relocation.JobEnded},
+		"the shard is released":        {relocation.Situation{Released: true, Waiting: true}, time.Second, relocation.ShardReleased},
+		"the destination is lost":      {relocation.Situation{Lost: true, Waiting: true}, time.Second, relocation.DestinationLost},
+		"the destination drains":       {relocation.Situation{Draining: true, Running: true}, time.Second, relocation.DestinationDrains},
+		"the destination is evacuated": {relocation.Situation{Evacuated: true, Running: true}, time.Second, relocation.DestinationEvacuated},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			reservation := relocation.NewReservation("a", 1, 1, "w", epoch)
+			if got, ended := reservation.EndIn(test.situation, epoch.Add(test.after)); got != test.want || ended != (test.want != "") {
+				t.Errorf("ended %v as %q, want %q", ended, got, test.want)
+			}
+		})
+	}
+}
+
+// TestReservedOnce checks with random steps that neither a task nor a destination is ever reserved twice.
+func TestReservedOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 8))
+	book := relocation.NewBook()
+	for step := range 5000 {
+		task, destination := fmt.Sprint("t", random.IntN(12)), fmt.Sprint("w", random.IntN(8))
+		if random.IntN(3) == 0 {
+			book.Release(task)
+		}
+		_, hasTask := book.For(task)
+		_, hasDestination := book.At(destination)
+		if book.Reserve(relocation.NewReservation(task, 1, 1, destination, epoch)) == (hasTask || hasDestination) {
+			t.Fatalf("step %d: reserved although there was a reservation, or refused without one", step)
+		}
+		taken := map[string]bool{}
+		for _, reservation := range book.Reservations() {
+			at, found := book.At(reservation.Destination())
+			if taken[reservation.Destination()] || !found || at.Task() != reservation.Task() {
+				t.Fatalf("step %d: %v", step, book.Reservations())
+			}
+			taken[reservation.Destination()] = true
+		}
+	}
+}
