--- a/agent/offers.go
+++ b/agent/offers.go
@@ -81,11 +81,11 @@
 }
 
 // handleMoveAnswer applies an owner's answer to the open offer. It has no effect unless it comes in time, from
-// the present owner of the run, on the connection that the offer was made on.
+// the present owner of the run, on the connection that the offer was made on, while the worker answers.
 func (agent *Agent) handleMoveAnswer(s *session, answer *wire.MoveAnswer, now time.Time) {
 	state := agent.worker
 	claim, claimed := agent.claims[answer.GetShard()]
-	if state == nil || !state.incarnation.MayEqual(incarnation.New(answer.GetWorker(), answer.GetBorn())) {
+	if state == nil || !state.isReady() || !state.incarnation.MayEqual(incarnation.New(answer.GetWorker(), answer.GetBorn())) {
 		return
 	}
 	if !claimed || claim.epoch != answer.GetEpoch() || claim.session != s || agent.offerDesk.session != s {
--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -44,6 +44,7 @@
 	id := incarnation.New("i-1", 1)
 	client := platform.NewWorker("127.0.0.1:1", id, platform.NewTransport()) // Nothing answers there.
 	h.state = newWorkerState(platform.Heartbeat{Incarnation: id, MilliCPU: 16000}, client, predecessor{}, h.now)
+	h.state.runsKnown = true
 	h.agent.worker = h.state
 	h.agent.sessions[h.owner] = true
 	h.agent.claims[offeredShard] = &claim{epoch: 5, session: h.owner}
@@ -93,15 +94,16 @@
 		change  func(h *offerHarness, answer *wire.MoveAnswer)
 		stopped bool
 	}{
-		"accepted":                {func(*offerHarness, *wire.MoveAnswer) {}, true},
-		"declined":                {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Accepted = false }, false},
-		"just in time":            {func(h *offerHarness, _ *wire.MoveAnswer) { h.now = h.now.Add(599 * time.Millisecond) }, true},
-		"after the lapse":         {func(h *offerHarness, _ *wire.MoveAnswer) { h.now = h.now.Add(600 * time.Millisecond) }, false},
-		"for an earlier run":      {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Attempt = 1 }, false},
-		"for another offer":       {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Number = 7 }, false},
-		"for another incarnation": {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Born = 2 }, false},
-		"of an earlier epoch":     {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Epoch = 4 }, false},
-		"the run ends by itself":  {func(h *offerHarness, _ *wire.MoveAnswer) { delete(h.state.runs, offeredTask) }, false},
+		"accepted":                 {func(*offerHarness, *wire.MoveAnswer) {}, true},
+		"declined":                 {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Accepted = false }, false},
+		"just in time":             {func(h *offerHarness, _ *wire.MoveAnswer) { h.now = h.now.Add(599 * time.Millisecond) }, true},
+		"after the lapse":          {func(h *offerHarness, _ *wire.MoveAnswer) { h.now = h.now.Add(600 * time.Millisecond) }, false},
+		"for an earlier run":       {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Attempt = 1 }, false},
+		"for another offer":        {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Number = 7 }, false},
+		"for another incarnation":  {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Born = 2 }, false},
+		"the worker has restarted": {func(h *offerHarness, _ *wire.MoveAnswer) { h.state.isSuperseded = true }, false},
+		"of an earlier epoch":      {func(_ *offerHarness, answer *wire.MoveAnswer) { answer.Epoch = 4 }, false},
+		"the run ends by itself":   {func(h *offerHarness, _ *wire.MoveAnswer) { delete(h.state.runs, offeredTask) }, false},
 		"the run is not slowed": {func(h *offerHarness, _ *wire.MoveAnswer) {
 			h.state.runs["s"].reading = 2
 			h.observe()
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -71,8 +71,8 @@
 	owner.moves.offers = nil
 }
 
-// answerOffer answers one offer. It does not answer if the connection has ended or the shard is not owned and
-// loaded: the offer then lapses.
+// answerOffer answers one offer. It does not answer one that has lapsed already, nor if the connection has ended
+// or the shard is not owned and loaded.
 func (owner *Owner) answerOffer(received receivedOffer, workers []*candidate, now time.Time) {
 	view, offer := received.source, received.offer
 	ref, err := job.ParseTaskRef(offer.GetTask())
@@ -81,7 +81,7 @@
 		return
 	}
 	s, j := owner.loadedJob(ref.Job)
-	if s == nil || view.conn != received.conn {
+	if s == nil || view.conn != received.conn || time.Duration(offer.GetLapsesNanos()) <= view.agentUptime {
 		return
 	}
 	verdict := owner.judgeOffer(received, j, workers, now)
@@ -102,12 +102,13 @@
 type offerVerdict string
 
 const (
-	verdictReserved   offerVerdict = "reserved"
-	verdictEnded      offerVerdict = "its job has ended"
-	verdictNotCurrent offerVerdict = "not the task's current run"
-	verdictFixed      offerVerdict = "not a fill task that runs by itself"
-	verdictLittleGain offerVerdict = "would save too little"
-	verdictNoWorker   offerVerdict = "no worker tolerates it"
+	verdictReserved    offerVerdict = "reserved"
+	verdictEnded       offerVerdict = "its job has ended"
+	verdictNotCurrent  offerVerdict = "not the task's current run"
+	verdictFixed       offerVerdict = "not a fill task that runs by itself"
+	verdictUnconfirmed offerVerdict = "the store has not confirmed the ownership lately"
+	verdictLittleGain  offerVerdict = "would save too little"
+	verdictNoWorker    offerVerdict = "no worker tolerates it"
 )
 
 // judgeOffer decides about an offer, and reserves a worker if it is accepted. An offer that is told twice is
@@ -122,6 +123,8 @@
 		return verdictNotCurrent
 	case run.task.Spec().GetGang() || !run.task.Spec().GetFills():
 		return verdictFixed
+	case now.Sub(owner.lastJoinAt) >= owner.options.MemberTimeout:
+		return verdictUnconfirmed // The next start could not be recorded.
 	}
 	if earlier, reserved := owner.moves.book.For(run.taskName); reserved {
 		if earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -63,7 +63,7 @@
 }
 
 func newOffer(number int64) *wire.MoveOffer {
-	return &wire.MoveOffer{Number: number, Task: firstTask, Attempt: 1, Percent: 20, RemainingMs: 15000, MinGainMs: 1500}
+	return &wire.MoveOffer{Number: number, Task: firstTask, Attempt: 1, Percent: 20, RemainingMs: 15000, MinGainMs: 1500, LapsesNanos: int64(600 * time.Millisecond)}
 }
 
 // offer has the agent offer its run, and returns the answers.
@@ -120,11 +120,15 @@
 			h.report(900)
 			h.sourceTolerance = 4000
 		}, true, false},
-		"none is connected":             {on, func(h *moveHarness, _ *wire.MoveOffer) { h.destination.conn = nil }, true, false},
-		"it gains too little":           {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Percent = 95 }, true, false},
-		"it costs more than it gains":   {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.MinGainMs = 7000 }, true, false},
+		"none is connected":           {on, func(h *moveHarness, _ *wire.MoveOffer) { h.destination.conn = nil }, true, false},
+		"it gains too little":         {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Percent = 95 }, true, false},
+		"it costs more than it gains": {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.MinGainMs = 7000 }, true, false},
+		"the store is away": {on, func(h *moveHarness, _ *wire.MoveOffer) {
+			h.owner.lastJoinAt = h.clock.Now().Add(-h.owner.options.MemberTimeout)
+		}, true, false},
 		"an earlier run":                {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Attempt = 0 }, true, false},
 		"its job has ended":             {on, func(h *moveHarness, _ *wire.MoveOffer) { h.job.Cancel(h.clock.Now()) }, true, false},
+		"it has lapsed":                 {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.LapsesNanos = 0 }, false, false},
 		"its shard is not loaded":       {on, func(h *moveHarness, _ *wire.MoveOffer) { h.shard.loaded = false }, false, false},
 		"its shard is another owner's":  {on, func(h *moveHarness, _ *wire.MoveOffer) { delete(h.owner.shards, h.shard.number) }, false, false},
 		"its task has no readable name": {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Task = "?" }, false, false},
