--- a/agent/offers.go
+++ b/agent/offers.go
@@ -74,12 +74,14 @@
 	remaining, cost := run.remainingWork(), agent.moveCost(run)
 	s.offers = append(s.offers, &wire.MoveOffer{
 		Number: offer.Number(), Task: run.task, Attempt: run.attempt, Percent: percent,
-		RemainingMs: remaining.Milliseconds(), MinGainMs: cost.Milliseconds(), LapsesNanos: int64(agent.uptime(offer.LapsesAt())),
+		RemainingMs: remaining.Milliseconds(), MinGainMs: cost.Milliseconds(),
+		LapsesNanos: int64(agent.uptime(offer.LapsesAt())),
 	})
 	agent.logRun(event.MoveOffered, run,
 		slog.Int64("offer", offer.Number()), slog.String("owner", s.ownerName), slog.String("image", run.demand.GetImage()),
 		slog.Int("percent", int(percent)), slog.Duration("remaining", remaining),
-		slog.Duration("saves", relocation.TimeSaved(remaining, percent)), slog.Duration("least", cost), slog.Duration("age", now.Sub(state.provenAliveAt)))
+		slog.Duration("saves", relocation.TimeSaved(remaining, percent)), slog.Duration("least", cost),
+		slog.Duration("age", now.Sub(state.provenAliveAt)))
 }
 
 // handleMoveAnswer applies an owner's answer to the open offer. It has no effect unless it comes in time, from
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -59,6 +59,9 @@
 	if len(owner.moves.offers) == 0 {
 		return
 	}
+	for _, received := range owner.moves.offers {
+		owner.endOutdatedReservation(received, now)
+	}
 	// Performance: one list for all offers of the tick. A worker that is reserved for one is not used for
 	// another, so the list need not be updated in between.
 	workers := owner.candidates(owner.agentViews(), now)
@@ -71,6 +74,16 @@
 	owner.moves.offers = nil
 }
 
+// endOutdatedReservation ends the reservation of a task whose run is offered again under another number: the agent
+// has not received the answer in time.
+func (owner *Owner) endOutdatedReservation(received receivedOffer, now time.Time) {
+	offer := received.offer
+	earlier, reserved := owner.moves.book.For(offer.GetTask())
+	if reserved && received.source.conn == received.conn && !earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
+		owner.endReservation(earlier, relocation.OfferedAgain, now)
+	}
+}
+
 // answerOffer answers one offer. It does not answer one that has lapsed already, nor if the connection has ended
 // or the shard is not owned and loaded.
 func (owner *Owner) answerOffer(received receivedOffer, workers []*candidate, now time.Time) {
@@ -89,12 +102,14 @@
 	if verdict != verdictReserved {
 		owner.log(event.MoveDeclined, slog.String("task", offer.GetTask()), slog.Int("attempt", int(offer.GetAttempt())),
 			slog.Int64("offer", offer.GetNumber()), slog.String("reason", string(verdict)),
-			slog.Int("percent", int(offer.GetPercent())), slog.Int64("remaining_ms", offer.GetRemainingMs()), slog.Int("workers", len(workers)))
+			slog.Int("percent", int(offer.GetPercent())), slog.Int64("remaining_ms", offer.GetRemainingMs()),
+			slog.Int("workers", len(workers)))
 	}
 	worker := view.incarnation()
 	view.nextMessage.Moves = append(view.nextMessage.Moves, &wire.MoveAnswer{
 		Number: offer.GetNumber(), Shard: int32(s.number), Epoch: s.epoch,
-		Task: offer.GetTask(), Attempt: offer.GetAttempt(), Worker: worker.WorkerID(), Born: worker.StartedMs(), Accepted: verdict == verdictReserved,
+		Task: offer.GetTask(), Attempt: offer.GetAttempt(), Worker: worker.WorkerID(), Born: worker.StartedMs(),
+		Accepted: verdict == verdictReserved,
 	})
 }
 
@@ -126,11 +141,8 @@
 	case now.Sub(owner.lastJoinAt) >= owner.options.MemberTimeout:
 		return verdictUnconfirmed // The next start could not be recorded.
 	}
-	if earlier, reserved := owner.moves.book.For(run.taskName); reserved {
-		if earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
-			return verdictReserved
-		}
-		owner.endReservation(earlier, relocation.OfferedAgain, now)
+	if _, reserved := owner.moves.book.For(run.taskName); reserved {
+		return verdictReserved
 	}
 	saved := relocation.TimeSaved(time.Duration(offer.GetRemainingMs())*time.Millisecond, offer.GetPercent())
 	least := relocation.LeastGain(time.Duration(offer.GetMinGainMs())*time.Millisecond, run.task.Interruptions())
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -196,8 +196,13 @@
 	offer := newOffer(1)
 	offer.Task = secondTask
 	answers := append(h.offer(offer), h.offer(offer)...)
-	if len(answers) != 2 || !answers[0].GetAccepted() || !answers[1].GetAccepted() || len(h.owner.moves.reserved) != 1 {
-		t.Fatalf("answers %v, %d reservations; want two answers for one", answers, len(h.owner.moves.reserved))
+	again := newOffer(2) // The answers to the first were lost.
+	again.Task = secondTask
+	answers = append(answers, h.offer(again)...)
+	for _, answer := range answers {
+		if len(answers) != 3 || !answer.GetAccepted() || len(h.owner.moves.reserved) != 1 {
+			t.Fatalf("answers %v, %d reservations; want three answers for one", answers, len(h.owner.moves.reserved))
+		}
 	}
 	if after := h.freeMemory(t); after != before-100 {
 		t.Errorf("%d MB are free with the reservation, %d without", after, before)
