agent: a slowed run that can't be offered delays no other, and leaves when a target is overdue

Cause: the longest slowed run was offered also when a serving run beside it had missed its target for too long, and waited out its backoff then; only runs that lose little progress were evicted without an offer. A run whose owner is away was chosen again and again though it could not be offered, so no other run of the worker had its turn. While an offer was open, runs whose owners take no offers were not evicted.

Change: the longest slowed run is chosen among those that need no offer or may be offered now, and is evicted if it needs none. TestLongestSlowed passes a condition that accepts all runs; what it checks is unchanged.

Measured: TestLongestSlowedRunDelaysNoOther fails in its three cases without the change, passes with it.

--- a/agent/evict.go
+++ b/agent/evict.go
@@ -50,21 +50,24 @@
 		agent.offer(state, run, paces[task], now)
 		return
 	}
-	agent.moveLongestSlowed(state, paces, now)
+	agent.moveLongestSlowed(state, servings, paces, now)
 }
 
-// moveLongestSlowed evicts the run that has been slowed for the longest, or offers it to its owner.
-func (agent *Agent) moveLongestSlowed(state *workerState, paces map[string]float64, now time.Time) {
-	run := state.longestSlowed(now)
+// moveLongestSlowed evicts the run that has been slowed for the longest, or offers it to its owner. Runs that may
+// not be offered now are passed over, so that they delay no others.
+func (agent *Agent) moveLongestSlowed(state *workerState, servings []interference.ServingTask, paces map[string]float64, now time.Time) {
+	run := state.longestSlowed(now, func(run *runState) bool {
+		return agent.needsNoOffer(run, servings) || agent.isOfferTurn(run, now)
+	})
 	switch {
 	case run == nil:
-	case !agent.offersTo(run):
+	case agent.needsNoOffer(run, servings):
 		if agent.benefitsFromMove(run, paces[run.task]) {
 			agent.evict(state, run, now)
 		}
 	case !agent.gainsByMove(run, paces[run.task]):
 		run.offerBackoff.Extend(now) // The next run has its turn.
-	case agent.mayOffer(run, paces[run.task], now):
+	default:
 		agent.offer(state, run, paces[run.task], now)
 	}
 }
@@ -82,12 +85,12 @@
 }
 
 // longestSlowed returns the evictable run that has been slowed for the longest, and for at least
-// maxSlowedTime, or nil if there is none.
-func (state *workerState) longestSlowed(now time.Time) *runState {
+// maxSlowedTime, among those that mayMove accepts, or nil if there is none.
+func (state *workerState) longestSlowed(now time.Time, mayMove func(run *runState) bool) *runState {
 	var longest *runState
 	for _, run := range state.runs {
 		if run.slowedSince.IsZero() || now.Sub(run.slowedSince) < maxSlowedTime || !run.isEvictable(now) ||
-			!run.losesLittleProgress(maxSlowedRestartPercent) || !run.offerBackoff.IsOver(now) {
+			!run.losesLittleProgress(maxSlowedRestartPercent) || !mayMove(run) {
 			continue
 		}
 		if longest == nil || run.slowedSince.Before(longest.slowedSince) {
--- a/agent/evict_test.go
+++ b/agent/evict_test.go
@@ -33,7 +33,7 @@
 				run.slowedSince = now.Add(-test.slowed)
 			}
 			state := &workerState{runs: map[string]*runState{"t": run}}
-			if got := state.longestSlowed(now); (got == run) != test.selected {
+			if got := state.longestSlowed(now, func(*runState) bool { return true }); (got == run) != test.selected {
 				t.Errorf("longestSlowed = %v, want the run selected: %v", got, test.selected)
 			}
 		})
--- a/agent/offers.go
+++ b/agent/offers.go
@@ -51,8 +51,13 @@
 
 // mayOffer reports whether the run, which goes at a pace from 0 to 1, may be offered to its owner now.
 func (agent *Agent) mayOffer(run *runState, pace float64, now time.Time) bool {
-	return agent.attachedOwner(run) != nil && agent.gainsByMove(run, pace) &&
-		run.offerBackoff.IsOver(now) && agent.offerDesk.MayOffer(now)
+	return agent.isOfferTurn(run, now) && agent.gainsByMove(run, pace)
+}
+
+// isOfferTurn reports whether the run has an owner to answer an offer, is not passed over, and no other offer is in
+// the way.
+func (agent *Agent) isOfferTurn(run *runState, now time.Time) bool {
+	return agent.attachedOwner(run) != nil && run.offerBackoff.IsOver(now) && agent.offerDesk.MayOffer(now)
 }
 
 // gainsByMove reports whether the run, which goes at a pace from 0 to 1, is slowed, and would save as much time
--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -176,7 +176,47 @@
 	h.run.slowedSince = h.now.Add(-time.Minute)
 	h.run.offerBackoff.Extend(h.now)
 	other.offerBackoff = relocation.Backoff{}
-	if got := h.state.longestSlowed(h.now); got == nil || got == h.run {
+	if got := h.state.longestSlowed(h.now, func(run *runState) bool { return run.offerBackoff.IsOver(h.now) }); got == nil || got == h.run {
 		t.Errorf("the longest slowed run is %v, want the other one while the first is passed over", got)
 	}
 }
+
+// TestLongestSlowedRunDelaysNoOther checks that a slowed run that can't be offered now neither keeps others on the
+// worker, nor stays there itself once a target has been missed for long. The runs have made too much progress to be
+// moved for their interference.
+func TestLongestSlowedRunDelaysNoOther(t *testing.T) {
+	const otherShard = offeredShard + 1
+	tests := map[string]struct {
+		change           func(h *offerHarness, other *runState)
+		stopped, offered bool
+	}{
+		"the other has no owner": {func(*offerHarness, *runState) {}, false, true},
+		"the owner is of an earlier build, an offer of the other is open": {func(h *offerHarness, other *runState) {
+			h.agent.claims[otherShard] = &claim{epoch: 5, session: &session{takesOffers: true}}
+			h.agent.sessions[h.agent.claims[otherShard].session] = true
+			h.agent.offerDesk.Open(other.task, other.attempt, h.now)
+			h.owner.takesOffers = false
+		}, true, false},
+		"passed over while a target is missed for long": {func(h *offerHarness, other *runState) {
+			delete(h.state.runs, other.task)
+			h.now = h.now.Add(time.Minute)
+			h.observe()
+			h.run.offerBackoff.Extend(h.now)
+		}, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newOfferHarness(t, "offers")
+			other := h.addFill("fedcba9876543210.0.0.0")
+			other.shard, other.slowedSince = otherShard, h.now.Add(-time.Minute)
+			for _, run := range []*runState{h.run, other} {
+				run.demand.Saves, run.progressPercent = false, maxRestartPercent+1
+			}
+			test.change(h, other)
+			h.decide()
+			if h.isStopped() != test.stopped || len(h.owner.offers) > 0 != test.offered {
+				t.Errorf("stopped %v, offers %v; want %v, %v", h.isStopped(), h.owner.offers, test.stopped, test.offered)
+			}
+		})
+	}
+}
