agent: a run that is not stopped for an accepted offer is passed over

Cause: a run that had become faster when its offer was accepted could be offered again 300 ms later, so a run whose pace swings could keep a worker reserved without moving. A run was also stopped for an accepted offer right after another one of its worker had been evicted for an overdue target, before the effect of that showed.

Change: such an offer ends as needless and the run is passed over like one that was declined.

Measured: TestNeedlessOfferIsNotRepeated fails in both cases without the change, passes with it; package agent passes.

--- a/agent/offers.go
+++ b/agent/offers.go
@@ -108,14 +108,18 @@
 	}
 	run, found := state.offeredRun(offer)
 	switch {
-	case !found || outcome == relocation.Accepted && !agent.isMoveUseful(state, run, now):
+	case !found:
 		agent.closeOffer(offer, outcomeNeedless, now)
-	case outcome == relocation.Accepted:
+	case outcome != relocation.Accepted:
+		run.offerBackoff.Extend(now)
 		agent.closeOffer(offer, outcome, now)
-		agent.evict(state, run, now)
-	default:
+	case !agent.isMoveUseful(state, run, now):
+		// Offered again at once, it could keep a worker reserved in vain.
 		run.offerBackoff.Extend(now)
+		agent.closeOffer(offer, outcomeNeedless, now)
+	default:
 		agent.closeOffer(offer, outcome, now)
+		agent.evict(state, run, now)
 	}
 }
 
@@ -125,8 +129,12 @@
 	return run, found && run.attempt == offer.Attempt() && run.phase == phaseRunning
 }
 
-// isMoveUseful reports whether the run is still slowed, and would still gain by a move.
+// isMoveUseful reports whether the run is still slowed, and would still gain by a move. After an eviction, its
+// effect is awaited first.
 func (agent *Agent) isMoveUseful(state *workerState, run *runState, now time.Time) bool {
+	if now.Sub(agent.pacer.lastEvictionAt) < evictionInterval {
+		return false
+	}
 	servings, fills := state.interferenceTasks(now)
 	pace := agent.pacer.model.Paces(servings, fills)[run.task]
 	return run.isEvictable(now) && agent.gainsByMove(run, pace)
--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -220,3 +220,27 @@
 		})
 	}
 }
+
+// TestNeedlessOfferIsNotRepeated checks that a run that is not stopped though its offer was accepted is passed over
+// afterwards, since each further offer would reserve a worker in vain.
+func TestNeedlessOfferIsNotRepeated(t *testing.T) {
+	tests := map[string]func(h *offerHarness){
+		"the run is nearly done":     func(h *offerHarness) { h.run.progressPercent = 100 },
+		"another run was just moved": func(h *offerHarness) { h.agent.pacer.lastEvictionAt = h.now },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newOfferHarness(t, "offers")
+			h.decide()
+			change(h)
+			h.agent.handleMoveAnswer(h.owner, h.accept(), h.now)
+			h.run.progressPercent = 0
+			h.owner.offers = nil
+			h.now = h.now.Add(500 * time.Millisecond)
+			h.decide()
+			if h.isStopped() || len(h.owner.offers) > 0 {
+				t.Errorf("stopped %v, offers %v; want neither", h.isStopped(), h.owner.offers)
+			}
+		})
+	}
+}
