owner: an offer of an earlier run ends no reservation

Cause: any offer of a task under another number or attempt ended the task's reservation. A worker on which an earlier run of the task goes on, as after its agent was away, could so take the destination from the present run, which its agent may already be stopping.

Change: only an offer of the task's present run ends the reservation of that run.

Measured: TestOfferOfEarlierRunEndsNoReservation fails without the change, passes with it.

--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -75,11 +75,15 @@
 }
 
 // endOutdatedReservation ends the reservation of a task whose run is offered again under another number: the agent
-// has not received the answer in time.
+// has not received the answer in time. An offer of an earlier run of the task, on another worker, has no effect.
 func (owner *Owner) endOutdatedReservation(received receivedOffer, now time.Time) {
 	offer := received.offer
 	earlier, reserved := owner.moves.book.For(offer.GetTask())
-	if reserved && received.source.conn == received.conn && !earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
+	if !reserved || received.source.conn != received.conn || earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
+		return
+	}
+	run, found := received.source.runs[offer.GetTask()]
+	if found && run.attempt == offer.GetAttempt() && run.attempt == run.task.Attempt() {
 		owner.endReservation(earlier, relocation.OfferedAgain, now)
 	}
 }
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -285,3 +285,22 @@
 		t.Errorf("the task is %v, want it on the worker that tolerates it", h.job.Tasks()[0].State())
 	}
 }
+
+// TestOfferOfEarlierRunEndsNoReservation checks that the reservation for a task's present run stays when the agent of
+// a worker on which an earlier run may go on offers that one.
+func TestOfferOfEarlierRunEndsNoReservation(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	h.offer(newOffer(1))
+	stray := newOffer(4)
+	stray.Attempt = 0
+	other := h.connect("10.0.0.3:7001")
+	h.owner.handleAgentMessage(other, other.conn, &wire.AgentMessage{Agent: "i-3", Offers: []*wire.MoveOffer{stray}}, h.clock.Now())
+	h.tick()
+	if _, reserved := h.owner.moves.book.For(firstTask); !reserved {
+		t.Error("the reservation has ended")
+	}
+	h.endRuns(firstTask)
+	if h.destination.runs[firstTask] == nil {
+		t.Error("the task is not on the worker that was reserved for it")
+	}
+}
