owner: no run is moved to a worker on probation

Cause: a worker on probation is given one run at a time, so it passed as a destination while it had none. A run that works was so moved to where the last ones failed, and found no place if another task was started there before.

Change: workers on probation are no destinations.

Measured: the new case of TestOfferIsAnswered fails without the change (the offer was accepted), passes with it.

--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -64,16 +64,27 @@
 	}
 	// Performance: one list for all offers of the tick. A worker that is reserved for one is not used for
 	// another, so the list need not be updated in between.
-	workers := owner.candidates(owner.agentViews(), now)
-	for _, worker := range workers {
-		worker.toleranceRatio = maxToleranceRatio
-	}
+	workers := owner.destinations(now)
 	for _, received := range owner.moves.offers {
 		owner.answerOffer(received, workers, now)
 	}
 	owner.moves.offers = nil
 }
 
+// destinations returns the workers that a run may be moved to, where fill tasks have to be tolerated in full. A worker
+// on probation is none: its last runs have failed, while the run goes on where it is.
+func (owner *Owner) destinations(now time.Time) []*candidate {
+	var workers []*candidate
+	for _, worker := range owner.candidates(owner.agentViews(), now) {
+		if worker.onProbation {
+			continue
+		}
+		worker.toleranceRatio = maxToleranceRatio
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
 // endOutdatedReservation ends the reservation of a task whose run is offered again under another number: the agent
 // has not received the answer in time. An offer of an earlier run of the task, on another worker, has no effect.
 func (owner *Owner) endOutdatedReservation(received receivedOffer, now time.Time) {
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -129,6 +129,9 @@
 			h.report(900)
 			h.sourceTolerance = 4000
 		}, true, false},
+		"only a worker on probation does": {on, func(h *moveHarness, _ *wire.MoveOffer) {
+			h.destination.consecutiveFailures = failuresBeforeProbation
+		}, true, false},
 		"none is connected":   {on, func(h *moveHarness, _ *wire.MoveOffer) { h.destination.conn = nil }, true, false},
 		"it gains too little": {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Percent = 95 }, true, false},
 		"it gains enough":     {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.MinGainMs = 6000 }, true, true},
