owner: offers of a tick don't each look at all workers

Cause: each offer cloned the list of all workers and compared its task with each. When many workers offer runs, few tolerate any, so the work grew with the number of workers times itself.

Change: the workers that tolerate an image and a number of processors in full are listed once a tick.

Tests of offers in package owner pass.

--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -64,24 +64,55 @@
 	}
 	// Performance: one list for all offers of the tick. A worker that is reserved for one is not used for
 	// another, so the list need not be updated in between.
-	workers := owner.destinations(now)
+	among := owner.destinations(now)
 	for _, received := range owner.moves.offers {
-		owner.answerOffer(received, workers, now)
+		owner.answerOffer(received, among, now)
 	}
 	owner.moves.offers = nil
 }
 
+// destinations are the workers that runs may be moved to in a tick.
+type destinations struct {
+	workers []*candidate
+	// tolerating holds those that tolerate a fill task in full.
+	//
+	// Performance: where few do, an offer does not look at every worker.
+	tolerating map[fillNeed][]*candidate
+}
+
+// fillNeed is what a fill task needs the serving tasks on its worker to tolerate.
+type fillNeed struct {
+	image    string
+	milliCPU int64
+}
+
 // destinations returns the workers that a run may be moved to, where fill tasks have to be tolerated in full. A worker
 // on probation is none: its last runs have failed, while the run goes on where it is.
-func (owner *Owner) destinations(now time.Time) []*candidate {
-	var workers []*candidate
+func (owner *Owner) destinations(now time.Time) destinations {
+	found := destinations{tolerating: map[fillNeed][]*candidate{}}
 	for _, worker := range owner.candidates(owner.agentViews(), now) {
 		if worker.onProbation {
 			continue
 		}
 		worker.toleranceRatio = maxToleranceRatio
-		workers = append(workers, worker)
+		found.workers = append(found.workers, worker)
+	}
+	return found
+}
+
+// toleratingFor returns the workers that tolerate a task in full. They may lack other resources for it.
+func (destinations destinations) toleratingFor(task *job.Task) []*candidate {
+	need := fillNeed{image: task.Spec().GetImage(), milliCPU: task.Spec().GetMilliCpu()}
+	workers, known := destinations.tolerating[need]
+	if known {
+		return workers
+	}
+	for _, worker := range destinations.workers {
+		if worker.toleratedMilliCPU(need.image) >= need.milliCPU {
+			workers = append(workers, worker)
+		}
 	}
+	destinations.tolerating[need] = workers
 	return workers
 }
 
@@ -101,7 +132,7 @@
 
 // answerOffer answers one offer. It does not answer one that has lapsed already, nor if the connection has ended
 // or the shard is not owned and loaded.
-func (owner *Owner) answerOffer(received receivedOffer, workers []*candidate, now time.Time) {
+func (owner *Owner) answerOffer(received receivedOffer, among destinations, now time.Time) {
 	view, offer := received.source, received.offer
 	ref, err := job.ParseTaskRef(offer.GetTask())
 	if err != nil {
@@ -112,13 +143,13 @@
 	if s == nil || view.conn != received.conn || time.Duration(offer.GetLapsesNanos()) <= view.agentUptime {
 		return
 	}
-	verdict := owner.judgeOffer(received, j, workers, now)
+	verdict := owner.judgeOffer(received, j, among, now)
 	owner.metrics.moveOffers.Add(owner.ctx, 1, telemetry.WithAttribute("verdict", string(verdict)))
 	if verdict != verdictReserved {
 		owner.log(event.MoveDeclined, slog.String("task", offer.GetTask()), slog.Int("attempt", int(offer.GetAttempt())),
 			slog.Int64("offer", offer.GetNumber()), slog.String("reason", string(verdict)),
 			slog.Int("percent", int(offer.GetPercent())), slog.Int64("remaining_ms", offer.GetRemainingMs()),
-			slog.Int("workers", len(workers)))
+			slog.Int("workers", len(among.workers)))
 	}
 	worker := view.incarnation()
 	view.nextMessage.Moves = append(view.nextMessage.Moves, &wire.MoveAnswer{
@@ -143,7 +174,7 @@
 
 // judgeOffer decides about an offer, and reserves a worker if it is accepted. An offer that is told twice is
 // accepted twice for one reservation.
-func (owner *Owner) judgeOffer(received receivedOffer, j *job.Job, workers []*candidate, now time.Time) offerVerdict {
+func (owner *Owner) judgeOffer(received receivedOffer, j *job.Job, among destinations, now time.Time) offerVerdict {
 	offer := received.offer
 	run, found := received.source.runs[offer.GetTask()]
 	switch {
@@ -164,7 +195,7 @@
 	if saved < least {
 		return verdictLittleGain
 	}
-	destination := owner.bestDestination(run.task, received.source, workers, now)
+	destination := owner.bestDestination(run.task, received.source, among, now)
 	if destination == nil || !owner.reserve(run, received, destination, now) {
 		owner.enqueueAdvice(run.task, now)
 		return verdictNoWorker
@@ -180,8 +211,8 @@
 
 // bestDestination returns the best worker that tolerates the task in full, is not the source and is not
 // reserved for another move, or nil if there is none.
-func (owner *Owner) bestDestination(task *job.Task, source *agentView, workers []*candidate, now time.Time) *candidate {
-	others := slices.DeleteFunc(slices.Clone(workers), func(worker *candidate) bool {
+func (owner *Owner) bestDestination(task *job.Task, source *agentView, among destinations, now time.Time) *candidate {
+	others := slices.DeleteFunc(slices.Clone(among.toleratingFor(task)), func(worker *candidate) bool {
 		_, reserved := owner.moves.book.At(worker.view.address)
 		return worker.view == source || reserved
 	})
