owner: a run that is offered again keeps no task waiting

Change: such a reservation ends before the pass.

Measured: TestRepeatedOffersKeepNoTaskWaiting fails without the change, passes with it.

--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -59,9 +59,6 @@
 	if len(owner.moves.offers) == 0 {
 		return
 	}
-	for _, received := range owner.moves.offers {
-		owner.endOutdatedReservation(received, now)
-	}
 	// Performance: one list for all offers of the tick. A worker that is reserved for one is not used for
 	// another, so the list need not be updated in between.
 	among := owner.destinations(now)
@@ -239,8 +236,12 @@
 }
 
 // settleReservations ends the reservations that are over, and places the tasks whose runs have been stopped on
-// the workers reserved for them.
+// the workers reserved for them. A reservation of a run that is offered again ends here, before tasks are placed, so
+// that tasks that wait for the worker come first.
 func (owner *Owner) settleReservations(now time.Time) {
+	for _, received := range owner.moves.offers {
+		owner.endOutdatedReservation(received, now)
+	}
 	for _, reservation := range owner.moves.book.Reservations() {
 		move := owner.moves.reserved[reservation.Task()]
 		situation := owner.situationOf(move, now)
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -307,3 +307,24 @@
 		t.Error("the task is not on the worker that was reserved for it")
 	}
 }
+
+// TestRepeatedOffersKeepNoTaskWaiting checks that a task that needs the whole reserved worker is placed there before
+// the worker is reserved anew, when the run is offered again.
+func TestRepeatedOffersKeepNoTaskWaiting(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	h.destination.status().Labels = []string{"b"}
+	h.offer(newOffer(1))
+	submission := newSubmission()
+	submission.Id = jobIDInShard(h.shard.number, 1)
+	submission.Steps[0].MemoryMb, submission.Steps[0].Label = 4000, "b"
+	h.readRecords(newRecord(t, job.SubmissionKey(submission.GetId()), submission))
+	waiting := h.shard.jobs[submission.GetId()].Tasks()[0]
+	h.tick()
+	if waiting.State() != job.TaskState_TASK_WAITING {
+		t.Fatalf("the task is %v while the worker is reserved", waiting.State())
+	}
+	answers := h.offer(newOffer(2))
+	if h.destination.runs[waiting.Name()] == nil || len(answers) != 1 || answers[0].GetAccepted() {
+		t.Errorf("the task is %v, answers %v; want it on the worker, and the offer declined", waiting.State(), answers)
+	}
+}
