owner: a reserved worker counts for the spread of the task that it is reserved for

Cause: a reservation was subtracted from the free resources only, so another task of the step could be placed on the worker, and the moved one was stopped and then found that its step allows no more tasks there.

Change: the task that a worker is reserved for counts as one of its step there.

Measured: TestReservationCountsForSpread fails without the change, passes with it.

--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -39,6 +39,8 @@
 	// hasSuspect is set if a task suspected of crashing workers has just been started on the
 	// worker: another one has to wait, so that a crash can be attributed to one of them.
 	hasSuspect bool
+	// reservedFor is the task whose run is to move to the worker, or nil.
+	reservedFor *job.Task
 	// toleranceRatio is the share of the processors a fill task asks for that the serving tasks
 	// must tolerate. It is set for each job in turn.
 	toleranceRatio float64
@@ -194,12 +196,13 @@
 }
 
 // countStepTasks returns how many tasks of the same step and round have been started on the
-// machine. It counts those of all incarnations of the machine's worker, since a run that was
+// machine, or are to move there. It counts those of all incarnations of the machine's worker, since a run that was
 // ordered from an earlier incarnation may still be running.
 func (worker *candidate) countStepTasks(task *job.Task) int32 {
 	count := int32(0)
 	for _, member := range task.Job().StepTasks(task) {
-		if member.State() == job.TaskState_TASK_STARTED && member.Place().AgentAddress == worker.view.address {
+		isThere := member.State() == job.TaskState_TASK_STARTED && member.Place().AgentAddress == worker.view.address
+		if isThere || member == worker.reservedFor {
 			count++
 		}
 	}
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -228,10 +228,13 @@
 	return true
 }
 
-// subtractReserved subtracts what is reserved on the worker from its free resources, for all decisions.
+// subtractReserved subtracts what is reserved on the worker from its free resources, for all decisions, and has the
+// task that it is reserved for counted as one of its step there.
 func (owner *Owner) subtractReserved(worker *candidate) {
 	if reservation, reserved := owner.moves.book.At(worker.view.address); reserved {
-		worker.reserve(owner.moves.reserved[reservation.Task()].run.demand)
+		run := owner.moves.reserved[reservation.Task()].run
+		worker.reserve(run.demand)
+		worker.reservedFor = run.task
 	}
 }
 
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -328,3 +328,23 @@
 		t.Errorf("the task is %v, answers %v; want it on the worker, and the offer declined", waiting.State(), answers)
 	}
 }
+
+// TestReservationCountsForSpread checks that no further task of a step is placed on a worker that is reserved for one,
+// if the step allows one on each worker: the moved task would find no place.
+func TestReservationCountsForSpread(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	h.job.Tasks()[0].Spec().MostPerWorker = 1
+	h.offer(newOffer(1))
+	if len(h.owner.moves.reserved) != 1 {
+		t.Fatal("nothing is reserved")
+	}
+	for _, worker := range h.owner.candidates(h.owner.agentViews(), h.clock.Now()) {
+		if worker.view == h.destination && worker.fits(h.job.Tasks()[1]) {
+			t.Error("another task of the step may be placed on the reserved worker")
+		}
+	}
+	h.endRuns(firstTask)
+	if h.destination.runs[firstTask] == nil {
+		t.Error("the task is not on the worker that was reserved for it")
+	}
+}
