owner, agent: tests for gangs, reserving tasks, failed runs and newer connections of an offer

Cause: the tests passed with these checks removed: that gangs and tasks that reserve are not moved, that a failed run's task is not placed on the worker reserved for it before its next attempt is due, and that an answer comes on the connection of the offer.

Change: a case or test for each. Whether a worker tolerates a task in full is decided in one place only.

--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -110,6 +110,11 @@
 			h.now = h.now.Add(-2 * time.Second)
 		}, false},
 		"the run is nearly done": {func(h *offerHarness, _ *wire.MoveAnswer) { h.run.progressPercent = 100 }, false},
+		"on a newer connection of the owner": {func(h *offerHarness, _ *wire.MoveAnswer) {
+			h.owner = &session{ownerName: "edge-1", takesOffers: true}
+			h.agent.sessions[h.owner] = true
+			h.agent.claims[offeredShard].session = h.owner
+		}, false},
 		"the owner has been replaced": {func(h *offerHarness, _ *wire.MoveAnswer) {
 			h.agent.claims[offeredShard] = &claim{epoch: 5, session: &session{}}
 		}, false},
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -83,18 +83,11 @@
 	milliCPU int64
 }
 
-// destinations returns the workers that a run may be moved to, where fill tasks have to be tolerated in full. A worker
-// on probation is none: its last runs have failed, while the run goes on where it is.
+// destinations returns the workers that a run may be moved to. A worker on probation is none: its last runs have
+// failed, while the run goes on where it is.
 func (owner *Owner) destinations(now time.Time) destinations {
-	found := destinations{tolerating: map[fillNeed][]*candidate{}}
-	for _, worker := range owner.candidates(owner.agentViews(), now) {
-		if worker.onProbation {
-			continue
-		}
-		worker.toleranceRatio = maxToleranceRatio
-		found.workers = append(found.workers, worker)
-	}
-	return found
+	workers := slices.DeleteFunc(owner.candidates(owner.agentViews(), now), func(worker *candidate) bool { return worker.onProbation })
+	return destinations{workers: workers, tolerating: map[fillNeed][]*candidate{}}
 }
 
 // toleratingFor returns the workers that tolerate a task in full. They may lack other resources for it.
@@ -105,7 +98,7 @@
 		return workers
 	}
 	for _, worker := range destinations.workers {
-		if worker.toleratedMilliCPU(need.image) >= need.milliCPU {
+		if float64(worker.toleratedMilliCPU(need.image)) >= maxToleranceRatio*float64(need.milliCPU) {
 			workers = append(workers, worker)
 		}
 	}
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -145,6 +145,8 @@
 		"the store is away": {on, func(h *moveHarness, _ *wire.MoveOffer) {
 			h.owner.lastJoinAt = h.clock.Now().Add(-h.owner.options.MemberTimeout)
 		}, true, false},
+		"a gang":                        {on, func(h *moveHarness, _ *wire.MoveOffer) { h.job.Tasks()[0].Spec().Gang = true }, true, false},
+		"a task that reserves":          {on, func(h *moveHarness, _ *wire.MoveOffer) { h.job.Tasks()[0].Spec().Fills = false }, true, false},
 		"an earlier run":                {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.Attempt = 0 }, true, false},
 		"its job has ended":             {on, func(h *moveHarness, _ *wire.MoveOffer) { h.job.Cancel(h.clock.Now()) }, true, false},
 		"it has lapsed":                 {on, func(_ *moveHarness, offer *wire.MoveOffer) { offer.LapsesNanos = 0 }, false, false},
@@ -348,3 +350,22 @@
 		t.Error("the task is not on the worker that was reserved for it")
 	}
 }
+
+// TestFailedRunIsNotMoved checks that a task whose run fails while a worker is reserved for it waits for its next
+// attempt like any other.
+func TestFailedRunIsNotMoved(t *testing.T) {
+	h := newMoveHarness(t, "offers")
+	h.offer(newOffer(1))
+	h.receive(&wire.AgentMessage{Status: h.sourceStatus(), Ends: []*wire.RunEnd{
+		{Worker: workerID, Number: 1, Task: firstTask, Attempt: 1, Reason: wire.EndReason_END_FAILED},
+	}})
+	task := h.job.Tasks()[0]
+	if len(task.Job().ReadyTasks(h.clock.Now())) != 0 {
+		t.Fatal("the task does not wait for its next attempt")
+	}
+	h.tick()
+	h.checkNothingReserved(t)
+	if task.State() != job.TaskState_TASK_WAITING {
+		t.Errorf("the task is %v, want it to wait", task.State())
+	}
+}
