relocation: names say what they hold

Cause: Desk and Book are images, not the field's words. Change: OfferTracker and ReservationSet, in offers.go and reservations.go; no behaviour changes. Measured: tests of relocation pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -163,7 +163,7 @@
 	sessionCount int64
 	claims       map[int32]*claim
 	pacer        pacer
-	offerDesk    offerDesk
+	offerTracker offerTracker
 	// evacuationState holds the known evacuations. evacuationsWanted makes FollowOperator read them from the
 	// store.
 	evacuationState   operator.EvacuationState
--- a/agent/offers.go
+++ b/agent/offers.go
@@ -14,10 +14,10 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// offerDesk holds the offers of slowed fill runs to their owners, with the session that the open one was made
+// offerTracker holds the offers of slowed fill runs to their owners, with the session that the open one was made
 // on. It is unused unless feature.Offers is enabled.
-type offerDesk struct {
-	relocation.Desk
+type offerTracker struct {
+	relocation.OfferTracker
 	session *session
 }
 
@@ -57,7 +57,7 @@
 // isOfferTurn reports whether the run has an owner to answer an offer, is not passed over, and no other offer is in
 // the way.
 func (agent *Agent) isOfferTurn(run *runState, now time.Time) bool {
-	return agent.attachedOwner(run) != nil && run.offerBackoff.IsOver(now) && agent.offerDesk.MayOffer(now)
+	return agent.attachedOwner(run) != nil && run.offerBackoff.IsOver(now) && agent.offerTracker.MayOffer(now)
 }
 
 // gainsByMove reports whether the run, which goes at a pace from 0 to 1, is slowed, and would save as much time
@@ -73,8 +73,8 @@
 // offer asks the run's owner whether another worker would take the run, which goes on meanwhile.
 func (agent *Agent) offer(state *workerState, run *runState, pace float64, now time.Time) {
 	s := agent.attachedOwner(run)
-	offer := agent.offerDesk.Open(run.task, run.attempt, now)
-	agent.offerDesk.session = s
+	offer := agent.offerTracker.Open(run.task, run.attempt, now)
+	agent.offerTracker.session = s
 	percent := toPercent(pace)
 	remaining, cost := run.remainingWork(), agent.moveCost(run)
 	s.offers = append(s.offers, &wire.MoveOffer{
@@ -98,10 +98,10 @@
 	if state == nil || !state.isReady() || !state.incarnation.MayEqual(id) {
 		return
 	}
-	if !claimed || claim.epoch != answer.GetEpoch() || claim.session != s || agent.offerDesk.session != s {
+	if !claimed || claim.epoch != answer.GetEpoch() || claim.session != s || agent.offerTracker.session != s {
 		return
 	}
-	offer, outcome := agent.offerDesk.Answer(
+	offer, outcome := agent.offerTracker.Answer(
 		answer.GetNumber(), answer.GetTask(), answer.GetAttempt(), answer.GetAccepted(), now)
 	if outcome == relocation.Unknown {
 		return
@@ -143,17 +143,17 @@
 // expireOffer closes the open offer if its run has ended or it has lapsed. The run of an offer that was not
 // answered waits like one that was declined: its owner may be lost, or too busy.
 func (agent *Agent) expireOffer(now time.Time) {
-	open, found := agent.offerDesk.Current()
+	open, found := agent.offerTracker.Current()
 	if !found {
 		return
 	}
 	run, runs := agent.worker.offeredRun(open)
 	if !runs {
-		agent.offerDesk.Withdraw()
+		agent.offerTracker.Withdraw()
 		agent.closeOffer(open, outcomeNeedless, now)
 		return
 	}
-	if offer, lapsed := agent.offerDesk.Lapse(now); lapsed {
+	if offer, lapsed := agent.offerTracker.Lapse(now); lapsed {
 		run.offerBackoff.Extend(now)
 		agent.closeOffer(offer, relocation.Unanswered, now)
 	}
@@ -164,5 +164,5 @@
 	agent.metrics.moveOffers.Add(agent.ctx, 1, telemetry.WithAttribute("outcome", string(outcome)))
 	agent.log(event.MoveAnswered, slog.String("task", offer.Task()), slog.Int("attempt", int(offer.Attempt())),
 		slog.Int64("offer", offer.Number()), slog.String("outcome", string(outcome)),
-		slog.String("owner", agent.offerDesk.session.ownerName), slog.Duration("age", offer.Age(now)))
+		slog.String("owner", agent.offerTracker.session.ownerName), slog.Duration("age", offer.Age(now)))
 }
--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -199,7 +199,7 @@
 		"the owner is of an earlier build, an offer of the other is open": {func(h *offerHarness, other *runState) {
 			h.agent.claims[otherShard] = &claim{epoch: 5, session: &session{takesOffers: true}}
 			h.agent.sessions[h.agent.claims[otherShard].session] = true
-			h.agent.offerDesk.Open(other.task, other.attempt, h.now)
+			h.agent.offerTracker.Open(other.task, other.attempt, h.now)
 			h.owner.takesOffers = false
 		}, true, false},
 		"passed over while a target is missed for long": {func(h *offerHarness, other *runState) {
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -17,9 +17,9 @@
 // moves is the owner's state of offers to move fill runs. It is empty unless feature.Offers is enabled.
 type moves struct {
 	// offers are answered in the next tick.
-	offers []receivedOffer
-	book   *relocation.Book
-	// reserved holds the runs of the reservations in book, by task name.
+	offers       []receivedOffer
+	reservations *relocation.ReservationSet
+	// reserved holds the runs of the reservations, by task name.
 	reserved map[string]reservedMove
 	// stoppedAt holds the tasks whose runs were stopped while a worker was reserved for them, with the time
 	// at which the end arrived, until they have started again.
@@ -41,7 +41,7 @@
 }
 
 func newMoves() moves {
-	return moves{book: relocation.NewBook(), reserved: map[string]reservedMove{}, stoppedAt: map[*job.Task]time.Time{}}
+	return moves{reservations: relocation.NewReservationSet(), reserved: map[string]reservedMove{}, stoppedAt: map[*job.Task]time.Time{}}
 }
 
 // receiveOffers keeps the offers of an agent for the next tick.
@@ -110,7 +110,7 @@
 // has not received the answer in time. An offer of an earlier run of the task, on another worker, has no effect.
 func (owner *Owner) endOutdatedReservation(received receivedOffer, now time.Time) {
 	offer := received.offer
-	earlier, reserved := owner.moves.book.For(offer.GetTask())
+	earlier, reserved := owner.moves.reservations.For(offer.GetTask())
 	if !reserved || received.source.conn != received.conn || earlier.Answers(offer.GetNumber(), offer.GetAttempt()) {
 		return
 	}
@@ -177,7 +177,7 @@
 	case now.Sub(owner.lastJoinAt) >= owner.options.MemberTimeout:
 		return verdictUnconfirmed // The next start could not be recorded.
 	}
-	if _, reserved := owner.moves.book.For(run.taskName); reserved {
+	if _, reserved := owner.moves.reservations.For(run.taskName); reserved {
 		return verdictReserved
 	}
 	saved := relocation.TimeSaved(time.Duration(offer.GetRemainingMs())*time.Millisecond, offer.GetPercent())
@@ -203,7 +203,7 @@
 // reserved for another move, or nil if there is none.
 func (owner *Owner) bestDestination(task *job.Task, source *agentView, among destinations, now time.Time) *candidate {
 	others := slices.DeleteFunc(slices.Clone(among.toleratingFor(task)), func(worker *candidate) bool {
-		_, reserved := owner.moves.book.At(worker.view.address)
+		_, reserved := owner.moves.reservations.At(worker.view.address)
 		return worker.view == source || reserved
 	})
 	return owner.bestWorker(task, others, now)
@@ -212,7 +212,7 @@
 // reserve reserves a worker for a run that is offered. It returns false if the worker is reserved already.
 func (owner *Owner) reserve(run *trackedRun, received receivedOffer, destination *candidate, now time.Time) bool {
 	view, number := destination.view, received.offer.GetNumber()
-	if !owner.moves.book.Reserve(relocation.NewReservation(run.taskName, run.attempt, number, view.address, now)) {
+	if !owner.moves.reservations.Reserve(relocation.NewReservation(run.taskName, run.attempt, number, view.address, now)) {
 		return false
 	}
 	owner.moves.reserved[run.taskName] = reservedMove{
@@ -224,7 +224,7 @@
 // subtractReserved subtracts what is reserved on the worker from its free resources, for all decisions, and has the
 // task that it is reserved for counted as one of its step there.
 func (owner *Owner) subtractReserved(worker *candidate) {
-	if reservation, reserved := owner.moves.book.At(worker.view.address); reserved {
+	if reservation, reserved := owner.moves.reservations.At(worker.view.address); reserved {
 		run := owner.moves.reserved[reservation.Task()].run
 		worker.reserve(run.demand)
 		worker.reservedFor = run.task
@@ -238,7 +238,7 @@
 	for _, received := range owner.moves.offers {
 		owner.endOutdatedReservation(received, now)
 	}
-	for _, reservation := range owner.moves.book.Reservations() {
+	for _, reservation := range owner.moves.reservations.All() {
 		move := owner.moves.reserved[reservation.Task()]
 		situation := owner.situationOf(move, now)
 		if situation.Waiting {
@@ -296,7 +296,7 @@
 
 // releaseReservation makes the reserved room available again.
 func (owner *Owner) releaseReservation(reservation relocation.Reservation) {
-	owner.moves.book.Release(reservation.Task())
+	owner.moves.reservations.Release(reservation.Task())
 	if move, found := owner.moves.reserved[reservation.Task()]; found {
 		owner.placementChanges.addWorker(move.destination)
 	}
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -228,7 +228,7 @@
 // checkNothingReserved fails the test if there is a reservation.
 func (h *moveHarness) checkNothingReserved(t *testing.T) {
 	t.Helper()
-	if reservations := h.owner.moves.book.Reservations(); len(reservations)+len(h.owner.moves.reserved) != 0 {
+	if reservations := h.owner.moves.reservations.All(); len(reservations)+len(h.owner.moves.reserved) != 0 {
 		t.Errorf("still reserved: %v", reservations)
 	}
 }
@@ -301,7 +301,7 @@
 	other := h.connect("10.0.0.3:7001")
 	h.owner.handleAgentMessage(other, other.conn, &wire.AgentMessage{Agent: "i-3", Offers: []*wire.MoveOffer{stray}}, h.clock.Now())
 	h.tick()
-	if _, reserved := h.owner.moves.book.For(firstTask); !reserved {
+	if _, reserved := h.owner.moves.reservations.For(firstTask); !reserved {
 		t.Error("the reservation has ended")
 	}
 	h.endRuns(firstTask)
--- a/relocation/doc.go
+++ b/relocation/doc.go
@@ -15,14 +15,14 @@
 //
 // # Offers
 //
-// The agent beside the run's worker makes an offer to the run's owner, and keeps it in a [Desk]: one at a time,
+// The agent beside the run's worker makes an offer to the run's owner, and keeps it in an [OfferTracker]: one at a time,
 // each with a number and the time at which it lapses. The run goes on meanwhile. An answer has an effect only
 // if it arrives before that time, and only once. A run whose offer was declined or not answered is passed over
 // for a time that grows; see [Backoff]. Until then other runs have their turn.
 //
 // # Reservations
 //
-// The owner keeps the reserved destinations in a [Book]: at most one for each task and for each worker. A
+// The owner keeps the reserved destinations in a [ReservationSet]: at most one for each task and for each worker. A
 // reservation ends once it is used, can't be used any more, or has lasted for [ReservationTime].
 //
 // Nothing here is stored. If an agent is lost, its offers are lost and nothing is stopped for them. If an owner
@@ -31,13 +31,13 @@
 // # Usage
 //
 //	// At the agent:
-//	if desk.MayOffer(now) && backoff.IsOver(now) {
-//		offer := desk.Open(task, attempt, now)
+//	if tracker.MayOffer(now) && backoff.IsOver(now) {
+//		offer := tracker.Open(task, attempt, now)
 //	}
-//	offer, outcome := desk.Answer(number, task, attempt, accepted, now)
+//	offer, outcome := tracker.Answer(number, task, attempt, accepted, now)
 //
 //	// At the owner:
 //	if relocation.TimeSaved(remaining, percent) >= relocation.LeastGain(cost, interruptions) {
-//		reserved := book.Reserve(relocation.NewReservation(task, attempt, offer, destination, now))
+//		reserved := reservations.Reserve(relocation.NewReservation(task, attempt, offer, destination, now))
 //	}
 package relocation
--- a/relocation/load_test.go
+++ b/relocation/load_test.go
@@ -44,13 +44,13 @@
 // load is a fleet whose workers tolerate a changing number of fill tasks. With offers, runs move as this
 // package decides; otherwise they are stopped once they have been slowed for long, and then look for a place.
 type load struct {
-	random *rand.Rand
-	offers bool
-	now    time.Time
-	phases [loadWorkers]float64
-	tasks  []*fillTask
-	desks  [loadWorkers]relocation.Desk
-	book   *relocation.Book
+	random       *rand.Rand
+	offers       bool
+	now          time.Time
+	phases       [loadWorkers]float64
+	tasks        []*fillTask
+	trackers     [loadWorkers]relocation.OfferTracker
+	reservations *relocation.ReservationSet
 
 	stops, returns int // returns to one of the last two workers
 	gap, wasted    time.Duration
@@ -69,7 +69,7 @@
 			count++
 		}
 	}
-	if _, reserved := load.book.At(fmt.Sprint(worker)); reserved {
+	if _, reserved := load.reservations.At(fmt.Sprint(worker)); reserved {
 		count++
 	}
 	return count
@@ -83,7 +83,7 @@
 func (load *load) destination(source int) (int, bool) {
 	best, most := -1, math.Inf(-1)
 	for worker := range loadWorkers {
-		_, reserved := load.book.At(fmt.Sprint(worker))
+		_, reserved := load.reservations.At(fmt.Sprint(worker))
 		if spare := load.tolerance(worker) - float64(load.countRuns(worker)); worker != source && !reserved && spare > most {
 			best, most = worker, spare
 		}
@@ -119,47 +119,47 @@
 	if task.slowedSteps < 15 || saved < cost || task.moves >= maxMoves || !task.saves && task.done > maxRestart {
 		return
 	}
-	desk := &load.desks[task.worker]
+	tracker := &load.trackers[task.worker]
 	switch {
 	case !load.offers:
 		load.stop(task)
-	case desk.MayOffer(load.now) && task.backoff.IsOver(load.now):
-		load.negotiate(task, desk, saved, cost)
+	case tracker.MayOffer(load.now) && task.backoff.IsOver(load.now):
+		load.negotiate(task, tracker, saved, cost)
 	}
 }
 
 // negotiate offers a run, decides for its owner, and applies the answer unless that is lost.
-func (load *load) negotiate(task *fillTask, desk *relocation.Desk, saved, cost time.Duration) {
-	offer := desk.Open(task.name, 1, load.now)
+func (load *load) negotiate(task *fillTask, tracker *relocation.OfferTracker, saved, cost time.Duration) {
+	offer := tracker.Open(task.name, 1, load.now)
 	destination, tolerated := load.destination(task.worker)
 	accepted := tolerated && saved >= relocation.LeastGain(cost, task.moves)
 	if accepted {
-		load.book.Release(task.name)
-		load.book.Reserve(relocation.NewReservation(task.name, 1, offer.Number(), fmt.Sprint(destination), load.now))
+		load.reservations.Release(task.name)
+		load.reservations.Reserve(relocation.NewReservation(task.name, 1, offer.Number(), fmt.Sprint(destination), load.now))
 	}
 	if load.random.Float64() < lostAnswers {
 		return
 	}
-	_, outcome := desk.Answer(offer.Number(), task.name, 1, accepted, load.now.Add(loadStep))
+	_, outcome := tracker.Answer(offer.Number(), task.name, 1, accepted, load.now.Add(loadStep))
 	if outcome != relocation.Accepted {
 		task.backoff.Extend(load.now)
 		return
 	}
 	load.stop(task)
-	load.book.Release(task.name)
+	load.reservations.Release(task.name)
 	load.start(task, destination)
 }
 
 // step lets all runs go on for loadStep.
 func (load *load) step() {
 	load.now = load.now.Add(loadStep)
-	for _, reservation := range load.book.Reservations() {
+	for _, reservation := range load.reservations.All() {
 		if _, ended := reservation.EndIn(relocation.Situation{Running: true}, load.now); ended {
-			load.book.Release(reservation.Task())
+			load.reservations.Release(reservation.Task())
 		}
 	}
-	for worker := range load.desks {
-		load.desks[worker].Lapse(load.now)
+	for worker := range load.trackers {
+		load.trackers[worker].Lapse(load.now)
 	}
 	for _, task := range load.tasks {
 		switch {
@@ -195,7 +195,7 @@
 // play plays the load of a seed to its end, and returns it with the mean time that callers waited for a task.
 // spread is the share of a swing by which workers lag behind others.
 func play(seed uint64, tasks int, spread float64, offers bool) (*load, time.Duration) {
-	load := &load{random: rand.New(rand.NewPCG(seed, 45)), offers: offers, now: epoch, book: relocation.NewBook()}
+	load := &load{random: rand.New(rand.NewPCG(seed, 45)), offers: offers, now: epoch, reservations: relocation.NewReservationSet()}
 	for worker := range load.phases {
 		load.phases[worker] = load.random.Float64() * spread
 	}
--- a/relocation/desk.go
+++ b/relocation/offers.go
@@ -23,7 +23,7 @@
 	openedAt time.Time
 }
 
-// Number returns the offer's number, which counts the offers of a desk from 1.
+// Number returns the offer's number, which counts the offers of a tracker from 1.
 func (offer Offer) Number() int64 { return offer.number }
 
 // Task returns the task of the run that was offered.
@@ -53,41 +53,41 @@
 	Unknown Outcome = "unknown"
 )
 
-// Desk holds the offers of one worker, of which at most one is open at a time. The zero value has none.
-type Desk struct {
+// OfferTracker holds the offers of one worker, of which at most one is open at a time. The zero value has none.
+type OfferTracker struct {
 	open         Offer // its number is 0 if there is none
 	count        int64
 	lastOpenedAt time.Time
 }
 
 // MayOffer reports whether another offer may be made now.
-func (desk *Desk) MayOffer(now time.Time) bool {
-	return desk.open.number == 0 && (desk.count == 0 || now.Sub(desk.lastOpenedAt) >= offerInterval)
+func (tracker *OfferTracker) MayOffer(now time.Time) bool {
+	return tracker.open.number == 0 && (tracker.count == 0 || now.Sub(tracker.lastOpenedAt) >= offerInterval)
 }
 
 // Open makes an offer for a run. It must only be called if MayOffer allows it.
-func (desk *Desk) Open(task string, attempt int32, now time.Time) Offer {
-	desk.count++
-	desk.lastOpenedAt = now
-	desk.open = Offer{number: desk.count, task: task, attempt: attempt, openedAt: now}
-	return desk.open
+func (tracker *OfferTracker) Open(task string, attempt int32, now time.Time) Offer {
+	tracker.count++
+	tracker.lastOpenedAt = now
+	tracker.open = Offer{number: tracker.count, task: task, attempt: attempt, openedAt: now}
+	return tracker.open
 }
 
 // Current returns the open offer, and whether there is one.
-func (desk *Desk) Current() (Offer, bool) { return desk.open, desk.open.number != 0 }
+func (tracker *OfferTracker) Current() (Offer, bool) { return tracker.open, tracker.open.number != 0 }
 
 // Withdraw closes the open offer, because its run has ended. A later answer to it is Unknown.
-func (desk *Desk) Withdraw() { desk.open = Offer{} }
+func (tracker *OfferTracker) Withdraw() { tracker.open = Offer{} }
 
 // Answer applies an owner's answer. It returns the offer that it closes and its outcome, or Unknown if the
 // answer has no effect. An answer to an offer that has lapsed leaves it to Lapse.
-func (desk *Desk) Answer(number int64, task string, attempt int32, accepted bool, now time.Time) (Offer, Outcome) {
-	offer := desk.open
+func (tracker *OfferTracker) Answer(number int64, task string, attempt int32, accepted bool, now time.Time) (Offer, Outcome) {
+	offer := tracker.open
 	isForOffer := number != 0 && offer.number == number && offer.task == task && offer.attempt == attempt
 	if !isForOffer || !now.Before(offer.LapsesAt()) {
 		return Offer{}, Unknown
 	}
-	desk.open = Offer{}
+	tracker.open = Offer{}
 	if accepted {
 		return offer, Accepted
 	}
@@ -95,12 +95,12 @@
 }
 
 // Lapse closes the open offer if its time is over. It returns the offer, and whether it has lapsed.
-func (desk *Desk) Lapse(now time.Time) (Offer, bool) {
-	offer := desk.open
+func (tracker *OfferTracker) Lapse(now time.Time) (Offer, bool) {
+	offer := tracker.open
 	if offer.number == 0 || now.Before(offer.LapsesAt()) {
 		return Offer{}, false
 	}
-	desk.open = Offer{}
+	tracker.open = Offer{}
 	return offer, true
 }
 
--- a/relocation/relocation_test.go
+++ b/relocation/relocation_test.go
@@ -64,16 +64,16 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var desk relocation.Desk
-			desk.Open("a", 2, epoch)
+			var tracker relocation.OfferTracker
+			tracker.Open("a", 2, epoch)
 			at := epoch.Add(test.after)
-			if _, got := desk.Answer(test.number, test.task, test.attempt, test.accepted, at); got != test.want {
+			if _, got := tracker.Answer(test.number, test.task, test.attempt, test.accepted, at); got != test.want {
 				t.Errorf("outcome %v, want %v", got, test.want)
 			}
 			if test.want == relocation.Unknown {
 				return
 			}
-			if _, got := desk.Answer(test.number, test.task, test.attempt, true, at); got != relocation.Unknown {
+			if _, got := tracker.Answer(test.number, test.task, test.attempt, true, at); got != relocation.Unknown {
 				t.Errorf("outcome when told again %v", got)
 			}
 		})
@@ -82,20 +82,20 @@
 
 // TestOneOfferAtATime checks the time between offers, with and without answers, and after a withdrawal.
 func TestOneOfferAtATime(t *testing.T) {
-	var desk relocation.Desk
-	offer := desk.Open("a", 1, epoch)
-	if desk.MayOffer(epoch.Add(500 * time.Millisecond)) {
+	var tracker relocation.OfferTracker
+	offer := tracker.Open("a", 1, epoch)
+	if tracker.MayOffer(epoch.Add(500 * time.Millisecond)) {
 		t.Error("a second offer while one is open")
 	}
-	if _, lapsed := desk.Lapse(offer.LapsesAt().Add(-1)); lapsed {
+	if _, lapsed := tracker.Lapse(offer.LapsesAt().Add(-1)); lapsed {
 		t.Error("lapsed early")
 	}
-	if _, lapsed := desk.Lapse(offer.LapsesAt()); !lapsed || !desk.MayOffer(offer.LapsesAt()) {
+	if _, lapsed := tracker.Lapse(offer.LapsesAt()); !lapsed || !tracker.MayOffer(offer.LapsesAt()) {
 		t.Error("has not lapsed in time")
 	}
-	desk.Open("b", 1, offer.LapsesAt())
-	desk.Withdraw()
-	if desk.MayOffer(offer.LapsesAt().Add(299*time.Millisecond)) || !desk.MayOffer(offer.LapsesAt().Add(300*time.Millisecond)) {
+	tracker.Open("b", 1, offer.LapsesAt())
+	tracker.Withdraw()
+	if tracker.MayOffer(offer.LapsesAt().Add(299*time.Millisecond)) || !tracker.MayOffer(offer.LapsesAt().Add(300*time.Millisecond)) {
 		t.Error("offers are not 300 ms apart")
 	}
 	var backoff relocation.Backoff
@@ -111,22 +111,22 @@
 // TestReservedOnce checks with random steps that neither a task nor a destination is ever reserved twice.
 func TestReservedOnce(t *testing.T) {
 	random := rand.New(rand.NewPCG(5, 8))
-	book := relocation.NewBook()
+	reservations := relocation.NewReservationSet()
 	for step := range 5000 {
 		task, destination := fmt.Sprint("t", random.IntN(12)), fmt.Sprint("w", random.IntN(8))
 		if random.IntN(3) == 0 {
-			book.Release(task)
+			reservations.Release(task)
 		}
-		_, hasTask := book.For(task)
-		_, hasDestination := book.At(destination)
-		if book.Reserve(relocation.NewReservation(task, 1, 1, destination, epoch)) == (hasTask || hasDestination) {
+		_, hasTask := reservations.For(task)
+		_, hasDestination := reservations.At(destination)
+		if reservations.Reserve(relocation.NewReservation(task, 1, 1, destination, epoch)) == (hasTask || hasDestination) {
 			t.Fatalf("step %d: reserved although there was a reservation, or refused without one", step)
 		}
 		taken := map[string]bool{}
-		for _, reservation := range book.Reservations() {
-			at, found := book.At(reservation.Destination())
+		for _, reservation := range reservations.All() {
+			at, found := reservations.At(reservation.Destination())
 			if taken[reservation.Destination()] || !found || at.Task() != reservation.Task() {
-				t.Fatalf("step %d: %v", step, book.Reservations())
+				t.Fatalf("step %d: %v", step, reservations.All())
 			}
 			taken[reservation.Destination()] = true
 		}
--- a/relocation/book.go
+++ b/relocation/reservations.go
@@ -99,52 +99,52 @@
 	return "", false
 }
 
-// Book holds the reservations of an owner.
-type Book struct {
+// ReservationSet holds the reservations of an owner.
+type ReservationSet struct {
 	byTask        map[string]Reservation
 	byDestination map[string]string // the task
 }
 
-// NewBook returns a book without reservations.
-func NewBook() *Book {
-	return &Book{byTask: map[string]Reservation{}, byDestination: map[string]string{}}
+// NewReservationSet returns a set without reservations.
+func NewReservationSet() *ReservationSet {
+	return &ReservationSet{byTask: map[string]Reservation{}, byDestination: map[string]string{}}
 }
 
 // Reserve adds a reservation. It returns false, and adds nothing, if the task or the destination has one.
-func (book *Book) Reserve(reservation Reservation) bool {
-	_, taskReserved := book.byTask[reservation.task]
-	_, destinationReserved := book.byDestination[reservation.destination]
+func (set *ReservationSet) Reserve(reservation Reservation) bool {
+	_, taskReserved := set.byTask[reservation.task]
+	_, destinationReserved := set.byDestination[reservation.destination]
 	if taskReserved || destinationReserved {
 		return false
 	}
-	book.byTask[reservation.task] = reservation
-	book.byDestination[reservation.destination] = reservation.task
+	set.byTask[reservation.task] = reservation
+	set.byDestination[reservation.destination] = reservation.task
 	return true
 }
 
 // Release removes the reservation of a task, if it has one.
-func (book *Book) Release(task string) {
-	delete(book.byDestination, book.byTask[task].destination)
-	delete(book.byTask, task)
+func (set *ReservationSet) Release(task string) {
+	delete(set.byDestination, set.byTask[task].destination)
+	delete(set.byTask, task)
 }
 
 // For returns the reservation of a task, and whether there is one.
-func (book *Book) For(task string) (Reservation, bool) {
-	reservation, found := book.byTask[task]
+func (set *ReservationSet) For(task string) (Reservation, bool) {
+	reservation, found := set.byTask[task]
 	return reservation, found
 }
 
 // At returns the reservation of a destination, and whether there is one.
-func (book *Book) At(destination string) (Reservation, bool) {
-	task, reserved := book.byDestination[destination]
-	return book.byTask[task], reserved
+func (set *ReservationSet) At(destination string) (Reservation, bool) {
+	task, reserved := set.byDestination[destination]
+	return set.byTask[task], reserved
 }
 
-// Reservations returns all reservations, sorted by task.
-func (book *Book) Reservations() []Reservation {
+// All returns all reservations, sorted by task.
+func (set *ReservationSet) All() []Reservation {
 	var reservations []Reservation
-	for _, task := range slices.Sorted(maps.Keys(book.byTask)) {
-		reservations = append(reservations, book.byTask[task])
+	for _, task := range slices.Sorted(maps.Keys(set.byTask)) {
+		reservations = append(reservations, set.byTask[task])
 	}
 	return reservations
 }
