agent, owner: tests that offers pass by messages

Cause: no test noticed when an owner said that it takes offers with the feature off, or never, nor when an agent ignored that, sent no message for an offer, or did not read the answer. Change: one test on each side. Measured: each of these five, tried by removing it, fails one of them; both pass as it is.

--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -249,3 +249,26 @@
 		})
 	}
 }
+
+// TestOfferByMessages checks that an owner whose first message says that it takes offers is sent one in a message that
+// is due at once, and that its next message stops the run.
+func TestOfferByMessages(t *testing.T) {
+	h := newOfferHarness(t, "offers")
+	h.owner = &session{outbox: make(chan *wire.AgentMessage, outboxSize), closed: make(chan struct{})}
+	claims := &wire.OwnerMessage{Owner: "edge-2", TakesOffers: true, Owned: true, Shards: []*wire.ShardEpoch{{Shard: offeredShard, Epoch: 6}}}
+	h.agent.handleOwnerMessage(h.owner, claims, h.now)
+	h.agent.nextMessage(h.owner, h.agent.workerStatus(h.now), h.now)
+	h.decide()
+	if h.isStopped() || !h.agent.isUpdateDue(h.owner, h.now) {
+		t.Fatalf("stopped %v, want the run to go on and a message to be due", h.isStopped())
+	}
+	if offers := h.agent.nextMessage(h.owner, h.agent.workerStatus(h.now), h.now).GetOffers(); len(offers) != 1 {
+		t.Fatalf("offers %v", offers)
+	}
+	answer := h.accept()
+	answer.Epoch = 6
+	h.agent.handleOwnerMessage(h.owner, &wire.OwnerMessage{Moves: []*wire.MoveAnswer{answer}}, h.now)
+	if !h.isStopped() {
+		t.Error("the accepted offer does not stop the run")
+	}
+}
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -369,3 +369,15 @@
 		t.Errorf("the task is %v, want it to wait", task.State())
 	}
 }
+
+// TestOwnerSaysWhetherItTakesOffers checks that an owner's first message says so only if the feature is enabled.
+func TestOwnerSaysWhetherItTakesOffers(t *testing.T) {
+	for name, features := range map[string][]string{"on": {"offers"}, "off": nil} {
+		t.Run(name, func(t *testing.T) {
+			h := newMoveHarness(t, features...)
+			if got := h.connect("10.0.0.3:7001").nextMessage.GetTakesOffers(); got != (features != nil) {
+				t.Errorf("takes offers: %v", got)
+			}
+		})
+	}
+}
