--- a/agent/evict.go
+++ b/agent/evict.go
@@ -28,23 +28,47 @@
 	maxSlowedRestartPercent = 70
 )
 
-// evictOne evicts at most one fill run, which its owner then starts on a worker that tolerates it: the
-// movable run that interferes the most with serving runs, or else the one that has been slowed for the
-// longest.
+// evictOne evicts at most one fill run, or offers it to its owner, which then starts it on a worker that
+// tolerates it: the movable run that interferes the most with serving runs, or else the one that has been slowed
+// for the longest.
 func (agent *Agent) evictOne(state *workerState, servings []interference.ServingTask, fills []interference.FillTask, paces map[string]float64, now time.Time) {
 	if now.Sub(agent.pacer.lastEvictionAt) < evictionInterval {
 		return
 	}
 	for i := range fills {
 		run := state.runs[fills[i].Task]
-		fills[i].Movable = run.isEvictable(now) && run.losesLittleProgress(maxRestartPercent) && agent.benefitsFromMove(run, paces[run.task])
+		fills[i].Movable = run.isEvictable(now) && run.losesLittleProgress(maxRestartPercent) &&
+			agent.benefitsFromMove(run, paces[run.task]) &&
+			(agent.needsNoOffer(run, servings) || agent.mayOffer(run, paces[run.task], now))
 	}
 	if task, found := agent.pacer.model.EvictionCandidate(servings, fills, paces); found {
-		agent.evict(state, state.runs[task], now)
+		run := state.runs[task]
+		if agent.needsNoOffer(run, servings) {
+			agent.evict(state, run, now)
+			return
+		}
+		agent.offer(state, run, paces[task], now)
 		return
 	}
-	if run := state.longestSlowed(now); run != nil && agent.benefitsFromMove(run, paces[run.task]) {
-		agent.evict(state, run, now)
+	agent.moveLongestSlowed(state, servings, paces, now)
+}
+
+// moveLongestSlowed evicts the run that has been slowed for the longest, or offers it to its owner. Runs that may
+// not be offered now are passed over, so that they delay no others.
+func (agent *Agent) moveLongestSlowed(state *workerState, servings []interference.ServingTask, paces map[string]float64, now time.Time) {
+	run := state.longestSlowed(now, func(run *runState) bool {
+		return agent.needsNoOffer(run, servings) || agent.isOfferTurn(run, now)
+	})
+	switch {
+	case run == nil:
+	case agent.needsNoOffer(run, servings):
+		if agent.benefitsFromMove(run, paces[run.task]) {
+			agent.evict(state, run, now)
+		}
+	case !agent.gainsByMove(run, paces[run.task]):
+		run.offerBackoff.Extend(now) // The next run has its turn.
+	default:
+		agent.offer(state, run, paces[run.task], now)
 	}
 }
 
@@ -61,11 +85,12 @@
 }
 
 // longestSlowed returns the evictable run that has been slowed for the longest, and for at least
-// maxSlowedTime, or nil if there is none.
-func (state *workerState) longestSlowed(now time.Time) *runState {
+// maxSlowedTime, among those that mayMove accepts, or nil if there is none.
+func (state *workerState) longestSlowed(now time.Time, mayMove func(run *runState) bool) *runState {
 	var longest *runState
 	for _, run := range state.runs {
-		if run.slowedSince.IsZero() || now.Sub(run.slowedSince) < maxSlowedTime || !run.isEvictable(now) || !run.losesLittleProgress(maxSlowedRestartPercent) {
+		if run.slowedSince.IsZero() || now.Sub(run.slowedSince) < maxSlowedTime || !run.isEvictable(now) ||
+			!run.losesLittleProgress(maxSlowedRestartPercent) || !mayMove(run) {
 			continue
 		}
 		if longest == nil || run.slowedSince.Before(longest.slowedSince) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -171,6 +171,15 @@
 	BacklogUnknown
 )
 
+// Moves of fill runs to other workers.
+const (
+	MoveOffered Code = 1040 + iota
+	MoveAnswered
+	MoveReserved
+	MoveDeclined
+	MoveReservationEnded
+)
+
 // LinesDropped is about the log itself.
 const LinesDropped Code = 190
 
@@ -344,6 +353,11 @@
 	{JobForecast, slog.LevelInfo, "job forecast", "A job has ended of which the end had been forecast when its owner read it. The attributes give the forecast of the start and of the end with its deviation, the age of the oldest backlog that it was based on, the work ahead of the job, the work that had ended in the 5 s before and the processors in use, the end expected by these before it was corrected by earlier outcomes, the time that the job took, and the ratio of that time to the expected one.", hardLoadRelease},
 	{BacklogKnown, slog.LevelInfo, "backlog known", "The gateway knows the backlogs of all owners again, so it can forecast when jobs end. The attribute age is that of the oldest one.", hardLoadRelease},
 	{BacklogUnknown, slog.LevelWarn, "backlog unknown", "The gateway has no recent backlog of the shards in the attribute missing. It forecasts nothing, and no job is refused by a forecast, until it has.", hardLoadRelease},
+	{MoveOffered, slog.LevelInfo, "move offered", "An agent asked the owner of a slowed fill run whether another worker would take it. The run goes on meanwhile. The attributes give the run's pace, the work it has left, the time that the move would save, the least that it has to save, and the age of the worker's readings.", hardLoadRelease},
+	{MoveAnswered, slog.LevelInfo, "move answered", "What became of an agent's offer. The attribute outcome is accepted, and the run is stopped; declined, as no worker tolerates the run or the move would save too little; unanswered, as no answer came in time; or needless, as the run has ended or goes faster again, or another run of the worker has just been evicted. Except for accepted, the run goes on.", hardLoadRelease},
+	{MoveReserved, slog.LevelInfo, "move reserved", "An owner accepted an offer and reserved room for the run on another worker. The attributes give the pace at which the run goes now, the time that the move saves, the least that it has to save, how often the task has been interrupted, what the destination's serving tasks tolerate, and the age of that information.", hardLoadRelease},
+	{MoveDeclined, slog.LevelDebug, "move declined", "An owner declined an offer. The attribute reason says why. While no worker tolerates the run, it stays slowed where it is.", hardLoadRelease},
+	{MoveReservationEnded, slog.LevelInfo, "move reservation ended", "Room that was reserved for a run is not reserved any more. The attribute reason is used if the run was stopped and its task was placed there, or else says why that did not happen. The attribute after says how long the room was reserved.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -26,6 +26,9 @@
 	workersExamined  metric.Int64Counter
 	evacuatedDomains metric.Int64Gauge
 	forecastRatio    metric.Float64Histogram
+	moveOffers       metric.Int64Counter
+	moveReservations metric.Int64Counter
+	moveGap          metric.Float64Histogram
 }
 
 // newMetrics creates the instruments. Errors are ignored: the library returns them only for invalid names,
@@ -49,6 +52,9 @@
 	m.forecastRatio, _ = meter.Float64Histogram("ambertiller.job.forecast.ratio",
 		metric.WithDescription("Time that jobs took, divided by the time that was forecast, by queue."),
 		metric.WithExplicitBucketBoundaries(forecastRatioBuckets...))
+	m.moveOffers, _ = meter.Int64Counter("ambertiller.move.judged", metric.WithDescription("Offers of slowed fill runs that were answered, by verdict."))
+	m.moveReservations, _ = meter.Int64Counter("ambertiller.move.reservations", metric.WithDescription("Reservations of workers for fill runs that ended, by how."))
+	m.moveGap, _ = meter.Float64Histogram("ambertiller.move.gap", metric.WithUnit("s"), metric.WithDescription("Time from the end of a run that was stopped for a move to the next start of its task."))
 	return m
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -142,6 +142,7 @@
 	// learnedPublishedAt is when the interference estimates for agents were last recomputed.
 	learnedPublishedAt time.Time
 	advice             adviceQueue
+	moves              moves
 	traffic            *traffic.Counter
 	metrics            metrics
 	gaugesRecordedAt   time.Time
@@ -164,6 +165,7 @@
 		advice:           adviceQueue{steps: map[string]*stepAdvice{}},
 		placementChanges: newPlacementChanges(),
 		backlogs:         newBacklogState(),
+		moves:            newMoves(),
 	}
 	owner.leaveBeforeJoin.Store(true)
 	if options.Suspended != nil {
@@ -214,9 +216,11 @@
 	for _, view := range owner.agents {
 		owner.releaseExpiredRuns(view, now)
 	}
+	owner.settleReservations(now)
 	if owner.placementChanges.isDue(now) {
 		owner.placeJobs(owner.placementChanges.take(now), now)
 	}
+	owner.answerOffers(now)
 	for _, s := range owner.shards {
 		owner.flushShard(s, now)
 	}
