owner, relocation: a run may be moved to a worker that tolerates a part of it

Cause: with offers enabled, runs for which no worker had full tolerance stayed at 5% of their pace. Change: a destination has to tolerate 0.3 of what the task asks for, and the time saved is reckoned with the pace that it tolerates. Tests of relocation, owner (moves) and agent (offers) pass.

--- a/agent/offers.go
+++ b/agent/offers.go
@@ -64,7 +64,7 @@
 // by a move as the move costs. Its owner may ask for more.
 func (agent *Agent) gainsByMove(run *runState, pace float64) bool {
 	percent := toPercent(pace)
-	return percent < slowedPercent && relocation.TimeSaved(run.remainingWork(), percent) >= agent.moveCost(run)
+	return percent < slowedPercent && relocation.TimeSaved(run.remainingWork(), percent, relocation.FullPercent) >= agent.moveCost(run)
 }
 
 // toPercent returns a pace from 0 to 1 as a percentage.
@@ -85,7 +85,7 @@
 	agent.logRun(event.MoveOffered, run,
 		slog.Int64("offer", offer.Number()), slog.String("owner", s.ownerName), slog.String("image", run.demand.GetImage()),
 		slog.Int("percent", int(percent)), slog.Duration("remaining", remaining),
-		slog.Duration("saves", relocation.TimeSaved(remaining, percent)), slog.Duration("least", cost),
+		slog.Duration("saves", relocation.TimeSaved(remaining, percent, relocation.FullPercent)), slog.Duration("least", cost),
 		slog.Duration("age", now.Sub(state.provenAliveAt)))
 }
 
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -71,7 +71,7 @@
 // destinations are the workers that runs may be moved to in a tick.
 type destinations struct {
 	workers []*candidate
-	// tolerating holds those that tolerate a fill task in full.
+	// tolerating holds those that tolerate enough of a fill task.
 	//
 	// Performance: where few do, an offer does not look at every worker.
 	tolerating map[fillNeed][]*candidate
@@ -90,7 +90,7 @@
 	return destinations{workers: workers, tolerating: map[fillNeed][]*candidate{}}
 }
 
-// toleratingFor returns the workers that tolerate a task in full. They may lack other resources for it.
+// toleratingFor returns the workers that tolerate enough of a task. They may lack other resources for it.
 func (destinations destinations) toleratingFor(task *job.Task) []*candidate {
 	need := fillNeed{image: task.Spec().GetImage(), milliCPU: task.Spec().GetMilliCpu()}
 	workers, known := destinations.tolerating[need]
@@ -98,7 +98,7 @@
 		return workers
 	}
 	for _, worker := range destinations.workers {
-		if float64(worker.toleratedMilliCPU(need.image)) >= maxToleranceRatio*float64(need.milliCPU) {
+		if float64(worker.toleratedMilliCPU(need.image)) >= minMoveToleranceRatio*float64(need.milliCPU) {
 			workers = append(workers, worker)
 		}
 	}
@@ -180,27 +180,36 @@
 	if _, reserved := owner.moves.reservations.For(run.taskName); reserved {
 		return verdictReserved
 	}
-	saved := relocation.TimeSaved(time.Duration(offer.GetRemainingMs())*time.Millisecond, offer.GetPercent())
+	remaining := time.Duration(offer.GetRemainingMs()) * time.Millisecond
 	least := relocation.LeastGain(time.Duration(offer.GetMinGainMs())*time.Millisecond, run.task.Interruptions())
-	if saved < least {
+	if relocation.TimeSaved(remaining, offer.GetPercent(), relocation.FullPercent) < least {
 		return verdictLittleGain
 	}
 	destination := owner.bestDestination(run.task, received.source, among, now)
-	if destination == nil || !owner.reserve(run, received, destination, now) {
+	if destination == nil {
 		owner.enqueueAdvice(run.task, now)
 		return verdictNoWorker
 	}
+	percent := destination.expectedPercent(run.task)
+	saved := relocation.TimeSaved(remaining, offer.GetPercent(), percent)
+	if saved < least {
+		return verdictLittleGain
+	}
+	if !owner.reserve(run, received, destination, now) {
+		return verdictNoWorker
+	}
 	owner.logRun(event.MoveReserved, run,
 		slog.Int64("offer", offer.GetNumber()), slog.String("worker", destination.view.incarnation().WorkerID()),
-		slog.Int("percent", int(offer.GetPercent())), slog.Duration("saves", saved), slog.Duration("least", least),
+		slog.Int("percent", int(offer.GetPercent())), slog.Int("percent_there", int(percent)),
+		slog.Duration("saves", saved), slog.Duration("least", least),
 		slog.Int("interruptions", run.task.Interruptions()),
 		slog.Int64("tolerated_milli_cpu", destination.toleratedMilliCPU(run.demand.GetImage())),
 		slog.Duration("age", now.Sub(destination.view.lastMessageAt)))
 	return verdictReserved
 }
 
-// bestDestination returns the best worker that tolerates the task in full, is not the source and is not
-// reserved for another move, or nil if there is none.
+// bestDestination returns the worker that tolerates most of the task, is not the source and is not reserved for
+// another move, or nil if none tolerates enough.
 func (owner *Owner) bestDestination(task *job.Task, source *agentView, among destinations, now time.Time) *candidate {
 	others := slices.DeleteFunc(slices.Clone(among.toleratingFor(task)), func(worker *candidate) bool {
 		_, reserved := owner.moves.reservations.At(worker.view.address)
@@ -209,6 +218,20 @@
 	return owner.bestWorker(task, others, now)
 }
 
+// minMoveToleranceRatio is the share of the processors a fill task asks for that the serving tasks on a worker
+// must tolerate for the task to be moved there. With less, the run would be offered again at once.
+const minMoveToleranceRatio = 0.3
+
+// expectedPercent returns the pace, as a percentage, at which the worker would let a fill task run.
+func (worker *candidate) expectedPercent(task *job.Task) int32 {
+	asked := task.Spec().GetMilliCpu()
+	if asked <= 0 {
+		return relocation.FullPercent
+	}
+	percent := worker.toleratedMilliCPU(task.Spec().GetImage()) * relocation.FullPercent / asked
+	return int32(min(max(percent, 0), relocation.FullPercent))
+}
+
 // reserve reserves a worker for a run that is offered. It returns false if the worker is reserved already.
 func (owner *Owner) reserve(run *trackedRun, received receivedOffer, destination *candidate, now time.Time) bool {
 	view, number := destination.view, received.offer.GetNumber()
@@ -285,7 +308,7 @@
 	owner.releaseReservation(reservation)
 	workers := owner.candidates(slices.Values([]*agentView{view}), now)
 	for _, worker := range workers {
-		worker.toleranceRatio = toleranceRatioFor(task.Job().SlackRatio(now))
+		worker.toleranceRatio = min(toleranceRatioFor(task.Job().SlackRatio(now)), minMoveToleranceRatio)
 	}
 	if owner.bestWorker(task, workers, now) == nil {
 		return relocation.Unfit
--- a/relocation/doc.go
+++ b/relocation/doc.go
@@ -8,8 +8,8 @@
 // # Gain
 //
 // A move has to save more time than it costs. [TimeSaved] is how much sooner a run would end if it went on at
-// full pace at once, where its present pace counts for a few seconds only, since the load of the serving runs
-// changes. The cost is the time until the run goes on elsewhere, with the work that it repeats. For each
+// once at the pace that the other worker tolerates, where its present pace counts for a few seconds only, since
+// the load of the serving runs changes. The cost is the time until the run goes on elsewhere, with the work that it repeats. For each
 // earlier interruption of its task, the least gain grows by the cost once more, so that a task is not moved to
 // and fro while the tolerance of workers fluctuates; see [LeastGain].
 //
@@ -37,7 +37,7 @@
 //	offer, outcome := tracker.Answer(number, task, attempt, accepted, now)
 //
 //	// At the owner:
-//	if relocation.TimeSaved(remaining, percent) >= relocation.LeastGain(cost, interruptions) {
+//	if relocation.TimeSaved(remaining, here, there) >= relocation.LeastGain(cost, interruptions) {
 //		reserved := reservations.Reserve(relocation.NewReservation(task, attempt, offer, destination, now))
 //	}
 package relocation
--- a/relocation/gain.go
+++ b/relocation/gain.go
@@ -3,26 +3,26 @@
 import "time"
 
 const (
-	// fullPercent is the pace of a run that is not slowed.
-	fullPercent = 100
+	// FullPercent is the pace of a run that is not slowed.
+	FullPercent = 100
 	// paceHorizon is how long a run is taken to stay at its present pace. The load of serving tasks swings
 	// within tens of seconds, so a slowed run goes faster again by itself. Without this limit, runs without
 	// checkpoints would repeat more work than a slow stretch costs them.
 	paceHorizon = 8 * time.Second
 )
 
-// TimeSaved returns how much sooner a run with so much work left, measured as time at full pace, would end at
-// full pace than if it stayed at a pace of percent, for paceHorizon at most. The cost of the move is not included.
-func TimeSaved(remaining time.Duration, percent int32) time.Duration {
-	switch {
-	case remaining <= 0 || percent >= fullPercent:
+// TimeSaved returns how much sooner a run with so much work left, measured as time at full pace, would end at the
+// pace there than if it stayed at the pace here, for paceHorizon at most. Both paces are percentages. The cost of
+// the move is not included.
+func TimeSaved(remaining time.Duration, here, there int32) time.Duration {
+	if remaining <= 0 || here >= there {
 		return 0
-	case percent <= 0:
-		return paceHorizon
 	}
-	untilEnd := float64(remaining) * fullPercent / float64(percent)
-	slowFor := min(untilEnd, float64(paceHorizon))
-	return time.Duration(slowFor * float64(fullPercent-percent) / fullPercent)
+	slowFor := float64(paceHorizon)
+	if here > 0 {
+		slowFor = min(slowFor, float64(remaining)*FullPercent/float64(here))
+	}
+	return time.Duration(slowFor * float64(there-here) / float64(there))
 }
 
 // LeastGain returns the least time that a move has to save for a task that has been interrupted before. cost is
