owner, gateway: an owner that may have been replaced decides nothing

Cause: cut off from the store for 12 s, an owner kept its shards in memory for 11 s after the store had assigned them to others; it logged some 300 runs as lost and placed their tasks anew. The store and the agents refused all of that, but logs, metrics and answers of the process were false meanwhile. Change: feature confirmation. From MemberTimeout after the last join or append that the store answered was begun, an owner places nothing of the shard and considers none of its runs lost, and marks states in its replies, so that a gateway prefers the answer of the entry that owns the shard now. Off by default.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -164,6 +164,12 @@
 	EndPassedOver
 )
 
+// Ownership of shards while the store does not answer.
+const (
+	OwnershipUnconfirmed Code = 1050 + iota
+	OwnershipConfirmed
+)
+
 // LinesDropped is about the log itself.
 const LinesDropped Code = 190
 
@@ -196,6 +202,8 @@
 	incarnationRelease = "0.9"
 	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
 	candidacyRelease = "0.10"
+	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
+	hardLoadRelease = "0.11"
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -331,6 +339,9 @@
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is closed. Messages in transit on it have no effect. The attribute by is the number of the newer connection.", endTrackingRelease},
 	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker reports another start time than that of the incarnation that the agent manages: it has restarted under the same ID. The attributes give both start times, in milliseconds since 1970, and the number up to which the earlier incarnation had been told to forget its ends.", incarnationRelease},
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
+
+	{OwnershipUnconfirmed, slog.LevelWarn, "ownership unconfirmed", "The store has not confirmed the ownership of some of this entry's shards for so long that it may have assigned them to others. The entry places no tasks of these shards and considers none of their runs lost until the store answers. The attribute shards says how many there are, owned how many the entry owns as far as it knows, and since how long ago the last confirmation was requested.", hardLoadRelease},
+	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "The store has confirmed the ownership of all shards that this entry has, after event 1050. Shards that it has lost are given up by then. The attribute after says how long ago the last confirmation before had been requested.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/feature/feature.go
+++ b/feature/feature.go
@@ -34,11 +34,13 @@
 	// Offers makes agents offer a fill run to its owner, which finds another worker first, in place of
 	// evicting it.
 	Offers Feature = "offers"
+	// Confirmation makes an owner decide nothing for shards that the store may have assigned to another entry.
+	Confirmation Feature = "confirmation"
 )
 
 // requirements holds the features that a feature needs.
 var requirements = map[Feature][]Feature{
-	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Promises: nil, Offers: nil,
+	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Promises: nil, Offers: nil, Confirmation: nil,
 }
 
 // Set is a set of enabled features. The zero value has none.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,19 +29,30 @@
 	return reply, nil
 }
 
-// queryOwner requests the state from the owner in this process and, if that fails, from the entry that owns
-// the shard according to the store.
+// queryOwner requests the state from the owner in this process and, if that fails or the owner may have been
+// replaced, from the entry that owns the shard according to the store. If that entry doesn't answer, a state
+// from an owner that may have been replaced is returned: it was right when the store last confirmed the owner.
 func (directory *ownerDirectory) queryOwner(ctx context.Context, shard int, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
 	reply, err := directory.options.Owner.JobState(ctx, request)
-	if err == nil {
+	if err == nil && !reply.GetUnconfirmed() {
 		return reply, nil
 	}
 	directory.refresh(ctx, ownersMaxAge)
 	member := directory.ownerOf(shard)
 	if member == "" || member == directory.options.MemberName {
-		return nil, err
+		return reply, err
+	}
+	answer, answerErr := directory.requestState(ctx, member, request)
+	return preferredState(reply, err, answer, answerErr)
+}
+
+// preferredState selects between the reply of the owner in this process and that of the entry that owns the
+// shard according to the store. The latter is preferred unless it failed.
+func preferredState(local *wire.JobStateReply, localErr error, remote *wire.JobStateReply, remoteErr error) (*wire.JobStateReply, error) {
+	if remoteErr != nil && localErr == nil {
+		return local, nil
 	}
-	return directory.requestState(ctx, member, request)
+	return remote, remoteErr
 }
 
 // requestState requests the state of a job from another entry.
--- /dev/null
+++ b/owner/confirmation_test.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// newConfirmationHarness returns a harness with or without feature.Confirmation.
+func newConfirmationHarness(t *testing.T, enabled bool) *harness {
+	h := newHarness(t)
+	if !enabled {
+		return h
+	}
+	features, err := feature.Parse([]string{string(feature.Confirmation)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.owner.options.Features = features
+	return h
+}
+
+// loseStore lets the time pass after which the store may have assigned the shard to another entry.
+func (h *harness) loseStore() {
+	h.clock.Advance(h.owner.options.MemberTimeout + time.Millisecond)
+}
+
+// answerJoin has the store confirm the shards given, under the epoch that the harness has them.
+func (h *harness) answerJoin(shards ...int) {
+	h.owner.applyAssignment(platform.Assignment{Generation: h.shard.epoch, Partitions: shards}, h.clock.Now(), h.clock.Now())
+}
+
+// TestUnconfirmedOwnerPlacesNothing plays an owner that the store has not answered for longer than the timeout
+// of its membership: it places a task only if it still owns the shard once the store answers.
+func TestUnconfirmedOwnerPlacesNothing(t *testing.T) {
+	tests := map[string]struct {
+		enabled bool
+		answer  func(h *harness)
+		before  job.TaskState // while the store does not answer
+		after   job.TaskState
+	}{
+		"still the owner":   {true, func(h *harness) { h.answerJoin(h.shard.number) }, job.TaskState_TASK_WAITING, job.TaskState_TASK_STARTED},
+		"replaced":          {true, func(h *harness) { h.answerJoin() }, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
+		"no answer":         {true, func(*harness) {}, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
+		"an append is kept": {true, func(h *harness) { h.shard.appendedAt = h.clock.Now() }, job.TaskState_TASK_WAITING, job.TaskState_TASK_STARTED},
+		"not enabled":       {false, func(*harness) {}, job.TaskState_TASK_STARTED, job.TaskState_TASK_STARTED},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newConfirmationHarness(t, test.enabled)
+			h.attach()
+			h.loseStore()
+			h.receive(&wire.AgentMessage{})
+			task := h.submit().Tasks()[0]
+			h.tick()
+			if task.State() != test.before {
+				t.Errorf("state %v while the store does not answer", task.State())
+			}
+			test.answer(h)
+			h.tick()
+			if task.State() != test.after {
+				t.Errorf("state %v afterwards", task.State())
+			}
+		})
+	}
+}
+
+// TestUnconfirmedOwnerKeepsRuns: an agent lists the runs of a shard only to its present owner. An owner that has
+// been replaced without knowing it must not report them as lost.
+func TestUnconfirmedOwnerKeepsRuns(t *testing.T) {
+	tests := map[string]struct {
+		enabled, owner bool // whether the entry is still the owner once the store answers
+		before, after  job.TaskState
+	}{
+		"replaced":        {true, false, job.TaskState_TASK_STARTED, job.TaskState_TASK_STARTED},
+		"still the owner": {true, true, job.TaskState_TASK_STARTED, job.TaskState_TASK_WAITING},
+		"not enabled":     {false, false, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newConfirmationHarness(t, test.enabled)
+			task := h.adoptRun(workerID).Tasks()[0]
+			h.attach()
+			h.tick()
+			h.takeSent()
+			h.loseStore()
+			h.receive(&wire.AgentMessage{Complete: true})
+			if task.State() != test.before {
+				t.Errorf("state %v while the store does not answer", task.State())
+			}
+			if test.owner {
+				h.answerJoin(h.shard.number)
+			} else {
+				h.answerJoin()
+			}
+			h.receive(&wire.AgentMessage{Complete: true})
+			if task.State() != test.after {
+				t.Errorf("state %v afterwards", task.State())
+			}
+		})
+	}
+}
+
+// TestUnconfirmedStateIsMarked checks that the state of a job is marked as possibly outdated, but not an end
+// that is in the store.
+func TestUnconfirmedStateIsMarked(t *testing.T) {
+	tests := map[string]struct {
+		lost, ended, want bool
+	}{
+		"confirmed":             {false, false, false},
+		"unconfirmed":           {true, false, true},
+		"unconfirmed but ended": {true, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newConfirmationHarness(t, true)
+			j := h.submit()
+			if test.ended {
+				j.Cancel(h.clock.Now())
+				h.shard.endStoredAt[j.ID()] = h.clock.Now()
+			}
+			if test.lost {
+				h.loseStore()
+			}
+			go h.owner.eventLoop.RunNext(h.clock.Now())
+			reply, s, _ := h.owner.findJob(t.Context(), jobID)
+			if s == nil || reply.GetUnconfirmed() != test.want {
+				t.Errorf("shard %v, reply %v", s, reply)
+			}
+		})
+	}
+}
+
+// TestUnconfirmedPeriodIsLoggedOnce checks that a period without confirmation begins and ends once, however many
+// ticks and answers there are in it.
+func TestUnconfirmedPeriodIsLoggedOnce(t *testing.T) {
+	h := newConfirmationHarness(t, true)
+	h.tick()
+	if !h.owner.unconfirmedSince.IsZero() {
+		t.Fatal("unconfirmed from the start")
+	}
+	h.loseStore()
+	h.tick()
+	since := h.owner.unconfirmedSince
+	h.clock.Advance(time.Second)
+	h.tick()
+	if since.IsZero() || h.owner.unconfirmedSince != since {
+		t.Errorf("unconfirmed since %v, then since %v", since, h.owner.unconfirmedSince)
+	}
+	h.answerJoin(h.shard.number)
+	h.tick()
+	if !h.owner.unconfirmedSince.IsZero() {
+		t.Error("still unconfirmed after the store has answered")
+	}
+}
--- a/owner/flush.go
+++ b/owner/flush.go
@@ -29,6 +29,7 @@
 	}
 	records := owner.takeDirtyRecords(s)
 	s.writing = true
+	beganAt, suspendedBefore := now, owner.suspendedFor()
 	go func() {
 		if !owner.appendUntilStored(s, records) {
 			return
@@ -38,6 +39,7 @@
 				return
 			}
 			s.writing = false
+			s.appendedAt = beganAt.Add(min(suspendedBefore-owner.eventLoop.SuspendedFor(), 0))
 			for _, callback := range after {
 				callback(now)
 			}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -25,6 +25,7 @@
 	attachedAgents   metric.Int64Gauge
 	workersExamined  metric.Int64Counter
 	evacuatedDomains metric.Int64Gauge
+	unconfirmed      metric.Int64Gauge
 }
 
 // newMetrics creates the instruments. Errors are ignored: the library returns them only for invalid names,
@@ -45,6 +46,7 @@
 	m.attachedAgents, _ = meter.Int64Gauge("ambertiller.agent.attached", metric.WithDescription("Agents that this owner is connected to."))
 	m.workersExamined, _ = meter.Int64Counter("ambertiller.place.looked", metric.WithDescription("Workers that were looked at for a place, once for each job."))
 	m.evacuatedDomains, _ = meter.Int64Gauge("ambertiller.failure_domain.evacuated", metric.WithDescription("Failure domains that operators have evacuated, as this owner knows."))
+	m.unconfirmed, _ = meter.Int64Gauge("ambertiller.shard.unconfirmed", metric.WithDescription("Shards that the store may have assigned to another entry, so that nothing is decided for them."))
 	return m
 }
 
@@ -63,8 +65,11 @@
 		return
 	}
 	owner.gaugesRecordedAt = now
-	shards, live, attached := int64(0), int64(0), int64(0)
+	shards, live, attached, unconfirmed := int64(0), int64(0), int64(0), int64(0)
 	for _, s := range owner.shards {
+		if !owner.isConfirmed(s, now) {
+			unconfirmed++
+		}
 		if s.loaded {
 			shards++
 		}
@@ -77,6 +82,7 @@
 	}
 	owner.metrics.ownedShards.Record(owner.ctx, shards)
 	owner.metrics.liveJobs.Record(owner.ctx, live)
+	owner.metrics.unconfirmed.Record(owner.ctx, unconfirmed)
 	owner.metrics.attachedAgents.Record(owner.ctx, attached)
 	owner.metrics.workersExamined.Add(owner.ctx, owner.workersExamined)
 	owner.workersExamined = 0
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -125,6 +125,9 @@
 	// shards as of then.
 	lastJoinAt time.Time
 	shards     map[int]*shard
+	// unconfirmedSince is when the ownership of a shard was last confirmed that is no longer, or zero if all
+	// are confirmed.
+	unconfirmedSince time.Time
 	// fencedEpochs holds, by shard, the epoch under which the store has refused a write. The shard is not
 	// acquired again under that epoch.
 	fencedEpochs map[int]int64
@@ -206,6 +209,7 @@
 // tick does all work that is due. The event loop calls it after each batch of events and at least once per
 // tickInterval.
 func (owner *Owner) tick(now time.Time) {
+	owner.updateConfirmation(now)
 	for _, s := range owner.shards {
 		owner.pruneJobs(s, now)
 	}
--- a/owner/peer.go
+++ b/owner/peer.go
@@ -47,7 +47,7 @@
 	reply := &wire.JobStateReply{}
 	var loaded *shard
 	nextOffset := int64(0)
-	ok := owner.eventLoop.Call(ctx, func(time.Time) {
+	ok := owner.eventLoop.Call(ctx, func(now time.Time) {
 		s, j := owner.loadedJob(id)
 		if s == nil {
 			return
@@ -56,6 +56,9 @@
 		if j != nil {
 			reply.Known = true
 			reply.State = s.visibleState(j)
+			// An end that is in the store is final, whoever owns the shard.
+			_, isEndStored := s.endStoredAt[id]
+			reply.Unconfirmed = !isEndStored && !owner.isConfirmed(s, now)
 		}
 	})
 	if !ok {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -103,6 +103,10 @@
 // handleUnlistedRun releases a run that its agent does not list, if that proves that the run has ended or
 // will not start.
 func (owner *Owner) handleUnlistedRun(view *agentView, run *trackedRun, worker incarnation.ID, now time.Time) {
+	if !owner.isConfirmed(run.shard, now) {
+		// The agent may not list the run because its shard has another owner.
+		return
+	}
 	status := view.status()
 	if !status.GetReady() && !status.GetAccounted() {
 		// The agent may not know all runs of its worker yet.
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -41,6 +41,7 @@
 	dirty      map[string]*job.Job   // jobs whose progress is to be written
 	afterFlush []func(now time.Time) // called once the progress of the dirty jobs is in the store
 	writing    bool                  // a write to the store is in progress
+	appendedAt time.Time             // when the last write that succeeded was begun
 	sequence   int64                 // of the last append
 	// cancelled holds the jobs with a cancellation. A cancellation may be read before its job, since the
 	// store returns the newest records in the order of their keys.
