owner: record the gauge of unconfirmed shards only with the feature

The gauge ambertiller.shard.unconfirmed was recorded, as 0, also without the feature confirmation, so a process in which nothing is enabled exported a metric that it did not before. It is now recorded only with the feature. TestUnconfirmedGaugeNeedsFeature/not_enabled failed before and passes now.

--- a/owner/confirmation_test.go
+++ b/owner/confirmation_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
+
 	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
@@ -157,3 +160,28 @@
 		t.Error("still unconfirmed after the store has answered")
 	}
 }
+
+// TestUnconfirmedGaugeNeedsFeature checks that the metric exists only with the feature.
+func TestUnconfirmedGaugeNeedsFeature(t *testing.T) {
+	for name, enabled := range map[string]bool{"enabled": true, "not enabled": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newConfirmationHarness(t, enabled)
+			reader := sdkmetric.NewManualReader()
+			h.owner.metrics = newMetrics(sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)))
+			h.tick()
+			var collected metricdata.ResourceMetrics
+			if err := reader.Collect(t.Context(), &collected); err != nil {
+				t.Fatal(err)
+			}
+			found := false
+			for _, scope := range collected.ScopeMetrics {
+				for _, instrument := range scope.Metrics {
+					found = found || instrument.Name == "ambertiller.shard.unconfirmed"
+				}
+			}
+			if found != enabled {
+				t.Errorf("metric found: %v", found)
+			}
+		})
+	}
+}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -6,6 +6,7 @@
 
 	"go.opentelemetry.io/otel/metric"
 
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/telemetry"
 )
@@ -82,7 +83,9 @@
 	}
 	owner.metrics.ownedShards.Record(owner.ctx, shards)
 	owner.metrics.liveJobs.Record(owner.ctx, live)
-	owner.metrics.unconfirmed.Record(owner.ctx, unconfirmed)
+	if owner.options.Features.Has(feature.Confirmation) {
+		owner.metrics.unconfirmed.Record(owner.ctx, unconfirmed)
+	}
 	owner.metrics.attachedAgents.Record(owner.ctx, attached)
 	owner.metrics.workersExamined.Add(owner.ctx, owner.workersExamined)
 	owner.workersExamined = 0
