owner: an append does not show for MemberTimeout that no run was taken over

Cause: a shard counted as confirmed for MemberTimeout after an append that succeeded, but the store may assign it to another entry right after the append, once the joins have been missing for long enough. From then on its agents list the runs to the new owner only, and the old one took them for lost: up to joinInterval long if the store is cut off, up to MemberTimeout if joins fail first. Change: only joins confirm. A recent append still allows placing (mayPlace), which the store refuses to an owner that has been replaced, so lost answers of joins delay no starts. A flush takes the suspended time from the event loop, in place of three system calls for each append also without the feature. New tests for silent agents, a suspension, and from when an append counts: nothing tested these before. TestUnconfirmedOwnerPlacesNothing sets the time of the append by handleAppended, which also requests the placement pass, instead of the field.

--- a/owner/confirmation.go
+++ b/owner/confirmation.go
@@ -8,45 +8,44 @@
 	"ambertiller.example/ambertiller/feature"
 )
 
-// isConfirmed reports whether the store cannot have assigned the shard to another entry yet, as far as this
-// owner knows. The store does so once MemberTimeout has passed since the last join of this entry arrived. An
-// append that succeeded confirms the ownership too: the next owner fences this one before it decides anything.
+// isConfirmed reports whether the store cannot have assigned this owner's shards to another entry for lack of
+// joins. It does so once MemberTimeout has passed since the last join of this entry arrived.
 //
 // What an owner decides for a shard that it has lost has no effect on workers, because the store and the agents
 // refuse it. It would only make false what the owner logs, counts and answers.
-func (owner *Owner) isConfirmed(s *shard, now time.Time) bool {
+func (owner *Owner) isConfirmed(now time.Time) bool {
 	if !owner.options.Features.Has(feature.Confirmation) {
 		return true
 	}
-	return now.Sub(owner.confirmedAt(s)) <= owner.options.MemberTimeout
+	return now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
 }
 
-// confirmedAt returns when the call was sent by which the store last confirmed the ownership of a shard.
-func (owner *Owner) confirmedAt(s *shard) time.Time {
-	if s.appendedAt.After(owner.lastJoinAt) {
-		return s.appendedAt
+// mayPlace reports whether tasks of a shard may be placed. If joins are not answered, an append that succeeded
+// allows it as well: the next owner had not fenced this one yet when the store carried it out. The shard may
+// have been assigned to another entry since, but each start is appended before it is ordered, and the store
+// refuses that to an owner that has been replaced. Nothing of the kind prevents a run from being taken for lost.
+func (owner *Owner) mayPlace(s *shard, now time.Time) bool {
+	return owner.isConfirmed(now) || now.Sub(s.appendedAt) <= owner.options.MemberTimeout
+}
+
+// handleAppended records that an append to a shard has succeeded, and requests a full placement pass if that
+// allows placing again.
+func (owner *Owner) handleAppended(s *shard, beganAt, now time.Time) {
+	before := owner.mayPlace(s, now)
+	s.appendedAt = beganAt
+	if !before && owner.mayPlace(s, now) {
+		owner.placementChanges.addAll()
 	}
-	return owner.lastJoinAt
 }
 
-// updateConfirmation logs when the first of the owner's shards is no longer confirmed, and when all are again.
+// updateConfirmation logs when the owner's shards are no longer confirmed, and when they are again.
 func (owner *Owner) updateConfirmation(now time.Time) {
-	unconfirmed, since := 0, now
-	for _, s := range owner.shards {
-		if owner.isConfirmed(s, now) {
-			continue
-		}
-		unconfirmed++
-		if confirmedAt := owner.confirmedAt(s); confirmedAt.Before(since) {
-			since = confirmedAt
-		}
-	}
+	unconfirmed := len(owner.shards) > 0 && !owner.isConfirmed(now)
 	switch {
-	case unconfirmed > 0 && owner.unconfirmedSince.IsZero():
-		owner.unconfirmedSince = since
-		owner.log(event.OwnershipUnconfirmed, slog.Int("shards", unconfirmed), slog.Int("owned", len(owner.shards)),
-			slog.Duration("since", now.Sub(since)))
-	case unconfirmed == 0 && !owner.unconfirmedSince.IsZero():
+	case unconfirmed && owner.unconfirmedSince.IsZero():
+		owner.unconfirmedSince = owner.lastJoinAt
+		owner.log(event.OwnershipUnconfirmed, slog.Int("shards", len(owner.shards)), slog.Duration("since", now.Sub(owner.lastJoinAt)))
+	case !unconfirmed && !owner.unconfirmedSince.IsZero():
 		owner.log(event.OwnershipConfirmed, slog.Int("shards", len(owner.shards)), slog.Duration("after", now.Sub(owner.unconfirmedSince)))
 		owner.unconfirmedSince = time.Time{}
 		owner.placementChanges.addAll()
--- a/owner/confirmation_test.go
+++ b/owner/confirmation_test.go
@@ -49,7 +49,7 @@
 		"still the owner":   {true, func(h *harness) { h.answerJoin(h.shard.number) }, job.TaskState_TASK_WAITING, job.TaskState_TASK_STARTED},
 		"replaced":          {true, func(h *harness) { h.answerJoin() }, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
 		"no answer":         {true, func(*harness) {}, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
-		"an append is kept": {true, func(h *harness) { h.shard.appendedAt = h.clock.Now() }, job.TaskState_TASK_WAITING, job.TaskState_TASK_STARTED},
+		"an append is kept": {true, func(h *harness) { h.owner.handleAppended(h.shard, h.clock.Now(), h.clock.Now()) }, job.TaskState_TASK_WAITING, job.TaskState_TASK_STARTED},
 		"not enabled":       {false, func(*harness) {}, job.TaskState_TASK_STARTED, job.TaskState_TASK_STARTED},
 	}
 	for name, test := range tests {
@@ -73,15 +73,18 @@
 }
 
 // TestUnconfirmedOwnerKeepsRuns: an agent lists the runs of a shard only to its present owner. An owner that has
-// been replaced without knowing it must not report them as lost.
+// been replaced without knowing it must not report them as lost, whether or not the store accepted an append
+// after the last join: the shard may have been assigned to another entry since.
 func TestUnconfirmedOwnerKeepsRuns(t *testing.T) {
 	tests := map[string]struct {
-		enabled, owner bool // whether the entry is still the owner once the store answers
-		before, after  job.TaskState
+		enabled, appended, owner bool // owner: whether the entry is still the owner once the store answers
+		before, after            job.TaskState
 	}{
-		"replaced":        {true, false, job.TaskState_TASK_STARTED, job.TaskState_TASK_STARTED},
-		"still the owner": {true, true, job.TaskState_TASK_STARTED, job.TaskState_TASK_WAITING},
-		"not enabled":     {false, false, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
+		"replaced":                    {true, false, false, job.TaskState_TASK_STARTED, job.TaskState_TASK_STARTED},
+		"replaced after an append":    {true, true, false, job.TaskState_TASK_STARTED, job.TaskState_TASK_STARTED},
+		"still the owner":             {true, false, true, job.TaskState_TASK_STARTED, job.TaskState_TASK_WAITING},
+		"not enabled":                 {false, false, false, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
+		"not enabled, with an append": {false, true, false, job.TaskState_TASK_WAITING, job.TaskState_TASK_WAITING},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -91,6 +94,9 @@
 			h.tick()
 			h.takeSent()
 			h.loseStore()
+			if test.appended {
+				h.shard.appendedAt = h.clock.Now()
+			}
 			h.receive(&wire.AgentMessage{Complete: true})
 			if task.State() != test.before {
 				t.Errorf("state %v while the store does not answer", task.State())
@@ -108,6 +114,65 @@
 	}
 }
 
+// TestUnconfirmedOwnerKeepsRunsOfSilentAgent: the next owner may have extended the runs of an agent that this
+// owner no longer hears from.
+func TestUnconfirmedOwnerKeepsRunsOfSilentAgent(t *testing.T) {
+	tests := map[string]struct {
+		enabled bool
+		before  job.TaskState // while the store does not answer
+	}{
+		"enabled":     {true, job.TaskState_TASK_STARTED},
+		"not enabled": {false, job.TaskState_TASK_WAITING},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newConfirmationHarness(t, test.enabled)
+			task := h.adoptRun(workerID).Tasks()[0]
+			h.clock.Advance(storeOutageTolerance + h.owner.maxRunAfterGrant() + time.Second)
+			h.tick()
+			if task.State() != test.before {
+				t.Errorf("state %v while the store does not answer", task.State())
+			}
+			h.answerJoin(h.shard.number)
+			h.tick()
+			if task.State() != job.TaskState_TASK_WAITING {
+				t.Errorf("state %v afterwards", task.State())
+			}
+		})
+	}
+}
+
+// TestSuspensionMakesOwnerUnconfirmed checks that neither a join nor an append from before a suspension of the
+// machine counts afterwards.
+func TestSuspensionMakesOwnerUnconfirmed(t *testing.T) {
+	h := newConfirmationHarness(t, true)
+	h.attach()
+	h.shard.appendedAt = h.clock.Now()
+	h.owner.handleSuspension(h.owner.options.MemberTimeout+time.Millisecond, h.clock.Now())
+	task := h.submit().Tasks()[0]
+	h.tick()
+	if task.State() != job.TaskState_TASK_WAITING || h.owner.unconfirmedSince.IsZero() {
+		t.Errorf("state %v, unconfirmed since %v", task.State(), h.owner.unconfirmedSince)
+	}
+}
+
+// TestAppendCountsFromItsBeginning checks that an append counts once it has succeeded, from when it was begun.
+func TestAppendCountsFromItsBeginning(t *testing.T) {
+	h := newConfirmationHarness(t, true)
+	h.loseStore()
+	beganAt := h.clock.Now()
+	h.shard.dirty[jobID] = h.submit()
+	h.owner.flushShard(h.shard, beganAt)
+	if !h.shard.appendedAt.IsZero() {
+		t.Error("counted before the store has answered")
+	}
+	h.clock.Advance(time.Second)
+	h.awaitWrites()
+	if !h.shard.appendedAt.Equal(beganAt) {
+		t.Errorf("appended at %v, begun at %v", h.shard.appendedAt, beganAt)
+	}
+}
+
 // TestUnconfirmedStateIsMarked checks that the state of a job is marked as possibly outdated, but not an end
 // that is in the store.
 func TestUnconfirmedStateIsMarked(t *testing.T) {
--- a/owner/expired_runs.go
+++ b/owner/expired_runs.go
@@ -10,10 +10,10 @@
 }
 
 // releaseExpiredRuns releases the runs of an agent that has sent nothing until its last grant must have
-// expired. Runs of a shard that is not confirmed are kept: their next owner may have extended them.
+// expired. While the shards are not confirmed it keeps them: their next owner may have extended them.
 func (owner *Owner) releaseExpiredRuns(view *agentView, now time.Time) {
 	for _, run := range view.runs {
-		if !owner.isConfirmed(run.shard, now) || view.conn != nil && now.Sub(view.lastMessageAt) < 2*grantInterval {
+		if !owner.isConfirmed(now) || view.conn != nil && now.Sub(view.lastMessageAt) < 2*grantInterval {
 			continue
 		}
 		deadline := view.grantEnd.Add(grantMargin)
--- a/owner/flush.go
+++ b/owner/flush.go
@@ -29,7 +29,7 @@
 	}
 	records := owner.takeDirtyRecords(s)
 	s.writing = true
-	beganAt, suspendedBefore := now, owner.suspendedFor()
+	beganAt, suspendedBefore := now, owner.eventLoop.SuspendedFor()
 	go func() {
 		if !owner.appendUntilStored(s, records) {
 			return
@@ -39,7 +39,7 @@
 				return
 			}
 			s.writing = false
-			s.appendedAt = beganAt.Add(min(suspendedBefore-owner.eventLoop.SuspendedFor(), 0))
+			owner.handleAppended(s, beganAt.Add(suspendedBefore-owner.eventLoop.SuspendedFor()), now)
 			for _, callback := range after {
 				callback(now)
 			}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -47,7 +47,7 @@
 	m.attachedAgents, _ = meter.Int64Gauge("ambertiller.agent.attached", metric.WithDescription("Agents that this owner is connected to."))
 	m.workersExamined, _ = meter.Int64Counter("ambertiller.place.looked", metric.WithDescription("Workers that were looked at for a place, once for each job."))
 	m.evacuatedDomains, _ = meter.Int64Gauge("ambertiller.failure_domain.evacuated", metric.WithDescription("Failure domains that operators have evacuated, as this owner knows."))
-	m.unconfirmed, _ = meter.Int64Gauge("ambertiller.shard.unconfirmed", metric.WithDescription("Shards that the store may have assigned to another entry, so that nothing is decided for them."))
+	m.unconfirmed, _ = meter.Int64Gauge("ambertiller.shard.unconfirmed", metric.WithDescription("Shards that the store may have assigned to another entry, so that none of their runs is considered lost."))
 	return m
 }
 
@@ -66,11 +66,8 @@
 		return
 	}
 	owner.gaugesRecordedAt = now
-	shards, live, attached, unconfirmed := int64(0), int64(0), int64(0), int64(0)
+	shards, live, attached := int64(0), int64(0), int64(0)
 	for _, s := range owner.shards {
-		if !owner.isConfirmed(s, now) {
-			unconfirmed++
-		}
 		if s.loaded {
 			shards++
 		}
@@ -84,7 +81,11 @@
 	owner.metrics.ownedShards.Record(owner.ctx, shards)
 	owner.metrics.liveJobs.Record(owner.ctx, live)
 	if owner.options.Features.Has(feature.Confirmation) {
-		owner.metrics.unconfirmed.Record(owner.ctx, unconfirmed)
+		unconfirmed := 0
+		if !owner.isConfirmed(now) {
+			unconfirmed = len(owner.shards)
+		}
+		owner.metrics.unconfirmed.Record(owner.ctx, int64(unconfirmed))
 	}
 	owner.metrics.attachedAgents.Record(owner.ctx, attached)
 	owner.metrics.workersExamined.Add(owner.ctx, owner.workersExamined)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -125,8 +125,8 @@
 	// shards as of then.
 	lastJoinAt time.Time
 	shards     map[int]*shard
-	// unconfirmedSince is when the ownership of a shard was last confirmed that is no longer, or zero if all
-	// are confirmed.
+	// unconfirmedSince is when the last join that the store answered was sent, if the shards are not confirmed
+	// any more, or zero.
 	unconfirmedSince time.Time
 	// fencedEpochs holds, by shard, the epoch under which the store has refused a write. The shard is not
 	// acquired again under that epoch.
--- a/owner/peer.go
+++ b/owner/peer.go
@@ -58,7 +58,7 @@
 			reply.State = s.visibleState(j)
 			// An end that is in the store is final, whoever owns the shard.
 			_, isEndStored := s.endStoredAt[id]
-			reply.Unconfirmed = !isEndStored && !owner.isConfirmed(s, now)
+			reply.Unconfirmed = !isEndStored && !owner.isConfirmed(now)
 		}
 	})
 	if !ok {
--- a/owner/place.go
+++ b/owner/place.go
@@ -82,13 +82,13 @@
 	return maxToleranceRatio * min(slack/fullToleranceSlack, 1)
 }
 
-// jobsByUrgency returns the jobs of confirmed shards that have not ended, the most urgent first. They are ordered by
-// priority, then long-running jobs before others, then jobs that can still meet their objective before
+// jobsByUrgency returns the jobs that have not ended and may be placed, the most urgent first. They are ordered
+// by priority, then long-running jobs before others, then jobs that can still meet their objective before
 // late ones, then by objective.
 func (owner *Owner) jobsByUrgency(now time.Time) []*job.Job {
 	var jobs []*job.Job
 	for _, s := range owner.shards {
-		if !s.loaded || !owner.isConfirmed(s, now) {
+		if !s.loaded || !owner.mayPlace(s, now) {
 			continue
 		}
 		for _, j := range s.live {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -103,7 +103,7 @@
 // handleUnlistedRun releases a run that its agent does not list, if that proves that the run has ended or
 // will not start.
 func (owner *Owner) handleUnlistedRun(view *agentView, run *trackedRun, worker incarnation.ID, now time.Time) {
-	if !owner.isConfirmed(run.shard, now) {
+	if !owner.isConfirmed(now) {
 		// The agent may not list the run because its shard has another owner.
 		return
 	}
