gateway: a referral holds a known state back for half a second at most

Cause: a state from an owner that may have been replaced was held back until the store had answered who owns the shard, or for ownersTimeout, and then until that entry had answered, or for peerTimeout: 1.5 s in an outage of the store with an owner that has ended, of the 2.5 s that a client has by default. Without the feature it is answered at once. Change: referral waits for at most referralTimeout (250 ms) for each of the two. The path for a shard that the owner in this process doesn't own is as it was before the feature.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,6 +14,10 @@
 // peerTimeout bounds one request to another entry, which may have stopped.
 const peerTimeout = 700 * time.Millisecond
 
+// referralTimeout bounds each request that is made although a state is known already that the client can be
+// given. A slow store answers within a quarter of a second.
+const referralTimeout = 250 * time.Millisecond
+
 // jobState returns the state of a job from the owner of its shard.
 func (directory *ownerDirectory) jobState(ctx context.Context, id string) (*wire.JobStateReply, error) {
 	shard := job.ShardOf(id, directory.options.Shards)
@@ -30,29 +34,55 @@
 }
 
 // queryOwner requests the state from the owner in this process and, if that fails or the owner may have been
-// replaced, from the entry that owns the shard according to the store. If that entry doesn't answer, a state
-// from an owner that may have been replaced is returned: it was right when the store last confirmed the owner.
+// replaced, from the entry that owns the shard according to the store.
 func (directory *ownerDirectory) queryOwner(ctx context.Context, shard int, request *wire.JobStateRequest) (*wire.JobStateReply, error) {
 	reply, err := directory.options.Owner.JobState(ctx, request)
-	if err == nil && !reply.GetUnconfirmed() {
+	if err == nil && reply.GetUnconfirmed() {
+		return directory.referral(ctx, shard, request, reply), nil
+	}
+	if err == nil {
 		return reply, nil
 	}
 	directory.refresh(ctx, ownersMaxAge)
 	member := directory.ownerOf(shard)
 	if member == "" || member == directory.options.MemberName {
-		return reply, err
+		return nil, err
+	}
+	return directory.requestState(ctx, member, request)
+}
+
+// referral returns the state from the entry that owns the shard according to the store. If that is this entry
+// or it doesn't answer, referral returns local, the reply of an owner that may have been replaced: it was right
+// when the store last confirmed the owner.
+func (directory *ownerDirectory) referral(ctx context.Context, shard int, request *wire.JobStateRequest, local *wire.JobStateReply) *wire.JobStateReply {
+	directory.tryRefresh(ctx)
+	member := directory.ownerOf(shard)
+	if member == "" || member == directory.options.MemberName {
+		return local
+	}
+	ctx, cancel := context.WithTimeout(ctx, referralTimeout)
+	defer cancel()
+	reply, err := directory.requestState(ctx, member, request)
+	if err != nil {
+		return local
 	}
-	answer, answerErr := directory.requestState(ctx, member, request)
-	return preferredState(reply, err, answer, answerErr)
+	return reply
 }
 
-// preferredState selects between the reply of the owner in this process and that of the entry that owns the
-// shard according to the store. The latter is preferred unless it failed.
-func preferredState(local *wire.JobStateReply, localErr error, remote *wire.JobStateReply, remoteErr error) (*wire.JobStateReply, error) {
-	if remoteErr != nil && localErr == nil {
-		return local, nil
+// tryRefresh is refresh, but waits no longer than referralTimeout for the store. The read goes on until
+// ownersTimeout, for later requests.
+func (directory *ownerDirectory) tryRefresh(ctx context.Context) {
+	waitCtx, cancel := context.WithTimeout(ctx, referralTimeout)
+	defer cancel()
+	refreshed := make(chan struct{})
+	go func() {
+		defer close(refreshed)
+		directory.refresh(ctx, ownersMaxAge)
+	}()
+	select {
+	case <-refreshed:
+	case <-waitCtx.Done():
 	}
-	return remote, remoteErr
 }
 
 // requestState requests the state of a job from another entry.
