--- a/owner/confirmation_test.go
+++ b/owner/confirmation_test.go
@@ -1,12 +1,15 @@
 package owner
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
+	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
@@ -207,7 +210,23 @@
 // ticks and answers there are in it.
 func TestUnconfirmedPeriodIsLoggedOnce(t *testing.T) {
 	h := newConfirmationHarness(t, true)
+	var lines bytes.Buffer
+	events, err := event.Open(&lines, "json", "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.owner.options.Events = events
+	expectLogged := func(unconfirmed, confirmed int) {
+		t.Helper()
+		if got := strings.Count(lines.String(), "ownership unconfirmed"); got != unconfirmed {
+			t.Errorf("event 1050 logged %d times", got)
+		}
+		if got := strings.Count(lines.String(), "ownership confirmed"); got != confirmed {
+			t.Errorf("event 1051 logged %d times", got)
+		}
+	}
 	h.tick()
+	expectLogged(0, 0)
 	if !h.owner.unconfirmedSince.IsZero() {
 		t.Fatal("unconfirmed from the start")
 	}
@@ -216,6 +235,7 @@
 	since := h.owner.unconfirmedSince
 	h.clock.Advance(time.Second)
 	h.tick()
+	expectLogged(1, 0)
 	if since.IsZero() || h.owner.unconfirmedSince != since {
 		t.Errorf("unconfirmed since %v, then since %v", since, h.owner.unconfirmedSince)
 	}
@@ -224,6 +244,8 @@
 	if !h.owner.unconfirmedSince.IsZero() {
 		t.Error("still unconfirmed after the store has answered")
 	}
+	h.tick()
+	expectLogged(1, 1)
 }
 
 // TestUnconfirmedGaugeNeedsFeature checks that the metric exists only with the feature.
