--- a/owner/confirmation_test.go
+++ b/owner/confirmation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -248,27 +249,60 @@
 	expectLogged(1, 1)
 }
 
-// TestUnconfirmedGaugeNeedsFeature checks that the metric exists only with the feature.
-func TestUnconfirmedGaugeNeedsFeature(t *testing.T) {
-	for name, enabled := range map[string]bool{"enabled": true, "not enabled": false} {
+// TestEntryWithoutShardsIsNotUnconfirmed: an entry that is no candidate for owning shards never joins.
+func TestEntryWithoutShardsIsNotUnconfirmed(t *testing.T) {
+	h := newConfirmationHarness(t, true)
+	delete(h.owner.shards, h.shard.number)
+	h.loseStore()
+	h.tick()
+	if !h.owner.unconfirmedSince.IsZero() {
+		t.Errorf("unconfirmed since %v", h.owner.unconfirmedSince)
+	}
+}
+
+// TestUnconfirmedGauge checks the value of the gauge, and that it is recorded only with the feature.
+func TestUnconfirmedGauge(t *testing.T) {
+	tests := map[string]struct {
+		enabled, lost bool
+		want          []int64
+	}{
+		"confirmed":   {true, false, []int64{0}},
+		"unconfirmed": {true, true, []int64{1}},
+		"not enabled": {false, true, nil},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			h := newConfirmationHarness(t, enabled)
+			h := newConfirmationHarness(t, test.enabled)
 			reader := sdkmetric.NewManualReader()
 			h.owner.metrics = newMetrics(sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)))
+			if test.lost {
+				h.loseStore()
+			}
 			h.tick()
-			var collected metricdata.ResourceMetrics
-			if err := reader.Collect(t.Context(), &collected); err != nil {
-				t.Fatal(err)
+			if got := collectGauge(t, reader, "ambertiller.shard.unconfirmed"); !slices.Equal(got, test.want) {
+				t.Errorf("values %v", got)
 			}
-			found := false
-			for _, scope := range collected.ScopeMetrics {
-				for _, instrument := range scope.Metrics {
-					found = found || instrument.Name == "ambertiller.shard.unconfirmed"
-				}
+		})
+	}
+}
+
+// collectGauge returns the values of a gauge.
+func collectGauge(t *testing.T, reader sdkmetric.Reader, name string) []int64 {
+	var collected metricdata.ResourceMetrics
+	if err := reader.Collect(t.Context(), &collected); err != nil {
+		t.Fatal(err)
+	}
+	var values []int64
+	for _, scope := range collected.ScopeMetrics {
+		for _, instrument := range scope.Metrics {
+			gauge, isGauge := instrument.Data.(metricdata.Gauge[int64])
+			if instrument.Name != name || !isGauge {
+				continue
 			}
-			if found != enabled {
-				t.Errorf("metric found: %v", found)
+			for _, point := range gauge.DataPoints {
+				values = append(values, point.Value)
 			}
-		})
+		}
 	}
+	return values
 }
