event: 1051 is also logged when an entry gives up all its shards

An entry that ends its candidacy, or stops, gives up its shards without an answer of the store, and 1051 ends the period then too. The description said otherwise.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -341,7 +341,7 @@
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
 
 	{OwnershipUnconfirmed, slog.LevelWarn, "ownership unconfirmed", "The store has not confirmed the ownership of this entry's shards for so long that it may have assigned them to others. The entry considers none of their runs lost until the store answers a join, and places tasks only of shards for which the store has just accepted an append. The attribute shards says how many shards the entry owns as far as it knows, and since how long ago the last join that was answered had been sent.", hardLoadRelease},
-	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "The store has confirmed the ownership of all shards that this entry has, after event 1050. Shards that it has lost are given up by then. The attribute after says how long ago the last join that was answered before event 1050 had been sent.", hardLoadRelease},
+	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "After event 1050, the store has confirmed the ownership of all shards that this entry still has. Shards that it has lost, or all if it stops to own any, are given up by then (event 704). The attribute after says how long ago the last join that was answered before event 1050 had been sent.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
