--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -180,6 +180,12 @@
 	MoveReservationEnded
 )
 
+// Ownership of shards while the store does not answer.
+const (
+	OwnershipUnconfirmed Code = 1050 + iota
+	OwnershipConfirmed
+)
+
 // LinesDropped is about the log itself.
 const LinesDropped Code = 190
 
@@ -358,6 +364,8 @@
 	{MoveReserved, slog.LevelInfo, "move reserved", "An owner accepted an offer and reserved room for the run on another worker. The attributes give the pace at which the run goes now, the time that the move saves, the least that it has to save, how often the task has been interrupted, what the destination's serving tasks tolerate, and the age of that information.", hardLoadRelease},
 	{MoveDeclined, slog.LevelDebug, "move declined", "An owner declined an offer. The attribute reason says why. While no worker tolerates the run, it stays slowed where it is.", hardLoadRelease},
 	{MoveReservationEnded, slog.LevelInfo, "move reservation ended", "Room that was reserved for a run is not reserved any more. The attribute reason is used if the run was stopped and its task was placed there, or else says why that did not happen. The attribute after says how long the room was reserved.", hardLoadRelease},
+	{OwnershipUnconfirmed, slog.LevelWarn, "ownership unconfirmed", "The store has not confirmed the ownership of this entry's shards for so long that it may have assigned them to others. The entry considers none of their runs lost until the store answers a join, and places tasks only of shards for which the store has just accepted an append. The attribute shards says how many shards the entry owns as far as it knows, and since how long ago the last join that was answered had been sent.", hardLoadRelease},
+	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "After event 1050, the store has confirmed the ownership of all shards that this entry still has. Shards that it has lost, or all if it stops to own any, are given up by then (event 704). The attribute after says how long ago the last join that was answered before event 1050 had been sent.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/owner/flush.go
+++ b/owner/flush.go
@@ -29,6 +29,7 @@
 	}
 	records := owner.takeDirtyRecords(s)
 	s.writing = true
+	beganAt, suspendedBefore := now, owner.eventLoop.SuspendedFor()
 	go func() {
 		if !owner.appendUntilStored(s, records) {
 			return
@@ -38,6 +39,7 @@
 				return
 			}
 			s.writing = false
+			owner.handleAppended(s, beganAt.Add(suspendedBefore-owner.eventLoop.SuspendedFor()), now)
 			for _, callback := range after {
 				callback(now)
 			}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -6,6 +6,7 @@
 
 	"go.opentelemetry.io/otel/metric"
 
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/telemetry"
 )
@@ -29,6 +30,7 @@
 	moveOffers       metric.Int64Counter
 	moveReservations metric.Int64Counter
 	moveGap          metric.Float64Histogram
+	unconfirmed      metric.Int64Gauge
 }
 
 // newMetrics creates the instruments. Errors are ignored: the library returns them only for invalid names,
@@ -55,6 +57,7 @@
 	m.moveOffers, _ = meter.Int64Counter("ambertiller.move.judged", metric.WithDescription("Offers of slowed fill runs that were answered, by verdict."))
 	m.moveReservations, _ = meter.Int64Counter("ambertiller.move.reservations", metric.WithDescription("Reservations of workers for fill runs that ended, by how."))
 	m.moveGap, _ = meter.Float64Histogram("ambertiller.move.gap", metric.WithUnit("s"), metric.WithDescription("Time from the end of a run that was stopped for a move to the next start of its task."))
+	m.unconfirmed, _ = meter.Int64Gauge("ambertiller.shard.unconfirmed", metric.WithDescription("Shards that the store may have assigned to another entry, so that none of their runs is considered lost."))
 	return m
 }
 
@@ -90,6 +93,13 @@
 	}
 	owner.metrics.ownedShards.Record(owner.ctx, shards)
 	owner.metrics.liveJobs.Record(owner.ctx, live)
+	if owner.options.Features.Has(feature.Confirmation) {
+		unconfirmed := 0
+		if !owner.isConfirmed(now) {
+			unconfirmed = len(owner.shards)
+		}
+		owner.metrics.unconfirmed.Record(owner.ctx, int64(unconfirmed))
+	}
 	owner.metrics.attachedAgents.Record(owner.ctx, attached)
 	owner.metrics.workersExamined.Add(owner.ctx, owner.workersExamined)
 	owner.workersExamined = 0
