share, owner: shares of queues while a service has too few workers

Cause: among queues of one priority, long-running tasks are placed first and keep what they reserve, so short tasks wait for a fraction of a core; among batch jobs of a queue, all make some progress and none ends in time. Change: package share divides a service's processors among its queues (max-min fair, by priority), orders queues by use relative to their shares and the jobs within a queue by whether they can be in time and what they have left, with one start in four for the job that has waited longest; it also says how much of a worker long-running tasks leave to short ones. Package owner uses it only with the feature shares enabled, and only while tasks of two queues of one priority and service have found no worker with free resources within a second. Event 1020 and two gauges show shares and use.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -101,6 +101,11 @@
 	CandidacyEnded
 )
 
+// Shares of queues.
+const (
+	SharesChanged Code = 1020 + iota
+)
+
 // Jobs, their runs and their ends.
 const (
 	JobAccepted Code = 800 + iota
@@ -196,6 +201,8 @@
 	incarnationRelease = "0.9"
 	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
 	candidacyRelease = "0.10"
+	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
+	hardLoadRelease = "0.11"
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -331,6 +338,8 @@
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is closed. Messages in transit on it have no effect. The attribute by is the number of the newer connection.", endTrackingRelease},
 	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker reports another start time than that of the incarnation that the agent manages: it has restarted under the same ID. The attributes give both start times, in milliseconds since 1970, and the number up to which the earlier incarnation had been told to forget its ends.", incarnationRelease},
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
+
+	{SharesChanged, slog.LevelInfo, "shares changed", "The shares of queues in the processors of their service have changed, or have been computed for the first time. There are too few workers: tasks of two or more queues with the same priority found no worker with free resources. The attribute queues lists for each queue with a demand the room of its service, its share, what its running tasks use, and its demand, which includes its waiting tasks. The attribute peers is the number of other owners whose reports counted, and peers_age the age of the oldest of them; without any, only the jobs of this owner are counted. Logged at most once a second.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -11,6 +11,7 @@
 	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/share"
 	"ambertiller.example/ambertiller/status"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -71,6 +72,8 @@
 	noSuspectsUntil time.Time
 	// sentEvacuations are the evacuated failure domains last sent to the agent on the current connection.
 	sentEvacuations []string
+	// shortPeaks holds, by priority, what short tasks have used on the worker lately.
+	shortPeaks map[int32]*share.RecentPeak
 	// preemptedAt is when the agent was last asked to preempt runs.
 	preemptedAt time.Time
 }
@@ -86,6 +89,7 @@
 	return &agentView{
 		address: address, statusDecoder: status.NewDecoder(), runs: map[string]*trackedRun{},
 		nextMessage: &wire.OwnerMessage{}, claimSequences: map[int]int64{}, endedIncarnations: map[incarnation.ID]bool{},
+		shortPeaks: map[int32]*share.RecentPeak{},
 	}
 }
 
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -42,6 +42,9 @@
 	// toleranceRatio is the share of the processors a fill task asks for that the serving tasks
 	// must tolerate. It is set for each job in turn.
 	toleranceRatio float64
+	// shortReserve is what long-running tasks have to leave to short ones as of createdAt.
+	shortReserve shortReserve
+	createdAt    time.Time
 }
 
 // agentViews returns an iterator over all known agents.
@@ -57,6 +60,7 @@
 			continue
 		}
 		worker := newCandidate(view)
+		worker.shortReserve, worker.createdAt = owner.shortReserveOf(view, now), now
 		worker.evacuated = owner.isEvacuated(view)
 		worker.hasSuspect = now.Before(view.noSuspectsUntil)
 		worker.hasProbationRun = view.hasProbationRun(now)
@@ -141,6 +145,9 @@
 	if missing := worker.free.Shortage(admission.ReservedBy(spec)); missing != "" {
 		return obstacle(missing)
 	}
+	if worker.isReserved(task) {
+		return obstacleShortReserve
+	}
 	switch {
 	case !spec.GetFills():
 		return obstacleNone
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -27,6 +27,7 @@
 			member.MarkUnplaced(string(mostCommonObstacle(member, workers)), now)
 		}
 	}
+	owner.shares.noteUnplaced(members[0], workers, now)
 	owner.enqueueAdvice(members[0], now)
 }
 
--- a/owner/obstacle.go
+++ b/owner/obstacle.go
@@ -17,6 +17,7 @@
 	obstacleIdleProcessors obstacle = "idle processors"
 	obstacleInterference   obstacle = "interference"
 	obstacleTicket         obstacle = "advice"
+	obstacleShortReserve   obstacle = "kept for short tasks"
 	obstacleNoWorkers      obstacle = "workers"
 )
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -134,6 +134,7 @@
 	// evacuationState says which failure domains are evacuated, and as of when that is known.
 	evacuationState  operator.EvacuationState
 	peerBacklogs     peerBacklogs
+	shares           *roomShares // nil if the feature is off
 	placementChanges placementChanges
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
 	// of the metrics was last increased.
@@ -162,6 +163,7 @@
 		metrics:          newMetrics(options.Meters),
 		advice:           adviceQueue{steps: map[string]*stepAdvice{}},
 		placementChanges: newPlacementChanges(),
+		shares:           newRoomShares(options),
 	}
 	owner.leaveBeforeJoin.Store(true)
 	if options.Suspended != nil {
--- a/owner/place.go
+++ b/owner/place.go
@@ -84,7 +84,7 @@
 
 // jobsByUrgency returns the jobs that have not ended, the most urgent first. They are ordered by
 // priority, then long-running jobs before others, then jobs that can still meet their objective before
-// late ones, then by objective.
+// late ones, then by objective. Queues that compete for too few workers take turns by their shares instead.
 func (owner *Owner) jobsByUrgency(now time.Time) []*job.Job {
 	var jobs []*job.Job
 	for _, s := range owner.shards {
@@ -102,6 +102,7 @@
 		late[j] = j.SlackRatio(now) <= 0
 	}
 	slices.SortFunc(jobs, func(a, b *job.Job) int { return compareUrgency(a, b, late) })
+	owner.orderByShares(jobs, now)
 	return jobs
 }
 
@@ -256,6 +257,9 @@
 	if !task.IsUnplaced() {
 		task.MarkUnplaced(string(mostCommonObstacle(task, set.workers)), now)
 	}
+	if set.complete {
+		owner.shares.noteUnplaced(task, set.workers, now)
+	}
 	owner.enqueueAdvice(task, now)
 	return set.complete && owner.preemptFor(task, set.workers, now)
 }
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -31,12 +31,17 @@
 
 // preemptionTarget returns the worker with the smallest shortage for a task among those where it would
 // fit once runs of lower priority have been stopped, or nil if there is none. It skips workers where
-// the task fits already or has no ticket, since preemption would not help there.
+// the task fits already, has to leave processors to short tasks, or has no ticket, since preemption would not
+// help there.
 func (owner *Owner) preemptionTarget(task *job.Task, workers []*candidate, now time.Time) *candidate {
 	var best *candidate
 	minShortage := 0.0
 	for _, worker := range workers {
-		if now.Sub(worker.view.preemptedAt) < preemptInterval || worker.fits(task) || !worker.fitsAfterReclaim(task) {
+		found := worker.obstacleTo(task)
+		if found == obstacleNone || found == obstacleShortReserve {
+			continue
+		}
+		if now.Sub(worker.view.preemptedAt) < preemptInterval || !worker.fitsAfterReclaim(task) {
 			continue
 		}
 		if _, allowed := owner.ticketFor(task, worker.view.incarnation(), now); !allowed {
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -41,6 +41,7 @@
 	run := newTrackedRun(s, task, now)
 	run.ticket, _ = owner.ticketFor(task, run.place.Incarnation, now)
 	view.runs[run.taskName] = run
+	owner.countStart(task, view, now)
 	if task.IsSuspect() {
 		view.noSuspectsUntil = now.Add(suspectSpacing)
 	}
--- /dev/null
+++ b/owner/shares_test.go
@@ -0,0 +1,257 @@
+package owner
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/share"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// enableShares enables the feature.
+func enableShares(h *harness) {
+	h.t.Helper()
+	features, err := feature.Parse([]string{"backlog", "shares"})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.owner.shares = newRoomShares(Options{Features: features})
+}
+
+// submitQueues submits two long-running jobs to one queue and two short ones to another, all for workers with a
+// label.
+func submitQueues(h *harness, label string) {
+	for number, name := range []string{"long", "long", "short", "short"} {
+		h.submitWith(func(submission *job.Submission) {
+			submission.Id = jobIDInShard(h.shard.number, number)
+			submission.Queue = name
+			submission.Steps[0].Lasting = name == "long"
+			submission.Steps[0].Label = label
+		})
+	}
+}
+
+// queueOrder returns the queues of the jobs in the order of placing.
+func queueOrder(h *harness) string {
+	var names []string
+	for _, j := range h.owner.jobsByUrgency(h.clock.Now()) {
+		names = append(names, j.Submission().GetQueue())
+	}
+	return strings.Join(names, " ")
+}
+
+// TestOrderByShares: queues take turns while both lack a worker, by what this owner and the recent reports of
+// others say that they use, in which a shard counts once. Otherwise the order is that without shares.
+func TestOrderByShares(t *testing.T) {
+	const other = 100
+	report := func(ageMs int64, shards ...int32) *wire.OwnerBacklog {
+		return &wire.OwnerBacklog{AgeMs: ageMs, Shards: shards, Queues: []*wire.QueueBacklog{
+			{Queue: "long", Service: "verbale", UsedMilliCpu: 1000, WantedMilliCpu: 1000},
+			{Queue: "long", Service: "verbale", UsedMilliCpu: 4000, Need: wire.TaskNeed_NEED_LASTING},
+		}}
+	}
+	own := int32(job.ShardOf(jobID, 8))
+	const plain, inTurn, byUse = "long long short short", "long short long short", "short short long long"
+	tests := map[string]struct {
+		off, room bool
+		label     string
+		reports   []*wire.OwnerBacklog
+		want      string
+		used      int64
+	}{
+		"off":                               {off: true, want: plain},
+		"there is room":                     {room: true, want: plain},
+		"no worker has the label":           {label: "rare", want: plain},
+		"told nothing":                      {want: inTurn},
+		"told in time":                      {reports: []*wire.OwnerBacklog{report(2000, other)}, want: byUse, used: 5000},
+		"told late":                         {reports: []*wire.OwnerBacklog{report(3100, other)}, want: inTurn},
+		"told twice":                        {reports: []*wire.OwnerBacklog{report(0, other), report(500, other)}, want: byUse, used: 5000},
+		"a shard has just moved here":       {reports: []*wire.OwnerBacklog{report(0, own)}, want: inTurn},
+		"one of two shards has moved here":  {reports: []*wire.OwnerBacklog{report(0, own, other)}, want: byUse, used: 2500},
+		"an older build, without any shard": {reports: []*wire.OwnerBacklog{report(0)}, want: inTurn},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			if !test.off {
+				enableShares(h)
+			}
+			submitQueues(h, test.label)
+			h.attach()
+			status := idleWorkerStatus()
+			if !test.room {
+				status.FreeMilliCpu = 0
+			}
+			h.receive(&wire.AgentMessage{Status: status})
+			h.owner.peerBacklogs = peerBacklogs{backlogs: test.reports, receivedAt: h.clock.Now()}
+			h.tick()
+			if got := queueOrder(h); got != test.want {
+				t.Errorf("the order is %q, want %q", got, test.want)
+			}
+			if test.want == plain {
+				return
+			}
+			key := serviceQueue{service: "verbale", queue: share.Queue{Name: "long"}}
+			if got := h.owner.shares.queues[key].demand.UsedMilliCPU; got != test.used {
+				t.Errorf("the long-running queue counts as using %d, want %d", got, test.used)
+			}
+		})
+	}
+}
+
+// TestShortageEnds: the order is that without shares again, and nothing is kept of the jobs, one second after
+// a task was last left without a worker.
+func TestShortageEnds(t *testing.T) {
+	h := newHarness(t)
+	enableShares(h)
+	submitQueues(h, "")
+	h.attach()
+	full := idleWorkerStatus()
+	full.FreeMilliCpu = 0
+	h.receive(&wire.AgentMessage{Status: full})
+	h.tick()
+	if queueOrder(h) != "long short long short" {
+		t.Fatal("there is no shortage")
+	}
+	h.clock.Advance(shortageWindow)
+	if got := queueOrder(h); got != "long long short short" {
+		t.Errorf("the order is %q", got)
+	}
+	if len(h.owner.shares.jobs)+len(h.owner.shares.gauged) > 0 {
+		t.Error("jobs or gauges are left")
+	}
+}
+
+// TestReserveForShortTasks: after a short task was placed on a worker, a long-running one leaves it as much
+// for a time, while the workers are too few and unless it is more urgent. It preempts nothing for that.
+func TestReserveForShortTasks(t *testing.T) {
+	tests := map[string]struct {
+		sufficient bool
+		priority   int32
+		waited     time.Duration
+		want       obstacle
+	}{
+		"too few workers":   {want: obstacleShortReserve},
+		"sufficient":        {sufficient: true, want: obstacleNone},
+		"it is more urgent": {priority: -1, want: obstacleNone},
+		"it has waited":     {waited: 1600 * time.Millisecond, want: obstacleNone},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			enableShares(h)
+			h.submit()
+			h.attachAndStart()
+			now := h.clock.Now()
+			status := idleWorkerStatus()
+			status.FreeMilliCpu = 700
+			status.Reclaimable = []*wire.Reclaimable{{Priority: 9, MilliCpu: 4000}}
+			h.receive(&wire.AgentMessage{Status: status})
+			lasting := job.New(&job.Submission{
+				Id: jobID, Service: "verbale", Priority: test.priority,
+				Steps: []*job.StepSpec{{Count: 1, MilliCpu: 600, Lasting: true}},
+			}, h.shard.number).Tasks()[0]
+			lasting.MarkUnplaced("processors", now.Add(-test.waited))
+			if !test.sufficient {
+				h.owner.shares.shortUntil[competition{service: "verbale"}] = now.Add(time.Second)
+			}
+			workers := h.owner.candidates(h.owner.agentViews(), now)
+			if got := workers[0].obstacleTo(lasting); got != test.want {
+				t.Errorf("obstacle %q, want %q", got, test.want)
+			}
+			if h.owner.preemptionTarget(lasting, workers, now) != nil {
+				t.Error("a worker was chosen for preemption")
+			}
+		})
+	}
+}
+
+// TestReserveAvoidsRefusals: with the reserve, a long-running task is not ordered on workers with barely enough
+// resources, where it is refused, while another worker has twice as much. It guards against the refusals
+// of TestRefusedTaskIsPlacedElsewhere.
+func TestReserveAvoidsRefusals(t *testing.T) {
+	for seed := range uint64(60) {
+		h := newHarness(t)
+		j := h.submitWith(func(submission *job.Submission) {
+			submission.Steps[0] = &job.StepSpec{Count: 1, MilliCpu: taskMilliCPU, MemoryMb: 1, Lasting: true, Image: "counter"}
+		})
+		workers := &fleet{rng: rand.New(rand.NewPCG(seed, 5))}
+		for range maxStatusAge + 1 {
+			workers.advance()
+		}
+		candidates := workers.candidates()
+		for _, worker := range candidates {
+			worker.shortReserve.milliCPU = share.ShortReserve(workerMilliCPU, workerMilliCPU)
+		}
+		chosen := h.owner.bestWorker(j.Tasks()[0], candidates, h.clock.Now())
+		if chosen == nil || !workers.hasResources(t, chosen) {
+			t.Errorf("seed %d: the task waits or is refused", seed)
+		}
+	}
+}
+
+// TestSharesAreLogged: shares that change in each count are logged once a second, with what decided.
+func TestSharesAreLogged(t *testing.T) {
+	h := newHarness(t)
+	enableShares(h)
+	logged := &bytes.Buffer{}
+	events, err := event.Open(logged, "json", "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	submitQueues(h, "")
+	h.attach()
+	status := idleWorkerStatus()
+	status.MilliCpu, status.FreeMilliCpu = 40_000, 0
+	h.receive(&wire.AgentMessage{Status: status})
+	h.owner.options.Events = events
+	h.owner.shares.shortUntil[competition{service: "verbale"}] = h.clock.Now().Add(time.Minute)
+	for count := range 21 {
+		used := &wire.QueueBacklog{Queue: "long", Service: "verbale", UsedMilliCpu: int64(count) * 1000}
+		report := &wire.OwnerBacklog{Shards: []int32{100}, AgeMs: 250, Queues: []*wire.QueueBacklog{used}}
+		h.owner.peerBacklogs = peerBacklogs{receivedAt: h.clock.Now(), backlogs: []*wire.OwnerBacklog{report}}
+		h.owner.jobsByUrgency(h.clock.Now())
+		h.clock.Advance(100 * time.Millisecond)
+	}
+	lines := strings.Split(strings.TrimSpace(logged.String()), "\n")
+	if len(lines) != 3 {
+		t.Errorf("%d lines in 2 s", len(lines))
+	}
+	for _, want := range []string{
+		fmt.Sprintf(`"event":%d`, event.SharesChanged), `"queue":"long"`, `"room_milli_cpu":40000`, `"used_milli_cpu":20000`,
+		`"demand_milli_cpu":22000`, `"peers":1`, `"peers_age":250000000`,
+	} {
+		if !strings.Contains(lines[len(lines)-1], want) {
+			t.Errorf("%s is not in %s", want, lines[len(lines)-1])
+		}
+	}
+}
+
+// BenchmarkOrderByShares measures the order of a pass with and without shares, and with a count of all queues
+// in each pass in place of one in 100 ms.
+func BenchmarkOrderByShares(b *testing.B) {
+	for _, name := range []string{"off", "shares", "count"} {
+		b.Run(name, func(b *testing.B) {
+			h := newHarness(b)
+			addFullWorkers(h, 0, 400)
+			if name != "off" {
+				enableShares(h)
+				h.owner.shares.shortUntil[competition{service: "verbale"}] = h.clock.Now().Add(time.Hour)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if name == "count" {
+					h.owner.shares.countedAt = time.Time{}
+				}
+				h.owner.jobsByUrgency(h.clock.Now())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/share/doc.go
@@ -0,0 +1,37 @@
+// Package share divides the workers of a service among its queues while they are too few.
+//
+// The load that it answers: queues of one priority want more than the workers have. In the order of
+// objectives alone, a queue of long-running tasks, which keep what they reserve, leaves nothing for a queue of
+// short tasks that would need a fraction of a core for a second; and among the batch jobs of a queue all make
+// some progress while none ends in time.
+//
+// # Shares
+//
+// [Divide] gives each queue its max-min fair share of the processors. Priorities come first: what more urgent
+// queues use is subtracted before the rest is divided. Within a priority all queues have the same weight, and
+// a queue's share is at most its demand, so that other queues borrow what it doesn't need. A [Division] keeps
+// the shares until a demand has changed noticeably or a period has passed that depends on the shortest target
+// duration.
+//
+// Shares limit nothing: they only decide about the order of placing. [Sequence] gives the next turn to the
+// queue that uses the least relative to its share. Within a queue, jobs that can still meet their objective
+// come first, and of these the job with the least work left. Every few starts, the turn is that of the job
+// that has waited longest, once that exceeds a limit given by its own target duration.
+//
+// # Reserve for short tasks
+//
+// A long-running task that takes the last free processors of a worker keeps them. [ShortReserve] is the part of
+// a worker's processors that long-running tasks leave to short ones, and [IsReserved] decides whether a task
+// has to.
+//
+// # Other owners
+//
+// Each owner decides for its own jobs, by what all owners report of their queues. [Fractions] says how much of
+// each report counts, so that no shard is counted twice.
+//
+// # Usage
+//
+//	if division.Update(roomMilliCPU, demands, now) { ... }
+//	line := &share.Line{Queue: queue, ShareMilliCPU: division.ShareMilliCPU(queue), UsedMilliCPU: used, Jobs: jobs}
+//	for _, next := range share.Sequence([]*share.Line{line, other}) { ... }
+package share
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,210 @@
+package share_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/share"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// randomDemands returns demands of up to eight queues with three priorities, and a room that is often too
+// small for them.
+func randomDemands(rng *rand.Rand) (roomMilliCPU int64, demands []share.Demand) {
+	for number := range 1 + rng.IntN(8) {
+		demands = append(demands, share.Demand{
+			Queue:        share.Queue{Name: fmt.Sprint(number), Priority: rng.Int32N(3)},
+			UsedMilliCPU: rng.Int64N(20_000), WantedMilliCPU: 1 + rng.Int64N(40_000),
+		})
+	}
+	return 10_000 + rng.Int64N(100_000), demands
+}
+
+// TestDivideProperties: within each priority, shares sum exactly to the room that is left or to all demands;
+// every queue gets its demand or an equal part; and a greater demand never gets less.
+func TestDivideProperties(t *testing.T) {
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		room, demands := randomDemands(rng)
+		shares := share.Divide(room, demands)
+		left := room
+		for priority := range int32(3) {
+			sum, wanted, used, queues := int64(0), int64(0), int64(0), int64(0)
+			for index, demand := range demands {
+				if demand.Queue.Priority == priority {
+					sum, wanted, used, queues = sum+shares[index], wanted+demand.MilliCPU(), used+demand.UsedMilliCPU, queues+1
+				}
+			}
+			if sum != min(left, wanted) {
+				t.Fatalf("seed %d, priority %d: shares sum to %d of %d, %d wanted", seed, priority, sum, left, wanted)
+			}
+			for index, demand := range demands {
+				if demand.Queue.Priority == priority && shares[index] < min(demand.MilliCPU(), left/queues) {
+					t.Fatalf("seed %d: %v gets %d of %d", seed, demand, shares[index], left)
+				}
+			}
+			left = max(left-used, 0)
+		}
+		index := rng.IntN(len(demands))
+		demands[index].WantedMilliCPU += 1 + rng.Int64N(10_000)
+		if more := share.Divide(room, demands)[index]; more < shares[index] {
+			t.Fatalf("seed %d: a greater demand gets %d, not %d", seed, more, shares[index])
+		}
+	}
+}
+
+// TestSharesDoNotFlap: demands that vary by 10% change the shares once per return time at most, and never the
+// order of two queues whose use relative to their shares differs clearly.
+func TestSharesDoNotFlap(t *testing.T) {
+	const target, seconds = 2 * time.Second, 60
+	rng := rand.New(rand.NewPCG(7, 1))
+	division, changes := &share.Division{}, 0
+	a, b := share.Queue{Name: "a"}, share.Queue{Name: "b"}
+	for tick := range seconds * 10 {
+		vary := func(milliCPU int64) int64 { return milliCPU * (900 + rng.Int64N(201)) / 1000 }
+		demands := []share.Demand{
+			{Queue: a, WantedMilliCPU: vary(40_000), Target: target},
+			{Queue: b, WantedMilliCPU: vary(80_000)},
+			{Queue: share.Queue{Name: "c"}, WantedMilliCPU: vary(20_000)},
+		}
+		if division.Update(100_000, demands, start.Add(time.Duration(tick)*100*time.Millisecond)) {
+			changes++
+		}
+		low := &share.Line{Queue: b, ShareMilliCPU: division.ShareMilliCPU(b), UsedMilliCPU: 20_000}
+		high := &share.Line{Queue: a, ShareMilliCPU: division.ShareMilliCPU(a), UsedMilliCPU: 30_000}
+		if low.Compare(high) >= 0 {
+			t.Fatalf("tick %d: the queue further below its share is not first", tick)
+		}
+	}
+	if most := seconds*2 + 1; changes > most {
+		t.Errorf("the shares changed %d times in %d s, more than %d", changes, seconds, most)
+	}
+}
+
+// TestDivisionFollowsDemand: a noticeable change counts at once, a small one after a quarter of the shortest
+// target duration, and a queue without demand lends its share.
+func TestDivisionFollowsDemand(t *testing.T) {
+	tests := map[string]struct {
+		wanted  int64
+		after   time.Duration
+		changed bool
+	}{
+		"the queue returns":            {40_000, 10 * time.Millisecond, true},
+		"a small change, soon":         {11_000, 400 * time.Millisecond, false},
+		"a small change, after a time": {11_000, 500 * time.Millisecond, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			quiet := share.Demand{Queue: share.Queue{Name: "quiet"}, WantedMilliCPU: 10_000, Target: 2 * time.Second}
+			busy := share.Demand{Queue: share.Queue{Name: "busy"}, WantedMilliCPU: 90_000}
+			division := &share.Division{}
+			division.Update(60_000, []share.Demand{quiet, busy}, start)
+			if borrowed := division.ShareMilliCPU(busy.Queue); borrowed != 50_000 {
+				t.Fatalf("the busy queue has %d", borrowed)
+			}
+			quiet.WantedMilliCPU = test.wanted
+			if changed := division.Update(60_000, []share.Demand{quiet, busy}, start.Add(test.after)); changed != test.changed {
+				t.Errorf("changed: %v", changed)
+			}
+			if got := division.ShareMilliCPU(quiet.Queue); test.changed && got != min(test.wanted, 30_000) {
+				t.Errorf("the quiet queue has %d", got)
+			}
+		})
+	}
+}
+
+// TestJobOrder: jobs in time before late ones, then the least work, long-running ones last; the job that has
+// waited longest gets one start in four.
+func TestJobOrder(t *testing.T) {
+	jobs := func() []*share.Job {
+		return []*share.Job{
+			{ID: "service", LongRunning: true, Target: time.Hour},
+			{ID: "late", Late: true, Work: 1, Target: time.Second, Waited: time.Minute},
+			{ID: "later", Late: true, Work: 2, Target: time.Second, Waited: 2 * time.Minute},
+			{ID: "large", Work: 9, Target: time.Hour, Waited: time.Minute},
+			{ID: "small", Work: 3, Target: time.Hour},
+		}
+	}
+	tests := map[string]struct {
+		starts int
+		want   string
+	}{
+		"the oldest is due":      {3, "[later small large service late]"},
+		"the oldest is due soon": {2, "[small later large service late]"},
+		"it has just had a turn": {0, "[small large service later late]"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var ids []string
+			for _, job := range share.Sequence([]*share.Line{{StartsSinceOldest: test.starts, Jobs: jobs()}}) {
+				ids = append(ids, job.ID)
+			}
+			if fmt.Sprint(ids) != test.want {
+				t.Errorf("got %v, want %s", ids, test.want)
+			}
+		})
+	}
+	overdue := &share.Job{LongRunning: true, Target: time.Hour, Waited: 2 * time.Second}
+	if !overdue.IsOverdue() {
+		t.Error("a long-running job may be passed over for longer than 1.5 s")
+	}
+	line, other := &share.Line{ShareMilliCPU: 5, Jobs: jobs()}, &share.Line{ShareMilliCPU: 4}
+	compare := func() { line.Compare(other); line.Jobs[0].Compare(line.Jobs[1]) }
+	if allocations := testing.AllocsPerRun(100, compare); allocations > 0 {
+		t.Errorf("comparisons allocate %v times", allocations)
+	}
+}
+
+// TestShortReserve: the reserve is at most an eighth of the worker, decreases to nothing, and doesn't bind
+// a task that has waited or that has room twice over.
+func TestShortReserve(t *testing.T) {
+	peak := &share.RecentPeak{}
+	if peak.MilliCPU(start) != 0 {
+		t.Error("there is a peak without any short task")
+	}
+	peak.Observe(1000, start)
+	peak.Observe(200, start.Add(time.Second))
+	for after, want := range map[time.Duration]int64{time.Second: 800, 3 * time.Second: 480, 6 * time.Second: 0} {
+		if got := peak.MilliCPU(start.Add(after)); got != want {
+			t.Errorf("after %v the peak is %d, not %d", after, got, want)
+		}
+	}
+	if share.ShortReserve(32_000, 9000) != 4000 || share.ShortReserve(32_000, 500) != 500 {
+		t.Error("the reserve is not the peak up to an eighth of the worker")
+	}
+	tests := map[string]struct {
+		free, needed int64
+		waited       time.Duration
+		reserved     bool
+	}{
+		"a sliver":                    {1200, 1000, 0, true},
+		"beside the reserve":          {1500, 1000, 0, false},
+		"it has waited":               {1200, 1000, 2 * time.Second, false},
+		"room twice over":             {400, 200, 0, false},
+		"nearly twice, and no sliver": {390, 200, 0, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := share.IsReserved(test.free, test.needed, 500, test.waited); got != test.reserved {
+				t.Errorf("reserved: %v", got)
+			}
+		})
+	}
+}
+
+// TestFractions: a shard counts once, and old reports and those without shards not at all.
+func TestFractions(t *testing.T) {
+	reports := []share.Report{
+		{Shards: []int32{1, 2, 3, 4}, Age: 2 * time.Second},
+		{Shards: []int32{4, 5}, Age: time.Second},
+		{Shards: []int32{6}, Age: 4 * time.Second},
+		{},
+	}
+	got := share.Fractions(reports, func(shard int32) bool { return shard == 1 })
+	if fmt.Sprint(got) != "[0.5 1 0 0]" {
+		t.Errorf("got %v", got)
+	}
+}
