--- a/owner/shares.go
+++ b/owner/shares.go
@@ -491,11 +491,12 @@
 	return shortReserve{milliCPU: share.ShortReserve(view.status().GetMilliCpu(), peak), priority: priority}
 }
 
-// isReserved reports whether a task that fits on the worker has to leave its processors to short tasks.
+// isReserved reports whether a task that fits on the worker has to leave its processors to short tasks. A task
+// that has been refused doesn't have to: its wait is counted anew, and it would wait the same time again.
 func (worker *candidate) isReserved(task *job.Task) bool {
 	spec, reserve := task.Spec(), worker.shortReserve
 	isMoreUrgent := task.Job().Submission().GetPriority() < reserve.priority
-	if reserve.milliCPU == 0 || isMoreUrgent || !spec.GetLasting() || spec.GetFills() {
+	if reserve.milliCPU == 0 || isMoreUrgent || task.Refusals() > 0 || !spec.GetLasting() || spec.GetFills() {
 		return false
 	}
 	waited, _ := task.UnplacedFor(worker.createdAt)
--- a/owner/shares_test.go
+++ b/owner/shares_test.go
@@ -136,11 +136,13 @@
 		sufficient bool
 		priority   int32
 		waited     time.Duration
+		refused    bool
 		want       obstacle
 	}{
 		"too few workers":   {want: obstacleShortReserve},
 		"sufficient":        {sufficient: true, want: obstacleNone},
 		"it is more urgent": {priority: -1, want: obstacleNone},
+		"it was refused":    {refused: true, want: obstacleNone},
 		"it has waited":     {waited: 1600 * time.Millisecond, want: obstacleNone},
 	}
 	for name, test := range tests {
@@ -159,6 +161,9 @@
 				Steps: []*job.StepSpec{{Count: 1, MilliCpu: 600, Lasting: true}},
 			}, h.shard.number).Tasks()[0]
 			lasting.MarkUnplaced("processors", now.Add(-test.waited))
+			if test.refused {
+				lasting.AddRefusal()
+			}
 			if !test.sufficient {
 				h.owner.shares.shortUntil[competition{service: "verbale"}] = now.Add(time.Second)
 			}
@@ -180,7 +185,7 @@
 	for seed := range uint64(60) {
 		h := newHarness(t)
 		j := h.submitWith(func(submission *job.Submission) {
-			submission.Steps[0] = &job.StepSpec{Count: 1, MilliCpu: taskMilliCPU, MemoryMb: 1, Lasting: true, Image: "counter"}
+			submission.Steps[0] = &job.StepSpec{Count: 1, MilliCpu: taskMilliCPU, MemoryMb: 1, Lasting: true, Image: "counter", TargetMs: 50}
 		})
 		workers := &fleet{rng: rand.New(rand.NewPCG(seed, 5))}
 		for range maxStatusAge + 1 {
