share: the queues of an owner are kept by a pure table

Cause: which queues compete, what they use and when a job that waited long had its turn were decided in owner, beside the wiring; preemption looked at all obstacles of a worker before the time of its last order. Change: share.Table and its shortages hold that state and decide, with now as an argument; owner/shares.go only tells them what runs and waits. TestCompetition: queues compete only within a service, a priority and a second.

--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -37,11 +37,11 @@
 	var best *candidate
 	minShortage := 0.0
 	for _, worker := range workers {
-		found := worker.obstacleTo(task)
-		if found == obstacleNone || found == obstacleShortReserve {
+		if now.Sub(worker.view.preemptedAt) < preemptInterval {
 			continue
 		}
-		if now.Sub(worker.view.preemptedAt) < preemptInterval || !worker.fitsAfterReclaim(task) {
+		found := worker.obstacleTo(task)
+		if found == obstacleNone || found == obstacleShortReserve || !worker.fitsAfterReclaim(task) {
 			continue
 		}
 		if _, allowed := owner.ticketFor(task, worker.view.incarnation(), now); !allowed {
--- a/owner/shares.go
+++ b/owner/shares.go
@@ -1,11 +1,9 @@
 package owner
 
 import (
-	"cmp"
 	"log/slog"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -20,71 +18,14 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-const (
-	// shortageWindow is how long the workers of a service count as too few after tasks of two queues have been
-	// left without a worker. The queues may be left without one in different passes.
-	shortageWindow = time.Second
-	// shareCountInterval is the minimum time between two counts of what the queues use and want.
-	shareCountInterval = 100 * time.Millisecond
-	// sharesLogInterval is the minimum time between two log lines about shares.
-	sharesLogInterval = time.Second
-)
-
-// competition identifies the queues that compete: those of one service with the same priority.
-type competition struct {
-	service  string
-	priority int32
-}
-
-// serviceQueue identifies a queue of a service.
-type serviceQueue struct {
-	service string
-	queue   share.Queue
-}
-
-// competition returns the competition that the queue takes part in.
-func (key serviceQueue) competition() competition {
-	return competition{service: key.service, priority: key.queue.Priority}
-}
-
-// compareServiceQueues orders queues by service, priority and name.
-func compareServiceQueues(a, b serviceQueue) int {
-	return cmp.Or(
-		strings.Compare(a.service, b.service),
-		cmp.Compare(a.queue.Priority, b.queue.Priority),
-		strings.Compare(a.queue.Name, b.queue.Name),
-	)
-}
+// sharesLogInterval is the minimum time between two log lines about shares.
+const sharesLogInterval = time.Second
 
-// queueOf returns the queue that a job belongs to.
-func queueOf(j *job.Job) serviceQueue {
-	submission := j.Submission()
-	queue := share.Queue{Name: submission.GetQueue(), Priority: submission.GetPriority()}
-	return serviceQueue{service: submission.GetService(), queue: queue}
-}
-
-// queueUse is what the owner knows of a queue.
-type queueUse struct {
-	// demand is that of all owners as of the last count, plus what this owner has started since.
-	demand share.Demand
-	// unplacedAt is when a task last was without a worker for lack of resources.
-	unplacedAt time.Time
-	// oldest is the job that has waited longest, if it is overdue; startsSinceOldest counts the starts since
-	// such a job was started.
-	oldest            *job.Job
-	startsSinceOldest int
-}
-
-// roomShares keeps the shares of the queues of each service. Nothing of it is stored: a new owner counts anew
-// in its first pass. A nil pointer means that the feature is off.
+// roomShares orders the owner's jobs by the shares of their queues. A nil pointer means that the feature is off.
 type roomShares struct {
-	queues    map[serviceQueue]*queueUse
-	divisions map[string]*share.Division // by service
-	// shortUntil is how long the workers count as too few.
-	shortUntil map[competition]time.Time
-	// jobs holds what decides about the order of each job, as of countedAt.
-	jobs      map[*job.Job]*share.Job
-	countedAt time.Time
+	table *share.Table
+	// jobs holds what decides about the order of each job, as of the last count.
+	jobs map[*job.Job]*share.Job
 	// peers is the number of other owners' reports that counted, and peersAge the age of the oldest.
 	peers    int
 	peersAge time.Duration
@@ -92,21 +33,25 @@
 	changed  bool
 	loggedAt time.Time
 	// gauged holds the queues whose gauges are not 0.
-	gauged     map[serviceQueue]bool
+	gauged     map[share.Key]bool
 	shareGauge metric.Int64Gauge
 	useGauge   metric.Int64Gauge
 }
 
+// queueOf returns the queue that a job belongs to.
+func queueOf(j *job.Job) share.Key {
+	submission := j.Submission()
+	queue := share.Queue{Name: submission.GetQueue(), Priority: submission.GetPriority()}
+	return share.Key{Service: submission.GetService(), Queue: queue}
+}
+
 // newRoomShares returns shares without queues, or nil if the feature is off.
 func newRoomShares(options Options) *roomShares {
 	if !options.Features.Has(feature.Shares) {
 		return nil
 	}
 	meter := telemetry.Meter(options.Meters, "owner")
-	shares := &roomShares{
-		queues: map[serviceQueue]*queueUse{}, divisions: map[string]*share.Division{}, shortUntil: map[competition]time.Time{},
-		jobs: map[*job.Job]*share.Job{}, gauged: map[serviceQueue]bool{},
-	}
+	shares := &roomShares{table: share.NewTable(), jobs: map[*job.Job]*share.Job{}, gauged: map[share.Key]bool{}}
 	shares.shareGauge, _ = meter.Int64Gauge("ambertiller.queue.share", metric.WithUnit("mCPU"),
 		metric.WithDescription("Share of a queue in the processors of its service while they are too few, else 0."))
 	shares.useGauge, _ = meter.Int64Gauge("ambertiller.queue.use", metric.WithUnit("mCPU"),
@@ -114,32 +59,14 @@
 	return shares
 }
 
-// queue returns what is known of a queue. It adds the queue if it is new.
-func (shares *roomShares) queue(key serviceQueue) *queueUse {
-	use, known := shares.queues[key]
-	if !known {
-		use = &queueUse{demand: share.Demand{Queue: key.queue}}
-		shares.queues[key] = use
-	}
-	return use
-}
-
-// noteUnplaced records that no worker could take a task, if that is for lack of resources. If another queue
-// of the competition has had the same lately, the workers are too few.
+// noteUnplaced records that no worker could take a task, if that is for lack of resources.
 func (shares *roomShares) noteUnplaced(task *job.Task, workers []*candidate, now time.Time) {
 	if shares == nil {
 		return
 	}
 	key := queueOf(task.Job())
-	use := shares.queue(key)
-	if use.unplacedAt.Equal(now) || !lacksResources(task, workers) {
-		return
-	}
-	use.unplacedAt = now
-	for other, otherUse := range shares.queues {
-		if other != key && other.competition() == key.competition() && now.Sub(otherUse.unplacedAt) < shortageWindow {
-			shares.shortUntil[key.competition()] = now.Add(shortageWindow)
-		}
+	if !shares.table.IsNoted(key, now) && lacksResources(task, workers) {
+		shares.table.NoteUnplaced(key, now)
 	}
 }
 
@@ -161,45 +88,6 @@
 	return lacking
 }
 
-// shortPriority returns the most urgent priority of which queues of a service compete for too few workers.
-func (shares *roomShares) shortPriority(service string, now time.Time) (priority int32, isShort bool) {
-	for short, until := range shares.shortUntil {
-		if short.service == service && now.Before(until) && (!isShort || short.priority < priority) {
-			priority, isShort = short.priority, true
-		}
-	}
-	return priority, isShort
-}
-
-// isShort reports whether any queues of a service compete for too few workers.
-func (shares *roomShares) isShort(service string, now time.Time) bool {
-	_, isShort := shares.shortPriority(service, now)
-	return isShort
-}
-
-// endShortages forgets the shortages that are over. It reports whether any is left.
-func (shares *roomShares) endShortages(now time.Time) bool {
-	for short, until := range shares.shortUntil {
-		if !now.Before(until) {
-			delete(shares.shortUntil, short)
-		}
-	}
-	return len(shares.shortUntil) > 0
-}
-
-// reset drops what was counted. It is called while there is no shortage.
-func (shares *roomShares) reset() {
-	if len(shares.jobs)+len(shares.divisions) == 0 {
-		return
-	}
-	clear(shares.jobs)
-	clear(shares.divisions)
-	shares.countedAt = time.Time{}
-	for _, use := range shares.queues {
-		use.oldest = nil
-	}
-}
-
 // orderByShares reorders the jobs of queues that compete for too few workers. All other jobs keep their
 // positions.
 func (owner *Owner) orderByShares(jobs []*job.Job, now time.Time) {
@@ -207,79 +95,40 @@
 	if shares == nil {
 		return
 	}
-	if !shares.endShortages(now) {
-		owner.clearShareGauges(func(serviceQueue) bool { return true })
-		shares.reset()
+	if !shares.table.Expire(now) {
+		clear(shares.jobs)
+		owner.clearShareGauges(nil)
 		return
 	}
-	if now.Sub(shares.countedAt) >= shareCountInterval {
+	if shares.table.IsCountDue(now) {
 		owner.countQueues(jobs, now)
 	}
-	for short := range shares.shortUntil {
-		shares.reorder(jobs, short, now)
+	details := make([]*share.Job, len(jobs))
+	for index, j := range jobs {
+		details[index] = shares.jobDetails(j, now)
+		details[index].Index = index
 	}
-	owner.publishShares(now)
-}
-
-// reorder puts the jobs of one competition into the order of their shares, within the positions that they have
-// among all jobs.
-func (shares *roomShares) reorder(jobs []*job.Job, short competition, now time.Time) {
-	var positions []int
-	var members []*job.Job
-	lines := map[serviceQueue]*share.Line{}
-	for position, j := range jobs {
-		key := queueOf(j)
-		if key.competition() != short {
-			continue
-		}
-		line, known := lines[key]
-		if !known {
-			line = shares.newLine(key)
-			lines[key] = line
-		}
-		details := shares.jobDetails(j, now)
-		details.Index = len(members)
-		line.Jobs = append(line.Jobs, details)
-		positions = append(positions, position)
-		members = append(members, j)
-	}
-	var competing []*share.Line
-	for key, line := range lines {
-		shares.queue(key).oldest = nil
-		if oldest := line.Oldest(); oldest != nil {
-			shares.queue(key).oldest = members[oldest.Index]
-		}
-		competing = append(competing, line)
-	}
-	for place, next := range share.Sequence(competing) {
-		jobs[positions[place]] = members[next.Index]
+	before := slices.Clone(jobs)
+	for position, next := range shares.table.Order(details) {
+		jobs[position] = before[next.Index]
 	}
-}
-
-// newLine returns the line of a queue, without its jobs.
-func (shares *roomShares) newLine(key serviceQueue) *share.Line {
-	use := shares.queue(key)
-	line := &share.Line{Queue: key.queue, UsedMilliCPU: use.demand.UsedMilliCPU, StartsSinceOldest: use.startsSinceOldest}
-	if division := shares.divisions[key.service]; division != nil {
-		line.ShareMilliCPU = division.ShareMilliCPU(key.queue)
-	}
-	return line
+	owner.publishShares(now)
 }
 
 // jobDetails returns what decides about the order of a job. Jobs that have come since the last count are added.
 func (shares *roomShares) jobDetails(j *job.Job, now time.Time) *share.Job {
 	details, known := shares.jobs[j]
 	if !known {
-		details, _ = describeJob(j, now)
+		details = describeJob(j, now)
 		shares.jobs[j] = details
 	}
 	return details
 }
 
-// describeJob returns what decides about the order of a job, and the processors that its running tasks use.
-func describeJob(j *job.Job, now time.Time) (details *share.Job, usedMilliCPU int64) {
-	details = &share.Job{
-		ID: j.ID(), LongRunning: j.IsLongRunning(), Late: j.SlackRatio(now) <= 0,
+// describeJob returns what decides about the order of a job.
+func describeJob(j *job.Job, now time.Time) *share.Job {
+	details := &share.Job{
+		ID: j.ID(), Key: queueOf(j), LongRunning: j.IsLongRunning(), Late: j.SlackRatio(now) <= 0,
 		Objective: j.Objective(), Target: j.TargetDuration(),
 	}
 	ready := j.ReadyTasks(now)
@@ -290,14 +139,14 @@
 	}
 	for _, task := range j.Tasks() {
 		if task.State() == job.TaskState_TASK_STARTED {
-			usedMilliCPU += task.Spec().GetMilliCpu()
+			details.UsedMilliCPU += task.Spec().GetMilliCpu()
 			details.Waited = 0
 		}
 		if len(ready) > 0 && task.Round() == ready[0].Round() {
 			details.Work += workLeft(task, now)
 		}
 	}
-	return details, usedMilliCPU
+	return details
 }
 
 // workLeft returns the estimated work that a task has left, in milli-CPU times milliseconds.
@@ -313,60 +162,17 @@
 	return left * task.Spec().GetMilliCpu()
 }
 
-// countQueues counts what all queues use and want, and divides the workers of each service with a shortage.
+// countQueues counts what the queues of all owners use and want, and divides the workers of each service that has
+// too few.
 func (owner *Owner) countQueues(jobs []*job.Job, now time.Time) {
 	shares := owner.shares
-	shares.countedAt = now
 	clear(shares.jobs)
-	for key, use := range shares.queues {
-		use.demand = share.Demand{Queue: key.queue}
-	}
+	shares.table.BeginCount(now)
 	for _, j := range jobs {
-		details, used := describeJob(j, now)
-		shares.jobs[j] = details
-		shares.queue(queueOf(j)).addJob(details, used)
+		shares.table.AddJob(shares.jobDetails(j, now))
 	}
 	owner.addPeerDemands(now)
-	demands := map[string][]share.Demand{}
-	for key, use := range shares.queues {
-		if use.demand.MilliCPU() > 0 {
-			demands[key.service] = append(demands[key.service], use.demand)
-		} else if now.Sub(use.unplacedAt) >= shortageWindow {
-			delete(shares.queues, key)
-		}
-	}
-	for service := range shares.divisions {
-		if !shares.isShort(service, now) {
-			delete(shares.divisions, service)
-		}
-	}
-	for service, ofService := range demands {
-		if shares.isShort(service, now) {
-			shares.divide(service, owner.roomOf(service), ofService, now)
-		}
-	}
-}
-
-// addJob adds what a job uses and wants to the demand of its queue. Only jobs that end have a target.
-func (use *queueUse) addJob(details *share.Job, usedMilliCPU int64) {
-	use.demand.UsedMilliCPU += usedMilliCPU
-	use.demand.WantedMilliCPU += details.WantedMilliCPU
-	if details.LongRunning || details.Target <= 0 {
-		return
-	}
-	if use.demand.Target == 0 || details.Target < use.demand.Target {
-		use.demand.Target = details.Target
-	}
-}
-
-// divide divides the room of a service.
-func (shares *roomShares) divide(service string, roomMilliCPU int64, demands []share.Demand, now time.Time) {
-	division, known := shares.divisions[service]
-	if !known {
-		division = &share.Division{}
-		shares.divisions[service] = division
-	}
-	if division.Update(roomMilliCPU, demands, now) {
+	if shares.table.EndCount(owner.roomOf, now) {
 		shares.changed = true
 	}
 }
@@ -409,10 +215,9 @@
 // addPeerRow adds a fraction of what another owner has reported of a queue.
 func (shares *roomShares) addPeerRow(row *wire.QueueBacklog, fraction float64) {
 	queue := share.Queue{Name: row.GetQueue(), Priority: row.GetPriority()}
-	key := serviceQueue{service: row.GetService(), queue: queue}
-	demand := &shares.queue(key).demand
-	demand.UsedMilliCPU += int64(math.Round(fraction * float64(max(row.GetUsedMilliCpu(), 0))))
-	demand.WantedMilliCPU += int64(math.Round(fraction * float64(max(row.GetWantedMilliCpu(), 0))))
+	used := math.Round(fraction * float64(row.GetUsedMilliCpu()))
+	wanted := math.Round(fraction * float64(row.GetWantedMilliCpu()))
+	shares.table.AddPeerDemand(share.Key{Service: row.GetService(), Queue: queue}, int64(used), int64(wanted))
 }
 
 // hasLoaded reports whether this owner schedules the jobs of a shard.
@@ -428,14 +233,8 @@
 		return
 	}
 	owner.observeShortTasks(view, now)
-	use := shares.queue(queueOf(task.Job()))
 	milliCPU := task.Spec().GetMilliCpu()
-	use.demand.UsedMilliCPU += milliCPU
-	use.demand.WantedMilliCPU -= min(milliCPU, use.demand.WantedMilliCPU)
-	use.startsSinceOldest++
-	if use.oldest == task.Job() {
-		use.startsSinceOldest = 0
-	}
+	shares.table.RecordStart(queueOf(task.Job()), task.Job().ID(), milliCPU)
 	if details, known := shares.jobs[task.Job()]; known {
 		details.WantedMilliCPU -= min(milliCPU, details.WantedMilliCPU)
 		details.Waited = 0
@@ -454,7 +253,8 @@
 	used := map[int32]int64{}
 	for _, run := range view.runs {
 		demand := run.demand
-		if !demand.GetFills() && !demand.GetLasting() && share.IsShort(time.Duration(demand.GetEstimateMs())*time.Millisecond) {
+		estimate := time.Duration(demand.GetEstimateMs()) * time.Millisecond
+		if !demand.GetFills() && !demand.GetLasting() && share.IsShort(estimate) {
 			used[demand.GetPriority()] += demand.GetMilliCpu()
 		}
 	}
@@ -478,7 +278,7 @@
 	if owner.shares == nil {
 		return shortReserve{}
 	}
-	priority, isShort := owner.shares.shortPriority(view.status().GetService(), now)
+	priority, isShort := owner.shares.table.ShortPriority(view.status().GetService(), now)
 	if !isShort {
 		return shortReserve{}
 	}
@@ -508,11 +308,10 @@
 	Service  string `json:"service"`
 	Queue    string `json:"queue"`
 	Priority int32  `json:"priority"`
-	// Room is that of the service.
-	Room   int64 `json:"room_milli_cpu"`
-	Share  int64 `json:"share_milli_cpu"`
-	Used   int64 `json:"used_milli_cpu"`
-	Demand int64 `json:"demand_milli_cpu"`
+	Room     int64  `json:"room_milli_cpu"`
+	Share    int64  `json:"share_milli_cpu"`
+	Used     int64  `json:"used_milli_cpu"`
+	Demand   int64  `json:"demand_milli_cpu"`
 }
 
 // publishShares logs the shares if they have changed, and records the gauges, once per sharesLogInterval.
@@ -522,57 +321,41 @@
 		return
 	}
 	shares.loggedAt = now
-	rows := shares.rows()
-	current := map[serviceQueue]bool{}
-	for _, row := range rows {
-		key := serviceQueue{service: row.Service, queue: share.Queue{Name: row.Queue, Priority: row.Priority}}
-		current[key] = true
-		owner.recordShareGauges(key, row.Share, row.Used)
-	}
-	owner.clearShareGauges(func(key serviceQueue) bool { return !current[key] })
-	if shares.changed {
-		shares.changed = false
-		owner.log(event.SharesChanged, slog.Any("queues", rows),
-			slog.Int("peers", shares.peers), slog.Duration("peers_age", shares.peersAge))
-	}
-}
-
-// rows returns the rows of all queues with a demand whose service's workers are divided.
-func (shares *roomShares) rows() []queueRow {
-	var keys []serviceQueue
-	for key, use := range shares.queues {
-		if shares.divisions[key.service] != nil && use.demand.MilliCPU() > 0 {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, compareServiceQueues)
-	rows := make([]queueRow, 0, len(keys))
-	for _, key := range keys {
-		division, demand := shares.divisions[key.service], shares.queues[key].demand
+	var rows []queueRow
+	current := map[share.Key]bool{}
+	for _, row := range shares.table.Rows() {
+		current[row.Key] = true
+		owner.recordShareGauges(row.Key, row.ShareMilliCPU, row.UsedMilliCPU)
 		rows = append(rows, queueRow{
-			Service: key.service, Queue: key.queue.Name, Priority: key.queue.Priority, Room: division.RoomMilliCPU(),
-			Share: division.ShareMilliCPU(key.queue), Used: demand.UsedMilliCPU, Demand: demand.MilliCPU(),
+			Service: row.Key.Service, Queue: row.Key.Queue.Name, Priority: row.Key.Queue.Priority,
+			Room: row.RoomMilliCPU, Share: row.ShareMilliCPU, Used: row.UsedMilliCPU, Demand: row.DemandMilliCPU,
 		})
 	}
-	return rows
+	owner.clearShareGauges(current)
+	if !shares.changed {
+		return
+	}
+	shares.changed = false
+	owner.log(event.SharesChanged, slog.Any("queues", rows),
+		slog.Int("peers", shares.peers), slog.Duration("peers_age", shares.peersAge))
 }
 
 // recordShareGauges records the gauges of a queue.
-func (owner *Owner) recordShareGauges(key serviceQueue, shareMilliCPU, usedMilliCPU int64) {
+func (owner *Owner) recordShareGauges(key share.Key, shareMilliCPU, usedMilliCPU int64) {
 	attributes := metric.WithAttributes(
-		attribute.String("service", key.service),
-		attribute.String("queue", key.queue.Name),
-		attribute.Int("priority", int(key.queue.Priority)),
+		attribute.String("service", key.Service),
+		attribute.String("queue", key.Queue.Name),
+		attribute.Int("priority", int(key.Queue.Priority)),
 	)
 	owner.shares.shareGauge.Record(owner.ctx, shareMilliCPU, attributes)
 	owner.shares.useGauge.Record(owner.ctx, usedMilliCPU, attributes)
 	owner.shares.gauged[key] = true
 }
 
-// clearShareGauges sets the gauges of the queues for which isOver returns true to 0.
-func (owner *Owner) clearShareGauges(isOver func(key serviceQueue) bool) {
+// clearShareGauges sets the gauges of all queues to 0 but for those given.
+func (owner *Owner) clearShareGauges(current map[share.Key]bool) {
 	for key := range owner.shares.gauged {
-		if isOver(key) {
+		if !current[key] {
 			owner.recordShareGauges(key, 0, 0)
 			delete(owner.shares.gauged, key)
 		}
--- a/owner/shares_test.go
+++ b/owner/shares_test.go
@@ -25,6 +25,13 @@
 	h.owner.shares = newRoomShares(Options{Features: features})
 }
 
+// beginShortage has tasks of two queues wait for resources.
+func beginShortage(h *harness) {
+	for _, name := range []string{"a", "b"} {
+		h.owner.shares.table.NoteUnplaced(share.Key{Service: "verbale", Queue: share.Queue{Name: name}}, h.clock.Now())
+	}
+}
+
 // submitQueues submits two long-running jobs to one queue and two short ones to another, all for workers with a
 // label.
 func submitQueues(h *harness, label string) {
@@ -66,13 +73,15 @@
 		want      string
 		used      int64
 	}{
-		"off":                               {off: true, want: plain},
-		"there is room":                     {room: true, want: plain},
-		"no worker has the label":           {label: "rare", want: plain},
-		"told nothing":                      {want: inTurn},
-		"told in time":                      {reports: []*wire.OwnerBacklog{report(2000, other)}, want: byUse, used: 5000},
-		"told late":                         {reports: []*wire.OwnerBacklog{report(3100, other)}, want: inTurn},
-		"told twice":                        {reports: []*wire.OwnerBacklog{report(0, other), report(500, other)}, want: byUse, used: 5000},
+		"off":                     {off: true, want: plain},
+		"there is room":           {room: true, want: plain},
+		"no worker has the label": {label: "rare", want: plain},
+		"told nothing":            {want: inTurn},
+		"told in time":            {reports: []*wire.OwnerBacklog{report(2000, other)}, want: byUse, used: 5000},
+		"told late":               {reports: []*wire.OwnerBacklog{report(3100, other)}, want: inTurn},
+		"told twice": {
+			reports: []*wire.OwnerBacklog{report(0, other), report(500, other)}, want: byUse, used: 5000,
+		},
 		"a shard has just moved here":       {reports: []*wire.OwnerBacklog{report(0, own)}, want: inTurn},
 		"one of two shards has moved here":  {reports: []*wire.OwnerBacklog{report(0, own, other)}, want: byUse, used: 2500},
 		"an older build, without any shard": {reports: []*wire.OwnerBacklog{report(0)}, want: inTurn},
@@ -98,9 +107,8 @@
 			if test.want == plain {
 				return
 			}
-			key := serviceQueue{service: "verbale", queue: share.Queue{Name: "long"}}
-			if got := h.owner.shares.queues[key].demand.UsedMilliCPU; got != test.used {
-				t.Errorf("the long-running queue counts as using %d, want %d", got, test.used)
+			if row := h.owner.shares.table.Rows()[0]; row.Key.Queue.Name != "long" || row.UsedMilliCPU != test.used {
+				t.Errorf("got %+v, want the long-running queue with %d in use", row, test.used)
 			}
 		})
 	}
@@ -120,7 +128,7 @@
 	if queueOrder(h) != "long short long short" {
 		t.Fatal("there is no shortage")
 	}
-	h.clock.Advance(shortageWindow)
+	h.clock.Advance(time.Second)
 	if got := queueOrder(h); got != "long long short short" {
 		t.Errorf("the order is %q", got)
 	}
@@ -165,7 +173,7 @@
 				lasting.AddRefusal()
 			}
 			if !test.sufficient {
-				h.owner.shares.shortUntil[competition{service: "verbale"}] = now.Add(time.Second)
+				beginShortage(h)
 			}
 			workers := h.owner.candidates(h.owner.agentViews(), now)
 			if got := workers[0].obstacleTo(lasting); got != test.want {
@@ -185,7 +193,9 @@
 	for seed := range uint64(60) {
 		h := newHarness(t)
 		j := h.submitWith(func(submission *job.Submission) {
-			submission.Steps[0] = &job.StepSpec{Count: 1, MilliCpu: taskMilliCPU, MemoryMb: 1, Lasting: true, Image: "counter", TargetMs: 50}
+			submission.Steps[0] = &job.StepSpec{
+				Count: 1, MilliCpu: taskMilliCPU, MemoryMb: 1, Lasting: true, Image: "counter", TargetMs: 50,
+			}
 		})
 		workers := &fleet{rng: rand.New(rand.NewPCG(seed, 5))}
 		for range maxStatusAge + 1 {
@@ -217,8 +227,8 @@
 	status.MilliCpu, status.FreeMilliCpu = 40_000, 0
 	h.receive(&wire.AgentMessage{Status: status})
 	h.owner.options.Events = events
-	h.owner.shares.shortUntil[competition{service: "verbale"}] = h.clock.Now().Add(time.Minute)
 	for count := range 21 {
+		beginShortage(h)
 		used := &wire.QueueBacklog{Queue: "long", Service: "verbale", UsedMilliCpu: int64(count) * 1000}
 		report := &wire.OwnerBacklog{Shards: []int32{100}, AgeMs: 250, Queues: []*wire.QueueBacklog{used}}
 		h.owner.peerBacklogs = peerBacklogs{receivedAt: h.clock.Now(), backlogs: []*wire.OwnerBacklog{report}}
@@ -248,12 +258,13 @@
 			addFullWorkers(h, 0, 400)
 			if name != "off" {
 				enableShares(h)
-				h.owner.shares.shortUntil[competition{service: "verbale"}] = h.clock.Now().Add(time.Hour)
+				beginShortage(h)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
 				if name == "count" {
-					h.owner.shares.countedAt = time.Time{}
+					h.clock.Advance(100 * time.Millisecond)
+					beginShortage(h)
 				}
 				h.owner.jobsByUrgency(h.clock.Now())
 			}
--- a/share/doc.go
+++ b/share/doc.go
@@ -7,6 +7,9 @@
 //
 // # Shares
 //
+// A [Table] keeps the shares of an owner, and notices when there are too few workers: tasks of two queues of one
+// service and priority have been without a worker for lack of resources within a second.
+//
 // [Divide] gives each queue its max-min fair share of the processors. Priorities come first: what more urgent
 // queues use is subtracted before the rest is divided. Within a priority all queues have the same weight, and
 // a queue's share is at most its demand, so that other queues borrow what it doesn't need. A [Division] keeps
@@ -31,7 +34,14 @@
 //
 // # Usage
 //
-//	if division.Update(roomMilliCPU, demands, now) { ... }
-//	line := &share.Line{Queue: queue, ShareMilliCPU: division.ShareMilliCPU(queue), UsedMilliCPU: used, Jobs: jobs}
-//	for _, next := range share.Sequence([]*share.Line{line, other}) { ... }
+//	table := share.NewTable()
+//	table.NoteUnplaced(key, now) // for each task that lacks resources
+//	if table.Expire(now) {
+//		if table.IsCountDue(now) {
+//			table.BeginCount(now)
+//			table.AddJob(job) // and AddPeerDemand for other owners
+//			changed := table.EndCount(roomOf, now)
+//		}
+//		for _, job := range table.Order(jobs) { ... } // and RecordStart for each task placed
+//	}
 package share
--- a/share/order.go
+++ b/share/order.go
@@ -19,7 +19,8 @@
 
 // Job is what decides about the turn of a job within its queue.
 type Job struct {
-	ID string
+	ID  string
+	Key Key
 	// Index is the caller's number of the job.
 	Index int
 	// LongRunning is set if the job runs until it is cancelled.
@@ -33,8 +34,8 @@
 	Waited time.Duration
 	// Work is the estimated work left, in milli-CPU times milliseconds.
 	Work int64
-	// WantedMilliCPU is what its waiting tasks ask for.
-	WantedMilliCPU int64
+	// UsedMilliCPU is what its running tasks asked for, WantedMilliCPU what its waiting tasks ask for.
+	UsedMilliCPU, WantedMilliCPU int64
 }
 
 // IsOverdue reports whether the job has waited longer than other jobs of its queue may go first.
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -208,3 +208,43 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// TestCompetition: jobs take turns only if two queues of their service and priority have lacked resources within
+// a second. The jobs of all other queues keep their positions.
+func TestCompetition(t *testing.T) {
+	key := func(service, name string, priority int32) share.Key {
+		return share.Key{Service: service, Queue: share.Queue{Name: name, Priority: priority}}
+	}
+	const plain, inTurn = "[a1 x a2 b1 y b2]", "[a1 x b1 a2 y b2]"
+	tests := map[string]struct {
+		first, second share.Key
+		apart         time.Duration
+		want          string
+	}{
+		"two queues":        {key("s", "a", 1), key("s", "b", 1), 900 * time.Millisecond, inTurn},
+		"one queue":         {key("s", "a", 1), key("s", "a", 1), 0, plain},
+		"two priorities":    {key("s", "a", 1), key("s", "b", 2), 0, plain},
+		"two services":      {key("s", "a", 1), key("u", "b", 1), 0, plain},
+		"not the same time": {key("s", "a", 1), key("s", "b", 1), time.Second, plain},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := share.NewTable()
+			table.NoteUnplaced(test.first, start)
+			table.NoteUnplaced(test.second, start.Add(test.apart))
+			table.Expire(start.Add(test.apart))
+			jobs := []*share.Job{
+				{ID: "a1", Key: key("s", "a", 1), WantedMilliCPU: 1}, {ID: "x", Key: key("s", "b", 0)},
+				{ID: "a2", Key: key("s", "a", 1), WantedMilliCPU: 1}, {ID: "b1", Key: key("s", "b", 1), WantedMilliCPU: 1},
+				{ID: "y", Key: key("u", "b", 1)}, {ID: "b2", Key: key("s", "b", 1), WantedMilliCPU: 1},
+			}
+			var ids []string
+			for _, job := range table.Order(jobs) {
+				ids = append(ids, job.ID)
+			}
+			if fmt.Sprint(ids) != test.want {
+				t.Errorf("got %v, want %s", ids, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/share/shortage.go
@@ -0,0 +1,59 @@
+package share
+
+import "time"
+
+// shortageWindow is how long workers count as too few after tasks of two queues have been left without one. The
+// queues may be left without one in different passes.
+const shortageWindow = time.Second
+
+// competition identifies the queues that compete: those of one service with the same priority.
+type competition struct {
+	service  string
+	priority int32
+}
+
+// shortages records which queues compete for too few workers.
+type shortages struct {
+	// unplacedAt is when a task of a queue last was without a worker for lack of resources.
+	unplacedAt map[Key]time.Time
+	until      map[competition]time.Time
+}
+
+// note records that a task of a queue is without a worker for lack of resources. If another queue of the
+// competition has had the same within shortageWindow, the workers are too few.
+func (short *shortages) note(key Key, now time.Time) {
+	short.unplacedAt[key] = now
+	for other, unplacedAt := range short.unplacedAt {
+		if other != key && other.competition() == key.competition() && now.Sub(unplacedAt) < shortageWindow {
+			short.until[key.competition()] = now.Add(shortageWindow)
+		}
+	}
+}
+
+// expire forgets what is over. It reports whether any workers are too few.
+func (short *shortages) expire(now time.Time) bool {
+	for key, unplacedAt := range short.unplacedAt {
+		if now.Sub(unplacedAt) >= shortageWindow {
+			delete(short.unplacedAt, key)
+		}
+	}
+	for competing, until := range short.until {
+		if !now.Before(until) {
+			delete(short.until, competing)
+		}
+	}
+	return len(short.until) > 0
+}
+
+// priority returns the most urgent priority of which queues of a service compete.
+func (short *shortages) priority(service string, now time.Time) (priority int32, isShort bool) {
+	for competing, until := range short.until {
+		if competing.service != service || !now.Before(until) {
+			continue
+		}
+		if !isShort || competing.priority < priority {
+			priority, isShort = competing.priority, true
+		}
+	}
+	return priority, isShort
+}
--- /dev/null
+++ b/share/table.go
@@ -0,0 +1,242 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// countInterval is the minimum time between two counts of what the queues use and want.
+const countInterval = 100 * time.Millisecond
+
+// Key identifies a queue among those of all services.
+type Key struct {
+	Service string
+	Queue   Queue
+}
+
+// competition returns the competition that the queue takes part in.
+func (key Key) competition() competition {
+	return competition{service: key.Service, priority: key.Queue.Priority}
+}
+
+// compareKeys orders queues by service, priority and name.
+func compareKeys(a, b Key) int {
+	return cmp.Or(strings.Compare(a.Service, b.Service), compareQueues(a.Queue, b.Queue))
+}
+
+// state is what a Table knows of a queue.
+type state struct {
+	// demand is that of all owners as of the last count, plus what this owner has started since.
+	demand Demand
+	// oldest is the ID of the job that has waited longest, if it is overdue; startsSinceOldest counts the starts
+	// since such a job was started.
+	oldest            string
+	startsSinceOldest int
+}
+
+// Table keeps the use and the share of each queue, as one owner knows them, and orders the owner's jobs while
+// there are too few workers. Nothing of it has to be stored: the first count of a new table has all but the
+// starts since a job that had waited longest.
+type Table struct {
+	short     shortages
+	queues    map[Key]*state
+	divisions map[string]*Division // by service
+	countedAt time.Time
+}
+
+// NewTable returns a table without queues.
+func NewTable() *Table {
+	return &Table{
+		short:  shortages{unplacedAt: map[Key]time.Time{}, until: map[competition]time.Time{}},
+		queues: map[Key]*state{}, divisions: map[string]*Division{},
+	}
+}
+
+// state returns what is known of a queue. It adds the queue if it is new.
+func (table *Table) state(key Key) *state {
+	known, found := table.queues[key]
+	if !found {
+		known = &state{demand: Demand{Queue: key.Queue}}
+		table.queues[key] = known
+	}
+	return known
+}
+
+// NoteUnplaced records that a task of a queue is without a worker for lack of resources.
+func (table *Table) NoteUnplaced(key Key, now time.Time) { table.short.note(key, now) }
+
+// IsNoted reports whether NoteUnplaced has been called for a queue at this very time.
+func (table *Table) IsNoted(key Key, now time.Time) bool {
+	return table.short.unplacedAt[key].Equal(now)
+}
+
+// ShortPriority returns the most urgent priority of which queues of a service compete for too few workers.
+func (table *Table) ShortPriority(service string, now time.Time) (priority int32, isShort bool) {
+	return table.short.priority(service, now)
+}
+
+// Expire forgets the shortages that are over, and all queues once none is left. It reports whether any is left.
+func (table *Table) Expire(now time.Time) bool {
+	if table.short.expire(now) {
+		return true
+	}
+	clear(table.queues)
+	clear(table.divisions)
+	table.countedAt = time.Time{}
+	return false
+}
+
+// IsCountDue reports whether the use of the queues has to be counted again.
+func (table *Table) IsCountDue(now time.Time) bool { return now.Sub(table.countedAt) >= countInterval }
+
+// BeginCount sets the demand of all queues to 0. The caller then adds jobs and other owners' demands.
+func (table *Table) BeginCount(now time.Time) {
+	table.countedAt = now
+	for key, known := range table.queues {
+		known.demand = Demand{Queue: key.Queue}
+	}
+}
+
+// AddJob adds a job of this owner to the demand of its queue.
+func (table *Table) AddJob(job *Job) {
+	demand := &table.state(job.Key).demand
+	demand.UsedMilliCPU += job.UsedMilliCPU
+	demand.WantedMilliCPU += job.WantedMilliCPU
+	if job.LongRunning || job.Target <= 0 {
+		return
+	}
+	if demand.Target == 0 || job.Target < demand.Target {
+		demand.Target = job.Target
+	}
+}
+
+// AddPeerDemand adds what another owner has reported of a queue.
+func (table *Table) AddPeerDemand(key Key, usedMilliCPU, wantedMilliCPU int64) {
+	demand := &table.state(key).demand
+	demand.UsedMilliCPU += max(usedMilliCPU, 0)
+	demand.WantedMilliCPU += max(wantedMilliCPU, 0)
+}
+
+// EndCount divides the room of each service that has too few workers, and forgets the queues without demand. It
+// reports whether any share has changed.
+func (table *Table) EndCount(roomOf func(service string) int64, now time.Time) bool {
+	demands := map[string][]Demand{}
+	for key, known := range table.queues {
+		if known.demand.MilliCPU() == 0 {
+			delete(table.queues, key)
+			continue
+		}
+		if _, isShort := table.ShortPriority(key.Service, now); isShort {
+			demands[key.Service] = append(demands[key.Service], known.demand)
+		}
+	}
+	changed := false
+	for service := range table.divisions {
+		if demands[service] == nil {
+			delete(table.divisions, service)
+			changed = true
+		}
+	}
+	for service, ofService := range demands {
+		if table.divisions[service] == nil {
+			table.divisions[service] = &Division{}
+		}
+		if table.divisions[service].Update(roomOf(service), ofService, now) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// RecordStart records that a task of a job has been placed.
+func (table *Table) RecordStart(key Key, job string, milliCPU int64) {
+	known, found := table.queues[key]
+	if !found {
+		return
+	}
+	known.demand.UsedMilliCPU += milliCPU
+	known.demand.WantedMilliCPU -= min(milliCPU, known.demand.WantedMilliCPU)
+	known.startsSinceOldest++
+	if known.oldest == job {
+		known.startsSinceOldest = 0
+	}
+}
+
+// Order returns the jobs in the order in which they are to be placed. The jobs of queues that compete for too few
+// workers take turns, within the positions that they have among all jobs. All others keep their positions.
+func (table *Table) Order(jobs []*Job) []*Job {
+	ordered := slices.Clone(jobs)
+	for competing := range table.short.until {
+		var positions []int
+		for position, job := range jobs {
+			if job.Key.competition() == competing {
+				positions = append(positions, position)
+			}
+		}
+		for turn, job := range Sequence(table.lines(jobs, competing)) {
+			ordered[positions[turn]] = job
+		}
+	}
+	return ordered
+}
+
+// lines returns the queues of a competition with their jobs.
+func (table *Table) lines(jobs []*Job, competing competition) []*Line {
+	byKey := map[Key]*Line{}
+	var lines []*Line
+	for _, job := range jobs {
+		if job.Key.competition() != competing {
+			continue
+		}
+		line, known := byKey[job.Key]
+		if !known {
+			line = table.newLine(job.Key)
+			byKey[job.Key] = line
+			lines = append(lines, line)
+		}
+		line.Jobs = append(line.Jobs, job)
+	}
+	for key, line := range byKey {
+		table.state(key).oldest = ""
+		if oldest := line.Oldest(); oldest != nil {
+			table.state(key).oldest = oldest.ID
+		}
+	}
+	return lines
+}
+
+// newLine returns the line of a queue, without its jobs.
+func (table *Table) newLine(key Key) *Line {
+	known := table.state(key)
+	line := &Line{Queue: key.Queue, UsedMilliCPU: known.demand.UsedMilliCPU, StartsSinceOldest: known.startsSinceOldest}
+	if division := table.divisions[key.Service]; division != nil {
+		line.ShareMilliCPU = division.ShareMilliCPU(key.Queue)
+	}
+	return line
+}
+
+// Row is the share and the use of one queue.
+type Row struct {
+	Key Key
+	// RoomMilliCPU is that of the service.
+	RoomMilliCPU, ShareMilliCPU, UsedMilliCPU, DemandMilliCPU int64
+}
+
+// Rows returns the queues with a demand whose service's room is divided, ordered by service, priority and name.
+func (table *Table) Rows() []Row {
+	var rows []Row
+	for key, known := range table.queues {
+		division := table.divisions[key.Service]
+		if division == nil || known.demand.MilliCPU() == 0 {
+			continue
+		}
+		rows = append(rows, Row{
+			Key: key, RoomMilliCPU: division.RoomMilliCPU(), ShareMilliCPU: division.ShareMilliCPU(key.Queue),
+			UsedMilliCPU: known.demand.UsedMilliCPU, DemandMilliCPU: known.demand.MilliCPU(),
+		})
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return compareKeys(a.Key, b.Key) })
+	return rows
+}
