share: overdue jobs have each fourth start, also within a pass

Cause: only one overdue job of a queue had a turn in a pass, however many tasks the pass started, and a job that can't be placed (say, for want of a label) kept that turn for good, so that no other overdue job ever had one. Change: each fourth position of a queue is due to the next overdue job, the one that has waited longest first. While that one can't be placed, the next one's turn comes after as many starts again. Result: TestOverdueTurns fails without the change (1 in place of 2 of the first 8 starts; 0 of 40 beside a job that can't be placed) and passes with it; tests of shares in share and owner pass.

--- a/share/order.go
+++ b/share/order.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// startsPerOldest is the number of starts of a queue of which one is due to the job that has waited longest,
-	// if that is over its limit. If all starts were, a queue with too much work would be served in the order
+	// startsPerOldest is the number of starts of a queue of which one is due to the job that has waited longest
+	// of those that are over their limits. If all starts were, a queue with too much work would be served in the order
 	// of arrival, and all its jobs would be late.
 	startsPerOldest = 4
 	// maxLongRunningWait is how long a long-running job may be passed over. Its caller has no use of it before
@@ -78,10 +78,12 @@
 type Line struct {
 	Queue                       Queue
 	ShareMilliCPU, UsedMilliCPU int64
-	// StartsSinceOldest counts the starts of the queue since the last one of the job returned by Oldest.
+	// StartsSinceOldest counts the starts of the queue since the last one of a job that had a turn for being overdue.
 	StartsSinceOldest int
 	Jobs              []*Job
-	next              int
+	// overdueTurns holds the IDs of the jobs that have such a turn.
+	overdueTurns map[string]bool
+	next         int
 }
 
 // Compare orders two queues: the one that uses less relative to its share is placed first.
@@ -93,30 +95,48 @@
 	return compareQueues(line.Queue, other.Queue)
 }
 
-// Oldest returns the job that has waited longest if it is overdue, or nil.
-func (line *Line) Oldest() *Job {
-	var oldest *Job
+// overdue returns the overdue jobs, the one that has waited longest first.
+func (line *Line) overdue() []*Job {
+	var overdue []*Job
 	for _, job := range line.Jobs {
-		if job.IsOverdue() && (oldest == nil || job.Waited > oldest.Waited) {
-			oldest = job
+		if job.IsOverdue() {
+			overdue = append(overdue, job)
 		}
 	}
-	return oldest
+	slices.SortStableFunc(overdue, func(a, b *Job) int { return cmp.Compare(b.Waited, a.Waited) })
+	return overdue
 }
 
-// sort orders the jobs of the queue by their turns.
+// turn returns the position that is due to the overdue job with a number, counted from the longest wait. If the
+// jobs before it can't be placed, its turn comes nonetheless, after as many more starts.
+func (line *Line) turn(number int) int {
+	return max(startsPerOldest*(number+1)-1-line.StartsSinceOldest, number)
+}
+
+// sort orders the jobs of the queue by their turns, and sets which of them have a turn for being overdue.
 func (line *Line) sort() {
 	slices.SortFunc(line.Jobs, (*Job).Compare)
-	oldest := line.Oldest()
-	if oldest == nil {
+	overdue := line.overdue()
+	if len(overdue) == 0 {
 		return
 	}
-	position := slices.Index(line.Jobs, oldest)
-	turn := max(startsPerOldest-1-line.StartsSinceOldest, 0)
-	if turn < position {
-		copy(line.Jobs[turn+1:position+1], line.Jobs[turn:position])
-		line.Jobs[turn] = oldest
+	line.overdueTurns = map[string]bool{overdue[0].ID: true}
+	ordered := make([]*Job, 0, len(line.Jobs))
+	taken := make(map[*Job]bool, len(line.Jobs))
+	number := 0
+	for _, job := range line.Jobs {
+		for ; number < len(overdue) && line.turn(number) <= len(ordered); number++ {
+			if due := overdue[number]; !taken[due] {
+				taken[due], line.overdueTurns[due.ID] = true, true
+				ordered = append(ordered, due)
+			}
+		}
+		if !taken[job] {
+			taken[job] = true
+			ordered = append(ordered, job)
+		}
 	}
+	line.Jobs = ordered
 }
 
 // Sequence returns the jobs of all queues in the order in which they are to be placed. Each turn is that of the
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -158,6 +158,48 @@
 	}
 }
 
+// TestOverdueTurns: of many starts in one pass, each fourth is due to the overdue job that has waited longest, and one
+// that can't be placed doesn't keep the next one from its turn when passes start one task each.
+func TestOverdueTurns(t *testing.T) {
+	key := share.Key{Queue: share.Queue{Name: "a"}}
+	jobs := func(pass int) []*share.Job {
+		jobs := []*share.Job{{ID: "stuck", Key: key, Late: true, Target: time.Second, Waited: time.Hour}}
+		for number := range 8 {
+			jobs = append(jobs,
+				&share.Job{ID: fmt.Sprintf("fresh%d-%d", pass, number), Key: key, Target: time.Hour},
+				&share.Job{ID: fmt.Sprintf("late%d", number), Key: key, Late: true, Target: time.Second, Waited: time.Minute})
+		}
+		return jobs
+	}
+	late := 0
+	for _, job := range share.Sequence([]*share.Line{{Jobs: jobs(0)}})[:8] {
+		if job.Late {
+			late++
+		}
+	}
+	if late != 2 {
+		t.Errorf("%d of the first 8 starts are those of overdue jobs", late)
+	}
+	table := share.NewTable()
+	table.NoteUnplaced(key, start)
+	table.NoteUnplaced(share.Key{Queue: share.Queue{Name: "b"}}, start)
+	late = 0
+	for pass := range 40 {
+		ordered := table.Order(jobs(pass))
+		started := ordered[0]
+		if started.ID == "stuck" {
+			started = ordered[1]
+		}
+		if started.Late {
+			late++
+		}
+		table.RecordStart(key, started.ID, 0)
+	}
+	if late < 40/(2*4) { // the stuck job has each other turn
+		t.Errorf("%d of 40 starts are those of overdue jobs", late)
+	}
+}
+
 // TestShortReserve: the reserve is at most an eighth of the worker, decreases to nothing, and doesn't bind
 // a task that has waited or that has room twice over.
 func TestShortReserve(t *testing.T) {
--- a/share/table.go
+++ b/share/table.go
@@ -30,9 +30,9 @@
 type state struct {
 	// demand is that of all owners as of the last count, plus what this owner has started since.
 	demand Demand
-	// oldest is the ID of the job that has waited longest, if it is overdue; startsSinceOldest counts the starts
+	// overdueTurns holds the IDs of the jobs that have a turn for being overdue; startsSinceOldest counts the starts
 	// since such a job was started.
-	oldest            string
+	overdueTurns      map[string]bool
 	startsSinceOldest int
 }
 
@@ -198,7 +198,7 @@
 	known.demand.UsedMilliCPU += milliCPU
 	known.demand.WantedMilliCPU -= min(milliCPU, known.demand.WantedMilliCPU)
 	known.startsSinceOldest++
-	if known.oldest == job {
+	if known.overdueTurns[job] {
 		known.startsSinceOldest = 0
 	}
 }
@@ -214,9 +214,13 @@
 				positions = append(positions, position)
 			}
 		}
-		for turn, job := range Sequence(table.lines(jobs, competing)) {
+		lines := table.lines(jobs, competing)
+		for turn, job := range Sequence(lines) {
 			ordered[positions[turn]] = job
 		}
+		for _, line := range lines {
+			table.state(Key{Service: competing.service, Queue: line.Queue}).overdueTurns = line.overdueTurns
+		}
 	}
 	return ordered
 }
@@ -237,12 +241,6 @@
 		}
 		line.Jobs = append(line.Jobs, job)
 	}
-	for key, line := range byKey {
-		table.state(key).oldest = ""
-		if oldest := line.Oldest(); oldest != nil {
-			table.state(key).oldest = oldest.ID
-		}
-	}
 	return lines
 }
 
