owner: lack of tolerance, or of what no worker has, is no shortage of room

Cause: a fill task that lacked only the tolerance of serving tasks counted as lacking resources, so that a fleet whose fill tasks always lack it was short all the time; so did a task that asks for more than any worker has. Change: only processors, memory and accelerators that the worker has count. Result: TestLackOfResources fails in four cases without the change and passes with it.

--- a/owner/shares.go
+++ b/owner/shares.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// lacksResources reports whether a task is without a worker because resources are used by other tasks.
+// lacksResources reports whether a task is without a worker because other tasks use the resources that queues
+// compete for. Tolerance is none of them: it depends on the serving tasks, and on some fleets always lacks.
 func lacksResources(task *job.Task, workers []*candidate) bool {
 	lacking := false
 	for _, worker := range workers {
@@ -81,13 +82,20 @@
 				return false
 			}
 		case obstacle(admission.NoProcessor), obstacle(admission.NoMemory), obstacle(admission.NoAccelerator),
-			obstacleIdleProcessors, obstacleInterference, obstacleShortReserve:
-			lacking = true
+			obstacleIdleProcessors, obstacleShortReserve:
+			lacking = lacking || worker.couldHold(task)
 		}
 	}
 	return lacking
 }
 
+// couldHold reports whether the worker would have the resources that the task reserves if nothing ran there.
+func (worker *candidate) couldHold(task *job.Task) bool {
+	status := worker.view.status()
+	whole := admission.NewResources(status.GetMilliCpu(), status.GetMemoryMb(), status.GetAccelerators())
+	return whole.Shortage(admission.ReservedBy(task.Spec())) == ""
+}
+
 // orderByShares reorders the jobs of queues that compete for too few workers. All other jobs keep their
 // positions. Queues are counted as soon as one lacks resources, since that decides whether they compete.
 func (owner *Owner) orderByShares(jobs []*job.Job, now time.Time) {
--- a/owner/shares_test.go
+++ b/owner/shares_test.go
@@ -114,6 +114,42 @@
 	}
 }
 
+// TestLackOfResources: only what queues compete for counts as lacking, not tolerance, and not what no worker has.
+func TestLackOfResources(t *testing.T) {
+	tests := map[string]struct {
+		spec          *job.StepSpec
+		freeMilliCPU  int64
+		lacking, fits bool
+	}{
+		"it fits":                              {spec: &job.StepSpec{MilliCpu: 1000}, freeMilliCPU: 4000, fits: true},
+		"processors in use":                    {spec: &job.StepSpec{MilliCpu: 1000}, freeMilliCPU: 500, lacking: true},
+		"more processors than any worker has":  {spec: &job.StepSpec{MilliCpu: 4001}, freeMilliCPU: 500},
+		"accelerators that no worker has":      {spec: &job.StepSpec{MilliCpu: 1000, Accelerators: 1}, freeMilliCPU: 4000},
+		"a fill task without tolerance":        {spec: &job.StepSpec{MilliCpu: 1000, Fills: true}, freeMilliCPU: 4000},
+		"a fill task without idle processors":  {spec: &job.StepSpec{MilliCpu: 1000, Fills: true}, lacking: true},
+		"a fill task that asks for all memory": {spec: &job.StepSpec{MilliCpu: 1000, MemoryMb: 4001, Fills: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			enableShares(h)
+			h.attach()
+			status := idleWorkerStatus()
+			status.FreeMilliCpu, status.Tolerances = test.freeMilliCPU, []*wire.Tolerance{{Image: "loud"}}
+			h.receive(&wire.AgentMessage{Status: status})
+			test.spec.Count, test.spec.Image = 1, "loud"
+			h.submitWith(func(submission *job.Submission) { submission.Steps[0] = test.spec })
+			h.tick()
+			if placed := len(h.agent.runs) == 1; placed != test.fits {
+				t.Fatalf("placed: %v", placed)
+			}
+			if lacking := h.owner.shares.table.Expire(h.clock.Now()); lacking != test.lacking {
+				t.Errorf("lacking: %v", lacking)
+			}
+		})
+	}
+}
+
 // TestTurnsArePlaced: room for two tasks goes to one of each queue, and their starts count at once.
 func TestTurnsArePlaced(t *testing.T) {
 	h := newHarness(t)
