share: a job that can't be placed costs its queue no turns

Cause: each turn counted all that a job wants as used at once, also if no worker could take it. A queue whose first job wants much, and can't be placed, came behind all jobs of a queue above its share, in each pass. Change: a turn raises the use of a queue to its share at most; beyond it, it counts in full. Result: TestLargeJobCostsNoTurns fails without the change and passes with it; tests of share pass.

--- a/share/order.go
+++ b/share/order.go
@@ -154,12 +154,22 @@
 		line := nextLine(lines)
 		job := line.Jobs[line.next]
 		line.next++
-		line.UsedMilliCPU += job.WantedMilliCPU
+		line.countTurn(job)
 		sequence = append(sequence, job)
 	}
 	return sequence
 }
 
+// countTurn adds what a job wants to the use of its queue, but not beyond its share at once: a job that no worker can
+// take would cost the queue the turns of its other jobs.
+func (line *Line) countTurn(job *Job) {
+	used := line.UsedMilliCPU + job.WantedMilliCPU
+	if line.UsedMilliCPU < line.ShareMilliCPU {
+		used = min(used, line.ShareMilliCPU)
+	}
+	line.UsedMilliCPU = used
+}
+
 // nextLine returns the queue with the next turn among those that have jobs left.
 func nextLine(lines []*Line) *Line {
 	var best *Line
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -200,6 +200,22 @@
 	}
 }
 
+// TestLargeJobCostsNoTurns: a job that wants more than the queue's share, and that no worker can take, doesn't leave the
+// other jobs of its queue behind all those of a queue that uses more than its share.
+func TestLargeJobCostsNoTurns(t *testing.T) {
+	a := &share.Line{ShareMilliCPU: 10_000, Jobs: []*share.Job{
+		{ID: "a-stuck", Work: 1, WantedMilliCPU: 50_000, Target: time.Hour},
+		{ID: "a", Work: 2, WantedMilliCPU: 1000, Target: time.Hour},
+	}}
+	b := &share.Line{Queue: share.Queue{Name: "b"}, ShareMilliCPU: 10_000, UsedMilliCPU: 20_000}
+	for number := range 9 {
+		b.Jobs = append(b.Jobs, &share.Job{ID: fmt.Sprint("b", number), WantedMilliCPU: 1000, Target: time.Hour})
+	}
+	if second := share.Sequence([]*share.Line{a, b})[1]; second.ID != "a" {
+		t.Errorf("%s goes before the other job of the queue that uses nothing", second.ID)
+	}
+}
+
 // TestShortReserve: the reserve is at most an eighth of the worker, decreases to nothing, and doesn't bind
 // a task that has waited or that has room twice over.
 func TestShortReserve(t *testing.T) {
