owner: forget the peak of short tasks of a priority once it is 0

Cause: an entry for each priority of a worker's short tasks was kept as long as the agent is known. Change: entries that have decreased to 0 are removed when the next task starts on the worker. Result: TestPeaksAreForgotten fails without the change and passes with it.

--- a/owner/shares.go
+++ b/owner/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -266,6 +267,7 @@
 			used[demand.GetPriority()] += demand.GetMilliCpu()
 		}
 	}
+	maps.DeleteFunc(view.shortPeaks, func(_ int32, peak *share.RecentPeak) bool { return peak.MilliCPU(now) == 0 })
 	for priority, milliCPU := range used {
 		if view.shortPeaks[priority] == nil {
 			view.shortPeaks[priority] = &share.RecentPeak{}
--- a/owner/shares_test.go
+++ b/owner/shares_test.go
@@ -277,6 +277,20 @@
 	}
 }
 
+// TestPeaksAreForgotten: the peak of a priority is removed at the next start once it has decreased to 0.
+func TestPeaksAreForgotten(t *testing.T) {
+	h := newHarness(t)
+	enableShares(h)
+	h.submit()
+	h.attachAndStart()
+	h.agent.shortPeaks[7] = &share.RecentPeak{}
+	h.agent.shortPeaks[7].Observe(1000, h.clock.Now().Add(-time.Minute))
+	h.owner.observeShortTasks(h.agent, h.clock.Now())
+	if len(h.agent.shortPeaks) != 1 || h.agent.shortPeaks[7] != nil {
+		t.Errorf("got %v, want the peak of the short task that runs", h.agent.shortPeaks)
+	}
+}
+
 // TestReserveAvoidsRefusals: with the reserve, a long-running task is not ordered on workers with barely enough
 // resources, where it is refused, while another worker has twice as much. It guards against the refusals
 // of TestRefusedTaskIsPlacedElsewhere.
