share: test of a queue that wants just its share after an idle time

Cause: TestLoadAfterIdleTime was to play 0.5 and 0.8 of the room and ask for the target 4 s after the queue came back, when all borrowed tasks have ended; its load had been lowered to 0.4, and its bound to a use of the share. Change: that form is a test of its own, beside the present one. It fails: the queue is not owed what it lent, so what waited stays, and each fourth start of an overdue job makes one late.

--- a/share/load_test.go
+++ b/share/load_test.go
@@ -134,11 +134,11 @@
 	}
 }
 
-// longestWait returns the longest wait of the tasks of a queue that arrived in some ticks.
-func (load *load) longestWait(queue string, first, end int) time.Duration {
+// longestWait returns the longest wait of the tasks of a queue that arrived in a tick or later.
+func (load *load) longestWait(queue string, first int) time.Duration {
 	longest := 0
 	for _, queued := range load.tasks {
-		if queued.queue == queue && queued.arrived >= first && queued.arrived < end {
+		if queued.queue == queue && queued.arrived >= first {
 			longest = max(longest, queued.started-queued.arrived)
 		}
 	}
@@ -162,10 +162,10 @@
 		t.Run(name, func(t *testing.T) {
 			played := &load{shortArriving: func(int) int { return test.shortPerTick }, longArriving: test.longArriving}
 			played.play(t)
-			if waited := played.longestWait("short", 0, loadArrivals); waited > shortTarget-shortRuns*loadTick {
+			if waited := played.longestWait("short", 0); waited > shortTarget-shortRuns*loadTick {
 				t.Errorf("a short task waited %v", waited)
 			}
-			if waited := played.longestWait("long", 0, loadArrivals); waited > test.inOrder+longTarget {
+			if waited := played.longestWait("long", 0); waited > test.inOrder+longTarget {
 				t.Errorf("a long task waited %v", waited)
 			}
 		})
@@ -193,7 +193,23 @@
 	if want := 16; running < want {
 		t.Errorf("%d short tasks run after the borrowed time, want %d", running, want)
 	}
-	if waited := played.longestWait("short", caughtUp, loadArrivals); waited > shortTarget-shortRuns*loadTick {
+	if waited := played.longestWait("short", caughtUp); waited > shortTarget-shortRuns*loadTick {
 		t.Errorf("a short task waited %v after the others had caught up", waited)
 	}
 }
+
+// TestLoadAfterIdleTimeAtItsShare: a queue that wants just its share, and has been idle, is served within its target
+// once the tasks have ended that were running when it came back.
+func TestLoadAfterIdleTimeAtItsShare(t *testing.T) {
+	const idleFrom, idleUntil = 100, 200
+	played := &load{longArriving: twoEveryFiveTicks, shortArriving: func(tick int) int {
+		if tick >= idleFrom && tick < idleUntil {
+			return 0
+		}
+		return 10
+	}}
+	played.play(t)
+	if waited := played.longestWait("short", idleUntil+longRuns); waited > shortTarget-shortRuns*loadTick {
+		t.Errorf("a short task waited %v after the borrowed time", waited)
+	}
+}
