share: a queue gets back what it used less than its share

Change: each queue has a lag, share less use over time, while it has waiting tasks; negative for those that used more. It is bounded by the share times twice the shortest target duration of the queues that compete. A queue counts as using less by its lag over its own shortest target duration (1 to 8 s), so the turns give it back. A queue that has stopped waiting is owed nothing, and then nobody owes it. The log line of the shares has the lag.

--- a/owner/shares.go
+++ b/owner/shares.go
@@ -322,6 +322,7 @@
 	Share    int64  `json:"share_milli_cpu"`
 	Used     int64  `json:"used_milli_cpu"`
 	Demand   int64  `json:"demand_milli_cpu"`
+	Lag      int64  `json:"lag_milli_cpu_ms"`
 }
 
 // publishShares logs the shares if they have changed, and records the gauges, once per sharesLogInterval.
@@ -339,6 +340,7 @@
 		rows = append(rows, queueRow{
 			Service: row.Key.Service, Queue: row.Key.Queue.Name, Priority: row.Key.Queue.Priority,
 			Room: row.RoomMilliCPU, Share: row.ShareMilliCPU, Used: row.UsedMilliCPU, Demand: row.DemandMilliCPU,
+			Lag: int64(row.Lag),
 		})
 	}
 	owner.clearShareGauges(current)
--- /dev/null
+++ b/share/lag_test.go
@@ -0,0 +1,105 @@
+package share_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/share"
+)
+
+// TestLagIsBounded: however a queue's use, demand and share vary, it is owed at most what its share yields in twice the
+// shortest target duration, given back within its own one; and nothing without waiting tasks or a target duration.
+func TestLagIsBounded(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		shortest := time.Second + time.Duration(rng.Int64N(int64(2*time.Second)))
+		target := shortest + time.Duration(rng.Int64N(int64(5*time.Second)))
+		lag := share.Lag(0)
+		for step := range 200 {
+			shareMilliCPU := rng.Int64N(20_000)
+			demand := share.Demand{UsedMilliCPU: rng.Int64N(40_000), WantedMilliCPU: rng.Int64N(4) * 5000, Target: target}
+			lag = lag.Add(shareMilliCPU, demand, shortest, time.Duration(rng.Int64N(int64(time.Second))))
+			most := 2 * float64(shareMilliCPU) * shortest.Seconds() / target.Seconds()
+			if extra := lag.MilliCPU(target); float64(max(extra, -extra)) > 1.01*most {
+				t.Fatalf("seed %d, step %d: %d beyond a share of %d, want %g", seed, step, extra, shareMilliCPU, most)
+			}
+			if lag > 0 && demand.WantedMilliCPU == 0 {
+				t.Fatalf("seed %d, step %d: a queue without waiting tasks is owed %d", seed, step, lag)
+			}
+			demand.Target = 0
+			if lag.Add(shareMilliCPU, demand, shortest, time.Second) != 0 {
+				t.Fatalf("seed %d, step %d: a queue without a target duration is owed something", seed, step)
+			}
+		}
+	}
+}
+
+// TestLagStarvesNoQueue: a queue of short tasks that comes and goes at random, and is owed its share each time, never
+// takes more of the other queue's share in any period than it can be owed at once, and one long task.
+func TestLagStarvesNoQueue(t *testing.T) {
+	const most = loadRoom/2*int64(2*shortTarget/loadTick) + 1000*longRuns
+	for seed := range uint64(10) {
+		rng, arriving, lacked := rand.New(rand.NewPCG(seed, 2)), 0, int64(0)
+		played := &load{table: share.NewTable(), longArriving: func(int) int { return 1 }}
+		played.shortArriving = func(int) int {
+			if rng.IntN(10) == 0 {
+				arriving = max(rng.IntN(60)-30, 0)
+			}
+			return arriving
+		}
+		for tick := range loadArrivals {
+			played.arrive(tick)
+			played.place(tick)
+			lacked += loadRoom / 2
+			for _, queued := range played.tasks {
+				if queued.queue == "long" && queued.started >= 0 && tick < queued.started+queued.runs {
+					lacked -= queued.milliCPU
+				}
+			}
+			if lacked = max(lacked, 0); tick < longRuns {
+				lacked = 0
+			}
+			if lacked > most {
+				t.Fatalf("seed %d: the other queue lacked %d, more than %d", seed, lacked, most)
+			}
+		}
+	}
+}
+
+// TestLagOrder: a queue that has used less than its share goes first until it has got that back. Who has given it back
+// is owed nothing for it, and owes nothing to a queue that has stopped waiting.
+func TestLagOrder(t *testing.T) {
+	type count struct{ used, wanted, usedByOther int64 }
+	tests := map[string]struct {
+		counts []count // one every half second, that of the order last
+		first  string
+	}{
+		"it is owed":         {[]count{{0, 50_000, 20_000}, {14_000, 50_000, 6000}}, "a"},
+		"it has it back":     {[]count{{0, 50_000, 20_000}, {20_000, 50_000, 0}, {10_000, 50_000, 11_000}}, "a"},
+		"it stopped waiting": {[]count{{0, 50_000, 20_000}, {10_000, 0, 10_000}, {10_000, 50_000, 9000}}, "b"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := share.NewTable()
+			var jobs []*share.Job
+			for number, count := range test.counts {
+				now := start.Add(time.Duration(number) * 500 * time.Millisecond)
+				jobs = []*share.Job{
+					{ID: "a", UsedMilliCPU: count.used, WantedMilliCPU: count.wanted},
+					{ID: "b", UsedMilliCPU: count.usedByOther, WantedMilliCPU: 50_000},
+				}
+				table.BeginCount(now)
+				for _, job := range jobs {
+					job.Key, job.Target = share.Key{Queue: share.Queue{Name: job.ID}}, time.Second
+					table.NoteUnplaced(job.Key, now)
+					table.AddJob(job)
+				}
+				table.EndCount(func(string) int64 { return 20_000 }, now)
+			}
+			if first := table.Order(jobs)[0]; first.ID != test.first {
+				t.Errorf("%s goes first", first.ID)
+			}
+		})
+	}
+}
--- a/share/order.go
+++ b/share/order.go
@@ -76,7 +76,8 @@
 
 // Line is a queue whose jobs are to be placed.
 type Line struct {
-	Queue                       Queue
+	Queue Queue
+	// UsedMilliCPU is less than what the tasks of the queue use if it is owed some, and more if it owes some.
 	ShareMilliCPU, UsedMilliCPU int64
 	// StartsSinceOldest counts the starts of the queue since the last one of a job that had a turn for being overdue.
 	StartsSinceOldest int
--- a/share/table.go
+++ b/share/table.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// countInterval is the minimum time between two counts of what the queues use and want.
-const countInterval = 100 * time.Millisecond
+const (
+	// countInterval is the minimum time between two counts of what the queues use and want.
+	countInterval = 100 * time.Millisecond
+	// maxLagInterval is the longest time between two counts for which the use of the first one is taken to last.
+	maxLagInterval = time.Second
+)
 
 // Key identifies a queue among those of all services.
 type Key struct {
@@ -30,6 +34,8 @@
 type state struct {
 	// demand is that of all owners as of the last count, plus what this owner has started since.
 	demand Demand
+	// lag is that of all owners' tasks together.
+	lag Lag
 	// overdueTurns holds the IDs of the jobs that have a turn for being overdue; startsSinceOldest counts the starts
 	// since such a job was started.
 	overdueTurns      map[string]bool
@@ -38,7 +44,7 @@
 
 // Table keeps the use and the share of each queue, as one owner knows them, and orders the owner's jobs while
 // there are too few workers. Nothing of it has to be stored: the first count of a new table has all but the
-// starts since a job that had waited longest.
+// starts since a job that had waited longest, and what queues are owed.
 type Table struct {
 	short     shortages
 	queues    map[Key]*state
@@ -93,12 +99,46 @@
 
 // BeginCount sets the demand of all queues to 0. The caller then adds jobs and other owners' demands.
 func (table *Table) BeginCount(now time.Time) {
+	table.updateLags(min(now.Sub(table.countedAt), maxLagInterval))
 	table.countedAt = now
 	for key, known := range table.queues {
 		known.demand = Demand{Queue: key.Queue}
 	}
 }
 
+// updateLags adds the time since the last count to the lags of the queues that compete. If no queue of a competition
+// is owed anything, none owes anything.
+func (table *Table) updateLags(elapsed time.Duration) {
+	shortest, owed := table.shortestTargets(), map[competition]bool{}
+	for key, known := range table.queues {
+		competing := key.competition()
+		division := table.divisions[key.Service]
+		if _, competes := table.short.until[competing]; !competes || division == nil {
+			known.lag = 0
+			continue
+		}
+		known.lag = known.lag.Add(division.ShareMilliCPU(key.Queue), known.demand, shortest[competing], elapsed)
+		owed[competing] = owed[competing] || known.lag > 0
+	}
+	for key, known := range table.queues {
+		if !owed[key.competition()] {
+			known.lag = 0
+		}
+	}
+}
+
+// shortestTargets returns the shortest known target duration of the queues of each competition.
+func (table *Table) shortestTargets() map[competition]time.Duration {
+	shortest := map[competition]time.Duration{}
+	for key, known := range table.queues {
+		competing, target := key.competition(), known.demand.Target
+		if before, found := shortest[competing]; target > 0 && (!found || target < before) {
+			shortest[competing] = target
+		}
+	}
+	return shortest
+}
+
 // AddJob adds a job of this owner to the demand of its queue.
 func (table *Table) AddJob(job *Job) {
 	demand := &table.state(job.Key).demand
@@ -247,7 +287,8 @@
 // newLine returns the line of a queue, without its jobs.
 func (table *Table) newLine(key Key) *Line {
 	known := table.state(key)
-	line := &Line{Queue: key.Queue, UsedMilliCPU: known.demand.UsedMilliCPU, StartsSinceOldest: known.startsSinceOldest}
+	line := &Line{Queue: key.Queue, StartsSinceOldest: known.startsSinceOldest}
+	line.UsedMilliCPU = known.demand.UsedMilliCPU - known.lag.MilliCPU(known.demand.Target)
 	if division := table.divisions[key.Service]; division != nil {
 		line.ShareMilliCPU = division.ShareMilliCPU(key.Queue)
 	}
@@ -259,6 +300,7 @@
 	Key Key
 	// RoomMilliCPU is that of the service.
 	RoomMilliCPU, ShareMilliCPU, UsedMilliCPU, DemandMilliCPU int64
+	Lag                                                       Lag
 }
 
 // Rows returns the queues with a demand whose service's room is divided, ordered by service, priority and name.
@@ -272,6 +314,7 @@
 		rows = append(rows, Row{
 			Key: key, RoomMilliCPU: division.RoomMilliCPU(), ShareMilliCPU: division.ShareMilliCPU(key.Queue),
 			UsedMilliCPU: known.demand.UsedMilliCPU, DemandMilliCPU: known.demand.MilliCPU(),
+			Lag: known.lag,
 		})
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return compareKeys(a.Key, b.Key) })
