share: what queues could not use together is owed to none

Cause: where less than the room can be used (parts of workers that no task fits, reports of other owners missing), the lags of all queues would grow to their bounds, and since each counts over the queue's own target duration, the queue with the shortest would get its whole share at the others' expense.

Change: shares count in the lag for the part of them that the competing queues use together, so that lags sum to 0 but for their bounds.

--- a/share/table.go
+++ b/share/table.go
@@ -106,18 +106,20 @@
 	}
 }
 
-// updateLags adds the time since the last count to the lags of the queues that compete. If no queue of a competition
-// is owed anything, none owes anything.
+// updateLags adds the time since the last count to the lags of the queues that compete. Shares count for the part of
+// them that the queues use together: what none can use is owed to none. If no queue of a competition is owed anything,
+// none owes anything.
 func (table *Table) updateLags(elapsed time.Duration) {
 	shortest, owed := table.shortestTargets(), map[competition]bool{}
+	used, shares := table.sums()
 	for key, known := range table.queues {
 		competing := key.competition()
-		division := table.divisions[key.Service]
-		if _, competes := table.short.until[competing]; !competes || division == nil {
+		if _, competes := table.short.until[competing]; !competes || shares[competing] == 0 {
 			known.lag = 0
 			continue
 		}
-		known.lag = known.lag.Add(division.ShareMilliCPU(key.Queue), known.demand, shortest[competing], elapsed)
+		due := table.shareMilliCPU(key) * used[competing] / shares[competing]
+		known.lag = known.lag.Add(due, known.demand, shortest[competing], elapsed)
 		owed[competing] = owed[competing] || known.lag > 0
 	}
 	for key, known := range table.queues {
@@ -127,6 +129,24 @@
 	}
 }
 
+// sums returns what the queues of each competition use, and the sum of their shares.
+func (table *Table) sums() (used, shares map[competition]int64) {
+	used, shares = map[competition]int64{}, map[competition]int64{}
+	for key, known := range table.queues {
+		used[key.competition()] += known.demand.UsedMilliCPU
+		shares[key.competition()] += table.shareMilliCPU(key)
+	}
+	return used, shares
+}
+
+// shareMilliCPU returns the share of a queue, 0 if the room of its service is not divided.
+func (table *Table) shareMilliCPU(key Key) int64 {
+	if division := table.divisions[key.Service]; division != nil {
+		return division.ShareMilliCPU(key.Queue)
+	}
+	return 0
+}
+
 // shortestTargets returns the shortest known target duration of the queues of each competition.
 func (table *Table) shortestTargets() map[competition]time.Duration {
 	shortest := map[competition]time.Duration{}
@@ -287,11 +307,8 @@
 // newLine returns the line of a queue, without its jobs.
 func (table *Table) newLine(key Key) *Line {
 	known := table.state(key)
-	line := &Line{Queue: key.Queue, StartsSinceOldest: known.startsSinceOldest}
+	line := &Line{Queue: key.Queue, ShareMilliCPU: table.shareMilliCPU(key), StartsSinceOldest: known.startsSinceOldest}
 	line.UsedMilliCPU = known.demand.UsedMilliCPU - known.lag.MilliCPU(known.demand.Target)
-	if division := table.divisions[key.Service]; division != nil {
-		line.ShareMilliCPU = division.ShareMilliCPU(key.Queue)
-	}
 	return line
 }
 
