share: wrap comments on lags

Cause: lines over 120 columns; no known target duration is also the case of a queue that only other owners have jobs of. Change: comments only.

--- a/share/doc.go
+++ b/share/doc.go
@@ -17,11 +17,11 @@
 // the shares until a demand has changed noticeably or a period has passed that depends on the shortest target
 // duration.
 //
-// Shares limit nothing: they only decide about the order of placing. [Sequence] gives the next turn to the
-// queue that uses the least relative to its share. A queue that got less than its share before, say because others had
-// borrowed it, has a [Lag]: it counts as using less until it has got that back, and the others as using more. Within a queue, jobs that can still meet their objective
-// come first, and of these the job with the least work left. Every few starts, the turn is that of the job
-// that has waited longest, once that exceeds a limit given by its own target duration.
+// Shares limit nothing: they only decide about the order of placing. [Sequence] gives the next turn to the queue that
+// uses the least relative to its share. A queue that got less than its share before, say because others had borrowed
+// it, has a [Lag]: it counts as using less until it has got that back, and the others as using more. Within a queue,
+// jobs that can still meet their objective come first, and of these the job with the least work left. Every few starts,
+// the turn is that of the job that has waited longest, once that exceeds a limit given by its own target duration.
 //
 // # Reserve for short tasks
 //
--- a/share/lag.go
+++ b/share/lag.go
@@ -18,9 +18,10 @@
 // tasks waiting. The lag is negative if the queue has used more than its share.
 type Lag int64
 
-// Add returns the lag after a time with a share, as far as queues could use theirs, and a demand. It is at most what the share yields in twice the shortest
-// target duration of the queues that compete, which is given. A queue without waiting tasks is owed nothing: it could
-// save up claims. One without a target duration has only long-running tasks, which return nothing; it has no lag.
+// Add returns the lag after a time with a share, as far as queues could use theirs, and a demand. It is at most what
+// the share yields in twice the shortest target duration of the queues that compete, which is given. A queue without
+// waiting tasks is owed nothing: it could save up claims. One without a known target duration has no lag: long-running
+// tasks return nothing.
 func (lag Lag) Add(shareMilliCPU int64, demand Demand, shortest, elapsed time.Duration) Lag {
 	if demand.Target <= 0 {
 		return 0
