--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -101,6 +101,11 @@
 	CandidacyEnded
 )
 
+// Shares of queues.
+const (
+	SharesChanged Code = 1020 + iota
+)
+
 // Jobs, their runs and their ends.
 const (
 	JobAccepted Code = 800 + iota
@@ -366,6 +371,7 @@
 	{MoveReservationEnded, slog.LevelInfo, "move reservation ended", "Room that was reserved for a run is not reserved any more. The attribute reason is used if the run was stopped and its task was placed there, or else says why that did not happen. The attribute after says how long the room was reserved.", hardLoadRelease},
 	{OwnershipUnconfirmed, slog.LevelWarn, "ownership unconfirmed", "The store has not confirmed the ownership of this entry's shards for so long that it may have assigned them to others. The entry considers none of their runs lost until the store answers a join, and places tasks only of shards for which the store has just accepted an append. The attribute shards says how many shards the entry owns as far as it knows, and since how long ago the last join that was answered had been sent.", hardLoadRelease},
 	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "After event 1050, the store has confirmed the ownership of all shards that this entry still has. Shards that it has lost, or all if it stops to own any, are given up by then (event 704). The attribute after says how long ago the last join that was answered before event 1050 had been sent.", hardLoadRelease},
+	{SharesChanged, slog.LevelInfo, "shares changed", "The shares of queues in the processors of their service have changed, or have been computed for the first time. There are too few workers: within a second, tasks of two queues with the same priority found no worker with free resources, or those of one that uses less than its share, while another queue has a demand; and some have since. The attribute queues lists for each queue with a demand the room of its service, its share, what its running tasks use, and its demand, which includes its waiting tasks. The attribute peers is the number of other owners whose reports counted, and peers_age the age of the oldest of them; without any, only the jobs of this owner are counted. Logged at most once a second.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -138,6 +138,7 @@
 	evacuationState  operator.EvacuationState
 	peerBacklogs     peerBacklogs
 	backlogs         backlogState
+	shares           *roomShares // nil if the feature is off
 	placementChanges placementChanges
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
 	// of the metrics was last increased.
@@ -169,6 +170,7 @@
 		placementChanges: newPlacementChanges(),
 		backlogs:         newBacklogState(),
 		moves:            newMoves(),
+		shares:           newRoomShares(options),
 	}
 	owner.leaveBeforeJoin.Store(true)
 	if options.Suspended != nil {
