overload, gateway, owner: admission by forecast, order of return, answers in an outage

Cause: more is submitted than can end while it is of use; callers learn it by waiting, and all that are refused come back after the same second. While the store is away they are all told one second too. Change: package overload decides who is admitted and when refused callers come back; gateways ask the owner of the job's shard (Peer.Admit) if a forecast is late; off without feature admission and a forecaster.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -164,6 +164,11 @@
 	EndPassedOver
 )
 
+// Admission while more jobs are submitted than can end in time.
+const (
+	JobReturned Code = 1010 + iota
+)
+
 // LinesDropped is about the log itself.
 const LinesDropped Code = 190
 
@@ -196,6 +201,8 @@
 	incarnationRelease = "0.9"
 	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
 	candidacyRelease = "0.10"
+	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
+	hardLoadRelease = "0.11"
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -331,6 +338,8 @@
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is closed. Messages in transit on it have no effect. The attribute by is the number of the newer connection.", endTrackingRelease},
 	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker reports another start time than that of the incarnation that the agent manages: it has restarted under the same ID. The attributes give both start times, in milliseconds since 1970, and the number up to which the earlier incarnation had been told to forget its ends.", incarnationRelease},
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
+
+	{JobReturned, slog.LevelInfo, "job returned", "The caller of a job that was refused for load came back. The attributes say how long after the first refusal and after how many, how late after the time that it was told, whether the job was admitted this time, and otherwise when the caller may try again. The attribute asked is false if the job came in without the owner being asked, because its forecast was in time.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"ambertiller.example/ambertiller/backlog"
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/overload"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+const (
+	// admitTimeout bounds the question to the owner. Callers that are refused should learn it well within a
+	// quarter of their target.
+	admitTimeout = 100 * time.Millisecond
+	// unsettledReportTries and unsettledReportDelay let a report outlast the move of a shard.
+	unsettledReportTries = 5
+	unsettledReportDelay = 300 * time.Millisecond
+	// The causes of refusals in metrics.
+	causeLoad  = "load"
+	causeStore = "store"
+)
+
+// forecaster forecasts when jobs end. Package gateway's backlogs implement it.
+type forecaster interface {
+	// forecast returns when a job would end if it is accepted now, and false if that is not known.
+	forecast(submission *job.Submission, now time.Time) (backlog.Forecast, bool)
+	// drainedCoreMsPerS returns the rate at which work is done, in all shards together, that jobs of this
+	// service and need wait for; 0 if it is not known.
+	drainedCoreMsPerS(service string, need wire.TaskNeed, now time.Time) int64
+}
+
+// admission is what the gateway knows for admitting jobs. It may be used by many goroutines.
+type admission struct {
+	mu      sync.Mutex
+	gate    *overload.Gate
+	refused metric.Int64Counter
+}
+
+// newAdmission creates the instrument. The error is ignored because the library returns it only for an invalid
+// name.
+func newAdmission(provider metric.MeterProvider) admission {
+	refused, _ := telemetry.Meter(provider, "gateway").Int64Counter("ambertiller.job.refused",
+		metric.WithDescription("Jobs that were refused, by queue and cause: load or store."))
+	return admission{gate: overload.NewGate(), refused: refused}
+}
+
+// refusal is the refusal of a job for load.
+type refusal struct {
+	submission *job.Submission
+	forecast   backlog.Forecast
+	useful     time.Duration
+	retryAfter time.Duration
+	reason     string
+}
+
+// checkAdmission returns why a job is refused for load, or nil if it is admitted. Whatever is not known or not
+// answered in time admits the job.
+func (gateway *Gateway) checkAdmission(ctx context.Context, configuration *platform.Configuration, submission *job.Submission, now time.Time) *refusal {
+	if !gateway.hasAdmission() || gateway.forecaster == nil {
+		return nil
+	}
+	candidate := job.New(submission, job.ShardOf(submission.GetId(), gateway.options.Shards))
+	if overload.IsExempt(candidate, configuration.MostUrgentPriority(submission.GetService())) {
+		return nil
+	}
+	forecast, known := gateway.forecaster.forecast(submission, now)
+	if !known {
+		return nil
+	}
+	end, useful := overload.EarliestEnd(forecast), overload.UsefulDuration(candidate)
+	if !overload.ShouldAsk(end, useful) || gateway.mayBeStored(submission.GetId(), now) {
+		return nil
+	}
+	need := mainNeed(submission)
+	reply, err := gateway.directory.requestAdmission(ctx, &wire.AdmitRequest{
+		Id: submission.GetId(), Shard: int32(candidate.Shard()), Queue: submission.GetQueue(), Service: submission.GetService(),
+		Priority: submission.GetPriority(), Need: need, CoreMs: candidate.CoreMs(),
+		EndMs: end.Milliseconds(), UsefulMs: useful.Milliseconds(),
+		DrainedCoreMsPerS: gateway.forecaster.drainedCoreMsPerS(submission.GetService(), need, now),
+	})
+	if err != nil || !reply.GetDecided() || reply.GetAdmitted() {
+		return nil
+	}
+	retryAfter := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
+	return &refusal{submission: submission, forecast: forecast, useful: useful, retryAfter: retryAfter, reason: reply.GetReason()}
+}
+
+// mayBeStored reports whether a job may be in the store by an append of this gateway.
+func (gateway *Gateway) mayBeStored(id string, now time.Time) bool {
+	gateway.admission.mu.Lock()
+	defer gateway.admission.mu.Unlock()
+	return gateway.admission.gate.MayBeStored(id, now)
+}
+
+// mainNeed returns the need of most of a job's work.
+func mainNeed(submission *job.Submission) wire.TaskNeed {
+	fillWork, reservedWork := int64(0), int64(0)
+	for _, step := range submission.GetSteps() {
+		work := int64(step.GetCount()) * step.GetMilliCpu() * step.GetEstimateMs()
+		if step.GetFills() {
+			fillWork += work
+		} else {
+			reservedWork += work
+		}
+	}
+	if fillWork > reservedWork {
+		return wire.TaskNeed_NEED_FILL
+	}
+	return wire.TaskNeed_NEED_RESERVED
+}
+
+// requestAdmission asks the owner of a job's shard. It doesn't read the owners from the store, so the question
+// takes no longer than admitTimeout.
+func (directory *ownerDirectory) requestAdmission(ctx context.Context, request *wire.AdmitRequest) (*wire.AdmitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	member := directory.ownerOf(int(request.GetShard()))
+	if member == "" || member == directory.options.MemberName {
+		return directory.options.Owner.Admit(ctx, request)
+	}
+	return directory.peerClient(member).Admit(ctx, request)
+}
+
+// respondOverloaded refuses a job for load. Nothing of it was sent to the store.
+func (gateway *Gateway) respondOverloaded(writer http.ResponseWriter, request *http.Request, refused *refusal, receivedAt time.Time) {
+	now := gateway.options.Clock.Now()
+	queue := refused.submission.GetQueue()
+	gateway.options.Events.Log(request.Context(), event.JobRefused, slog.String("job", refused.submission.GetId()),
+		slog.String("reason", refused.reason), slog.String("queue", queue), slog.Duration("forecast", refused.forecast.End()),
+		slog.Duration("deviation", refused.forecast.Deviation()), slog.Duration("age", refused.forecast.Age()),
+		slog.Duration("useful", refused.useful), slog.Duration("retry_after", refused.retryAfter))
+	gateway.metrics.recordAnswer(request.Context(), request.Method, appendRefused.String(), now.Sub(receivedAt))
+	gateway.recordRefusal(request.Context(), queue, causeLoad)
+	respondRetryLater(writer, http.StatusServiceUnavailable, refused.retryAfter)
+}
+
+func (gateway *Gateway) recordRefusal(ctx context.Context, queue, cause string) {
+	gateway.admission.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("queue", queue), attribute.String("cause", cause)))
+}
+
+// appendSubmission appends a job to the store. It notes whether the job may be there, here and at the owner, so
+// that its caller is not refused when it comes back, to whichever gateway.
+func (gateway *Gateway) appendSubmission(ctx context.Context, submission *job.Submission, value []byte) appendResult {
+	id := submission.GetId()
+	if !gateway.hasAdmission() {
+		return gateway.appendRecord(ctx, id, job.SubmissionKey(id), value)
+	}
+	gateway.admission.mu.Lock()
+	gateway.admission.gate.BeginAppend(id, gateway.options.Clock.Now())
+	gateway.admission.mu.Unlock()
+	result := gateway.appendRecord(ctx, id, job.SubmissionKey(id), value)
+	gateway.admission.mu.Lock()
+	gateway.admission.gate.EndAppend(id, result.status == appendUnknown, gateway.options.Clock.Now())
+	gateway.admission.mu.Unlock()
+	switch result.status {
+	case appendUnknown:
+		go gateway.reportUnsettled(context.WithoutCancel(ctx), id)
+	case appendRefused:
+		gateway.recordRefusal(ctx, submission.GetQueue(), causeStore)
+	case appendSucceeded:
+	}
+	return result
+}
+
+// reportUnsettled tells the owner of a job's shard that the job may be in the store.
+func (gateway *Gateway) reportUnsettled(ctx context.Context, id string) {
+	request := &wire.AdmitRequest{Id: id, Shard: int32(job.ShardOf(id, gateway.options.Shards))}
+	for range unsettledReportTries {
+		reply, err := gateway.directory.requestAdmission(ctx, request)
+		if err == nil && reply.GetDecided() {
+			return
+		}
+		sleep(ctx, gateway.options.Clock, unsettledReportDelay)
+	}
+}
+
+func (gateway *Gateway) hasAdmission() bool { return gateway.options.Features.Has(feature.Admission) }
+
+// storeRetryAfter returns when the caller of a job may come back that the store did not take.
+func (gateway *Gateway) storeRetryAfter(id string) time.Duration {
+	if !gateway.hasAdmission() {
+		return retryDelay
+	}
+	return overload.OutageRetryAfter(id, gateway.breaker.outage(gateway.options.Clock.Now()))
+}
+
+// isAppendHopeless reports whether no further attempt to append can succeed before the deadline of ctx.
+func (gateway *Gateway) isAppendHopeless(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	if !gateway.hasAdmission() || !limited {
+		return false
+	}
+	now := gateway.options.Clock.Now()
+	return overload.IsHopeless(gateway.breaker.outage(now) >= breakerOpenDelay, deadline.Sub(now), appendTimeout)
+}
--- a/gateway/append.go
+++ b/gateway/append.go
@@ -80,6 +80,9 @@
 		if !mayBeStored {
 			break
 		}
+		if gateway.isAppendHopeless(ctx) {
+			break
+		}
 		sleep(ctx, gateway.options.Clock, appendRetryDelay)
 	}
 	if mayBeStored {
--- a/gateway/breaker.go
+++ b/gateway/breaker.go
@@ -51,7 +51,7 @@
 func (breaker *circuitBreaker) shouldReject(now time.Time) bool {
 	breaker.mu.Lock()
 	defer breaker.mu.Unlock()
-	if breaker.failingSince.IsZero() || now.Sub(breaker.failingSince) < breakerOpenDelay || now.Sub(breaker.lastFailureAt) > breakerFailureMaxAge {
+	if breaker.outageLocked(now) < breakerOpenDelay {
 		return false
 	}
 	if now.Sub(breaker.lastProbeAt) >= breakerProbeInterval {
@@ -60,3 +60,18 @@
 	}
 	return true
 }
+
+// outage returns for how long all appends have failed, or 0 if the last one has succeeded or too long ago.
+func (breaker *circuitBreaker) outage(now time.Time) time.Duration {
+	breaker.mu.Lock()
+	defer breaker.mu.Unlock()
+	return breaker.outageLocked(now)
+}
+
+// outageLocked does the same; the caller holds mu.
+func (breaker *circuitBreaker) outageLocked(now time.Time) time.Duration {
+	if breaker.failingSince.IsZero() || now.Sub(breaker.lastFailureAt) > breakerFailureMaxAge {
+		return 0
+	}
+	return now.Sub(breaker.failingSince)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -77,11 +78,17 @@
 	shuttingDown  atomic.Bool
 	breaker       circuitBreaker
 	metrics       metrics
+	admission     admission
+	// forecaster forecasts when jobs end; nil if there are no forecasts.
+	forecaster forecaster
 }
 
 // New returns a gateway that refuses all requests until Run has read a configuration.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, directory: newOwnerDirectory(options), metrics: newMetrics(options.Meters)}
+	return &Gateway{
+		options: options, directory: newOwnerDirectory(options), metrics: newMetrics(options.Meters),
+		admission: newAdmission(options.Meters),
+	}
 }
 
 // IsReady reports whether the gateway has a configuration and is not shutting down.
@@ -151,7 +158,11 @@
 		gateway.respondRefused(writer, id, err.Error())
 		return
 	}
-	result := gateway.appendRecord(request.Context(), id, job.SubmissionKey(id), value)
+	if refused := gateway.checkAdmission(request.Context(), configuration, submission, receivedAt); refused != nil {
+		gateway.respondOverloaded(writer, request, refused, receivedAt)
+		return
+	}
+	result := gateway.appendSubmission(request.Context(), submission, value)
 	gateway.respondAppend(writer, request, result, id, event.JobAccepted, configuration.Version(), receivedAt)
 }
 
@@ -178,21 +189,22 @@
 		gateway.respondRefused(writer, id, result.reason)
 	default:
 		gateway.options.Events.Log(request.Context(), event.JobUnsettled, slog.String("job", id), slog.Duration("took", took), slog.String("reason", result.reason))
-		respondRetryLater(writer, http.StatusGatewayTimeout)
+		respondRetryLater(writer, http.StatusGatewayTimeout, gateway.storeRetryAfter(id))
 	}
 }
 
-// respondRetryLater responds with a status and a Retry-After header.
-func respondRetryLater(writer http.ResponseWriter, status int) {
-	writer.Header().Set(retryAfterHeader, strconv.Itoa(int(retryDelay.Seconds())))
+// respondRetryLater responds with a status and a Retry-After header, whose unit is whole seconds.
+func respondRetryLater(writer http.ResponseWriter, status int, retryAfter time.Duration) {
+	writer.Header().Set(retryAfterHeader, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	writer.WriteHeader(status)
 }
 
 // respondRefused responds with 503 Service Unavailable and a Retry-After header, and logs the refusal. It is
 // only called when the request had no effect.
 func (gateway *Gateway) respondRefused(writer http.ResponseWriter, id, reason string) {
-	gateway.options.Events.Log(context.Background(), event.JobRefused, slog.String("job", id), slog.String("reason", reason), slog.Duration("retry_after", retryDelay))
-	respondRetryLater(writer, http.StatusServiceUnavailable)
+	retryAfter := gateway.storeRetryAfter(id)
+	gateway.options.Events.Log(context.Background(), event.JobRefused, slog.String("job", id), slog.String("reason", reason), slog.Duration("retry_after", retryAfter))
+	respondRetryLater(writer, http.StatusServiceUnavailable, retryAfter)
 }
 
 func (gateway *Gateway) respondState(writer http.ResponseWriter, request *http.Request, id string) {
@@ -203,7 +215,7 @@
 		slog.Bool("known", reply.GetKnown()), slog.Any("error", err))
 	switch {
 	case err != nil:
-		respondRetryLater(writer, http.StatusServiceUnavailable)
+		respondRetryLater(writer, http.StatusServiceUnavailable, retryDelay)
 	case !reply.GetKnown():
 		writer.WriteHeader(http.StatusGone)
 	default:
@@ -224,7 +236,7 @@
 func (gateway *Gateway) respondPending(writer http.ResponseWriter, request *http.Request, queue *platform.Queue) {
 	count, err := gateway.directory.pendingJobs(request.Context(), queue.Name())
 	if err != nil {
-		respondRetryLater(writer, http.StatusServiceUnavailable)
+		respondRetryLater(writer, http.StatusServiceUnavailable, retryDelay)
 		return
 	}
 	platform.WritePending(writer, count)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/gateway"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/owner"
@@ -31,10 +32,15 @@
 type harness struct {
 	store   *wirestore.Store
 	gateway *gateway.Gateway
+	options gateway.Options
 }
 
 // newHarness returns a harness whose store holds a configuration, or none if configuration is empty.
-func newHarness(t *testing.T, configuration string) *harness {
+func newHarness(t *testing.T, configuration string, features ...string) *harness {
+	enabled, err := feature.Parse(features)
+	if err != nil {
+		t.Fatal(err)
+	}
 	storeServer := wirestore.New(shardCount, time.Now)
 	if configuration != "" {
 		storeServer.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, []byte(configuration))
@@ -44,13 +50,14 @@
 	clock := clockwork.NewRealClock()
 	shardOwner := owner.New(owner.Options{
 		Name: "edge-1", Strong: true, Address: "127.0.0.1:1", Shards: shardCount, GrantDuration: time.Second, MemberTimeout: time.Second, Store: store,
-		Clock: clock, Events: event.Discard(),
+		Clock: clock, Events: event.Discard(), Features: enabled,
 		Dial: func(context.Context, string) (drpc.Conn, error) { return nil, context.Canceled },
 	})
-	handler := gateway.New(gateway.Options{
+	options := gateway.Options{
 		Name: "edge-1", Shards: shardCount, Store: store, Owner: shardOwner, MemberName: shardOwner.MemberName(),
-		Pool: rpc.NewPool(nil), Clock: clock, Events: event.Discard(),
-	})
+		Pool: rpc.NewPool(nil), Clock: clock, Events: event.Discard(), Features: enabled,
+	}
+	handler := gateway.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		cancel()
@@ -64,7 +71,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	return &harness{store: storeServer, gateway: handler}
+	return &harness{store: storeServer, gateway: handler, options: options}
 }
 
 func (h *harness) send(method, path, body, deadline string) *httptest.ResponseRecorder {
--- /dev/null
+++ b/overload/spread.go
@@ -0,0 +1,26 @@
+package overload
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// spread returns a part of width that depends on the ID alone, so that callers who are told the same time don't
+// come back at once.
+func spread(id string, width time.Duration) time.Duration {
+	hash := fnv.New32a()
+	// Write of a hash never fails.
+	_, _ = hash.Write([]byte(id))
+	return time.Duration(float64(width) * mix(hash.Sum32()))
+}
+
+// mix returns a number from 0 to below 1. FNV alone leaves the high bits of similar IDs similar.
+func mix(sum uint32) float64 {
+	sum ^= sum >> 16
+	sum *= 0x85ebca6b
+	sum ^= sum >> 13
+	sum *= 0xc2b2ae35
+	sum ^= sum >> 16
+	return float64(sum) / (math.MaxUint32 + 1)
+}
--- /dev/null
+++ b/overload/table.go
@@ -0,0 +1,294 @@
+package overload
+
+import (
+	"time"
+)
+
+const (
+	// maxEntries bounds the table to about one megabyte. Beyond it newcomers get no place.
+	maxEntries = 4096
+	// settledMaxAge is how long a job counts as one that may be in the store. By then the owner has read it, or
+	// every attempt to append it has ended.
+	settledMaxAge = 30 * time.Second
+	// returnTolerance is how long after the time that its caller was told an entry keeps its place.
+	returnTolerance = 3 * time.Second
+	// reportDelay is how long admitted work is missing from forecasts, because owners report their backlogs
+	// once a second.
+	reportDelay = time.Second
+	// minRetryAfter is the least that callers are told.
+	minRetryAfter = time.Second
+	// guaranteedShare is the part of an equal share that each class gets ahead of the line. It is below 1 so that
+	// classes of few and large jobs, whose tallies vary most, don't pass the others by chance.
+	guaranteedShare = 0.9
+	// retrySpread is the part of the time told by which callers are spread.
+	retrySpread = 0.25
+)
+
+// Request describes a job whose caller asks for admission.
+type Request struct {
+	ID string
+	// Pool names what the job competes for: jobs of one pool wait for each other.
+	Pool  string
+	Queue string
+	// CoreMs is the estimated work, in ms of one core.
+	CoreMs int64
+	// End is the forecast time until the job ends, if it is admitted now, and Useful that until its end is of
+	// no use any more.
+	End, Useful time.Duration
+	// DrainedCoreMsPerS is the rate at which work of the pool is done, and Share the part of it that is due to
+	// the jobs of this table.
+	DrainedCoreMsPerS, Share float64
+}
+
+// lineTime returns how long it takes until work of this table's jobs has been done.
+func (request *Request) lineTime(coreMs float64) time.Duration {
+	return time.Duration(coreMs / (request.DrainedCoreMsPerS * request.Share) * float64(time.Second))
+}
+
+// ownTime returns by how much the work of the job itself delays its end.
+func (request *Request) ownTime() time.Duration {
+	return time.Duration(float64(request.CoreMs) / request.DrainedCoreMsPerS * float64(time.Second))
+}
+
+// entry is a job whose caller was refused or admitted, or that may be in the store.
+type entry struct {
+	pool, class string
+	coreMs      float64
+	order       int64 // of the places in the line
+	firstCallAt time.Time
+	told        time.Duration // after which time the caller was last told to come back
+	toldAt      time.Time     // when that time is over
+	refusals    int
+	// placed is set if the job has a place in the line: its turn comes while it is of use.
+	placed bool
+	// settledAt is when the job was admitted, or when it became known that it may be in the store. It is the
+	// zero time while the job is refused.
+	settledAt time.Time
+}
+
+// hasLapsed reports whether the entry has no effect any more.
+func (e *entry) hasLapsed(now time.Time) bool {
+	if !e.settledAt.IsZero() {
+		return now.Sub(e.settledAt) > settledMaxAge
+	}
+	return now.Sub(e.toldAt) > returnTolerance
+}
+
+// Table holds the callers that an owner has refused or admitted lately. It must not be used by several
+// goroutines at a time.
+type Table struct {
+	entries map[string]*entry // by job ID
+	classes map[string]map[string]*class
+	places  int64
+	// overflowUntil is until when the table lacks jobs that must not be refused.
+	overflowUntil time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: map[string]*entry{}, classes: map[string]map[string]*class{}}
+}
+
+// Len returns the number of jobs that the table holds.
+func (table *Table) Len() int { return len(table.entries) }
+
+// Settle notes that a job may be in the store, so that it is not refused.
+func (table *Table) Settle(id string, now time.Time) {
+	table.expire(now)
+	if e, known := table.entries[id]; known && e.settledAt.IsZero() {
+		table.admit(e, now)
+		return
+	}
+	table.keepSettled(id, &entry{settledAt: now})
+}
+
+// Arrive notes that a job is in the store. It returns how its caller came back, if it had been refused before
+// and came in without asking.
+func (table *Table) Arrive(id string, now time.Time) (Return, bool) {
+	e, known := table.entries[id]
+	if !known || !e.settledAt.IsZero() {
+		return Return{}, false
+	}
+	caller := newReturn(e, now)
+	table.admit(e, now)
+	return caller, true
+}
+
+// Decide decides whether a job is admitted, and otherwise when its caller may come back. Without the rate at
+// which work is done the decision is not made.
+func (table *Table) Decide(request Request, now time.Time) Decision {
+	table.expire(now)
+	e, known := table.entries[request.ID]
+	if known && !e.settledAt.IsZero() {
+		return Decision{decided: true, admitted: true, reason: ReasonSettled}
+	}
+	if request.DrainedCoreMsPerS <= 0 || request.Share <= 0 || now.Before(table.overflowUntil) {
+		return Decision{}
+	}
+	decision := Decision{decided: true, reason: ReasonTooLate}
+	if known {
+		decision.caller, decision.hasReturned = newReturn(e, now), true
+	} else {
+		e = table.newEntry(&request, now)
+	}
+	wait := table.turn(e, &request, now)
+	if wait <= 0 {
+		table.admit(e, now)
+		table.keepSettled(request.ID, e)
+		decision.admitted, decision.reason = true, ReasonInTime
+		return decision
+	}
+	decision.retryAfter = table.refuse(e, &request, wait, now)
+	table.keepRefused(request.ID, e)
+	return decision
+}
+
+// newEntry returns an entry for a newcomer.
+func (table *Table) newEntry(request *Request, now time.Time) *entry {
+	name := className(request.Queue, request.CoreMs)
+	e := &entry{pool: request.Pool, class: name, coreMs: float64(request.CoreMs), firstCallAt: now}
+	classes := table.classes[request.Pool]
+	if classes == nil {
+		classes = map[string]*class{}
+		table.classes[request.Pool] = classes
+	}
+	if classes[name] == nil {
+		classes[name] = &class{updatedAt: now}
+	}
+	return e
+}
+
+// turn returns how long it takes until there is room for a job. A job of a class that has had less than its share
+// waits for those of its class alone.
+func (table *Table) turn(e *entry, request *Request, now time.Time) time.Duration {
+	ahead := table.workAhead(e, now)
+	line := ahead.total
+	if ahead.isWithinShare {
+		line = min(line, ahead.ofClass*float64(len(table.classes[e.pool])))
+	}
+	return request.End + request.lineTime(ahead.unreported+line) - request.Useful
+}
+
+// work is what lies ahead of a job besides the backlog that the forecast includes.
+type work struct {
+	unreported float64 // admitted, and not in the forecast yet
+	total      float64 // of all jobs in the line that called first
+	ofClass    float64 // of those in the job's class
+	// isWithinShare is set if the job's class has had less than an equal part of the work that was admitted.
+	isWithinShare bool
+}
+
+// workAhead returns the work ahead of a job.
+func (table *Table) workAhead(e *entry, now time.Time) work {
+	ahead := work{isWithinShare: table.isWithinShare(e, now)}
+	for _, other := range table.entries {
+		switch {
+		case other == e || other.pool != e.pool:
+		case !other.settledAt.IsZero():
+			if now.Sub(other.settledAt) < reportDelay {
+				ahead.unreported += other.coreMs
+			}
+		case other.placed && (!e.placed || other.order < e.order):
+			ahead.total += other.coreMs
+			if other.class == e.class {
+				ahead.ofClass += other.coreMs
+			}
+		}
+	}
+	return ahead
+}
+
+// isWithinShare reports whether a job's class has had less than an equal part of the work that was admitted. What
+// the other classes leave of their parts goes to whoever called first.
+func (table *Table) isWithinShare(e *entry, now time.Time) bool {
+	admitted := 0.0
+	classes := table.classes[e.pool]
+	for _, c := range classes {
+		c.fade(now)
+		admitted += c.admitted
+	}
+	return classes[e.class].admitted < guaranteedShare*admitted/float64(len(classes))
+}
+
+// admit notes that a job has been admitted.
+func (table *Table) admit(e *entry, now time.Time) {
+	e.settledAt = now
+	e.placed = false
+	c := table.classes[e.pool][e.class]
+	c.fade(now)
+	c.admitted += e.coreMs
+}
+
+// refuse notes that a job has been refused, and returns when its caller may come back.
+func (table *Table) refuse(e *entry, request *Request, wait time.Duration, now time.Time) time.Duration {
+	waited := now.Sub(e.firstCallAt)
+	longest := longestWait(request.Useful) - waited
+	// The line is full for jobs of all sizes at once, so their own work doesn't count. A job that could not end
+	// in time even alone gets no place.
+	if !e.placed && wait-request.ownTime() <= longest && request.ownTime() <= request.Useful {
+		table.places++
+		e.placed, e.order = true, table.places
+	}
+	retryAfter := min(wait, longest)
+	if longest < minRetryAfter && !e.placed {
+		// The job is of no use any more by the time that it could come in.
+		retryAfter = request.Useful - waited
+	}
+	retryAfter = max(retryAfter, minRetryAfter)
+	retryAfter += spread(request.ID, time.Duration(float64(retryAfter)*retrySpread))
+	e.refusals++
+	e.told = retryAfter
+	e.toldAt = now.Add(retryAfter)
+	return retryAfter
+}
+
+// keepRefused adds the entry of a refused job, unless the table is full.
+func (table *Table) keepRefused(id string, e *entry) {
+	if len(table.entries) < maxEntries {
+		table.entries[id] = e
+	}
+}
+
+// keepSettled adds the entry of a job that must not be refused. If the table is full, it takes the space of the
+// refused job that called last. If there is none, nothing is refused until the entries have lapsed.
+func (table *Table) keepSettled(id string, e *entry) {
+	if _, known := table.entries[id]; !known && len(table.entries) >= maxEntries && !table.dropYoungest() {
+		table.overflowUntil = e.settledAt.Add(settledMaxAge)
+		return
+	}
+	table.entries[id] = e
+}
+
+// dropYoungest removes the refused job that called last, and reports whether there was one.
+func (table *Table) dropYoungest() bool {
+	youngest := ""
+	for id, e := range table.entries {
+		if e.settledAt.IsZero() && (youngest == "" || e.firstCallAt.After(table.entries[youngest].firstCallAt)) {
+			youngest = id
+		}
+	}
+	delete(table.entries, youngest)
+	return youngest != ""
+}
+
+// expire removes what has no effect any more.
+func (table *Table) expire(now time.Time) {
+	used := map[*class]bool{}
+	for id, e := range table.entries {
+		if e.hasLapsed(now) {
+			delete(table.entries, id)
+			continue
+		}
+		used[table.classes[e.pool][e.class]] = true
+	}
+	for pool, classes := range table.classes {
+		for name, c := range classes {
+			if !used[c] {
+				delete(classes, name)
+			}
+		}
+		if len(classes) == 0 {
+			delete(table.classes, pool)
+		}
+	}
+}
--- /dev/null
+++ b/overload/table_test.go
@@ -0,0 +1,230 @@
+package overload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ambertiller.example/ambertiller/overload"
+)
+
+var startTime = time.UnixMilli(1_800_000_000_000)
+
+// newRequest returns a request for a job of one second of work that ends that much after its useful time.
+func newRequest(id string, tooLate time.Duration) overload.Request {
+	return overload.Request{
+		ID: id, Pool: "p", Queue: "q", CoreMs: 10_000, End: useful + tooLate, Useful: useful, DrainedCoreMsPerS: 10_000, Share: 1,
+	}
+}
+
+// TestReturnersComeInByFirstCall checks that callers come in by the order of their first calls, whatever the
+// order in which they come back, and before newcomers.
+func TestReturnersComeInByFirstCall(t *testing.T) {
+	table := overload.NewTable()
+	ids := []string{"1", "2", "3"}
+	var told []time.Duration
+	for _, id := range ids {
+		decision := table.Decide(newRequest(id, time.Second), startTime)
+		if decision.IsAdmitted() {
+			t.Fatalf("job %s was admitted", id)
+		}
+		told = append(told, decision.RetryAfter())
+	}
+	if told[0] >= told[2] {
+		t.Errorf("told %v", told)
+	}
+	now := startTime.Add(2 * time.Second)
+	order := []string{}
+	for range 4 {
+		// Each time there is room for one more job.
+		for _, id := range []string{"new", "3", "2", "1"} {
+			if !table.Decide(newRequest(id, 0), now).IsAdmitted() {
+				continue
+			}
+			order = append(order, id)
+			break
+		}
+		now = now.Add(1100 * time.Millisecond)
+	}
+	if fmt.Sprint(order) != "[1 2 3 new]" {
+		t.Errorf("came in: %v", order)
+	}
+}
+
+func TestDecision(t *testing.T) {
+	tests := map[string]struct {
+		prepare           func(table *overload.Table)
+		request           overload.Request
+		decided, admitted bool
+	}{
+		"in time":  {request: newRequest("1", 0), decided: true, admitted: true},
+		"too late": {request: newRequest("1", time.Millisecond), decided: true},
+		"the rate is not known": {
+			request: overload.Request{ID: "1", Pool: "p", CoreMs: 1, End: time.Hour, Share: 1},
+		},
+		"no shards": {request: overload.Request{ID: "1", Pool: "p", CoreMs: 1, End: time.Hour, DrainedCoreMsPerS: 1}},
+		"may be in the store": {
+			prepare: func(table *overload.Table) { table.Settle("1", startTime) },
+			request: newRequest("1", time.Hour), decided: true, admitted: true,
+		},
+		"refused, then in the store": {
+			prepare: func(table *overload.Table) {
+				table.Decide(newRequest("1", time.Hour), startTime)
+				table.Arrive("1", startTime)
+			},
+			request: newRequest("1", time.Hour), decided: true, admitted: true,
+		},
+		"admitted before": {
+			prepare: func(table *overload.Table) { table.Decide(newRequest("1", 0), startTime) },
+			request: newRequest("1", time.Hour), decided: true, admitted: true,
+		},
+		"others of its queue are ahead": {
+			prepare: func(table *overload.Table) { table.Decide(newRequest("2", time.Second), startTime) },
+			request: newRequest("1", 0), decided: true,
+		},
+		"others of another pool wait": {
+			prepare: func(table *overload.Table) {
+				other := newRequest("2", time.Second)
+				other.Pool = "other"
+				table.Decide(other, startTime)
+			},
+			request: newRequest("1", 0), decided: true, admitted: true,
+		},
+		"one waits that could never end in time": {
+			prepare: func(table *overload.Table) {
+				other := newRequest("2", time.Hour)
+				other.CoreMs = 1_000_000
+				table.Decide(other, startTime)
+			},
+			request: newRequest("1", 0), decided: true, admitted: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := overload.NewTable()
+			if test.prepare != nil {
+				test.prepare(table)
+			}
+			decision := table.Decide(test.request, startTime)
+			if decision.IsDecided() != test.decided || decision.IsAdmitted() != test.admitted {
+				t.Errorf("got %+v", decision)
+			}
+		})
+	}
+}
+
+// TestRepeatedCall checks that a caller that calls twice has one entry, and that it lapses if the caller does not
+// come back.
+func TestRepeatedCall(t *testing.T) {
+	table := overload.NewTable()
+	first := table.Decide(newRequest("1", 2*time.Second), startTime)
+	now := startTime.Add(first.RetryAfter() + time.Second)
+	second := table.Decide(newRequest("1", time.Second), now)
+	caller, returned := second.Return()
+	if table.Len() != 1 || !returned || caller.Refusals() != 1 || caller.Late() != time.Second || caller.Told() != first.RetryAfter() {
+		t.Errorf("%d entries, returned %v: %+v", table.Len(), returned, caller)
+	}
+	if !table.Decide(newRequest("2", 0), now.Add(time.Minute)).IsAdmitted() || table.Len() != 1 {
+		t.Errorf("%d entries after a minute", table.Len())
+	}
+}
+
+// TestRetryAfterBounds checks that callers are told at least a second, and at most what leaves one target
+// duration of the useful time after their return.
+func TestRetryAfterBounds(t *testing.T) {
+	for number := range 200 {
+		id := fmt.Sprintf("%016x", number)
+		for _, tooLate := range []time.Duration{time.Millisecond, 3 * time.Second, time.Hour} {
+			got := overload.NewTable().Decide(newRequest(id, tooLate), startTime).RetryAfter()
+			if got < time.Second || got > useful*2/3 {
+				t.Errorf("job %s, %v too late: told %v", id, tooLate, got)
+			}
+		}
+	}
+}
+
+// TestTableIsBounded checks that a full table refuses no job that may be in the store, and stays bounded.
+func TestTableIsBounded(t *testing.T) {
+	table := overload.NewTable()
+	for number := range 5000 {
+		table.Decide(newRequest(fmt.Sprint("refused ", number), time.Hour), startTime)
+	}
+	bound := table.Len()
+	for number := range 5000 {
+		table.Settle(fmt.Sprint("settled ", number), startTime)
+	}
+	if bound >= 5000 || table.Len() > bound {
+		t.Errorf("%d entries, then %d", bound, table.Len())
+	}
+	for number := range 5000 {
+		decision := table.Decide(newRequest(fmt.Sprint("settled ", number), time.Hour), startTime)
+		if decision.IsDecided() && !decision.IsAdmitted() {
+			t.Fatalf("job %d was refused", number)
+		}
+	}
+}
+
+func TestOutageRetryAfter(t *testing.T) {
+	tests := map[string]struct{ outage, least, most time.Duration }{
+		"none":  {0, time.Second, time.Second},
+		"short": {1900 * time.Millisecond, time.Second, time.Second},
+		"3 s":   {3 * time.Second, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		"5 s":   {5 * time.Second, 2500 * time.Millisecond, 3500 * time.Millisecond},
+		"long":  {time.Hour, 3 * time.Second, 4 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			least, most, sum := time.Hour, time.Duration(0), time.Duration(0)
+			for number := range 1000 {
+				got := overload.OutageRetryAfter(fmt.Sprintf("%016x", number), test.outage)
+				least, most, sum = min(least, got), max(most, got), sum+got
+			}
+			middle := (test.least + test.most) / 2
+			if least < test.least || most > test.most || (sum/1000-middle).Abs() > 50*time.Millisecond {
+				t.Errorf("told %v to %v, %v on average", least, most, sum/1000)
+			}
+		})
+	}
+}
+
+func TestGate(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(gate *overload.Gate)
+		after   time.Duration
+		want    bool
+	}{
+		"unknown":   {func(*overload.Gate) {}, 0, false},
+		"in flight": {func(gate *overload.Gate) { gate.BeginAppend("1", startTime) }, time.Hour, true},
+		"settled": {func(gate *overload.Gate) {
+			gate.BeginAppend("1", startTime)
+			gate.EndAppend("1", false, startTime)
+		}, 0, false},
+		"one of two settled": {func(gate *overload.Gate) {
+			gate.BeginAppend("1", startTime)
+			gate.BeginAppend("1", startTime)
+			gate.EndAppend("1", false, startTime)
+		}, 0, true},
+		"unsettled": {func(gate *overload.Gate) {
+			gate.BeginAppend("1", startTime)
+			gate.EndAppend("1", true, startTime)
+		}, 20 * time.Second, true},
+		"unsettled long ago": {func(gate *overload.Gate) {
+			gate.BeginAppend("1", startTime)
+			gate.EndAppend("1", true, startTime)
+		}, time.Minute, false},
+		"too many to keep": {func(gate *overload.Gate) {
+			for number := range 10_000 {
+				gate.BeginAppend(fmt.Sprint("other ", number), startTime)
+			}
+		}, time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			gate := overload.NewGate()
+			test.prepare(gate)
+			if got := gate.MayBeStored("1", startTime.Add(test.after)); got != test.want {
+				t.Errorf("MayBeStored returned %v", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/overload/use.go
@@ -0,0 +1,39 @@
+package overload
+
+import (
+	"time"
+
+	"ambertiller.example/ambertiller/backlog"
+	"ambertiller.example/ambertiller/job"
+)
+
+// usefulTargets is how many times its target duration a job may take and still be of some use to its caller.
+// It is the operators' rule for late jobs.
+const usefulTargets = 3
+
+// UsefulDuration returns how long after its submission the end of a job is of some use to its caller.
+func UsefulDuration(j *job.Job) time.Duration { return usefulTargets * j.TargetDuration() }
+
+// IsExempt reports whether a job is never refused for load. These are jobs that don't end by themselves or
+// start by a schedule, jobs of the most urgent priority, and jobs without an estimate.
+func IsExempt(j *job.Job, mostUrgent int32) bool {
+	return j.IsLongRunning() || j.IsScheduled() || j.Submission().GetPriority() <= mostUrgent ||
+		j.CriticalPathMs() == 0 || j.CoreMs() == 0
+}
+
+// EarliestEnd returns the time until the end of a job if it turns out as early as the error of the forecast
+// allows.
+func EarliestEnd(forecast backlog.Forecast) time.Duration {
+	return forecast.End() - forecast.Deviation()
+}
+
+// ShouldAsk reports whether the owner of a job's shard must be asked to admit the job: it would end too late, or
+// may have to wait for those in line. A line holds no more than its callers wait for, so that a job that has more
+// time than that need not be asked about.
+func ShouldAsk(end, useful time.Duration) bool { return end > useful-longestWait(useful) }
+
+// longestWait returns how long the caller of a job waits at most for its turn. After its return, the latest by
+// the spread, one target duration of the useful time is left.
+func longestWait(useful time.Duration) time.Duration {
+	return time.Duration(float64(useful-useful/usefulTargets) / (1 + retrySpread))
+}
--- /dev/null
+++ b/owner/admission.go
@@ -0,0 +1,107 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/overload"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// refusedCallers is what an owner knows of the callers of its shards' jobs that were refused for load.
+type refusedCallers struct {
+	table *overload.Table
+	late  metric.Float64Histogram
+}
+
+// newRefusedCallers creates the instrument. The error is ignored because the library returns it only for an invalid
+// name.
+func newRefusedCallers(provider metric.MeterProvider) refusedCallers {
+	late, _ := telemetry.Meter(provider, "owner").Float64Histogram("ambertiller.job.returned.late", metric.WithUnit("s"),
+		metric.WithDescription("Time from when refused callers were told to come back until they did, by queue and whether the job was admitted."))
+	return refusedCallers{table: overload.NewTable(), late: late}
+}
+
+// Admit implements wire.DRPCPeerServer: it decides whether a job is accepted that may end too late to be of
+// use. A request without work and times reports that the job may be in the store.
+func (owner *Owner) Admit(ctx context.Context, request *wire.AdmitRequest) (*wire.AdmitReply, error) {
+	if !owner.options.Features.Has(feature.Admission) {
+		return owner.DRPCPeerUnimplementedServer.Admit(ctx, request)
+	}
+	reply := &wire.AdmitReply{}
+	if !owner.eventLoop.Call(ctx, func(now time.Time) { reply = owner.decideAdmission(request, now) }) {
+		return &wire.AdmitReply{}, nil
+	}
+	return reply, nil
+}
+
+// decideAdmission leaves the decision open if the job's shard is not loaded here.
+func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
+	s, j := owner.loadedJob(request.GetId())
+	switch {
+	case s == nil:
+		return &wire.AdmitReply{}
+	case j != nil:
+		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+	case request.GetCoreMs() == 0 && request.GetEndMs() == 0 && request.GetUsefulMs() == 0:
+		owner.refusedCallers.table.Settle(request.GetId(), now)
+		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+	}
+	decision := owner.refusedCallers.table.Decide(owner.overloadRequest(request), now)
+	if caller, returned := decision.Return(); returned {
+		owner.recordReturn(request.GetId(), request.GetQueue(), caller, decision.IsAdmitted(),
+			slog.Bool("asked", true), slog.Duration("retry_after", decision.RetryAfter()))
+	}
+	return &wire.AdmitReply{
+		Decided: decision.IsDecided(), Admitted: decision.IsAdmitted(),
+		RetryAfterMs: decision.RetryAfter().Milliseconds(), Reason: decision.Reason(),
+	}
+}
+
+// overloadRequest returns the request for the table. The rate in the message is that of all shards; this owner
+// admits by the part that its own shards have.
+func (owner *Owner) overloadRequest(request *wire.AdmitRequest) overload.Request {
+	loaded := 0
+	for _, s := range owner.shards {
+		if s.loaded {
+			loaded++
+		}
+	}
+	return overload.Request{
+		ID: request.GetId(), Queue: request.GetQueue(), CoreMs: request.GetCoreMs(),
+		Pool:              overload.PoolName(request.GetService(), request.GetNeed().String(), request.GetPriority()),
+		End:               time.Duration(request.GetEndMs()) * time.Millisecond,
+		Useful:            time.Duration(request.GetUsefulMs()) * time.Millisecond,
+		DrainedCoreMsPerS: float64(request.GetDrainedCoreMsPerS()),
+		Share:             float64(loaded) / float64(owner.options.Shards),
+	}
+}
+
+// noteArrival takes a job out of the line that came in without the owner being asked.
+func (owner *Owner) noteArrival(j *job.Job, now time.Time) {
+	if !owner.options.Features.Has(feature.Admission) {
+		return
+	}
+	if caller, returned := owner.refusedCallers.table.Arrive(j.ID(), now); returned {
+		owner.recordReturn(j.ID(), j.Submission().GetQueue(), caller, true, slog.Bool("asked", false))
+	}
+}
+
+func (owner *Owner) recordReturn(id, queue string, caller overload.Return, admitted bool, attributes ...slog.Attr) {
+	attributes = append([]slog.Attr{
+		slog.String("job", id), slog.String("queue", queue), slog.Duration("waited", caller.Waited()),
+		slog.Int("refusals", caller.Refusals()), slog.Duration("told", caller.Told()),
+		slog.Duration("late", caller.Late()), slog.Bool("admitted", admitted),
+	}, attributes...)
+	owner.log(event.JobReturned, attributes...)
+	owner.refusedCallers.late.Record(owner.ctx, caller.Late().Seconds(),
+		metric.WithAttributes(attribute.String("queue", queue), attribute.Bool("admitted", admitted)))
+}
--- /dev/null
+++ b/owner/admission_test.go
@@ -0,0 +1,91 @@
+package owner
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcerr"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// newAdmissionHarness returns a harness with admission enabled, and what its owner logs.
+func newAdmissionHarness(t *testing.T) (*harness, *bytes.Buffer) {
+	h := newHarness(t)
+	enabled, err := feature.Parse([]string{"backlog", "admission"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := &bytes.Buffer{}
+	if h.owner.options.Events, err = event.Open(lines, "json", "info"); err != nil {
+		t.Fatal(err)
+	}
+	h.owner.options.Features = enabled
+	return h, lines
+}
+
+// newAdmitRequest returns a request for a job that would end when it is of no use any more.
+func newAdmitRequest() *wire.AdmitRequest {
+	return &wire.AdmitRequest{
+		Id: jobID, Shard: int32(job.ShardOf(jobID, 8)), Queue: "q", Service: "verbale", Priority: 1, Need: wire.TaskNeed_NEED_FILL,
+		CoreMs: 1000, EndMs: 13_000, UsefulMs: 12_000, DrainedCoreMsPerS: 10_000,
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	tests := map[string]struct {
+		prepare           func(h *harness)
+		decided, admitted bool
+	}{
+		"too late":       {func(*harness) {}, true, false},
+		"job is known":   {func(h *harness) { h.submit() }, true, true},
+		"not loaded yet": {func(h *harness) { h.shard.loaded = false }, false, false},
+		"may be in the store": {func(h *harness) {
+			h.owner.decideAdmission(&wire.AdmitRequest{Id: jobID, Shard: int32(h.shard.number)}, h.clock.Now())
+		}, true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newAdmissionHarness(t)
+			test.prepare(h)
+			reply := h.owner.decideAdmission(newAdmitRequest(), h.clock.Now())
+			if reply.GetDecided() != test.decided || reply.GetAdmitted() != test.admitted {
+				t.Errorf("got %v", reply)
+			}
+		})
+	}
+}
+
+// TestAdmitWithoutFeature checks that an owner without the feature answers as an earlier build.
+func TestAdmitWithoutFeature(t *testing.T) {
+	if _, err := newHarness(t).owner.Admit(t.Context(), newAdmitRequest()); drpcerr.Code(err) != drpcerr.Unimplemented {
+		t.Errorf("got error %v", err)
+	}
+}
+
+// TestReturnIsLogged checks that the return of a refused caller is logged once, whether the owner is asked again
+// or the job comes in because its forecast is in time.
+func TestReturnIsLogged(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		h, lines := newAdmissionHarness(t)
+		reply := h.owner.decideAdmission(newAdmitRequest(), h.clock.Now())
+		h.clock.Advance(time.Duration(reply.GetRetryAfterMs())*time.Millisecond + time.Second)
+		if asked {
+			request := newAdmitRequest()
+			request.EndMs = request.GetUsefulMs()
+			if !h.owner.decideAdmission(request, h.clock.Now()).GetAdmitted() {
+				t.Error("the job is refused again")
+			}
+		}
+		h.submit()
+		if strings.Count(lines.String(), "job returned") != 1 || !strings.Contains(lines.String(), `"asked":`+strconv.FormatBool(asked)) {
+			t.Errorf("asked %v, logged:\n%s", asked, lines)
+		}
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -134,6 +134,7 @@
 	// evacuationState says which failure domains are evacuated, and as of when that is known.
 	evacuationState  operator.EvacuationState
 	peerBacklogs     peerBacklogs
+	refusedCallers   refusedCallers
 	placementChanges placementChanges
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
 	// of the metrics was last increased.
@@ -160,6 +161,7 @@
 		agents:           map[string]*agentView{},
 		traffic:          traffic.New(options.Meters),
 		metrics:          newMetrics(options.Meters),
+		refusedCallers:   newRefusedCallers(options.Meters),
 		advice:           adviceQueue{steps: map[string]*stepAdvice{}},
 		placementChanges: newPlacementChanges(),
 	}
