overload: places and classes of their own types; entries of jobs that have arrived lapse early

Cause: names of one letter; a table full of admitted jobs would have admitted everything. Change: types lineEntry, classPool, sizeClass; an entry counts for a second once the owner has read the job.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -67,7 +67,9 @@
 
 // checkAdmission returns why a job is refused for load, or nil if it is admitted. Whatever is not known or not
 // answered in time admits the job.
-func (gateway *Gateway) checkAdmission(ctx context.Context, configuration *platform.Configuration, submission *job.Submission, now time.Time) *refusal {
+func (gateway *Gateway) checkAdmission(
+	ctx context.Context, configuration *platform.Configuration, submission *job.Submission, now time.Time,
+) *refusal {
 	if !gateway.hasAdmission() || gateway.forecaster == nil {
 		return nil
 	}
@@ -85,8 +87,8 @@
 	}
 	need := mainNeed(submission)
 	reply, err := gateway.directory.requestAdmission(ctx, &wire.AdmitRequest{
-		Id: submission.GetId(), Shard: int32(candidate.Shard()), Queue: submission.GetQueue(), Service: submission.GetService(),
-		Priority: submission.GetPriority(), Need: need, CoreMs: candidate.CoreMs(),
+		Id: submission.GetId(), Shard: int32(candidate.Shard()), Queue: submission.GetQueue(),
+		Service: submission.GetService(), Priority: submission.GetPriority(), Need: need, CoreMs: candidate.CoreMs(),
 		EndMs: end.Milliseconds(), UsefulMs: useful.Milliseconds(),
 		DrainedCoreMsPerS: gateway.forecaster.drainedCoreMsPerS(submission.GetService(), need, now),
 	})
@@ -94,7 +96,9 @@
 		return nil
 	}
 	retryAfter := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
-	return &refusal{submission: submission, forecast: forecast, useful: useful, retryAfter: retryAfter, reason: reply.GetReason()}
+	return &refusal{
+		submission: submission, forecast: forecast, useful: useful, retryAfter: retryAfter, reason: reply.GetReason(),
+	}
 }
 
 // mayBeStored reports whether a job may be in the store by an append of this gateway.
@@ -123,7 +127,9 @@
 
 // requestAdmission asks the owner of a job's shard. It doesn't read the owners from the store, so the question
 // takes no longer than admitTimeout.
-func (directory *ownerDirectory) requestAdmission(ctx context.Context, request *wire.AdmitRequest) (*wire.AdmitReply, error) {
+func (directory *ownerDirectory) requestAdmission(
+	ctx context.Context, request *wire.AdmitRequest,
+) (*wire.AdmitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	member := directory.ownerOf(int(request.GetShard()))
@@ -134,7 +140,9 @@
 }
 
 // respondOverloaded refuses a job for load. Nothing of it was sent to the store.
-func (gateway *Gateway) respondOverloaded(writer http.ResponseWriter, request *http.Request, refused *refusal, receivedAt time.Time) {
+func (gateway *Gateway) respondOverloaded(
+	writer http.ResponseWriter, request *http.Request, refused *refusal, receivedAt time.Time,
+) {
 	now := gateway.options.Clock.Now()
 	queue := refused.submission.GetQueue()
 	gateway.options.Events.Log(request.Context(), event.JobRefused, slog.String("job", refused.submission.GetId()),
@@ -147,7 +155,8 @@
 }
 
 func (gateway *Gateway) recordRefusal(ctx context.Context, queue, cause string) {
-	gateway.admission.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("queue", queue), attribute.String("cause", cause)))
+	gateway.admission.refused.Add(ctx, 1,
+		metric.WithAttributes(attribute.String("queue", queue), attribute.String("cause", cause)))
 }
 
 // appendSubmission appends a job to the store. It notes whether the job may be there, here and at the owner, so
--- a/overload/decision.go
+++ b/overload/decision.go
@@ -38,8 +38,10 @@
 	refusals           int
 }
 
-func newReturn(e *entry, now time.Time) Return {
-	return Return{waited: now.Sub(e.firstCallAt), told: e.told, late: now.Sub(e.toldAt), refusals: e.refusals}
+func newReturn(entry *lineEntry, now time.Time) Return {
+	return Return{
+		waited: now.Sub(entry.firstCallAt), told: entry.told, late: now.Sub(entry.toldAt), refusals: entry.refusals,
+	}
 }
 
 // Waited returns the time since the caller was refused first.
--- a/overload/table.go
+++ b/overload/table.go
@@ -17,9 +17,6 @@
 	reportDelay = time.Second
 	// minRetryAfter is the least that callers are told.
 	minRetryAfter = time.Second
-	// guaranteedShare is the part of an equal share that each class gets ahead of the line. It is below 1 so that
-	// classes of few and large jobs, whose tallies vary most, don't pass the others by chance.
-	guaranteedShare = 0.9
 	// retrySpread is the part of the time told by which callers are spread.
 	retrySpread = 0.25
 )
@@ -50,9 +47,11 @@
 	return time.Duration(float64(request.CoreMs) / request.DrainedCoreMsPerS * float64(time.Second))
 }
 
-// entry is a job whose caller was refused or admitted, or that may be in the store.
-type entry struct {
-	pool, class string
+// lineEntry is a job whose caller was refused or admitted, or that may be in the store.
+type lineEntry struct {
+	// pool and class are nil for a job that was only reported as one that may be in the store.
+	pool        *classPool
+	class       *sizeClass
 	coreMs      float64
 	order       int64 // of the places in the line
 	firstCallAt time.Time
@@ -64,21 +63,26 @@
 	// settledAt is when the job was admitted, or when it became known that it may be in the store. It is the
 	// zero time while the job is refused.
 	settledAt time.Time
+	// hasArrived is set once the owner has read the job. Then it only counts until forecasts include it.
+	hasArrived bool
 }
 
 // hasLapsed reports whether the entry has no effect any more.
-func (e *entry) hasLapsed(now time.Time) bool {
-	if !e.settledAt.IsZero() {
-		return now.Sub(e.settledAt) > settledMaxAge
+func (entry *lineEntry) hasLapsed(now time.Time) bool {
+	if entry.hasArrived {
+		return now.Sub(entry.settledAt) > reportDelay
 	}
-	return now.Sub(e.toldAt) > returnTolerance
+	if !entry.settledAt.IsZero() {
+		return now.Sub(entry.settledAt) > settledMaxAge
+	}
+	return now.Sub(entry.toldAt) > returnTolerance
 }
 
 // Table holds the callers that an owner has refused or admitted lately. It must not be used by several
 // goroutines at a time.
 type Table struct {
-	entries map[string]*entry // by job ID
-	classes map[string]map[string]*class
+	entries map[string]*lineEntry // by job ID
+	pools   map[string]*classPool
 	places  int64
 	// overflowUntil is until when the table lacks jobs that must not be refused.
 	overflowUntil time.Time
@@ -86,7 +90,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[string]*entry{}, classes: map[string]map[string]*class{}}
+	return &Table{entries: map[string]*lineEntry{}, pools: map[string]*classPool{}}
 }
 
 // Len returns the number of jobs that the table holds.
@@ -95,22 +99,26 @@
 // Settle notes that a job may be in the store, so that it is not refused.
 func (table *Table) Settle(id string, now time.Time) {
 	table.expire(now)
-	if e, known := table.entries[id]; known && e.settledAt.IsZero() {
-		table.admit(e, now)
+	if entry, known := table.entries[id]; known && entry.settledAt.IsZero() {
+		entry.admit(now)
 		return
 	}
-	table.keepSettled(id, &entry{settledAt: now})
+	table.keepSettled(id, &lineEntry{settledAt: now})
 }
 
-// Arrive notes that a job is in the store. It returns how its caller came back, if it had been refused before
-// and came in without asking.
+// Arrive notes that the owner has read a job from the store. It returns how its caller came back, if it had been
+// refused before and came in without asking.
 func (table *Table) Arrive(id string, now time.Time) (Return, bool) {
-	e, known := table.entries[id]
-	if !known || !e.settledAt.IsZero() {
+	entry, known := table.entries[id]
+	if !known {
+		return Return{}, false
+	}
+	entry.hasArrived = true
+	if !entry.settledAt.IsZero() {
 		return Return{}, false
 	}
-	caller := newReturn(e, now)
-	table.admit(e, now)
+	caller := newReturn(entry, now)
+	entry.admit(now)
 	return caller, true
 }
 
@@ -118,8 +126,8 @@
 // which work is done the decision is not made.
 func (table *Table) Decide(request Request, now time.Time) Decision {
 	table.expire(now)
-	e, known := table.entries[request.ID]
-	if known && !e.settledAt.IsZero() {
+	entry, known := table.entries[request.ID]
+	if known && !entry.settledAt.IsZero() {
 		return Decision{decided: true, admitted: true, reason: ReasonSettled}
 	}
 	if request.DrainedCoreMsPerS <= 0 || request.Share <= 0 || now.Before(table.overflowUntil) {
@@ -127,44 +135,42 @@
 	}
 	decision := Decision{decided: true, reason: ReasonTooLate}
 	if known {
-		decision.caller, decision.hasReturned = newReturn(e, now), true
+		decision.caller, decision.hasReturned = newReturn(entry, now), true
 	} else {
-		e = table.newEntry(&request, now)
+		entry = table.newEntry(&request, now)
 	}
-	wait := table.turn(e, &request, now)
+	wait := table.turn(entry, &request, now)
 	if wait <= 0 {
-		table.admit(e, now)
-		table.keepSettled(request.ID, e)
+		entry.admit(now)
+		table.keepSettled(request.ID, entry)
 		decision.admitted, decision.reason = true, ReasonInTime
 		return decision
 	}
-	decision.retryAfter = table.refuse(e, &request, wait, now)
-	table.keepRefused(request.ID, e)
+	decision.retryAfter = table.refuse(entry, &request, wait, now)
+	table.keepRefused(request.ID, entry)
 	return decision
 }
 
 // newEntry returns an entry for a newcomer.
-func (table *Table) newEntry(request *Request, now time.Time) *entry {
-	name := className(request.Queue, request.CoreMs)
-	e := &entry{pool: request.Pool, class: name, coreMs: float64(request.CoreMs), firstCallAt: now}
-	classes := table.classes[request.Pool]
-	if classes == nil {
-		classes = map[string]*class{}
-		table.classes[request.Pool] = classes
+func (table *Table) newEntry(request *Request, now time.Time) *lineEntry {
+	competitors := table.pools[request.Pool]
+	if competitors == nil {
+		competitors = &classPool{classes: map[string]*sizeClass{}}
+		table.pools[request.Pool] = competitors
 	}
-	if classes[name] == nil {
-		classes[name] = &class{updatedAt: now}
+	return &lineEntry{
+		pool: competitors, class: competitors.class(className(request.Queue, request.CoreMs), now),
+		coreMs: float64(request.CoreMs), firstCallAt: now,
 	}
-	return e
 }
 
 // turn returns how long it takes until there is room for a job. A job of a class that has had less than its share
 // waits for those of its class alone.
-func (table *Table) turn(e *entry, request *Request, now time.Time) time.Duration {
-	ahead := table.workAhead(e, now)
+func (table *Table) turn(entry *lineEntry, request *Request, now time.Time) time.Duration {
+	ahead := table.workAhead(entry, now)
 	line := ahead.total
 	if ahead.isWithinShare {
-		line = min(line, ahead.ofClass*float64(len(table.classes[e.pool])))
+		line = min(line, ahead.ofClass*float64(len(entry.pool.classes)))
 	}
 	return request.End + request.lineTime(ahead.unreported+line) - request.Useful
 }
@@ -179,18 +185,18 @@
 }
 
 // workAhead returns the work ahead of a job.
-func (table *Table) workAhead(e *entry, now time.Time) work {
-	ahead := work{isWithinShare: table.isWithinShare(e, now)}
+func (table *Table) workAhead(entry *lineEntry, now time.Time) work {
+	ahead := work{isWithinShare: entry.pool.isWithinShare(entry.class, now)}
 	for _, other := range table.entries {
 		switch {
-		case other == e || other.pool != e.pool:
+		case other == entry || other.pool != entry.pool:
 		case !other.settledAt.IsZero():
 			if now.Sub(other.settledAt) < reportDelay {
 				ahead.unreported += other.coreMs
 			}
-		case other.placed && (!e.placed || other.order < e.order):
+		case other.placed && (!entry.placed || other.order < entry.order):
 			ahead.total += other.coreMs
-			if other.class == e.class {
+			if other.class == entry.class {
 				ahead.ofClass += other.coreMs
 			}
 		}
@@ -198,72 +204,59 @@
 	return ahead
 }
 
-// isWithinShare reports whether a job's class has had less than an equal part of the work that was admitted. What
-// the other classes leave of their parts goes to whoever called first.
-func (table *Table) isWithinShare(e *entry, now time.Time) bool {
-	admitted := 0.0
-	classes := table.classes[e.pool]
-	for _, c := range classes {
-		c.fade(now)
-		admitted += c.admitted
-	}
-	return classes[e.class].admitted < guaranteedShare*admitted/float64(len(classes))
-}
-
 // admit notes that a job has been admitted.
-func (table *Table) admit(e *entry, now time.Time) {
-	e.settledAt = now
-	e.placed = false
-	c := table.classes[e.pool][e.class]
-	c.fade(now)
-	c.admitted += e.coreMs
+func (entry *lineEntry) admit(now time.Time) {
+	entry.settledAt = now
+	entry.placed = false
+	entry.class.fade(now)
+	entry.class.admitted += entry.coreMs
 }
 
 // refuse notes that a job has been refused, and returns when its caller may come back.
-func (table *Table) refuse(e *entry, request *Request, wait time.Duration, now time.Time) time.Duration {
-	waited := now.Sub(e.firstCallAt)
+func (table *Table) refuse(entry *lineEntry, request *Request, wait time.Duration, now time.Time) time.Duration {
+	waited := now.Sub(entry.firstCallAt)
 	longest := longestWait(request.Useful) - waited
 	// The line is full for jobs of all sizes at once, so their own work doesn't count. A job that could not end
 	// in time even alone gets no place.
-	if !e.placed && wait-request.ownTime() <= longest && request.ownTime() <= request.Useful {
+	if !entry.placed && wait-request.ownTime() <= longest && request.ownTime() <= request.Useful {
 		table.places++
-		e.placed, e.order = true, table.places
+		entry.placed, entry.order = true, table.places
 	}
 	retryAfter := min(wait, longest)
-	if longest < minRetryAfter && !e.placed {
+	if longest < minRetryAfter && !entry.placed {
 		// The job is of no use any more by the time that it could come in.
 		retryAfter = request.Useful - waited
 	}
 	retryAfter = max(retryAfter, minRetryAfter)
 	retryAfter += spread(request.ID, time.Duration(float64(retryAfter)*retrySpread))
-	e.refusals++
-	e.told = retryAfter
-	e.toldAt = now.Add(retryAfter)
+	entry.refusals++
+	entry.told = retryAfter
+	entry.toldAt = now.Add(retryAfter)
 	return retryAfter
 }
 
 // keepRefused adds the entry of a refused job, unless the table is full.
-func (table *Table) keepRefused(id string, e *entry) {
+func (table *Table) keepRefused(id string, entry *lineEntry) {
 	if len(table.entries) < maxEntries {
-		table.entries[id] = e
+		table.entries[id] = entry
 	}
 }
 
 // keepSettled adds the entry of a job that must not be refused. If the table is full, it takes the space of the
 // refused job that called last. If there is none, nothing is refused until the entries have lapsed.
-func (table *Table) keepSettled(id string, e *entry) {
+func (table *Table) keepSettled(id string, entry *lineEntry) {
 	if _, known := table.entries[id]; !known && len(table.entries) >= maxEntries && !table.dropYoungest() {
-		table.overflowUntil = e.settledAt.Add(settledMaxAge)
+		table.overflowUntil = entry.settledAt.Add(settledMaxAge)
 		return
 	}
-	table.entries[id] = e
+	table.entries[id] = entry
 }
 
 // dropYoungest removes the refused job that called last, and reports whether there was one.
 func (table *Table) dropYoungest() bool {
 	youngest := ""
-	for id, e := range table.entries {
-		if e.settledAt.IsZero() && (youngest == "" || e.firstCallAt.After(table.entries[youngest].firstCallAt)) {
+	for id, entry := range table.entries {
+		if entry.settledAt.IsZero() && (youngest == "" || entry.firstCallAt.After(table.entries[youngest].firstCallAt)) {
 			youngest = id
 		}
 	}
@@ -273,22 +266,18 @@
 
 // expire removes what has no effect any more.
 func (table *Table) expire(now time.Time) {
-	used := map[*class]bool{}
-	for id, e := range table.entries {
-		if e.hasLapsed(now) {
+	used := map[*sizeClass]bool{}
+	for id, entry := range table.entries {
+		if entry.hasLapsed(now) {
 			delete(table.entries, id)
 			continue
 		}
-		used[table.classes[e.pool][e.class]] = true
+		used[entry.class] = true
 	}
-	for pool, classes := range table.classes {
-		for name, c := range classes {
-			if !used[c] {
-				delete(classes, name)
-			}
-		}
-		if len(classes) == 0 {
-			delete(table.classes, pool)
+	for name, competitors := range table.pools {
+		competitors.removeUnused(used, now)
+		if len(competitors.classes) == 0 {
+			delete(table.pools, name)
 		}
 	}
 }
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -26,7 +26,7 @@
 // name.
 func newRefusedCallers(provider metric.MeterProvider) refusedCallers {
 	late, _ := telemetry.Meter(provider, "owner").Float64Histogram("ambertiller.job.returned.late", metric.WithUnit("s"),
-		metric.WithDescription("Time from when refused callers were told to come back until they did, by queue and whether the job was admitted."))
+		metric.WithDescription("How late refused callers came back, by queue and whether their job was admitted."))
 	return refusedCallers{table: overload.NewTable(), late: late}
 }
 
