--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -73,7 +73,7 @@
 	if !gateway.hasAdmission() || gateway.forecaster == nil {
 		return nil
 	}
-	candidate := job.New(submission, job.ShardOf(submission.GetId(), gateway.options.Shards))
+	candidate := job.Outline(submission)
 	if overload.IsExempt(candidate, configuration.MostUrgentPriority(submission.GetService())) {
 		return nil
 	}
@@ -87,8 +87,9 @@
 	}
 	need := mainNeed(submission)
 	reply, err := gateway.directory.requestAdmission(ctx, &wire.AdmitRequest{
-		Id: submission.GetId(), Shard: int32(candidate.Shard()), Queue: submission.GetQueue(),
-		Service: submission.GetService(), Priority: submission.GetPriority(), Need: need, CoreMs: candidate.CoreMs(),
+		Id: submission.GetId(), Shard: int32(job.ShardOf(submission.GetId(), gateway.options.Shards)),
+		Queue: submission.GetQueue(), Service: submission.GetService(), Priority: submission.GetPriority(),
+		Need: need, CoreMs: candidate.CoreMs(),
 		EndMs: end.Milliseconds(), UsefulMs: useful.Milliseconds(),
 		DrainedCoreMsPerS: gateway.forecaster.drainedCoreMsPerS(submission.GetService(), need, now),
 	})
@@ -186,6 +187,7 @@
 // reportUnsettled tells the owner of a job's shard that the job may be in the store.
 func (gateway *Gateway) reportUnsettled(ctx context.Context, id string) {
 	request := &wire.AdmitRequest{Id: id, Shard: int32(job.ShardOf(id, gateway.options.Shards))}
+	gateway.directory.refresh(ctx, ownersMaxAge)
 	for range unsettledReportTries {
 		reply, err := gateway.directory.requestAdmission(ctx, request)
 		if err == nil && reply.GetDecided() {
--- a/gateway/outage_test.go
+++ b/gateway/admission_internal_test.go
@@ -8,6 +8,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/platform"
 )
 
 // TestOutage checks what callers are told while the store is away, and when further attempts are given up. With
@@ -51,3 +53,44 @@
 		})
 	}
 }
+
+// TestOwnerIsNotAsked checks which jobs are admitted without a question to the owner. The gateway has no owner, so
+// asking it would panic.
+func TestOwnerIsNotAsked(t *testing.T) {
+	on, err := feature.Parse([]string{"backlog", "admission"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	configuration, err := platform.ParseConfiguration([]byte(`{"routes":[{"service":"s"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		features feature.Set
+		forecast FakeForecaster
+		inFlight bool
+	}{
+		"feature off":      {feature.Set{}, FakeForecaster{End: time.Minute, Drained: 1000}, false},
+		"append in flight": {on, FakeForecaster{End: time.Minute, Drained: 1000}, true},
+		"forecast in time": {on, FakeForecaster{End: time.Second, Drained: 1000}, false},
+		"unknown forecast": {on, FakeForecaster{End: time.Minute, Drained: 1000, Unknown: true}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			options := Options{Clock: clockwork.NewFakeClock(), Shards: 8, Features: test.features}
+			gateway := New(options)
+			gateway.SetForecaster(test.forecast)
+			submission := &job.Submission{
+				Id: "0123456789abcdef", Service: "s", Priority: 1, Extension: 2,
+				Steps: []*job.StepSpec{{Count: 1, MilliCpu: 1000, EstimateMs: 1000}},
+			}
+			now := options.Clock.Now()
+			if test.inFlight {
+				gateway.admission.gate.BeginAppend(submission.GetId(), now)
+			}
+			if refused := gateway.checkAdmission(t.Context(), configuration, submission, now); refused != nil {
+				t.Errorf("refused: %s", refused.reason)
+			}
+		})
+	}
+}
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -22,6 +22,7 @@
 
 var (
 	tooLate = gateway.FakeForecaster{End: time.Minute, Drained: 1000}
+	inTime  = gateway.FakeForecaster{End: time.Second, Drained: 1000}
 	unknown = gateway.FakeForecaster{End: time.Minute, Drained: 1000, Unknown: true}
 )
 
@@ -47,7 +48,7 @@
 		status     int
 	}{
 		"too late":             {on, tooLate, "/q/", submissionBody, http.StatusServiceUnavailable},
-		"in time":              {on, gateway.FakeForecaster{End: time.Second, Drained: 1000}, "/q/", submissionBody, http.StatusOK},
+		"in time":              {on, inTime, "/q/", submissionBody, http.StatusOK},
 		"most urgent queue":    {on, tooLate, "/quick/", submissionBody, http.StatusOK},
 		"long-running":         {on, tooLate, "/q/", lastingBody, http.StatusOK},
 		"no estimate":          {on, tooLate, "/q/", unknownBody, http.StatusOK},
--- a/overload/decision.go
+++ b/overload/decision.go
@@ -6,7 +6,7 @@
 const (
 	ReasonSettled = "the job is or may be in the store"
 	ReasonInTime  = "the job ends while it is of use"
-	ReasonTooLate = "the job would end when it is of no use any more"
+	ReasonTooLate = "the job would end too late to be of use, after the backlog and the jobs refused before it"
 )
 
 // Decision is the decision about one job. The zero value is none.
--- a/overload/gate.go
+++ b/overload/gate.go
@@ -27,7 +27,9 @@
 // BeginAppend notes that an append of a job begins.
 func (gate *Gate) BeginAppend(id string, now time.Time) {
 	if gate.appends[id] == nil {
-		gate.expire(now)
+		if len(gate.appends) >= maxUnsettled {
+			gate.expire(now)
+		}
 		if len(gate.appends) >= maxUnsettled {
 			gate.overflowUntil = now.Add(settledMaxAge)
 			return
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -53,7 +53,10 @@
 }
 
 func newLoad(seed uint64) *loadTest {
-	play := &loadTest{rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_800_000_000_000), demand: [3]float64{1. / 3, 1. / 3, 1. / 3}}
+	play := &loadTest{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_800_000_000_000),
+		demand: [3]float64{1. / 3, 1. / 3, 1. / 3},
+	}
 	for index := range play.tables {
 		play.tables[index] = overload.NewTable()
 	}
@@ -194,6 +197,8 @@
 		other := newLoad(seed)
 		other.withOneSecond = true
 		other.run(loadLength, overloadX)
+		t.Logf("seed %d: %.2f calls a job, %.2f if told a second; refused by size %.3f, by failure domain %.3f; latest end %v",
+			seed, play.callsPerJob(), other.callsPerJob(), bySize, byDomain, play.latestEnd)
 		if play.callsPerJob() > 0.9*other.callsPerJob() {
 			t.Errorf("seed %d: %.2f calls a job, %.2f if told a second", seed, play.callsPerJob(), other.callsPerJob())
 		}
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -43,7 +43,8 @@
 	return reply, nil
 }
 
-// decideAdmission leaves the decision open if the job's shard is not loaded here.
+// decideAdmission leaves the decision open if the job's shard is not loaded here, or if the store has not confirmed
+// lately that this entry owns it: then the job may be in the store and not known here.
 func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
 	s, j := owner.loadedJob(request.GetId())
 	switch {
@@ -54,6 +55,8 @@
 	case request.GetCoreMs() == 0 && request.GetEndMs() == 0 && request.GetUsefulMs() == 0:
 		owner.refusedCallers.table.Settle(request.GetId(), now)
 		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+	case now.Sub(owner.lastJoinAt) > owner.options.MemberTimeout:
+		return &wire.AdmitReply{}
 	}
 	decision := owner.refusedCallers.table.Decide(owner.overloadRequest(request), now)
 	if caller, returned := decision.Return(); returned {
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -43,9 +43,10 @@
 		prepare           func(h *harness)
 		decided, admitted bool
 	}{
-		"too late":       {func(*harness) {}, true, false},
-		"job is known":   {func(h *harness) { h.submit() }, true, true},
-		"not loaded yet": {func(h *harness) { h.shard.loaded = false }, false, false},
+		"too late":                       {func(*harness) {}, true, false},
+		"job is known":                   {func(h *harness) { h.submit() }, true, true},
+		"not loaded yet":                 {func(h *harness) { h.shard.loaded = false }, false, false},
+		"ownership not confirmed lately": {func(h *harness) { h.clock.Advance(2 * time.Second) }, false, false},
 		"may be in the store": {func(h *harness) {
 			h.owner.decideAdmission(&wire.AdmitRequest{Id: jobID, Shard: int32(h.shard.number)}, h.clock.Now())
 		}, true, true},
@@ -77,6 +78,7 @@
 		h, lines := newAdmissionHarness(t)
 		reply := h.owner.decideAdmission(newAdmitRequest(), h.clock.Now())
 		h.clock.Advance(time.Duration(reply.GetRetryAfterMs())*time.Millisecond + time.Second)
+		h.owner.lastJoinAt = h.clock.Now()
 		if asked {
 			request := newAdmitRequest()
 			request.EndMs = request.GetUsefulMs()
@@ -85,7 +87,8 @@
 			}
 		}
 		h.submit()
-		if strings.Count(lines.String(), "job returned") != 1 || !strings.Contains(lines.String(), `"asked":`+strconv.FormatBool(asked)) {
+		if strings.Count(lines.String(), "job returned") != 1 ||
+			!strings.Contains(lines.String(), `"asked":`+strconv.FormatBool(asked)) {
 			t.Errorf("asked %v, logged:\n%s", asked, lines)
 		}
 	}
