overload: useful time counts from the caller's first call

Change: an entry keeps until when its job is of use; only refused jobs that can still be in time are ahead of others; room is kept for the largest job that called lately and, for a second, for classes below their share; gateways ask about jobs whose forecast is beyond their target.

--- a/overload/class.go
+++ b/overload/class.go
@@ -21,13 +21,29 @@
 	classes map[string]*sizeClass
 }
 
-// class returns a class of the pool, which is added if it is new.
-func (pool *classPool) class(name string, now time.Time) *sizeClass {
-	if pool.classes[name] == nil {
-		pool.classes[name] = &sizeClass{updatedAt: now}
+// class returns the class of a job that calls first now. It is added if it is new.
+func (pool *classPool) class(request *Request, now time.Time) *sizeClass {
+	name := className(request.Queue, request.CoreMs)
+	class := pool.classes[name]
+	if class == nil {
+		class = &sizeClass{updatedAt: now}
+		pool.classes[name] = class
 	}
-	pool.classes[name].calledAt = now
-	return pool.classes[name]
+	class.calledAt = now
+	if work := float64(request.CoreMs); request.ownTime(work) <= request.Useful/usefulTargets {
+		// No room is kept for a larger job: it would hold up the others for too long.
+		class.largest = max(class.largest, work)
+	}
+	return class
+}
+
+// largest returns the work of the largest job.
+func (pool *classPool) largest() float64 {
+	largest := 0.0
+	for _, class := range pool.classes {
+		largest = max(largest, class.largest)
+	}
+	return largest
 }
 
 // removeUnused removes the classes in which nothing has been asked for lately, unless they are in use.
@@ -39,20 +55,28 @@
 	}
 }
 
-// isWithinShare reports whether a class has had less than its share of the work that was admitted. What other
-// classes leave of their shares goes to whoever has waited longest.
-func (pool *classPool) isWithinShare(candidate *sizeClass, now time.Time) bool {
+// classesWithinShare returns the classes that have had less than their share of the work that was admitted. What
+// they leave of it goes to whoever called first.
+func (pool *classPool) classesWithinShare(now time.Time) map[*sizeClass]bool {
 	admitted := 0.0
 	for _, class := range pool.classes {
 		class.fade(now)
 		admitted += class.admitted
 	}
-	return candidate.admitted < guaranteedShare*admitted/float64(len(pool.classes))
+	share := guaranteedShare * admitted / float64(len(pool.classes))
+	within := map[*sizeClass]bool{}
+	for _, class := range pool.classes {
+		if class.admitted < share {
+			within[class] = true
+		}
+	}
+	return within
 }
 
 // sizeClass is the jobs of one queue that are of similar size. Its tally fades with tallyHalfLife.
 type sizeClass struct {
 	admitted  float64 // work, in ms of one core
+	largest   float64 // work of the largest job
 	updatedAt time.Time
 	calledAt  time.Time // when a newcomer of the class called last
 }
--- a/overload/doc.go
+++ b/overload/doc.go
@@ -10,12 +10,13 @@
 //
 // # Order and shares
 //
-// A refused job gets a place in a line if its turn comes while the job is still of use, whatever its size. A job is
-// admitted once the backlog and the jobs ahead of it in the line leave it the time to end while it is of use. Jobs
-// are grouped in classes by queue and size. A class that has had less than its share of the admitted work waits for
-// its own jobs only, so that a flood of large jobs, or of jobs of one queue, is not at the cost of the others.
+// A job is of use if it ends within the useful time after its caller's first call. It is admitted if the backlog,
+// and the refused jobs that called first and can still be in time, leave it the time for that. Room is kept for
+// the largest job that has called lately, so that small jobs don't take all room before a large one fits.
 //
-// The useful time counts from each call. A caller that comes back shows that the result is still wanted.
+// Jobs are grouped in classes by queue and size. A class that has had less than its share of the admitted work
+// waits for its own jobs only, and the others leave some room for it. So a flood of large jobs, or of jobs of one
+// queue, is hardly at the cost of the others.
 //
 // # Usage
 //
--- a/overload/table.go
+++ b/overload/table.go
@@ -5,18 +5,23 @@
 )
 
 const (
-	// maxEntries bounds the table to about one megabyte. Beyond it newcomers get no place.
+	// maxEntries bounds the table to about one megabyte. Beyond it newcomers are not kept.
 	maxEntries = 4096
 	// settledMaxAge is how long a job counts as one that may be in the store. By then the owner has read it, or
 	// every attempt to append it has ended.
 	settledMaxAge = 30 * time.Second
-	// returnTolerance is how long after the time that its caller was told an entry keeps its place.
+	// returnTolerance is how long after the time that its caller was told an entry is kept.
 	returnTolerance = 3 * time.Second
 	// reportDelay is how long admitted work is missing from forecasts, because owners report their backlogs
 	// once a second.
 	reportDelay = time.Second
 	// minRetryAfter is the least that callers are told.
 	minRetryAfter = time.Second
+	// keptForShares is how much room the other classes leave for those that have had less than their share. It
+	// covers what their callers ask for until the next forecast.
+	keptForShares = time.Second
+	// returns is how many times a caller may come back while its job can still end in time.
+	returns = 2
 	// retrySpread is the part of the time told by which callers are spread.
 	retrySpread = 0.25
 )
@@ -42,9 +47,9 @@
 	return time.Duration(coreMs / (request.DrainedCoreMsPerS * request.Share) * float64(time.Second))
 }
 
-// ownTime returns by how much the work of the job itself delays its end.
-func (request *Request) ownTime() time.Duration {
-	return time.Duration(float64(request.CoreMs) / request.DrainedCoreMsPerS * float64(time.Second))
+// ownTime returns by how much the work of a job delays its own end.
+func (request *Request) ownTime(coreMs float64) time.Duration {
+	return time.Duration(coreMs / request.DrainedCoreMsPerS * float64(time.Second))
 }
 
 // lineEntry is a job whose caller was refused or admitted, or that may be in the store.
@@ -53,13 +58,12 @@
 	pool        *classPool
 	class       *sizeClass
 	coreMs      float64
-	order       int64 // of the places in the line
+	order       int64 // by first call
 	firstCallAt time.Time
+	usefulUntil time.Time     // the job's end is of some use to its caller until then
 	told        time.Duration // after which time the caller was last told to come back
 	toldAt      time.Time     // when that time is over
 	refusals    int
-	// placed is set if the job has a place in the line: its turn comes while it is of use.
-	placed bool
 	// settledAt is when the job was admitted, or when it became known that it may be in the store. It is the
 	// zero time while the job is refused.
 	settledAt time.Time
@@ -83,7 +87,7 @@
 type Table struct {
 	entries map[string]*lineEntry // by job ID
 	pools   map[string]*classPool
-	places  int64
+	calls   int64
 	// overflowUntil is until when the table lacks jobs that must not be refused.
 	overflowUntil time.Time
 }
@@ -158,47 +162,57 @@
 		competitors = &classPool{classes: map[string]*sizeClass{}}
 		table.pools[request.Pool] = competitors
 	}
+	table.calls++
 	return &lineEntry{
-		pool: competitors, class: competitors.class(className(request.Queue, request.CoreMs), now),
-		coreMs: float64(request.CoreMs), firstCallAt: now,
+		pool: competitors, class: competitors.class(request, now),
+		coreMs: float64(request.CoreMs), order: table.calls, firstCallAt: now, usefulUntil: now.Add(request.Useful),
 	}
 }
 
-// turn returns how long it takes until there is room for a job. A job of a class that has had less than its share
-// waits for those of its class alone.
+// turn returns how long it takes until there is room for a job: room for those ahead of it, and for a job as large
+// as the largest that called lately. Without the latter small jobs would take all room before a large one fits.
 func (table *Table) turn(entry *lineEntry, request *Request, now time.Time) time.Duration {
-	ahead := table.workAhead(entry, now)
-	line := ahead.total
-	if ahead.isWithinShare {
-		line = min(line, ahead.ofClass*float64(len(entry.pool.classes)))
-	}
-	return request.End + request.lineTime(ahead.unreported+line) - request.Useful
+	ahead := table.workAhead(entry, request, now)
+	end := request.End + request.ownTime(max(ahead.largest-entry.coreMs, 0))
+	return end + ahead.kept + request.lineTime(ahead.unreported+ahead.line) - entry.usefulUntil.Sub(now)
 }
 
 // work is what lies ahead of a job besides the backlog that the forecast includes.
 type work struct {
 	unreported float64 // admitted, and not in the forecast yet
-	total      float64 // of all jobs in the line that called first
-	ofClass    float64 // of those in the job's class
-	// isWithinShare is set if the job's class has had less than an equal part of the work that was admitted.
-	isWithinShare bool
+	line       float64 // of the refused jobs that come in first
+	largest    float64 // of all jobs that called lately
+	// kept is for classes that have had less than their share.
+	kept time.Duration
 }
 
-// workAhead returns the work ahead of a job.
-func (table *Table) workAhead(entry *lineEntry, now time.Time) work {
-	ahead := work{isWithinShare: entry.pool.isWithinShare(entry.class, now)}
+// workAhead returns the work ahead of a job. For a job of a class that has had less than its share that is the
+// work of its class alone, and other jobs leave room for it.
+func (table *Table) workAhead(entry *lineEntry, request *Request, now time.Time) work {
+	ahead := work{largest: entry.pool.largest()}
+	withinShare := entry.pool.classesWithinShare(now)
+	backlog := request.End - request.ownTime(entry.coreMs)
+	if !withinShare[entry.class] && len(withinShare) > 0 {
+		ahead.kept = keptForShares
+	}
 	for _, other := range table.entries {
-		switch {
-		case other == entry || other.pool != entry.pool:
-		case !other.settledAt.IsZero():
+		if other == entry || other.pool != entry.pool {
+			continue
+		}
+		if !other.settledAt.IsZero() {
 			if now.Sub(other.settledAt) < reportDelay {
 				ahead.unreported += other.coreMs
 			}
-		case other.placed && (!entry.placed || other.order < entry.order):
-			ahead.total += other.coreMs
-			if other.class == entry.class {
-				ahead.ofClass += other.coreMs
-			}
+			continue
+		}
+		if withinShare[entry.class] && other.class != entry.class {
+			continue
+		}
+		// A job that can't end in time any more does not hold up others.
+		end := backlog + request.ownTime(max(ahead.largest, other.coreMs))
+		canBeInTime := end <= other.usefulUntil.Sub(now)
+		if canBeInTime && other.order < entry.order {
+			ahead.line += other.coreMs
 		}
 	}
 	return ahead
@@ -207,25 +221,19 @@
 // admit notes that a job has been admitted.
 func (entry *lineEntry) admit(now time.Time) {
 	entry.settledAt = now
-	entry.placed = false
 	entry.class.fade(now)
 	entry.class.admitted += entry.coreMs
 }
 
-// refuse notes that a job has been refused, and returns when its caller may come back.
+// refuse notes that a job has been refused, and returns when its caller may come back: once there is room, but not
+// more often than its useful time allows for a change of the forecast. Time passes as fast as the backlog shrinks,
+// so that coming back sooner would not help.
 func (table *Table) refuse(entry *lineEntry, request *Request, wait time.Duration, now time.Time) time.Duration {
-	waited := now.Sub(entry.firstCallAt)
-	longest := longestWait(request.Useful) - waited
-	// The line is full for jobs of all sizes at once, so their own work doesn't count. A job that could not end
-	// in time even alone gets no place.
-	if !entry.placed && wait-request.ownTime() <= longest && request.ownTime() <= request.Useful {
-		table.places++
-		entry.placed, entry.order = true, table.places
-	}
-	retryAfter := min(wait, longest)
-	if longest < minRetryAfter && !entry.placed {
-		// The job is of no use any more by the time that it could come in.
-		retryAfter = request.Useful - waited
+	longest := longestWait(request.Useful)
+	left := longest - now.Sub(entry.firstCallAt)
+	retryAfter := min(max(wait, longest/returns), left)
+	if left < minRetryAfter {
+		retryAfter = entry.usefulUntil.Sub(now)
 	}
 	retryAfter = max(retryAfter, minRetryAfter)
 	retryAfter += spread(request.ID, time.Duration(float64(retryAfter)*retrySpread))
--- a/overload/use.go
+++ b/overload/use.go
@@ -27,13 +27,15 @@
 	return forecast.End() - forecast.Deviation()
 }
 
-// ShouldAsk reports whether the owner of a job's shard must be asked to admit the job: it would end too late, or
-// may have to wait for those in line. A line holds no more than its callers wait for, so that a job that has more
-// time than that need not be asked about.
-func ShouldAsk(end, useful time.Duration) bool { return end > useful-longestWait(useful) }
+// ShouldAsk reports whether the owner of a job's shard must be asked to admit the job. A job that would end within
+// its target duration has room whoever waits, and leaves its caller time also if it comes back late.
+func ShouldAsk(end, useful time.Duration) bool { return end > useful/usefulTargets }
 
-// longestWait returns how long the caller of a job waits at most for its turn. After its return, the latest by
-// the spread, one target duration of the useful time is left.
+// longestWait returns how long the caller of a job waits at most. After its return, the latest by the spread and
+// by the rounding of what it is told, one target duration of the useful time is left.
 func longestWait(useful time.Duration) time.Duration {
-	return time.Duration(float64(useful-useful/usefulTargets) / (1 + retrySpread))
+	return time.Duration(float64(useful-useful/usefulTargets-retryAfterUnit) / (1 + retrySpread))
 }
+
+// retryAfterUnit is the unit in which callers are told when to come back. It is rounded up.
+const retryAfterUnit = time.Second
