gateway, owner: no 503 for a job whose earlier append may still be carried out

Cause: the owner was told of an unsettled append only after the call had ended, after a read of the owners from the store that had just failed, and for 1.5 s at most; an owner that may have been replaced confirmed the report. A second call that the store refused was answered 503 by a gateway whose first append was not settled. Change: the report begins with the first attempt that is not settled, goes to the known owner first, and goes on for 30 s until an owner with a confirmed ownership has noted it. With an unsettled append of its own the gateway answers 504. An append that began while the owner was asked prevents the refusal.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -24,9 +24,10 @@
 	// admitTimeout bounds the question to the owner. Callers that are refused should learn it well within a
 	// quarter of their target.
 	admitTimeout = 100 * time.Millisecond
-	// unsettledReportTries and unsettledReportDelay let a report outlast the move of a shard.
-	unsettledReportTries = 5
-	unsettledReportDelay = 300 * time.Millisecond
+	// unsettledReportTries and unsettledReportDelay let a report outlast an outage of the store. They end after
+	// 30 s, when the job does not count as one that may be in the store any more.
+	unsettledReportTries = 60
+	unsettledReportDelay = 500 * time.Millisecond
 	// The causes of refusals in metrics.
 	causeLoad  = "load"
 	causeStore = "store"
@@ -96,6 +97,10 @@
 	if err != nil || !reply.GetDecided() || reply.GetAdmitted() {
 		return nil
 	}
+	if gateway.mayBeStored(submission.GetId(), gateway.options.Clock.Now()) {
+		// Another call for the job has begun to append it meanwhile.
+		return nil
+	}
 	retryAfter := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
 	return &refusal{
 		submission: submission, forecast: forecast, useful: useful, retryAfter: retryAfter, reason: reply.GetReason(),
@@ -167,33 +172,45 @@
 	if !gateway.hasAdmission() {
 		return gateway.appendRecord(ctx, id, job.SubmissionKey(id), value)
 	}
+	mayBeStored := gateway.mayBeStored(id, gateway.options.Clock.Now())
 	gateway.admission.mu.Lock()
 	gateway.admission.gate.BeginAppend(id, gateway.options.Clock.Now())
 	gateway.admission.mu.Unlock()
 	result := gateway.appendRecord(ctx, id, job.SubmissionKey(id), value)
+	if result.status == appendRefused && mayBeStored {
+		// An append for an earlier call may still be carried out.
+		result.status = appendUnknown
+	}
 	gateway.admission.mu.Lock()
 	gateway.admission.gate.EndAppend(id, result.status == appendUnknown, gateway.options.Clock.Now())
 	gateway.admission.mu.Unlock()
-	switch result.status {
-	case appendUnknown:
-		go gateway.reportUnsettled(context.WithoutCancel(ctx), id)
-	case appendRefused:
+	if result.status == appendRefused {
 		gateway.recordRefusal(ctx, submission.GetQueue(), causeStore)
-	case appendSucceeded:
 	}
 	return result
 }
 
-// reportUnsettled tells the owner of a job's shard that the job may be in the store.
+// startUnsettledReport begins to tell the owner of a job's shard that the job may be in the store. It is called
+// after the first attempt to append the job that is not settled, since its caller may reach another gateway before
+// this one gives up. Records other than submissions are not reported.
+func (gateway *Gateway) startUnsettledReport(ctx context.Context, id, key string) {
+	if gateway.hasAdmission() && key == job.SubmissionKey(id) {
+		go gateway.reportUnsettled(context.WithoutCancel(ctx), id)
+	}
+}
+
+// reportUnsettled tells the owner of a job's shard that the job may be in the store, until an owner has noted it
+// that certainly owns the shard. The owners are not read from the store before the first try, because the store may
+// be away.
 func (gateway *Gateway) reportUnsettled(ctx context.Context, id string) {
 	request := &wire.AdmitRequest{Id: id, Shard: int32(job.ShardOf(id, gateway.options.Shards))}
-	gateway.directory.refresh(ctx, ownersMaxAge)
 	for range unsettledReportTries {
 		reply, err := gateway.directory.requestAdmission(ctx, request)
 		if err == nil && reply.GetDecided() {
 			return
 		}
 		sleep(ctx, gateway.options.Clock, unsettledReportDelay)
+		gateway.directory.refresh(ctx, ownersMaxAge)
 	}
 }
 
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -112,3 +112,47 @@
 	}
 	t.Fatal("the owner was not told that the job may be in the store")
 }
+
+// TestUnsettledJobIsNotReportedAsRefused checks that a caller is not told that its job did not run when the store
+// refuses the append of its second call, but may still carry out that of the first.
+func TestUnsettledJobIsNotReportedAsRefused(t *testing.T) {
+	tests := map[string]struct {
+		features []string
+		want     int
+	}{
+		"on":  {[]string{"backlog", "admission"}, http.StatusGatewayTimeout},
+		"off": {nil, http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newAdmissionHarness(t, test.features...)
+			h.store.InjectAppendFaults(job.TopicJobs, func() wirestore.Fault { return wirestore.FaultReset })
+			if got := h.send(http.MethodPost, "/q/"+jobID, submissionBody, "600"); got.Code != http.StatusGatewayTimeout {
+				t.Fatalf("status %d", got.Code)
+			}
+			h.store.InjectAppendFaults(job.TopicJobs, func() wirestore.Fault { return wirestore.FaultUnavailable })
+			if got := h.send(http.MethodPost, "/q/"+jobID, submissionBody, "600"); got.Code != test.want {
+				t.Errorf("status %d, want %d", got.Code, test.want)
+			}
+		})
+	}
+}
+
+// TestUnsettledJobIsReportedEarly checks that the owner is told that a job may be in the store while its append is
+// still being tried, since its caller may call another gateway meanwhile.
+func TestUnsettledJobIsReportedEarly(t *testing.T) {
+	h := newAdmissionHarness(t, "backlog", "admission")
+	h.store.InjectAppendFaults(job.TopicJobs, func() wirestore.Fault { return wirestore.FaultReset })
+	answered := make(chan int, 1)
+	go func() { answered <- h.send(http.MethodPost, "/q/"+jobID, submissionBody, "20000").Code }()
+	h.awaitReport(t)
+	select {
+	case status := <-answered:
+		t.Errorf("answered with %d before the report", status)
+	default:
+	}
+	h.store.InjectAppendFaults(job.TopicJobs, func() wirestore.Fault { return wirestore.FaultNone })
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
--- a/gateway/append.go
+++ b/gateway/append.go
@@ -69,14 +69,20 @@
 			return appendResult{status: appendSucceeded, appendedBy: gateway.options.Name}
 		}
 		reason = err.Error()
-		mayBeStored = mayBeStored || !platform.IsRefused(err)
+		if !mayBeStored && !platform.IsRefused(err) {
+			mayBeStored = true
+			gateway.startUnsettledReport(ctx, id, key)
+		}
 		relayed := gateway.directory.relay(ctx, &wire.RelayRequest{Shard: int32(shard), Key: key, Value: value})
 		if relayed.status == appendSucceeded {
 			gateway.breaker.recordSuccess()
 			return relayed
 		}
 		gateway.breaker.recordFailure(gateway.options.Clock.Now())
-		mayBeStored = mayBeStored || relayed.status == appendUnknown
+		if !mayBeStored && relayed.status == appendUnknown {
+			mayBeStored = true
+			gateway.startUnsettledReport(ctx, id, key)
+		}
 		if !mayBeStored {
 			break
 		}
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -47,6 +47,7 @@
 // lately that this entry owns it: then the job may be in the store and not known here.
 func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
 	s, j := owner.loadedJob(request.GetId())
+	confirmed := now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
 	switch {
 	case s == nil:
 		return &wire.AdmitReply{}
@@ -54,8 +55,12 @@
 		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
 	case request.GetCoreMs() == 0 && request.GetEndMs() == 0 && request.GetUsefulMs() == 0:
 		owner.refusedCallers.table.Settle(request.GetId(), now)
+		if !confirmed {
+			// Another entry may own the shard by now, and must be told as well.
+			return &wire.AdmitReply{}
+		}
 		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
-	case now.Sub(owner.lastJoinAt) > owner.options.MemberTimeout:
+	case !confirmed:
 		return &wire.AdmitReply{}
 	}
 	decision := owner.refusedCallers.table.Decide(owner.overloadRequest(request), now)
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// TestReportIsConfirmed checks that an owner confirms the report that a job may be in the store only if the store has
+// confirmed lately that it owns the shard, so that the gateway goes on until the present owner has noted it.
+func TestReportIsConfirmed(t *testing.T) {
+	h, _ := newAdmissionHarness(t)
+	report := &wire.AdmitRequest{Id: jobID, Shard: int32(h.shard.number)}
+	h.clock.Advance(2 * time.Second)
+	if h.owner.decideAdmission(report, h.clock.Now()).GetDecided() {
+		t.Error("confirmed by an owner that may have been replaced")
+	}
+	h.owner.lastJoinAt = h.clock.Now()
+	if reply := h.owner.decideAdmission(newAdmitRequest(), h.clock.Now()); !reply.GetAdmitted() {
+		t.Errorf("the report is lost: %v", reply)
+	}
+	if !h.owner.decideAdmission(report, h.clock.Now()).GetDecided() {
+		t.Error("not confirmed by the owner")
+	}
+}
+
 // TestAdmitWithoutFeature checks that an owner without the feature answers as an earlier build.
 func TestAdmitWithoutFeature(t *testing.T) {
 	_, err := newHarness(t).owner.Admit(t.Context(), newAdmitRequest())
