overload, owner: shares count jobs that came in unasked; those admitted end in time again

What other owners admit before forecasts show it was estimated by chance, and callers were told to come back when just one target was left: jobs ended up to 12.7 s after the first call with 12 s useful. Change: Table.Arrive takes what the job is and counts it; over-share classes leave two seconds, owners of a part of the shards up to one, together at most a target duration; the longest wait leaves a second more. The load plays the reading of jobs by their owner, as in the product.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -86,7 +86,7 @@
 	if !overload.ShouldAsk(end, useful) || gateway.mayBeStored(submission.GetId(), now) {
 		return nil
 	}
-	need := mainNeed(submission)
+	need := overload.MainNeed(submission)
 	reply, err := gateway.directory.requestAdmission(ctx, &wire.AdmitRequest{
 		Id: submission.GetId(), Shard: int32(job.ShardOf(submission.GetId(), gateway.options.Shards)),
 		Queue: submission.GetQueue(), Service: submission.GetService(), Priority: submission.GetPriority(),
@@ -114,23 +114,6 @@
 	return gateway.admission.gate.MayBeStored(id, now)
 }
 
-// mainNeed returns the need of most of a job's work.
-func mainNeed(submission *job.Submission) wire.TaskNeed {
-	fillWork, reservedWork := int64(0), int64(0)
-	for _, step := range submission.GetSteps() {
-		work := int64(step.GetCount()) * step.GetMilliCpu() * step.GetEstimateMs()
-		if step.GetFills() {
-			fillWork += work
-		} else {
-			reservedWork += work
-		}
-	}
-	if fillWork > reservedWork {
-		return wire.TaskNeed_NEED_FILL
-	}
-	return wire.TaskNeed_NEED_RESERVED
-}
-
 // requestAdmission asks the owner of a job's shard. It doesn't read the owners from the store, so the question
 // takes no longer than admitTimeout.
 func (directory *ownerDirectory) requestAdmission(
--- a/overload/class.go
+++ b/overload/class.go
@@ -30,7 +30,8 @@
 		pool.classes[name] = class
 	}
 	class.calledAt = now
-	if work := float64(request.CoreMs); request.ownTime(work) <= request.Useful/usefulTargets {
+	work := float64(request.CoreMs)
+	if request.DrainedCoreMsPerS > 0 && request.ownTime(work) <= request.Useful/usefulTargets {
 		// No room is kept for a larger job: it would hold up the others for too long.
 		class.largest = max(class.largest, work)
 	}
--- a/overload/load_test.go
+++ b/overload/load_test.go
@@ -20,7 +20,6 @@
 	stepLength  = 50 * time.Millisecond
 	loadLength  = 6 * time.Minute
 	owners      = 2
-	forecastAge = time.Second
 )
 
 // sizes are the work of a job of each size. All sizes ask for the same amount of work together.
@@ -35,6 +34,7 @@
 	calls             int
 	admitted          bool
 	firstCallAt, next time.Time
+	knownSince        time.Time // the first call that the owners know of
 }
 
 // loadTest plays callers against gateways, owners and a backlog that is worked off in order.
@@ -49,7 +49,8 @@
 	waiting  []*submitter
 	// withOneSecond makes all refused callers come back after a second, in no order.
 	withOneSecond bool
-	latestEnd     time.Duration // counted from the caller's first call
+	latestEnd     time.Duration // counted from the first call that the owners know of
+	lostAt        time.Time     // when the owners lost their tables, or the zero time
 	idle          time.Duration // time in which nothing was in the backlog while callers waited
 }
 
@@ -116,6 +117,9 @@
 
 func (play *loadTest) call(caller *submitter) {
 	caller.calls++
+	if !caller.knownSince.After(play.lostAt) {
+		caller.knownSince = play.now
+	}
 	end := seconds((play.reported[caller.domain] + sizes[caller.size]) / drainedPerS)
 	play.ask(caller, end)
 	if play.withOneSecond {
@@ -123,24 +127,26 @@
 	}
 	if caller.admitted {
 		play.backlog += sizes[caller.size]
-		play.latestEnd = max(play.latestEnd, play.now.Sub(caller.firstCallAt)+seconds(play.backlog/drainedPerS))
+		play.latestEnd = max(play.latestEnd, play.now.Sub(caller.knownSince)+seconds(play.backlog/drainedPerS))
 	}
 }
 
 // ask lets a gateway and the owner of the job's shard decide.
 func (play *loadTest) ask(caller *submitter, end time.Duration) {
+	table := play.tables[int(caller.id[0])%owners]
+	request := overload.Request{ID: caller.id, Pool: "pool", Queue: "q", CoreMs: int64(sizes[caller.size])}
 	if !overload.ShouldAsk(end, useful) {
 		caller.admitted = true
+		table.Arrive(request, play.now)
 		return
 	}
-	table := play.tables[int(caller.id[0])%owners]
-	decision := table.Decide(overload.Request{
-		ID: caller.id, Pool: "pool", Queue: "q", CoreMs: int64(sizes[caller.size]), End: end, Useful: useful,
-		DrainedCoreMsPerS: drainedPerS, Share: 1.0 / owners,
-	}, play.now)
+	arrival := request
+	request.End, request.Useful = end, useful
+	request.DrainedCoreMsPerS, request.Share = drainedPerS, 1.0/owners
+	decision := table.Decide(request, play.now)
 	caller.admitted = !decision.IsDecided() || decision.IsAdmitted()
 	if caller.admitted {
-		table.Arrive(caller.id, play.now)
+		table.Arrive(arrival, play.now)
 		return
 	}
 	caller.next = play.now.Add(seconds(math.Ceil(decision.RetryAfter().Seconds())))
@@ -192,7 +198,7 @@
 		if spreadOf(bySize) > 0.05 || spreadOf(byDomain) > 0.05 {
 			t.Errorf("seed %d: refused by size %.3f, by failure domain %.3f", seed, bySize, byDomain)
 		}
-		if play.latestEnd > useful+forecastAge || play.idle > 0 {
+		if play.latestEnd > useful || play.idle > 0 {
 			t.Errorf("seed %d: the latest job admitted ends after %v, workers idle for %v", seed, play.latestEnd, play.idle)
 		}
 		other := newLoad(seed)
@@ -215,16 +221,18 @@
 	}
 }
 
-// TestFloodOfLargeJobs checks that few jobs of classes that ask for less than their share are refused while large
-// jobs ask for twice of what is done.
+// TestFloodOfLargeJobs checks that jobs of classes that ask for less than their share are not refused because of large
+// ones, which ask for twice of what is done.
 func TestFloodOfLargeJobs(t *testing.T) {
-	play := newLoad(2)
-	play.demand = [3]float64{0.2, 0.2, 2}
-	play.run(loadLength, 1)
-	small := play.refusedShare(func(caller *submitter) bool { return caller.size < 2 })
-	large := play.refusedShare(func(caller *submitter) bool { return caller.size == 2 })
-	if small > 0.15 || large < 0.6 {
-		t.Errorf("refused: %.3f of the small jobs, %.3f of the large ones", small, large)
+	for seed := range uint64(3) {
+		play := newLoad(seed)
+		play.demand = [3]float64{0.2, 0.2, 2}
+		play.run(loadLength, 1)
+		small := play.refusedShare(func(caller *submitter) bool { return caller.size < 2 })
+		large := play.refusedShare(func(caller *submitter) bool { return caller.size == 2 })
+		if small > 0.02 || large < 0.6 {
+			t.Errorf("seed %d: refused: %.3f of the small jobs, %.3f of the large ones", seed, small, large)
+		}
 	}
 }
 
@@ -235,10 +243,11 @@
 	for index := range play.tables {
 		play.tables[index] = overload.NewTable()
 	}
+	play.lostAt = play.now
 	play.run(time.Minute, overloadX)
 	play.run(time.Minute, 0.1)
 	refused := play.refusedShare(func(*submitter) bool { return true })
-	if len(play.waiting) > 0 || refused > 0.45 {
-		t.Errorf("%d callers still wait, %.3f were refused", len(play.waiting), refused)
+	if len(play.waiting) > 0 || refused > 0.45 || play.latestEnd > useful+time.Second {
+		t.Errorf("%d callers still wait, %.3f were refused, the latest job admitted ends after %v", len(play.waiting), refused, play.latestEnd)
 	}
 }
--- a/overload/table.go
+++ b/overload/table.go
@@ -18,8 +18,8 @@
 	// minRetryAfter is the least that callers are told.
 	minRetryAfter = time.Second
 	// keptForShares is how much room the other classes leave for those that have had less than their share. It
-	// covers what their callers ask for until the next forecast.
-	keptForShares = time.Second
+	// covers what is admitted since the last forecast and until the next.
+	keptForShares = 2 * reportDelay
 	// returns is how many times a caller may come back while its job can still end in time.
 	returns = 2
 	// retrySpread is the part of the time told by which callers are spread.
@@ -52,6 +52,12 @@
 	return time.Duration(coreMs / request.DrainedCoreMsPerS * float64(time.Second))
 }
 
+// unseenTime returns the time kept for jobs that other owners admit before forecasts include them. Their number is
+// estimated by that of this table's jobs, which may be too few by chance.
+func (request *Request) unseenTime() time.Duration {
+	return time.Duration(float64(reportDelay) * (1 - min(request.Share, 1)))
+}
+
 // lineEntry is a job whose caller was refused or admitted, or that may be in the store.
 type lineEntry struct {
 	// pool and class are nil for a job that was only reported as one that may be in the store.
@@ -111,10 +117,12 @@
 }
 
 // Arrive notes that the owner has read a job from the store. It returns how its caller came back, if it had been
-// refused before and came in without asking.
-func (table *Table) Arrive(id string, now time.Time) (Return, bool) {
-	entry, known := table.entries[id]
+// refused before and came in without asking. Of request only what the job is has to be set. While others ask, a job
+// that came in unasked counts in the shares, and until forecasts include it.
+func (table *Table) Arrive(request Request, now time.Time) (Return, bool) {
+	entry, known := table.entries[request.ID]
 	if !known {
+		table.arriveUnasked(&request, now)
 		return Return{}, false
 	}
 	entry.hasArrived = true
@@ -126,6 +134,24 @@
 	return caller, true
 }
 
+// arriveUnasked counts a job that came in because its forecast was in time. Its entry may be missing, since an owner
+// never refuses a job that it has read.
+func (table *Table) arriveUnasked(request *Request, now time.Time) {
+	if table.pools[request.Pool] == nil || request.CoreMs == 0 {
+		return
+	}
+	table.expire(now)
+	if table.pools[request.Pool] == nil {
+		return
+	}
+	entry := table.newEntry(request, now)
+	entry.hasArrived = true
+	entry.admit(now)
+	if len(table.entries) < maxEntries {
+		table.entries[request.ID] = entry
+	}
+}
+
 // Decide decides whether a job is admitted, and otherwise when its caller may come back. Without the rate at
 // which work is done the decision is not made.
 func (table *Table) Decide(request Request, now time.Time) Decision {
@@ -174,7 +200,10 @@
 func (table *Table) turn(entry *lineEntry, request *Request, now time.Time) time.Duration {
 	ahead := table.workAhead(entry, request, now)
 	end := request.End + request.ownTime(max(ahead.largest-entry.coreMs, 0))
-	return end + ahead.kept + request.lineTime(ahead.unreported+ahead.line) - entry.usefulUntil.Sub(now)
+	wait := request.lineTime(ahead.unreported + ahead.line)
+	// Not more than a target duration is kept free, so that short jobs are not refused for it alone.
+	kept := min(ahead.kept+request.unseenTime(), request.Useful/usefulTargets)
+	return end + wait + kept - entry.usefulUntil.Sub(now)
 }
 
 // work is what lies ahead of a job besides the backlog that the forecast includes.
--- a/overload/table_test.go
+++ b/overload/table_test.go
@@ -66,7 +66,7 @@
 		"refused, then in the store": {
 			prepare: func(table *overload.Table) {
 				table.Decide(newRequest("1", time.Hour), startTime)
-				table.Arrive("1", startTime)
+				table.Arrive(overload.Request{ID: "1"}, startTime)
 			},
 			request: newRequest("1", time.Hour), decided: true, admitted: true,
 		},
@@ -109,6 +109,49 @@
 	}
 }
 
+// TestUnaskedJobsCountInShares checks that a class whose jobs came in because their forecasts were in time has had its
+// share: its next job waits for the refused job of another class that called first.
+func TestUnaskedJobsCountInShares(t *testing.T) {
+	for _, hasArrived := range []bool{false, true} {
+		table := overload.NewTable()
+		if table.Decide(newRequest("large", time.Second), startTime).IsAdmitted() {
+			t.Fatal("the large job was admitted")
+		}
+		other := newRequest("other", -6*time.Second)
+		other.Queue = "other"
+		if !table.Decide(other, startTime).IsAdmitted() {
+			t.Fatal("the job of the other queue was refused")
+		}
+		small := newRequest("small", -time.Second)
+		small.CoreMs = 2000
+		if hasArrived {
+			for number := range 10 {
+				arrival := overload.Request{ID: fmt.Sprint(number), Pool: "p", Queue: "q", CoreMs: small.CoreMs}
+				table.Arrive(arrival, startTime)
+			}
+		}
+		// By then forecasts include what came in.
+		now := startTime.Add(1500 * time.Millisecond)
+		if got := table.Decide(small, now).IsAdmitted(); got == hasArrived {
+			t.Errorf("small jobs had arrived: %v, the next was admitted: %v", hasArrived, got)
+		}
+	}
+}
+
+// TestShortJobsAreNotRefusedForShares checks that the room kept for other classes does not refuse a short job that
+// would end within two of its target durations while nobody waits.
+func TestShortJobsAreNotRefusedForShares(t *testing.T) {
+	table := overload.NewTable()
+	for number, queue := range []string{"a", "b", "a", "a"} {
+		request := newRequest(fmt.Sprint(number), 0)
+		request.CoreMs, request.Queue = 100, queue
+		request.Useful, request.End, request.Share = 3*time.Second, 1500*time.Millisecond, 0.1
+		if !table.Decide(request, startTime.Add(time.Duration(number)*2*time.Second)).IsAdmitted() {
+			t.Errorf("job %d was refused", number)
+		}
+	}
+}
+
 // TestRepeatedCall checks that a caller that calls twice has one entry, and that it lapses if the caller does not
 // come back.
 func TestRepeatedCall(t *testing.T) {
--- a/overload/use.go
+++ b/overload/use.go
@@ -5,6 +5,7 @@
 
 	"ambertiller.example/ambertiller/backlog"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/wire"
 )
 
 // usefulTargets is how many times its target duration a job may take and still be of some use to its caller.
@@ -32,10 +33,28 @@
 func ShouldAsk(end, useful time.Duration) bool { return end > useful/usefulTargets }
 
 // longestWait returns how long the caller of a job waits at most. After its return, the latest by the spread and
-// by the rounding of what it is told, one target duration of the useful time is left.
+// by the rounding of what it is told, one target duration of the useful time is left, and the time for what is admitted
+// before forecasts show it.
 func longestWait(useful time.Duration) time.Duration {
-	return time.Duration(float64(useful-useful/usefulTargets-retryAfterUnit) / (1 + retrySpread))
+	return time.Duration(float64(useful-useful/usefulTargets-reportDelay-retryAfterUnit) / (1 + retrySpread))
 }
 
 // retryAfterUnit is the unit in which callers are told when to come back. It is rounded up.
 const retryAfterUnit = time.Second
+
+// MainNeed returns the need of most of a job's work.
+func MainNeed(submission *job.Submission) wire.TaskNeed {
+	fillWork, reservedWork := int64(0), int64(0)
+	for _, step := range submission.GetSteps() {
+		work := int64(step.GetCount()) * step.GetMilliCpu() * step.GetEstimateMs()
+		if step.GetFills() {
+			fillWork += work
+		} else {
+			reservedWork += work
+		}
+	}
+	if fillWork > reservedWork {
+		return wire.TaskNeed_NEED_FILL
+	}
+	return wire.TaskNeed_NEED_RESERVED
+}
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -98,7 +98,15 @@
 	if !owner.options.Features.Has(feature.Admission) {
 		return
 	}
-	if caller, returned := owner.refusedCallers.table.Arrive(j.ID(), now); returned {
+	submission := j.Submission()
+	arrival := overload.Request{
+		ID: j.ID(), Queue: submission.GetQueue(),
+		Pool: overload.PoolName(submission.GetService(), overload.MainNeed(submission).String(), submission.GetPriority()),
+	}
+	if !j.IsLongRunning() && !j.IsScheduled() {
+		arrival.CoreMs = j.CoreMs()
+	}
+	if caller, returned := owner.refusedCallers.table.Arrive(arrival, now); returned {
 		owner.recordReturn(j.ID(), j.Submission().GetQueue(), caller, true, slog.Bool("asked", false))
 	}
 }
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcerr"
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/overload"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -81,6 +83,25 @@
 	}
 }
 
+// TestUnaskedArrivalIsCounted checks that a job that came in unasked counts among those that compete with it, while
+// others ask.
+func TestUnaskedArrivalIsCounted(t *testing.T) {
+	h, _ := newAdmissionHarness(t)
+	h.submit()
+	submission := h.shard.jobs[jobID].Submission()
+	delete(h.shard.jobs, jobID)
+	request := newAdmitRequest()
+	request.Service, request.Priority = submission.GetService(), submission.GetPriority()
+	request.Need = overload.MainNeed(submission)
+	h.owner.decideAdmission(request, h.clock.Now())
+	other := proto.Clone(submission).(*job.Submission)
+	other.Id = "0000000000000000"
+	h.owner.noteArrival(job.New(other, 0), h.clock.Now())
+	if count := h.owner.refusedCallers.table.Len(); count != 2 {
+		t.Errorf("%d jobs in the table", count)
+	}
+}
+
 // TestAdmitWithoutFeature checks that an owner without the feature answers as an earlier build.
 func TestAdmitWithoutFeature(t *testing.T) {
 	_, err := newHarness(t).owner.Admit(t.Context(), newAdmitRequest())
