owner: no refusal while the jobs of the shard can't be read

Cause: an owner that the store lets join, but not read, doesn't know jobs that are there. A caller whose answer was lost could be told at another gateway that its job did not run. Change: the owner keeps when the jobs of a shard were read last, with feature admission only, and leaves the decision open after readWait and its margin. The test of returns sets that time, as it sets that of the last join. Result: TestAdmit "jobs not read lately" fails without the check and passes; go test of owner and gateway passes.

--- a/owner/admission.go
+++ b/owner/admission.go
@@ -16,6 +16,10 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
+// tailMaxAge is the age of the last read of a shard's jobs above which jobs may be in the store that are not known
+// here. The store answers each read within readWait.
+const tailMaxAge = readWait + readTimeoutMargin
+
 // refusedCallers is what an owner knows of the callers of its shards' jobs that were refused for load.
 type refusedCallers struct {
 	table *overload.Table
@@ -43,8 +47,9 @@
 	return reply, nil
 }
 
-// decideAdmission leaves the decision open if the job's shard is not loaded here, or if the store has not confirmed
-// lately that this entry owns it: then the job may be in the store and not known here.
+// decideAdmission leaves the decision open if the job's shard is not loaded here or its jobs could not be read
+// lately, or if the store has not confirmed lately that this entry owns it: then the job may be in the store and not
+// known here.
 func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
 	s, j := owner.loadedJob(request.GetId())
 	confirmed := now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
@@ -60,7 +65,7 @@
 			return &wire.AdmitReply{}
 		}
 		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
-	case !confirmed:
+	case !confirmed || now.Sub(s.tailReadAt) > tailMaxAge:
 		return &wire.AdmitReply{}
 	}
 	decision := owner.refusedCallers.table.Decide(owner.overloadRequest(request), now)
@@ -111,6 +116,13 @@
 	}
 }
 
+// noteTailRead notes that the jobs of a shard have been read.
+func (owner *Owner) noteTailRead(s *shard) {
+	if owner.options.Features.Has(feature.Admission) {
+		owner.eventLoop.Post(func(now time.Time) { s.tailReadAt = now })
+	}
+}
+
 func (owner *Owner) recordReturn(id, queue string, caller overload.Return, admitted bool, attributes ...slog.Attr) {
 	attributes = append([]slog.Attr{
 		slog.String("job", id), slog.String("queue", queue), slog.Duration("waited", caller.Waited()),
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -49,6 +49,10 @@
 		"job is known":                   {func(h *harness) { h.submit() }, true, true},
 		"not loaded yet":                 {func(h *harness) { h.shard.loaded = false }, false, false},
 		"ownership not confirmed lately": {func(h *harness) { h.clock.Advance(2 * time.Second) }, false, false},
+		"jobs not read lately": {func(h *harness) {
+			h.clock.Advance(tailMaxAge + time.Millisecond)
+			h.owner.lastJoinAt = h.clock.Now()
+		}, false, false},
 		"may be in the store": {func(h *harness) {
 			h.owner.decideAdmission(&wire.AdmitRequest{Id: jobID, Shard: int32(h.shard.number)}, h.clock.Now())
 		}, true, true},
@@ -117,7 +121,7 @@
 		h, lines := newAdmissionHarness(t)
 		reply := h.owner.decideAdmission(newAdmitRequest(), h.clock.Now())
 		h.clock.Advance(time.Duration(reply.GetRetryAfterMs())*time.Millisecond + time.Second)
-		h.owner.lastJoinAt = h.clock.Now()
+		h.owner.lastJoinAt, h.shard.tailReadAt = h.clock.Now(), h.clock.Now()
 		if asked {
 			request := newAdmitRequest()
 			request.EndMs = 1000
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -31,6 +31,8 @@
 	// loaded is set once the shard's jobs have been read.
 	loaded     bool
 	acquiredAt time.Time
+	// tailReadAt is when a read of the shard's jobs last succeeded. It is kept only for admission.
+	tailReadAt time.Time
 	cancel     context.CancelFunc
 	ctx        context.Context // cancelled when the shard is released
 
@@ -59,7 +61,7 @@
 // newShard returns a shard that has not been loaded yet.
 func newShard(ctx context.Context, number int, epoch int64, now time.Time) *shard {
 	s := &shard{
-		number: number, epoch: epoch, acquiredAt: now,
+		number: number, epoch: epoch, acquiredAt: now, tailReadAt: now,
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
 		endStoredAt: map[string]time.Time{}, cancelled: map[string]bool{},
 	}
@@ -161,7 +163,7 @@
 			owner.applyCancellation(s, record, now)
 		}
 	}
-	s.loaded = true
+	s.loaded, s.tailReadAt = true, now
 	s.nextOffset = jobs.Next
 	owner.adoptRuns(s, now)
 	owner.placementChanges.addAll()
@@ -191,6 +193,7 @@
 		if len(tail.Records) > 0 {
 			owner.eventLoop.Post(func(now time.Time) { owner.applyRecords(s, tail, now) })
 		}
+		owner.noteTailRead(s)
 	}
 }
 
