gateway: a refused second append does not prolong the time for which a job may be stored

Cause: each call that was answered 504 for an earlier unsettled append began its 30 s anew. Change: only the outcome of the call's own append is noted. Result: go test of gateway passes; no test of its own.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -160,13 +160,13 @@
 	gateway.admission.gate.BeginAppend(id, gateway.options.Clock.Now())
 	gateway.admission.mu.Unlock()
 	result := gateway.appendRecord(ctx, id, job.SubmissionKey(id), value)
+	gateway.admission.mu.Lock()
+	gateway.admission.gate.EndAppend(id, result.status == appendUnknown, gateway.options.Clock.Now())
+	gateway.admission.mu.Unlock()
 	if result.status == appendRefused && mayBeStored {
 		// An append for an earlier call may still be carried out.
 		result.status = appendUnknown
 	}
-	gateway.admission.mu.Lock()
-	gateway.admission.gate.EndAppend(id, result.status == appendUnknown, gateway.options.Clock.Now())
-	gateway.admission.mu.Unlock()
 	if result.status == appendRefused {
 		gateway.recordRefusal(ctx, submission.GetQueue(), causeStore)
 	}
