--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -314,3 +314,31 @@
 		t.Errorf("ratio %v while the store is away", ratio)
 	}
 }
+
+// TestDrainedCoreMsPerS checks the rate at which work of a service and need ends, over the queues of any priority.
+func TestDrainedCoreMsPerS(t *testing.T) {
+	row := func(queue, service string, need wire.TaskNeed, ended, used int64) *wire.QueueBacklog {
+		return &wire.QueueBacklog{Queue: queue, Service: service, Need: need, EndedCoreMs: ended, WindowMs: backlog.Window.Milliseconds(), UsedMilliCpu: used}
+	}
+	const fill, reserved = wire.TaskNeed_NEED_FILL, wire.TaskNeed_NEED_RESERVED
+	tests := map[string]struct {
+		rows []*wire.QueueBacklog
+		want int64
+	}{
+		"nothing known":              {nil, 0},
+		"two queues":                 {[]*wire.QueueBacklog{row("a", "s", fill, 5000, 0), row("b", "s", fill, 10000, 500)}, 3000},
+		"more in use than has ended": {[]*wire.QueueBacklog{row("a", "s", fill, 5000, 4000)}, 4000},
+		"another service or need":    {[]*wire.QueueBacklog{row("a", "other", fill, 5000, 0), row("a", "s", reserved, 5000, 0)}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			summary := backlog.NewSummary()
+			for _, row := range test.rows {
+				summary.AddMessage(row)
+			}
+			if got := summary.DrainedCoreMsPerS("s", fill); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/backlog/expect.go
+++ b/backlog/expect.go
@@ -1,6 +1,10 @@
 package backlog
 
-import "time"
+import (
+	"time"
+
+	"ambertiller.example/ambertiller/wire"
+)
 
 // maxExpected bounds forecasts. No caller waits that long, and a small rate would otherwise exceed the range of
 // a duration.
@@ -52,12 +56,23 @@
 	return Expectation{start: start, end: end, ahead: ahead}, true
 }
 
-// drainTime returns how long the workers take for an amount of work. The rate is that of the work that ended
-// within Window or, if it is higher, the processors that running tasks use: while a burst fills the workers,
-// hardly any of its work has ended yet.
+// drainTime returns how long the workers take for an amount of work.
 func (ahead workAhead) drainTime(coreMs int64) time.Duration {
-	perWindow := max(ahead.endedCoreMs, ahead.usedMilliCPU*Window.Milliseconds()/millisPerCore)
-	return scale(Window, float64(coreMs)/float64(perWindow))
+	return scale(Window, float64(coreMs)/float64(ahead.drainedPerWindow()))
+}
+
+// drainedPerWindow returns the work that the workers do within Window, in ms of one core. It is the work that ended
+// within Window or, if that is more, what running tasks use: while a burst fills the workers, hardly any of its work
+// has ended yet.
+func (ahead workAhead) drainedPerWindow() int64 {
+	return max(ahead.endedCoreMs, ahead.usedMilliCPU*Window.Milliseconds()/millisPerCore)
+}
+
+// DrainedCoreMsPerS returns the work that is done in a second of the tasks of a service with a need, in ms of one
+// core. It is the rate by which Expect divides what is ahead of a job.
+func (summary *Summary) DrainedCoreMsPerS(service string, need wire.TaskNeed) int64 {
+	total := summary.workAhead(Work{key: rowKey{service: service, need: need}})
+	return total.drainedPerWindow() * time.Second.Milliseconds() / Window.Milliseconds()
 }
 
 // workAhead returns what is ahead of a job. Running and ended work counts in queues of any priority, because the
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -101,6 +101,54 @@
 	CandidacyEnded
 )
 
+// What owners and gateways know of the backlog of all owners.
+const (
+	JobForecast Code = 1000 + iota
+	BacklogKnown
+	BacklogUnknown
+)
+
+// Admission while more jobs are submitted than can end in time.
+const (
+	JobReturned Code = 1010 + iota
+)
+
+// LinesDropped is about the log itself.
+const LinesDropped Code = 190
+
+// Entry describes an event of the catalogue.
+type Entry struct {
+	Code        Code
+	Level       slog.Level
+	Title       string // the message of the log line
+	Description string // what the event means to an operator
+	Since       string // the release that added the event
+}
+
+// The releases that added events, each named after its main feature.
+const (
+	firstRelease    = "0.1"
+	platformRelease = "0.2"
+	// preemptionRelease supports pre-emption and workers that announce their leave.
+	preemptionRelease = "0.3"
+	// reportRelease generates reports from logs.
+	reportRelease = "0.4"
+	// largeFleetRelease supports deployments of hundreds of machines.
+	largeFleetRelease = "0.5"
+	// evacuationRelease supports the evacuation of failure domains, for work that has moved to others.
+	evacuationRelease = "0.6"
+	// crashSuspectRelease detects tasks that crash workers.
+	crashSuspectRelease = "0.7"
+	// endTrackingRelease logs how the end of each run was settled.
+	endTrackingRelease = "0.8"
+	// incarnationRelease distinguishes the incarnations of a worker.
+	incarnationRelease = "0.9"
+	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
+	candidacyRelease = "0.10"
+	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
+	hardLoadRelease = "0.11"
+)
+
 // Shares of queues.
 const (
 	SharesChanged Code = 1020 + iota
@@ -130,6 +178,21 @@
 	EndOfEarlierRun
 )
 
+// Moves of fill runs to other workers.
+const (
+	MoveOffered Code = 1040 + iota
+	MoveAnswered
+	MoveReserved
+	MoveDeclined
+	MoveReservationEnded
+)
+
+// Ownership of shards while the store does not answer.
+const (
+	OwnershipUnconfirmed Code = 1050 + iota
+	OwnershipConfirmed
+)
+
 // Agents and their workers.
 const (
 	AgentAttached Code = 900 + iota
@@ -169,64 +232,6 @@
 	EndPassedOver
 )
 
-// What owners and gateways know of the backlog of all owners.
-const (
-	JobForecast Code = 1000 + iota
-	BacklogKnown
-	BacklogUnknown
-)
-
-// Moves of fill runs to other workers.
-const (
-	MoveOffered Code = 1040 + iota
-	MoveAnswered
-	MoveReserved
-	MoveDeclined
-	MoveReservationEnded
-)
-
-// Ownership of shards while the store does not answer.
-const (
-	OwnershipUnconfirmed Code = 1050 + iota
-	OwnershipConfirmed
-)
-
-// LinesDropped is about the log itself.
-const LinesDropped Code = 190
-
-// Entry describes an event of the catalogue.
-type Entry struct {
-	Code        Code
-	Level       slog.Level
-	Title       string // the message of the log line
-	Description string // what the event means to an operator
-	Since       string // the release that added the event
-}
-
-// The releases that added events, each named after its main feature.
-const (
-	firstRelease    = "0.1"
-	platformRelease = "0.2"
-	// preemptionRelease supports pre-emption and workers that announce their leave.
-	preemptionRelease = "0.3"
-	// reportRelease generates reports from logs.
-	reportRelease = "0.4"
-	// largeFleetRelease supports deployments of hundreds of machines.
-	largeFleetRelease = "0.5"
-	// evacuationRelease supports the evacuation of failure domains, for work that has moved to others.
-	evacuationRelease = "0.6"
-	// crashSuspectRelease detects tasks that crash workers.
-	crashSuspectRelease = "0.7"
-	// endTrackingRelease logs how the end of each run was settled.
-	endTrackingRelease = "0.8"
-	// incarnationRelease distinguishes the incarnations of a worker.
-	incarnationRelease = "0.9"
-	// candidacyRelease makes only some entries of a fleet candidates for owning shards.
-	candidacyRelease = "0.10"
-	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
-	hardLoadRelease = "0.11"
-)
-
 // catalogue lists all events. docs/EVENTS.md is generated from it.
 var catalogue = []Entry{
 	{ProcessStarted, slog.LevelInfo, "process started", "The process has started all its services. The attributes give its role, name and addresses.", firstRelease},
@@ -364,6 +369,8 @@
 	{JobForecast, slog.LevelInfo, "job forecast", "A job has ended of which the end had been forecast when its owner read it. The attributes give the forecast of the start and of the end with its deviation, the age of the oldest backlog that it was based on, the work ahead of the job, the work that had ended in the 5 s before and the processors in use, the end expected by these before it was corrected by earlier outcomes, the time that the job took, and the ratio of that time to the expected one.", hardLoadRelease},
 	{BacklogKnown, slog.LevelInfo, "backlog known", "The gateway knows the backlogs of all owners again, so it can forecast when jobs end. The attribute age is that of the oldest one.", hardLoadRelease},
 	{BacklogUnknown, slog.LevelWarn, "backlog unknown", "The gateway has no recent backlog of the shards in the attribute missing. It forecasts nothing, and no job is refused by a forecast, until it has.", hardLoadRelease},
+	{JobReturned, slog.LevelInfo, "job returned", "The caller of a job that was refused for load came back. The attributes say how long after the first refusal and after how many, how late after the time that it was told, whether the job was admitted this time, and otherwise when the caller may try again. The attribute asked is false if the job came in without the owner being asked, because its forecast was in time.", hardLoadRelease},
+	{SharesChanged, slog.LevelInfo, "shares changed", "The shares of queues in the processors of their service have changed, or have been computed for the first time. There are too few workers: within a second, tasks of two queues with the same priority found no worker with free resources, or those of one that uses less than its share, while another queue has a demand; and some have since. The attribute queues lists for each queue with a demand the room of its service, its share, what its running tasks use, and its demand, which includes its waiting tasks. The attribute peers is the number of other owners whose reports counted, and peers_age the age of the oldest of them; without any, only the jobs of this owner are counted. Logged at most once a second.", hardLoadRelease},
 	{MoveOffered, slog.LevelInfo, "move offered", "An agent asked the owner of a slowed fill run whether another worker would take it. The run goes on meanwhile. The attributes give the run's pace, the work it has left, the time that the move would save, the least that it has to save, and the age of the worker's readings.", hardLoadRelease},
 	{MoveAnswered, slog.LevelInfo, "move answered", "What became of an agent's offer. The attribute outcome is accepted, and the run is stopped; declined, as no worker tolerates the run or the move would save too little; unanswered, as no answer came in time; or needless, as the run has ended or goes faster again, or another run of the worker has just been evicted. Except for accepted, the run goes on.", hardLoadRelease},
 	{MoveReserved, slog.LevelInfo, "move reserved", "An owner accepted an offer and reserved room for the run on another worker. The attributes give the pace at which the run goes now, the time that the move saves, the least that it has to save, how often the task has been interrupted, what the destination's serving tasks tolerate, and the age of that information.", hardLoadRelease},
@@ -371,7 +378,6 @@
 	{MoveReservationEnded, slog.LevelInfo, "move reservation ended", "Room that was reserved for a run is not reserved any more. The attribute reason is used if the run was stopped and its task was placed there, or else says why that did not happen. The attribute after says how long the room was reserved.", hardLoadRelease},
 	{OwnershipUnconfirmed, slog.LevelWarn, "ownership unconfirmed", "The store has not confirmed the ownership of this entry's shards for so long that it may have assigned them to others. The entry considers none of their runs lost until the store answers a join, and places tasks only of shards for which the store has just accepted an append. The attribute shards says how many shards the entry owns as far as it knows, and since how long ago the last join that was answered had been sent.", hardLoadRelease},
 	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "After event 1050, the store has confirmed the ownership of all shards that this entry still has. Shards that it has lost, or all if it stops to own any, are given up by then (event 704). The attribute after says how long ago the last join that was answered before event 1050 had been sent.", hardLoadRelease},
-	{SharesChanged, slog.LevelInfo, "shares changed", "The shares of queues in the processors of their service have changed, or have been computed for the first time. There are too few workers: within a second, tasks of two queues with the same priority found no worker with free resources, or those of one that uses less than its share, while another queue has a demand; and some have since. The attribute queues lists for each queue with a demand the room of its service, its share, what its running tasks use, and its demand, which includes its waiting tasks. The attribute peers is the number of other owners whose reports counted, and peers_age the age of the oldest of them; without any, only the jobs of this owner are counted. Logged at most once a second.", hardLoadRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -106,6 +106,16 @@
 	return sum.Summary().Forecast(backlog.NewWork(job.New(submission, 0)), age)
 }
 
+// drainedCoreMsPerS returns the work that is done in a second of the tasks of a service with a need, in ms of one
+// core; 0 if it is not known.
+func (follower *backlogFollower) drainedCoreMsPerS(service string, need wire.TaskNeed, now time.Time) int64 {
+	sum, _, known := follower.current(now)
+	if !known {
+		return 0
+	}
+	return sum.Summary().DrainedCoreMsPerS(service, need)
+}
+
 // current returns the sum of all backlogs with its age, and whether it is known.
 func (follower *backlogFollower) current(now time.Time) (backlog.Sum, time.Duration, bool) {
 	follower.mu.Lock()
--- /dev/null
+++ b/owner/admission.go
@@ -0,0 +1,135 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
+	"ambertiller.example/ambertiller/job"
+	"ambertiller.example/ambertiller/overload"
+	"ambertiller.example/ambertiller/telemetry"
+	"ambertiller.example/ambertiller/wire"
+)
+
+// tailMaxAge is the age of the last read of a shard's jobs above which jobs may be in the store that are not known
+// here. The store answers each read within readWait.
+const tailMaxAge = readWait + readTimeoutMargin
+
+// refusedCallers is what an owner knows of the callers of its shards' jobs that were refused for load.
+type refusedCallers struct {
+	table *overload.Table
+	late  metric.Float64Histogram
+}
+
+// newRefusedCallers creates the instrument. The error is ignored because the library returns it only for an invalid
+// name.
+func newRefusedCallers(provider metric.MeterProvider) refusedCallers {
+	late, _ := telemetry.Meter(provider, "owner").Float64Histogram("ambertiller.job.returned.late", metric.WithUnit("s"),
+		metric.WithDescription("How late refused callers came back, by queue and whether their job was admitted."))
+	return refusedCallers{table: overload.NewTable(), late: late}
+}
+
+// Admit implements wire.DRPCPeerServer: it decides whether a job is accepted that may end too late to be of
+// use. A request without work and times reports that the job may be in the store.
+func (owner *Owner) Admit(ctx context.Context, request *wire.AdmitRequest) (*wire.AdmitReply, error) {
+	if !owner.options.Features.Has(feature.Admission) {
+		return owner.DRPCPeerUnimplementedServer.Admit(ctx, request)
+	}
+	reply := &wire.AdmitReply{}
+	if !owner.eventLoop.Call(ctx, func(now time.Time) { reply = owner.decideAdmission(request, now) }) {
+		return &wire.AdmitReply{}, nil
+	}
+	return reply, nil
+}
+
+// decideAdmission leaves the decision open if the job's shard is not loaded here or its jobs could not be read
+// lately, or if the store has not confirmed lately that this entry owns it: then the job may be in the store and not
+// known here.
+func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
+	s, j := owner.loadedJob(request.GetId())
+	confirmed := now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
+	switch {
+	case s == nil:
+		return &wire.AdmitReply{}
+	case j != nil:
+		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+	case request.GetCoreMs() == 0 && request.GetEndMs() == 0 && request.GetUsefulMs() == 0:
+		owner.refusedCallers.table.Settle(request.GetId(), now)
+		if !confirmed {
+			// Another entry may own the shard by now, and must be told as well.
+			return &wire.AdmitReply{}
+		}
+		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+	case !confirmed || now.Sub(s.tailReadAt) > tailMaxAge:
+		return &wire.AdmitReply{}
+	}
+	decision := owner.refusedCallers.table.Decide(owner.overloadRequest(request), now)
+	if caller, returned := decision.Return(); returned {
+		owner.recordReturn(request.GetId(), request.GetQueue(), caller, decision.IsAdmitted(),
+			slog.Bool("asked", true), slog.Duration("retry_after", decision.RetryAfter()))
+	}
+	return &wire.AdmitReply{
+		Decided: decision.IsDecided(), Admitted: decision.IsAdmitted(),
+		RetryAfterMs: decision.RetryAfter().Milliseconds(), Reason: decision.Reason(),
+	}
+}
+
+// overloadRequest returns the request for the table. The rate in the message is that of all shards; this owner
+// admits by the part that its own shards have.
+func (owner *Owner) overloadRequest(request *wire.AdmitRequest) overload.Request {
+	loaded := 0
+	for _, s := range owner.shards {
+		if s.loaded {
+			loaded++
+		}
+	}
+	return overload.Request{
+		ID: request.GetId(), Queue: request.GetQueue(), CoreMs: request.GetCoreMs(),
+		Pool:              overload.PoolName(request.GetService(), request.GetNeed().String(), request.GetPriority()),
+		End:               time.Duration(request.GetEndMs()) * time.Millisecond,
+		Useful:            time.Duration(request.GetUsefulMs()) * time.Millisecond,
+		DrainedCoreMsPerS: float64(request.GetDrainedCoreMsPerS()),
+		Share:             float64(loaded) / float64(owner.options.Shards),
+	}
+}
+
+// noteArrival takes a job out of the line that came in without the owner being asked.
+func (owner *Owner) noteArrival(j *job.Job, now time.Time) {
+	if !owner.options.Features.Has(feature.Admission) {
+		return
+	}
+	submission := j.Submission()
+	arrival := overload.Request{
+		ID: j.ID(), Queue: submission.GetQueue(),
+		Pool: overload.PoolName(submission.GetService(), overload.MainNeed(submission).String(), submission.GetPriority()),
+	}
+	if !j.IsLongRunning() && !j.IsScheduled() {
+		arrival.CoreMs = j.CoreMs()
+	}
+	if caller, returned := owner.refusedCallers.table.Arrive(arrival, now); returned {
+		owner.recordReturn(j.ID(), j.Submission().GetQueue(), caller, true, slog.Bool("asked", false))
+	}
+}
+
+// noteTailRead notes that the jobs of a shard have been read.
+func (owner *Owner) noteTailRead(s *shard) {
+	if owner.options.Features.Has(feature.Admission) {
+		owner.eventLoop.Post(func(now time.Time) { s.tailReadAt = now })
+	}
+}
+
+func (owner *Owner) recordReturn(id, queue string, caller overload.Return, admitted bool, attributes ...slog.Attr) {
+	attributes = append([]slog.Attr{
+		slog.String("job", id), slog.String("queue", queue), slog.Duration("waited", caller.Waited()),
+		slog.Int("refusals", caller.Refusals()), slog.Duration("told", caller.Told()),
+		slog.Duration("late", caller.Late()), slog.Bool("admitted", admitted),
+	}, attributes...)
+	owner.log(event.JobReturned, attributes...)
+	owner.refusedCallers.late.Record(owner.ctx, caller.Late().Seconds(),
+		metric.WithAttributes(attribute.String("queue", queue), attribute.Bool("admitted", admitted)))
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -139,6 +139,7 @@
 	peerBacklogs     peerBacklogs
 	backlogs         backlogState
 	shares           *roomShares // nil if the feature is off
+	refusedCallers   refusedCallers
 	placementChanges placementChanges
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
 	// of the metrics was last increased.
@@ -166,6 +167,7 @@
 		agents:           map[string]*agentView{},
 		traffic:          traffic.New(options.Meters),
 		metrics:          newMetrics(options.Meters),
+		refusedCallers:   newRefusedCallers(options.Meters),
 		advice:           adviceQueue{steps: map[string]*stepAdvice{}},
 		placementChanges: newPlacementChanges(),
 		backlogs:         newBacklogState(),
