--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"iter"
 	"log/slog"
 	"slices"
 	"time"
@@ -298,23 +299,37 @@
 	}
 }
 
-// placeMoved places a task whose run has been stopped on the worker reserved for it, before any other task, if
-// the worker still fits. It returns how the reservation ends.
+// placeMoved places a task whose run has been stopped, before any other task: on the worker reserved for it if that
+// still fits, or else on any other that fits. Owners don't know of each other's reservations, so what the worker
+// tolerates may be gone. It returns how the reservation ends.
 func (owner *Owner) placeMoved(reservation relocation.Reservation, move reservedMove, now time.Time) relocation.End {
-	task, view := move.run.task, move.destination
+	task := move.run.task
 	if !slices.Contains(task.Job().ReadyTasks(now), task) {
 		return relocation.RunEnded // It has failed, and is to be started later.
 	}
 	owner.releaseReservation(reservation)
-	workers := owner.candidates(slices.Values([]*agentView{view}), now)
+	if owner.placeMovedAmong(task, slices.Values([]*agentView{move.destination}), now) {
+		return relocation.Used
+	}
+	if owner.placeMovedAmong(task, owner.agentViews(), now) {
+		return relocation.PlacedElsewhere
+	}
+	return relocation.Unfit
+}
+
+// placeMovedAmong starts a task on the best worker among the agents given that tolerates as much of it as the
+// destination of a move must. It returns false if there is none.
+func (owner *Owner) placeMovedAmong(task *job.Task, views iter.Seq[*agentView], now time.Time) bool {
+	workers := owner.candidates(views, now)
 	for _, worker := range workers {
 		worker.toleranceRatio = min(toleranceRatioFor(task.Job().SlackRatio(now)), minMoveToleranceRatio)
 	}
-	if owner.bestWorker(task, workers, now) == nil {
-		return relocation.Unfit
+	best := owner.bestWorker(task, workers, now)
+	if best == nil {
+		return false
 	}
-	owner.startTask(task, view, now)
-	return relocation.Used
+	owner.startTask(task, best.view, now)
+	return true
 }
 
 // releaseReservation makes the reserved room available again.
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -284,6 +284,32 @@
 	}
 }
 
+// TestMovedTaskIsPlacedElsewhere checks that a task whose run has been stopped goes to another worker if the reserved
+// one tolerates no more, in the tick in which its end arrives.
+func TestMovedTaskIsPlacedElsewhere(t *testing.T) {
+	tests := map[string]struct {
+		tolerated int64 // by a third worker
+		placed    bool
+	}{
+		"another worker tolerates a part of it": {400, true},
+		"no worker tolerates enough":            {290, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newMoveHarness(t, "offers")
+			h.offer(newOffer(1))
+			third := h.connect("10.0.0.3:7001")
+			h.reportAs(third, "i-3", test.tolerated)
+			h.report(-2000)
+			h.endRuns(firstTask)
+			h.checkNothingReserved(t)
+			if placed := third.runs[firstTask] != nil; placed != test.placed {
+				t.Errorf("placed on the third worker: %v", placed)
+			}
+		})
+	}
+}
+
 // TestStoppedRunWithoutReservation checks that a run that was stopped for the reservation of an earlier owner,
 // which is lost with that owner, is placed like any other task.
 func TestStoppedRunWithoutReservation(t *testing.T) {
--- a/relocation/reservations.go
+++ b/relocation/reservations.go
@@ -72,7 +72,9 @@
 	DestinationEvacuated End = "destination evacuated"
 	// OfferedAgain means that the run has been offered again, under another number.
 	OfferedAgain End = "offered again"
-	// Unfit means that the destination has changed and can't take the task any more.
+	// PlacedElsewhere means that the destination can't take the task any more, and another worker has it.
+	PlacedElsewhere End = "placed elsewhere"
+	// Unfit means that neither the destination nor any other worker can take the task any more.
 	Unfit End = "no longer fits"
 )
 
