--- a/feature/feature.go
+++ b/feature/feature.go
@@ -29,8 +29,6 @@
 	Admission Feature = "admission"
 	// Shares divides a service's workers among queues of one priority while there is too little room.
 	Shares Feature = "shares"
-	// Promises makes agents divide their free resources among the owners that wait for them.
-	Promises Feature = "promises"
 	// Offers makes agents offer a fill run to its owner, which finds another worker first, in place of
 	// evicting it.
 	Offers Feature = "offers"
@@ -40,7 +38,7 @@
 
 // requirements holds the features that a feature needs.
 var requirements = map[Feature][]Feature{
-	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Promises: nil, Offers: nil, Confirmation: nil,
+	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Offers: nil, Confirmation: nil,
 }
 
 // Set is a set of enabled features. The zero value has none.
