startahead: model starts that are recorded ahead

Cause: while the store is away no task of an accepted job starts. A design by which the owner records the next attempt ahead could break TWICE and BUDGET at a change of owner. Change: a model of owners, agents with leases and grants, workers and the store, played in seeded random schedules against the design and against six broken variants. Nothing of the design is built.

--- /dev/null
+++ b/startahead/schedule_test.go
@@ -0,0 +1,303 @@
+package startahead_test
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+)
+
+// scheduleRate is how often something happens in a schedule, in percent. Each schedule draws its own rates,
+// many of them 0, so that some have few kinds of failures and others many.
+type scheduleRate int
+
+const (
+	storeRate scheduleRate = iota
+	ownerRate
+	processRate // of agents and workers
+	linkRate
+	reorderRate
+	lossRate      // of messages that are lost, of those that are doubled, and of orders refused for room
+	slowClockRate // of ticks left out
+	rateCount
+)
+
+// scheduleSteps is the number of random steps of a schedule.
+const scheduleSteps = 400
+
+// noProgress is a violation by which no rule is broken, but the task doesn't end.
+const noProgress = "no progress"
+
+// schedule is how the events of a model state are chosen, and what an observer has seen of them.
+type schedule struct {
+	random          *rand.Rand
+	network         []message
+	rates           [rateCount]int
+	cut             [maxEpoch + 2][modelAgents]bool // links between owners, by epoch, and agents
+	starts          int
+	notedDone       []int // for each end that was taken note of, the starts before it
+	notedFailed     []int
+	violation       string
+	traced          bool
+	log             []string // with traced set
+	startsWhileAway int      // starts while the store was away
+	found           int      // runs of earlier owners that an owner found
+}
+
+// newModel returns the state in which the first owner has the shard.
+func newModel(seed int64, rules modelRules, traced bool) *modelState {
+	state := &modelState{rules: rules, stored: modelRecord{attempt: 1, epoch: 1}}
+	state.random, state.traced = rand.New(rand.NewSource(seed)), traced
+	for i := range state.agents {
+		state.agents[i].life, state.workers[i].life = 1, 1
+	}
+	for i := range state.rates {
+		state.rates[i] = state.drawRate()
+	}
+	state.rates[lossRate] /= 8
+	state.rates[ownerRate] = 50 // The rules depend on changes of the owner.
+	state.now = 1
+	state.acquire()
+	return state
+}
+
+// drawRate returns a percentage, and 0 half of the time.
+func (state *modelState) drawRate() int { return state.random.Intn(2) * state.random.Intn(95) }
+
+func (state *modelState) chance(percent int) bool { return state.random.Intn(100) < percent }
+
+func (state *modelState) note(format string, values ...any) {
+	if !state.traced {
+		return
+	}
+	state.log = append(state.log, fmt.Sprintf("%d: ", state.now)+fmt.Sprintf(format, values...))
+}
+
+// acquire gives the shard to a new owner, which fences those before and reads the record.
+func (state *modelState) acquire() {
+	state.storeEpoch++
+	state.storeVersion = 0
+	owner := &modelOwner{epoch: state.storeEpoch, record: state.stored, place: nowhere}
+	owner.acquiredAt, owner.confirmedAt = state.now, state.now
+	if state.rules.unboundPermission {
+		owner.record.epoch = owner.epoch
+	}
+	state.owners = append(state.owners, owner)
+	state.note("owner %d reads %+v", owner.epoch, owner.record)
+}
+
+// check looks for starts after ends that were taken note of before or since.
+func (state *modelState) check() {
+	before := 0
+	for _, starts := range state.notedFailed {
+		if starts < state.starts {
+			before++
+		}
+	}
+	if before >= maxFailed || len(state.notedFailed) > state.stored.failed {
+		state.violation = "BUDGET"
+	}
+	for _, starts := range state.notedDone {
+		if starts < state.starts || !state.stored.done {
+			state.violation = "TWICE: a start after the end"
+		}
+	}
+}
+
+// fail lets a random process, a link or the store fail, or return.
+func (state *modelState) fail() {
+	i := state.random.Intn(modelAgents)
+	switch kind := scheduleRate(state.random.Intn(4)); {
+	case !state.chance(state.rates[kind]):
+	case kind == storeRate:
+		state.storeAway = !state.storeAway
+	case kind == ownerRate && len(state.owners) > 1 && state.chance(30): // The oldest owner crashes.
+		state.owners = state.owners[1:]
+	case kind == ownerRate && state.chance(50):
+		owner := state.owners[state.random.Intn(len(state.owners))]
+		owner.holdsBack = !owner.holdsBack
+	case kind == ownerRate && !state.storeAway && state.storeEpoch < maxEpoch:
+		state.acquire()
+	case kind == processRate && state.chance(20):
+		state.workers[i] = modelWorker{life: state.workers[i].life + 1}
+		state.note("worker %d restarts", i)
+	case kind == processRate:
+		state.agents[i] = modelAgent{life: state.agents[i].life + 1, startedAt: state.now}
+		state.note("agent %d restarts", i)
+	case kind == linkRate:
+		link := &state.cut[state.storeEpoch][i]
+		*link = !*link
+		state.note("link of owner %d to agent %d is cut: %v", state.storeEpoch, i, *link)
+	}
+}
+
+// step carries out one random action.
+func (state *modelState) step() {
+	owner, i := state.owners[state.random.Intn(len(state.owners))], state.random.Intn(modelAgents)
+	switch action := state.random.Intn(100); {
+	case action < 3:
+		if !state.chance(state.rates[slowClockRate]) {
+			state.tick()
+		}
+	case action < 56:
+		state.deliverAny()
+	case action < 67:
+		state.stepOwner(owner)
+	case action < 78:
+		state.stepAgent(i)
+	case action < 80:
+		state.join(owner)
+	case action < 82:
+		state.endRun(i, done+outcome(state.random.Intn(2)))
+	default:
+		state.fail()
+	}
+}
+
+// deliverAny delivers, loses or doubles a message. Calls of agents to workers are not doubled.
+func (state *modelState) deliverAny() {
+	if len(state.network) == 0 {
+		return
+	}
+	i := 0
+	if state.chance(state.rates[reorderRate]) {
+		i = state.random.Intn(len(state.network))
+	}
+	if state.network[i].kind != toWorker && state.chance(state.rates[lossRate]) {
+		state.network = append(state.network, state.network[i])
+	}
+	if state.chance(state.rates[lossRate]) {
+		state.network = append(state.network[:i], state.network[i+1:]...)
+		return
+	}
+	state.deliver(i)
+}
+
+// deliver removes a message from the network and gives it to its receiver.
+func (state *modelState) deliver(i int) {
+	sent := state.network[i]
+	state.network = append(state.network[:i], state.network[i+1:]...)
+	if (sent.kind == toAgent || sent.kind == toOwner) && state.cut[sent.epoch][sent.agent] {
+		return
+	}
+	switch sent.kind {
+	case toAgent:
+		state.receiveOrder(sent)
+	case toWorker:
+		state.start(sent)
+	case toStore:
+		state.store(sent)
+	default:
+		for _, owner := range state.owners {
+			if owner.epoch == sent.epoch {
+				state.receive(owner, sent)
+			}
+		}
+	}
+}
+
+func (state *modelState) tick() {
+	state.now++
+	for i := range state.workers {
+		if worker := &state.workers[i]; worker.attempt != 0 && state.now >= worker.leaseUntil {
+			state.note("lease of worker %d ends, attempt %d", i, worker.attempt)
+			worker.attempt, worker.outcome = 0, 0 // An end that is not noted yet becomes void.
+		}
+	}
+}
+
+func (state *modelState) join(owner *modelOwner) {
+	if !state.storeAway && owner.epoch == state.storeEpoch {
+		state.network = append(state.network, message{kind: joinAnswer, epoch: owner.epoch, sentAt: state.now})
+	}
+}
+
+func (state *modelState) endRun(i int, end outcome) {
+	if worker := &state.workers[i]; worker.outcome == running {
+		worker.outcome, worker.endedAfter = end, state.starts
+		state.note("attempt %d on worker %d ends: %d", worker.attempt, i, end)
+	}
+}
+
+// settle lets a successor work without further failures, with one agent silent for good if silent names
+// one, and checks that the task is over within the time that its wait and a few runs take.
+func (state *modelState) settle(silent int) {
+	state.storeAway, state.rates = false, [rateCount]int{}
+	state.acquire()
+	state.owners = state.owners[len(state.owners)-1:]
+	for range toleranceTicks + 2*grantTicks + 20 {
+		owner := state.owners[0]
+		state.join(owner)
+		state.stepOwner(owner)
+		for i := range state.agents {
+			if i != silent {
+				state.stepAgent(i)
+			}
+			state.endRun(i, done)
+		}
+		for len(state.network) > 0 {
+			if state.network[0].kind == toAgent && state.network[0].agent == silent {
+				state.network = state.network[1:]
+				continue
+			}
+			state.deliver(0)
+		}
+		state.tick()
+	}
+	if !state.stored.isOver() && state.violation == "" {
+		state.violation = noProgress
+	}
+}
+
+// play plays the schedule of a seed until a rule is broken.
+func play(seed int64, rules modelRules, traced bool) *modelState {
+	state := newModel(seed, rules, traced)
+	for step := 0; step < scheduleSteps && state.violation == ""; step++ {
+		state.step()
+	}
+	if state.violation == "" {
+		state.settle(int(seed%3) - 1)
+	}
+	return state
+}
+
+// TestStartsAhead plays random schedules against the design, which keeps the rules, and against broken
+// variants of it, each of which breaks one.
+func TestStartsAhead(t *testing.T) {
+	const schedules = 30_000
+	tests := map[string]modelRules{
+		"successor starts at once":                                    {startsAtOnce: true},
+		"successor trusts the agents that it reaches":                 {trustsReached: true},
+		"permission is not bound to the epoch":                        {unboundPermission: true},
+		"two agents get the same attempt after a lost order":          {reordersUnanswered: true},
+		"end is forgotten before it is recorded":                      {forgetsEarly: true},
+		"restarted agent obeys an owner that was confirmed before it": {obeysOldConfirmation: true},
+	}
+	t.Run("design", func(t *testing.T) {
+		starts, found := 0, 0
+		for seed := range int64(schedules) {
+			state := play(seed, modelRules{}, false)
+			if state.violation != "" {
+				t.Fatalf("seed %d: %s", seed, play(seed, modelRules{}, true))
+			}
+			starts, found = starts+state.startsWhileAway, found+state.found
+		}
+		t.Logf("%d schedules, %d starts while the store was away, %d runs of earlier owners found", schedules, starts, found)
+	})
+	for name, rules := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(schedules) {
+				if state := play(seed, rules, false); state.violation != "" && state.violation != noProgress {
+					t.Logf("seed %d: %s", seed, play(seed, rules, true))
+					return
+				}
+			}
+			t.Error("no schedule breaks a rule")
+		})
+	}
+}
+
+// String returns the violation and the events of a traced schedule.
+func (state *modelState) String() string {
+	return state.violation + "\n" + strings.Join(state.log, "\n")
+}
