--- a/startahead/model_test.go
+++ b/startahead/model_test.go
@@ -22,7 +22,7 @@
 	failed
 )
 
-// modelRules are deviations from the design, each of which breaks it.
+// modelRules are deviations from the design, each of which breaks a rule.
 type modelRules struct {
 	startsAtOnce, trustsReached, unboundPermission, reordersUnanswered, forgetsEarly,
 	obeysOldConfirmation bool
@@ -44,7 +44,8 @@
 	endedAfter                       int // number of starts of the task before the run's end
 }
 
-// modelAgent loses all but its life with its process.
+// modelAgent loses all but its life with its process. It has handled an owner's messages up to a number, and
+// counts those that it has sent. A pending attempt is one that the worker was told to start, without an answer.
 type modelAgent struct {
 	life, startedAt, epoch, handled, sent                      int
 	grantUntil, pending, orderedAt, refused, token, workerLife int
@@ -52,7 +53,7 @@
 	ready bool // the worker's runs are known
 }
 
-// modelView is what an owner knows of an agent.
+// modelView is what an owner knows of an agent by the newest list of its runs, and by what it has sent there.
 type modelView struct {
 	life, list, sequence, heardAt, agentTime, grantEnd, attempt int
 
@@ -105,6 +106,7 @@
 	workers      [modelAgents]modelWorker
 }
 
+// receiveOrder handles an owner's message, with which a grant, an order or the note of a recorded end may come.
 func (state *modelState) receiveOrder(order message) {
 	agent, worker := &state.agents[order.agent], &state.workers[order.agent]
 	if order.epoch < agent.epoch {
@@ -141,17 +143,7 @@
 	return confirmed && free && state.now < agent.grantUntil
 }
 
-func (state *modelState) takeNote(worker *modelWorker) {
-	if worker.outcome == done {
-		state.notedDone = append(state.notedDone, worker.endedAfter)
-	} else {
-		state.notedFailed = append(state.notedFailed, worker.endedAfter)
-	}
-	state.note("note is taken of the end of attempt %d", worker.attempt)
-	worker.attempt, worker.outcome = 0, 0
-	state.check()
-}
-
+// start carries out an agent's call, unless the agent has a newer token or the grant is over.
 func (state *modelState) start(call message) {
 	worker := &state.workers[call.agent]
 	if call.life != worker.life || call.token != worker.token || worker.attempt != 0 || state.now >= call.until {
@@ -200,6 +192,7 @@
 	}
 }
 
+// receiveList updates an owner's view by an agent's list, and decides what became of the current attempt.
 func (state *modelState) receiveList(owner *modelOwner, list message) {
 	view := &owner.views[list.agent]
 	if list.life < view.life || list.life == view.life && list.sequence <= view.list {
@@ -237,6 +230,7 @@
 	state.recordLoss(owner)
 }
 
+// recordEnd records the end of the current attempt, and permits the next one with it.
 func (state *modelState) recordEnd(owner *modelOwner, end outcome) {
 	next := owner.record
 	next.ended |= 1 << next.attempt
--- a/startahead/schedule_test.go
+++ b/startahead/schedule_test.go
@@ -66,6 +66,7 @@
 
 func (state *modelState) chance(percent int) bool { return state.random.Intn(100) < percent }
 
+// note logs an event of a traced schedule.
 func (state *modelState) note(format string, values ...any) {
 	if !state.traced {
 		return
@@ -86,6 +87,18 @@
 	state.note("owner %d reads %+v", owner.epoch, owner.record)
 }
 
+// takeNote has a worker forget the end of its run, which counts from then on.
+func (state *modelState) takeNote(worker *modelWorker) {
+	if worker.outcome == done {
+		state.notedDone = append(state.notedDone, worker.endedAfter)
+	} else {
+		state.notedFailed = append(state.notedFailed, worker.endedAfter)
+	}
+	state.note("note is taken of the end of attempt %d", worker.attempt)
+	worker.attempt, worker.outcome = 0, 0
+	state.check()
+}
+
 // check looks for starts after ends that were taken note of before or since.
 func (state *modelState) check() {
 	before := 0
@@ -196,16 +209,18 @@
 	}
 }
 
+// tick lets time pass. Ends that are not noted when the lease is over become void.
 func (state *modelState) tick() {
 	state.now++
 	for i := range state.workers {
 		if worker := &state.workers[i]; worker.attempt != 0 && state.now >= worker.leaseUntil {
 			state.note("lease of worker %d ends, attempt %d", i, worker.attempt)
-			worker.attempt, worker.outcome = 0, 0 // An end that is not noted yet becomes void.
+			worker.attempt, worker.outcome = 0, 0
 		}
 	}
 }
 
+// join has the store confirm the owner.
 func (state *modelState) join(owner *modelOwner) {
 	if !state.storeAway && owner.epoch == state.storeEpoch {
 		state.network = append(state.network, message{kind: joinAnswer, epoch: owner.epoch, sentAt: state.now})
