startahead: play the schedule that a run's own grant doesn't cover

Change: a scripted schedule: an agent restarts and forgets the owner of its run, which is cut off from it, and the owner before, which doesn't know that it was replaced, extends the run.

--- a/startahead/model_test.go
+++ b/startahead/model_test.go
@@ -25,7 +25,7 @@
 // modelRules are deviations from the design, each of which breaks a rule.
 type modelRules struct {
 	startsAtOnce, trustsReached, unboundPermission, reordersUnanswered, forgetsEarly,
-	obeysOldConfirmation bool
+	obeysOldConfirmation, releasesByOwnGrant bool
 }
 
 // modelRecord is the task's record in the store: the owner of the epoch may start the attempt anywhere.
@@ -261,6 +261,9 @@
 func (state *modelState) isReleased(owner *modelOwner, i int) bool {
 	view := owner.views[i]
 	deadline := max(view.grantEnd, owner.acquiredAt+toleranceTicks+grantTicks)
+	if state.rules.releasesByOwnGrant && owner.record.epoch == owner.epoch {
+		deadline = view.grantEnd
+	}
 	return state.now > deadline+marginTicks
 }
 
--- a/startahead/schedule_test.go
+++ b/startahead/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -276,6 +277,58 @@
 	return state
 }
 
+// exchange lets the owners and agents speak, and delivers all messages.
+func (state *modelState) exchange() {
+	for _, owner := range state.owners {
+		state.stepOwner(owner)
+	}
+	for i := range state.agents {
+		state.stepAgent(i)
+	}
+	for len(state.network) > 0 {
+		state.deliver(0)
+	}
+}
+
+// TestRestartedAgentServesReplacedOwner plays the schedule that rule 5 of the design note is for. An agent
+// restarts and forgets the owner of its run, which can't reach it any more. The owner before, which doesn't know
+// that it was replaced, extends the run.
+func TestRestartedAgentServesReplacedOwner(t *testing.T) {
+	tests := map[string]struct {
+		rules     modelRules
+		violation string
+	}{
+		"design": {modelRules{}, ""},
+		"run is released by its owner's own grant alone": {modelRules{releasesByOwnGrant: true}, "TWICE: two runs at once"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			state := newModel(1, test.rules, true)
+			state.rates = [rateCount]int{}
+			state.acquire()
+			state.owners[0].holdsBack = true
+			for step := 0; step < scheduleSteps && state.starts == 0; step++ {
+				state.exchange()
+			}
+			agent := slices.IndexFunc(state.workers[:], func(worker modelWorker) bool { return worker.outcome == running })
+			if agent < 0 {
+				t.Fatalf("nothing runs\n%s", state)
+			}
+			state.agents[agent] = modelAgent{life: state.agents[agent].life + 1, startedAt: state.now}
+			state.cut[state.storeEpoch][agent] = true
+			for range 2 * (toleranceTicks + grantTicks) {
+				state.join(state.owners[1])
+				state.exchange()
+				state.exchange() // The answers to the first one, before the lease is over.
+				state.tick()
+			}
+			if state.violation != test.violation || state.starts < 2 {
+				t.Errorf("violation %q after %d starts, want %q\n%s", state.violation, state.starts, test.violation, state)
+			}
+		})
+	}
+}
+
 // TestStartsAhead plays random schedules against the design, which keeps the rules, and against broken
 // variants of it, each of which breaks one.
 func TestStartsAhead(t *testing.T) {
