report: say what was refused, moved and unconfirmed

Cause: refusals for load, offers, reservations and unconfirmed owners are logged by the features for hard load, and the report counted none of them. Change: sections REFUSED FOR, MOVES and OWNER UNCONFIRMED in the text, in JSON and in the text part of the HTML page (no plots). An eviction after an accepted offer is a move: it is counted apart, and its time on the critical path has a label of its own; the columns EVICTED still count both. Without events of these features nothing is added. TestGoldenReport now reads a list of logs; the golden files of start.log are unchanged.

--- a/report/criticalpath.go
+++ b/report/criticalpath.go
@@ -15,6 +15,7 @@
 	timeOverEstimate    = "running longer than estimated"
 	timeSlowed          = "slowed for serving tasks"
 	timeEvicted         = "evicted, until placed again"
+	timeMoved           = "moved, until placed again"
 	timeStopped         = "stopped, until placed again"
 	timeLost            = "lost with a worker"
 	timeFailed          = "runs that failed"
@@ -88,6 +89,8 @@
 // gapLabel returns the label of the time between the end of the run and the start of the next one.
 func (run *runHistory) gapLabel() string {
 	switch {
+	case run.moved:
+		return timeMoved
 	case run.evicted:
 		return timeEvicted
 	case run.outcome == runLost:
--- a/report/history.go
+++ b/report/history.go
@@ -23,6 +23,9 @@
 	timelineEvents []timelineEvent
 	droppedLines   int
 	traffic        map[string]*Traffic // by kind
+	refusals       refusalHistory
+	moves          moveHistory
+	ownership      ownershipHistory
 }
 
 // jobHistory holds what is known of one job.
@@ -62,6 +65,7 @@
 	endedAt   time.Time     // zero if the run has not ended
 	outcome   runOutcome
 	evicted   bool
+	moved     bool // evicted after an accepted offer
 	// pace is the fraction of its full speed at which the run has gone since paceSetAt. slowedTime is the
 	// time that it has lost to paces below 1.
 	pace       float64
@@ -102,12 +106,16 @@
 		jobs: map[string]*jobHistory{}, tasks: map[string]*taskHistory{}, workers: map[string]*workerHistory{},
 		currentWorkers: map[string]*workerHistory{},
 		openMisses:     map[string]*miss{}, runOutcomes: map[string]int{}, traffic: map[string]*Traffic{},
+		refusals: newRefusalHistory(), moves: newMoveHistory(), ownership: newOwnershipHistory(),
 	}
 }
 
 // apply updates the history from a log line. Lines must be applied in the order of their times.
 func (h *history) apply(ln *line) {
 	h.applyTimelineEvent(ln)
+	h.refusals.apply(ln)
+	h.moves.apply(ln)
+	h.ownership.apply(ln)
 	switch ln.Event {
 	case event.JobAccepted:
 		h.findOrAddJob(ln.Job).acceptedAt = ln.At.Add(-ln.Took)
@@ -125,7 +133,7 @@
 		h.endRun(ln, runLost)
 	case event.RunEvicted:
 		if run := h.findRun(ln.Task, ln.Attempt); run != nil {
-			run.evicted = true
+			run.evicted, run.moved = true, h.moves.accepted[ln.runKey()]
 		}
 	case event.FillsPaced:
 		h.applyFillsPaced(ln)
--- a/report/image.go
+++ b/report/image.go
@@ -31,7 +31,7 @@
 	MeanEstimate time.Duration `json:"estimated"`
 	MeanDuration time.Duration `json:"took"`
 	SlowestTenth time.Duration `json:"slowest"`
-	// Evictions is the number of runs that were stopped in favor of serving tasks. SlowedTime is the time
+	// Evictions is the number of runs that were stopped in favor of serving tasks, moves included. SlowedTime is the time
 	// lost to paces below 1, and WaitTime the time for which tasks were ready but not placed, both in total.
 	Evictions  int           `json:"evicted"`
 	SlowedTime time.Duration `json:"slowed"`
--- a/report/line.go
+++ b/report/line.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"encoding/json"
 	"time"
 
 	"ambertiller.example/ambertiller/event"
@@ -40,4 +41,11 @@
 	SameDomain     bool          `json:"near"`
 	Messages       int64         `json:"messages"`
 	Bytes          int64         `json:"bytes"`
+	Reason         string        `json:"reason"`
+	Outcome        string        `json:"outcome"`
+	Offer          int64         `json:"offer"`
+	Useful         time.Duration `json:"useful"`
+	Admitted       bool          `json:"admitted"`
+	// RetryAfter is a duration in event 801, and a text in other events.
+	RetryAfter json.RawMessage `json:"retry_after"`
 }
--- a/report/report.go
+++ b/report/report.go
@@ -53,6 +53,10 @@
 	// Traffic is sorted by bytes in descending order. It is empty for logs of earlier builds, which don't
 	// record it.
 	Traffic []Traffic `json:"traffic,omitempty"`
+	// Refusals, Moves and UnconfirmedOwners are empty for logs without events of the features for hard load.
+	Refusals          *Refusals          `json:"refusals,omitempty"`
+	Moves             *Moves             `json:"moves,omitempty"`
+	UnconfirmedOwners []UnconfirmedOwner `json:"unconfirmed,omitempty"`
 }
 
 // Count is the number of occurrences of something.
@@ -125,5 +129,8 @@
 	r.RunOutcomes = sortedCounts(h.runOutcomes)
 	r.Timeline = h.timeline()
 	r.Traffic = h.sortedTraffic()
+	r.Refusals = h.refusals.summary()
+	r.Moves = h.moves.summary()
+	r.UnconfirmedOwners = h.ownership.summary()
 	return r
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -14,10 +14,17 @@
 	"ambertiller.example/ambertiller/report"
 )
 
-// TestGoldenReport compares the report on the logs of a starting deployment with the golden files, as text
-// and as JSON.
+// TestGoldenReport compares the reports on the logs of a starting deployment, and of one with refused jobs, moves and
+// an unconfirmed owner, with the golden files, as text and as JSON.
 func TestGoldenReport(t *testing.T) {
-	log, err := os.Open("testdata/start.log")
+	for _, name := range []string{"start", "hardload"} {
+		t.Run(name, func(t *testing.T) { assertGoldenReport(t, name) })
+	}
+}
+
+func assertGoldenReport(t *testing.T, name string) {
+	t.Helper()
+	log, err := os.Open("testdata/" + name + ".log")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,8 +38,8 @@
 		t.Fatal(err)
 	}
 	golden := goldie.New(t)
-	golden.Assert(t, "start", text.Bytes())
-	golden.AssertJson(t, "start.json", r)
+	golden.Assert(t, name, text.Bytes())
+	golden.AssertJson(t, name+".json", r)
 }
 
 // acceptedJobLog is the log of one job that is accepted and taken up by its owner.
@@ -142,6 +149,20 @@
 				"waiting for a place: interference": 600 * time.Millisecond,
 			},
 		},
+		"moved after an accepted offer": {
+			lines: `{"time":"2026-01-01T00:00:00.2Z","event":807,"task":"00000000000000aa.0.0.0","attempt":1,"worker":"w","fills":true,"image":"x"}
+{"time":"2026-01-01T00:00:01.2Z","event":1041,"task":"00000000000000aa.0.0.0","attempt":1,"offer":7,"outcome":"accepted"}
+{"time":"2026-01-01T00:00:01.2Z","event":917,"task":"00000000000000aa.0.0.0","attempt":1,"image":"x"}
+{"time":"2026-01-01T00:00:01.2Z","event":811,"task":"00000000000000aa.0.0.0","attempt":1,"how":"END_STOPPED"}
+{"time":"2026-01-01T00:00:01.3Z","event":807,"task":"00000000000000aa.0.0.0","attempt":2,"worker":"v","fills":true,"image":"x"}
+{"time":"2026-01-01T00:00:03.2Z","event":811,"task":"00000000000000aa.0.0.0","attempt":2,"how":"END_DONE"}
+`,
+			took: 3200 * time.Millisecond,
+			want: map[string]time.Duration{
+				"waiting for an owner": 200 * time.Millisecond, "running": 2900 * time.Millisecond,
+				"moved, until placed again": 100 * time.Millisecond,
+			},
+		},
 		"slowest task of the previous step lost with its worker": {
 			lines: `{"time":"2026-01-01T00:00:00.2Z","event":807,"task":"00000000000000aa.0.0.0","attempt":1,"worker":"w"}
 {"time":"2026-01-01T00:00:00.2Z","event":807,"task":"00000000000000aa.0.0.1","attempt":1,"worker":"v"}
@@ -181,6 +202,18 @@
 	}
 }
 
+// TestOlderLogsHaveNoNewSections checks that a refusal by a store outage and an eviction alone, which older builds
+// log too, don't add sections.
+func TestOlderLogsHaveNoNewSections(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:00Z","name":"g","event":801,"job":"00000000000000aa","reason":"the platform's store is unavailable","retry_after":1000000000}
+{"time":"2026-01-01T00:00:01Z","name":"a","event":917,"task":"00000000000000ab.0.0.0","attempt":1,"image":"x"}
+`
+	r, err := report.Read(strings.NewReader(log))
+	if err != nil || r.LineCount != 2 || r.Refusals != nil || r.Moves != nil || r.UnconfirmedOwners != nil {
+		t.Errorf("got %+v, %v", r, err)
+	}
+}
+
 // TestInputWithoutLogLines checks that input without log lines results in an empty report.
 func TestInputWithoutLogLines(t *testing.T) {
 	r, err := report.Read(strings.NewReader("not a log\n{\"cut\":\n"))
--- a/report/text.go
+++ b/report/text.go
@@ -24,7 +24,8 @@
 func (r *Report) WriteText(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)
 	for _, section := range [][]string{
-		r.headingLines(), r.lossLines(), r.jobLines(), r.servingLines(), r.fillLines(), r.workerLines(), r.trafficLines(), r.timelineLines(),
+		r.headingLines(), r.lossLines(), r.jobLines(), r.refusalLines(), r.servingLines(), r.fillLines(), r.moveLines(),
+		r.workerLines(), r.ownershipLines(), r.trafficLines(), r.timelineLines(),
 	} {
 		if len(section) == 0 {
 			continue
--- a/report/worker.go
+++ b/report/worker.go
@@ -21,7 +21,7 @@
 	// ServingImages is the number of different serving images that ran on the worker.
 	ServingImages int           `json:"images"`
 	MissTime      time.Duration `json:"over"`
-	Evictions     int           `json:"evicted"`
+	Evictions     int           `json:"evicted"` // moves included
 	LostRuns      int           `json:"lost"`
 }
 
