trace: durations of refusals, returns and moves are readable

Cause: a job's story has the lines of events 801, 1000, 1010 and 1040 to 1044, which all carry the job or its task. But forecast, useful, told, late, saves and least were printed as nanoseconds, and numbers from 1e21 down to seven digits, such as waiting_core_ms, with an exponent. Change: these are durations, other numbers are printed without an exponent.

--- a/trace/trace.go
+++ b/trace/trace.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -95,14 +96,17 @@
 
 // durationKeys are the keys of the attributes that hold durations in nanoseconds.
 var durationKeys = []string{"took", "age", "after", "ran", "retry_after", "since", "past_objective", "held", "valid", "waited", "recorded", "allowed", "left", "remaining",
-	"forecast_start", "forecast_end", "deviation", "expected"}
+	"forecast", "forecast_start", "forecast_end", "deviation", "expected", "useful", "told", "late", "saves", "least"}
 
 func formatValue(key string, value any) string {
 	number, isNumber := value.(float64)
-	if isNumber && slices.Contains(durationKeys, key) {
+	switch {
+	case !isNumber:
+		return fmt.Sprint(value)
+	case slices.Contains(durationKeys, key):
 		return time.Duration(number).Round(time.Millisecond).String()
 	}
-	return fmt.Sprint(value)
+	return strconv.FormatFloat(number, 'f', -1, 64)
 }
 
 // IsEmpty reports whether no matching line was found.
