report: name the reasons and events that decide what is shown

Cause: the refusals were shown for any event above 1000, and the gateways' reasons stood in the middle of a switch. Change: a range of events with a name, and named reasons.

--- a/report/ownership.go
+++ b/report/ownership.go
@@ -9,8 +9,8 @@
 	"ambertiller.example/ambertiller/event"
 )
 
-// UnconfirmedOwner says how often and how long the store had not confirmed the ownership of a gateway's shards. It
-// takes no run for lost in such a time.
+// UnconfirmedOwner says how often and how long the store had not confirmed the ownership of a gateway's shards.
+// The gateway takes no run for lost in such a time.
 type UnconfirmedOwner struct {
 	Owner string `json:"owner"`
 	Times int    `json:"times"`
--- a/report/refusal.go
+++ b/report/refusal.go
@@ -37,6 +37,13 @@
 	causeInvalid    = "other: invalid submission"
 )
 
+// The reasons that gateways log for a record that they have not sent to the store. Other reasons of a refusal that
+// is not for load are errors of the store.
+const (
+	reasonStoreAway = "the platform's store is unavailable"
+	reasonDeadline  = "the client's deadline has passed"
+)
+
 // refusalHistory holds what is known of refused jobs.
 type refusalHistory struct {
 	counts   map[string]int             // refusals by cause
@@ -54,9 +61,7 @@
 
 // apply updates the history from a log line.
 func (refused *refusalHistory) apply(ln *line) {
-	if ln.Event >= event.JobForecast || ln.isRefusalForLoad() {
-		refused.isShown = true
-	}
+	refused.isShown = refused.isShown || ln.isOfHardLoad()
 	switch ln.Event {
 	case event.JobRefused:
 		cause := ln.refusalCause()
@@ -71,6 +76,11 @@
 	}
 }
 
+// isOfHardLoad reports whether only a process with a feature for hard load logs such a line.
+func (ln *line) isOfHardLoad() bool {
+	return ln.Event >= event.JobForecast && ln.Event <= event.OwnershipConfirmed || ln.isRefusalForLoad()
+}
+
 // isRefusalForLoad reports whether a job was refused by its forecast. Only such refusals say until when the job is
 // of use.
 func (ln *line) isRefusalForLoad() bool { return ln.Event == event.JobRefused && ln.Useful > 0 }
@@ -82,9 +92,9 @@
 		return causeLoadPrefix + ln.Reason
 	case len(ln.RetryAfter) == 0:
 		return causeInvalid
-	case ln.Reason == "the platform's store is unavailable":
+	case ln.Reason == reasonStoreAway:
 		return causeStoreAway
-	case ln.Reason == "the client's deadline has passed":
+	case ln.Reason == reasonDeadline:
 		return causeDeadline
 	}
 	return causeNotTaken
