--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -21,10 +21,10 @@
 )
 
 const (
-	// admitTimeout bounds the question to the owner. Callers that are refused should learn it well within a
-	// quarter of their target.
+	// admitTimeout bounds the call to the owner. Refused callers should learn of it well within a quarter of their
+	// target duration.
 	admitTimeout = 100 * time.Millisecond
-	// unsettledReportTries and unsettledReportDelay let a report outlast an outage of the store. They end after
+	// unsettledReportTries and unsettledReportDelay let a report outlast an outage of the store. The tries end after
 	// 30 s, when the job does not count as one that may be in the store any more.
 	unsettledReportTries = 60
 	unsettledReportDelay = 500 * time.Millisecond
@@ -33,19 +33,20 @@
 	causeStore = "store"
 )
 
-// forecaster forecasts when jobs end. Package gateway's backlogs implement it.
+// forecaster forecasts when jobs end. *backlogPoller implements it.
 type forecaster interface {
-	// forecast returns when a job would end if it is accepted now, and false if that is not known.
+	// forecast returns when a job would end if it were accepted now. It reports false if that is not known.
 	forecast(submission *job.Submission, now time.Time) (backlog.Forecast, bool)
-	// drainedCoreMsPerS returns the rate at which work is done, in all shards together, that jobs of this
-	// service and need wait for; 0 if it is not known.
+	// drainedCoreMsPerS returns the rate at which the work of a service and need is done, over all shards. It returns
+	// 0 if that is not known.
 	drainedCoreMsPerS(service string, need wire.TaskNeed, now time.Time) int64
 }
 
-// admission is what the gateway knows for admitting jobs. It may be used by many goroutines.
+// admission tracks the jobs that the gateway has tried to append, and counts those that it has refused. It may be used
+// by many goroutines.
 type admission struct {
 	mu      sync.Mutex
-	gate    *overload.Gate
+	appends *overload.AppendTracker
 	refused metric.Int64Counter
 }
 
@@ -54,7 +55,7 @@
 func newAdmission(provider metric.MeterProvider) admission {
 	refused, _ := telemetry.Meter(provider, "gateway").Int64Counter("ambertiller.job.refused",
 		metric.WithDescription("Jobs that were refused, by queue and cause: load or store."))
-	return admission{gate: overload.NewGate(), refused: refused}
+	return admission{appends: overload.NewAppendTracker(), refused: refused}
 }
 
 // refusal is the refusal of a job for load.
@@ -66,8 +67,8 @@
 	reason     string
 }
 
-// checkAdmission returns why a job is refused for load, or nil if it is admitted. Whatever is not known or not
-// answered in time admits the job.
+// checkAdmission returns the refusal of a job for load, or nil if the job is admitted. If the forecast is not known, or
+// the owner doesn't answer in time, the job is admitted.
 func (gateway *Gateway) checkAdmission(
 	ctx context.Context, configuration *platform.Configuration, submission *job.Submission, now time.Time,
 ) *refusal {
@@ -98,7 +99,7 @@
 		return nil
 	}
 	if gateway.mayBeStored(submission.GetId(), gateway.options.Clock.Now()) {
-		// Another call for the job has begun to append it meanwhile.
+		// Another call for the same job has begun to append it meanwhile.
 		return nil
 	}
 	retryAfter := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
@@ -111,11 +112,11 @@
 func (gateway *Gateway) mayBeStored(id string, now time.Time) bool {
 	gateway.admission.mu.Lock()
 	defer gateway.admission.mu.Unlock()
-	return gateway.admission.gate.MayBeStored(id, now)
+	return gateway.admission.appends.MayBeStored(id, now)
 }
 
-// requestAdmission asks the owner of a job's shard. It doesn't read the owners from the store, so the question
-// takes no longer than admitTimeout.
+// requestAdmission asks the owner of a job's shard. It doesn't read the owners from the store, so that it takes no
+// longer than admitTimeout.
 func (directory *ownerDirectory) requestAdmission(
 	ctx context.Context, request *wire.AdmitRequest,
 ) (*wire.AdmitReply, error) {
@@ -128,7 +129,7 @@
 	return directory.peerClient(member).Admit(ctx, request)
 }
 
-// respondOverloaded refuses a job for load. Nothing of it was sent to the store.
+// respondOverloaded refuses a job for load. The job has not been sent to the store.
 func (gateway *Gateway) respondOverloaded(
 	writer http.ResponseWriter, request *http.Request, refused *refusal, receivedAt time.Time,
 ) {
@@ -148,8 +149,8 @@
 		metric.WithAttributes(attribute.String("queue", queue), attribute.String("cause", cause)))
 }
 
-// appendSubmission appends a job to the store. It notes whether the job may be there, here and at the owner, so
-// that its caller is not refused when it comes back, to whichever gateway.
+// appendSubmission appends a job to the store. It records whether the job may be in the store, so that its caller is
+// not refused when it comes back. For callers that come back to another gateway, startUnsettledReport tells the owner.
 func (gateway *Gateway) appendSubmission(ctx context.Context, submission *job.Submission, value []byte) appendResult {
 	id := submission.GetId()
 	if !gateway.hasAdmission() {
@@ -157,11 +158,11 @@
 	}
 	mayBeStored := gateway.mayBeStored(id, gateway.options.Clock.Now())
 	gateway.admission.mu.Lock()
-	gateway.admission.gate.BeginAppend(id, gateway.options.Clock.Now())
+	gateway.admission.appends.BeginAppend(id, gateway.options.Clock.Now())
 	gateway.admission.mu.Unlock()
 	result := gateway.appendRecord(ctx, id, job.SubmissionKey(id), value)
 	gateway.admission.mu.Lock()
-	gateway.admission.gate.EndAppend(id, result.status == appendUnknown, gateway.options.Clock.Now())
+	gateway.admission.appends.EndAppend(id, result.status == appendUnknown, gateway.options.Clock.Now())
 	gateway.admission.mu.Unlock()
 	if result.status == appendRefused && mayBeStored {
 		// An append for an earlier call may still be carried out.
@@ -173,18 +174,18 @@
 	return result
 }
 
-// startUnsettledReport begins to tell the owner of a job's shard that the job may be in the store. It is called
-// after the first attempt to append the job that is not settled, since its caller may reach another gateway before
-// this one gives up. Records other than submissions are not reported.
+// startUnsettledReport starts to tell the owner of a job's shard that the job may be in the store. It is called after
+// the first unsettled attempt to append the job, because its caller may reach another gateway before this one gives up.
+// Only submissions are reported.
 func (gateway *Gateway) startUnsettledReport(ctx context.Context, id, key string) {
 	if gateway.hasAdmission() && key == job.SubmissionKey(id) {
 		go gateway.reportUnsettled(context.WithoutCancel(ctx), id)
 	}
 }
 
-// reportUnsettled tells the owner of a job's shard that the job may be in the store, until an owner has noted it
-// that certainly owns the shard. The owners are not read from the store before the first try, because the store may
-// be away.
+// reportUnsettled tells the owner of a job's shard that the job may be in the store, until an owner that certainly owns
+// the shard has confirmed it. The owners are not read from the store before the first try, because the store may be
+// unavailable.
 func (gateway *Gateway) reportUnsettled(ctx context.Context, id string) {
 	request := &wire.AdmitRequest{Id: id, Shard: int32(job.ShardOf(id, gateway.options.Shards))}
 	for range unsettledReportTries {
@@ -199,7 +200,7 @@
 
 func (gateway *Gateway) hasAdmission() bool { return gateway.options.Features.Has(feature.Admission) }
 
-// storeRetryAfter returns when the caller of a job may come back that the store did not take.
+// storeRetryAfter returns when the caller may come back whose job the store did not take.
 func (gateway *Gateway) storeRetryAfter(id string) time.Duration {
 	if !gateway.hasAdmission() {
 		return retryDelay
@@ -207,12 +208,12 @@
 	return overload.OutageRetryAfter(id, gateway.breaker.outage(gateway.options.Clock.Now()))
 }
 
-// isAppendHopeless reports whether no further attempt to append can succeed before the deadline of ctx.
-func (gateway *Gateway) isAppendHopeless(ctx context.Context) bool {
+// isAppendRetryUseless reports whether a further attempt to append can't succeed before the deadline of ctx.
+func (gateway *Gateway) isAppendRetryUseless(ctx context.Context) bool {
 	deadline, limited := ctx.Deadline()
 	if !gateway.hasAdmission() || !limited {
 		return false
 	}
 	now := gateway.options.Clock.Now()
-	return overload.IsHopeless(gateway.breaker.outage(now) >= breakerOpenDelay, deadline.Sub(now), appendTimeout)
+	return overload.IsRetryUseless(gateway.breaker.outage(now) >= breakerOpenDelay, deadline.Sub(now), appendTimeout)
 }
--- a/gateway/admission_internal_test.go
+++ b/gateway/admission_internal_test.go
@@ -12,8 +12,8 @@
 	"ambertiller.example/ambertiller/platform"
 )
 
-// TestOutage checks what callers are told while the store is away, and when further attempts are given up. With
-// the feature off both are as without it.
+// TestOutage checks what callers are told while the store is unavailable, and when further attempts to append are
+// useless. With the feature off both are as without it.
 func TestOutage(t *testing.T) {
 	on, err := feature.Parse([]string{"backlog", "admission"})
 	if err != nil {
@@ -24,7 +24,7 @@
 		outage      time.Duration
 		left        time.Duration
 		least, most time.Duration
-		hopeless    bool
+		useless     bool
 	}{
 		"no outage":          {on, 0, 100 * time.Millisecond, time.Second, time.Second, false},
 		"breaker not open":   {on, 900 * time.Millisecond, 100 * time.Millisecond, time.Second, time.Second, false},
@@ -44,8 +44,8 @@
 			}
 			ctx, cancel := context.WithDeadline(t.Context(), clock.Now().Add(test.left))
 			defer cancel()
-			if got := gateway.isAppendHopeless(ctx); got != test.hopeless {
-				t.Errorf("isAppendHopeless returned %v", got)
+			if got := gateway.isAppendRetryUseless(ctx); got != test.useless {
+				t.Errorf("isAppendRetryUseless returned %v", got)
 			}
 			if got := gateway.storeRetryAfter("0123456789abcdef"); got < test.least || got > test.most {
 				t.Errorf("told %v", got)
@@ -54,7 +54,7 @@
 	}
 }
 
-// TestOwnerIsNotAsked checks which jobs are admitted without a question to the owner. The gateway has no owner, so
+// TestOwnerIsNotAsked checks which jobs are admitted without asking the owner. The gateway has no owner, so
 // asking it would panic.
 func TestOwnerIsNotAsked(t *testing.T) {
 	on, err := feature.Parse([]string{"backlog", "admission"})
@@ -86,7 +86,7 @@
 			}
 			now := options.Clock.Now()
 			if test.inFlight {
-				gateway.admission.gate.BeginAppend(submission.GetId(), now)
+				gateway.admission.appends.BeginAppend(submission.GetId(), now)
 			}
 			if refused := gateway.checkAdmission(t.Context(), configuration, submission, now); refused != nil {
 				t.Errorf("refused: %s", refused.reason)
--- a/gateway/append.go
+++ b/gateway/append.go
@@ -86,7 +86,7 @@
 		if !mayBeStored {
 			break
 		}
-		if gateway.isAppendHopeless(ctx) {
+		if gateway.isAppendRetryUseless(ctx) {
 			break
 		}
 		sleep(ctx, gateway.options.Clock, appendRetryDelay)
--- a/overload/spread.go
+++ b/overload/spread.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// spread returns a part of width that depends on the ID alone, so that callers who are told the same time don't
-// come back at once.
+// spread returns a part of width that depends on the ID alone. It is added to the times that callers are told, so that
+// they don't all come back at once.
 func spread(id string, width time.Duration) time.Duration {
 	hash := fnv.New32a()
 	// Write of a hash never fails.
@@ -15,7 +15,8 @@
 	return time.Duration(float64(width) * mix(hash.Sum32()))
 }
 
-// mix returns a number from 0 to below 1. FNV alone leaves the high bits of similar IDs similar.
+// mix maps a hash to a number in [0, 1) by the finalizer of MurmurHash3. The high bits of FNV alone differ little for
+// similar IDs.
 func mix(sum uint32) float64 {
 	sum ^= sum >> 16
 	sum *= 0x85ebca6b
--- a/overload/table_test.go
+++ b/overload/table_test.go
@@ -18,9 +18,9 @@
 	}
 }
 
-// TestReturnersComeInByFirstCall checks that callers come in by the order of their first calls, whatever the
+// TestReturnersAreAdmittedByFirstCall checks that callers are admitted by the order of their first calls, whatever the
 // order in which they come back, and before a newcomer, once the backlog has shrunk sooner than was forecast.
-func TestReturnersComeInByFirstCall(t *testing.T) {
+func TestReturnersAreAdmittedByFirstCall(t *testing.T) {
 	table := overload.NewTable()
 	isAdmitted := func(id string, tooLate time.Duration, now time.Time) bool {
 		request := newRequest(id, tooLate)
@@ -43,7 +43,7 @@
 		}
 	}
 	if fmt.Sprint(order) != "[1 2 3 new]" {
-		t.Errorf("came in: %v", order)
+		t.Errorf("admitted: %v", order)
 	}
 }
 
@@ -60,13 +60,13 @@
 		},
 		"no shards": {request: overload.Request{ID: "1", Pool: "p", CoreMs: 1, End: time.Hour, DrainedCoreMsPerS: 1}},
 		"may be in the store": {
-			prepare: func(table *overload.Table) { table.Settle("1", startTime) },
+			prepare: func(table *overload.Table) { table.MarkMayBeStored("1", startTime) },
 			request: newRequest("1", time.Hour), decided: true, admitted: true,
 		},
 		"refused, then in the store": {
 			prepare: func(table *overload.Table) {
 				table.Decide(newRequest("1", time.Hour), startTime)
-				table.Arrive(overload.Request{ID: "1"}, startTime)
+				table.MarkStored(overload.Request{ID: "1"}, startTime)
 			},
 			request: newRequest("1", time.Hour), decided: true, admitted: true,
 		},
@@ -109,10 +109,10 @@
 	}
 }
 
-// TestUnaskedJobsCountInShares checks that a class whose jobs came in because their forecasts were in time has had its
-// share: its next job waits for the refused job of another class that called first.
+// TestUnaskedJobsCountInShares checks that jobs that were accepted because their forecasts were in time count in the
+// share of their class: its next job waits for the refused job of another class that called first.
 func TestUnaskedJobsCountInShares(t *testing.T) {
-	for _, hasArrived := range []bool{false, true} {
+	for _, areStored := range []bool{false, true} {
 		table := overload.NewTable()
 		if table.Decide(newRequest("large", time.Second), startTime).IsAdmitted() {
 			t.Fatal("the large job was admitted")
@@ -124,16 +124,16 @@
 		}
 		small := newRequest("small", -time.Second)
 		small.CoreMs = 2000
-		if hasArrived {
+		if areStored {
 			for number := range 10 {
-				arrival := overload.Request{ID: fmt.Sprint(number), Pool: "p", Queue: "q", CoreMs: small.CoreMs}
-				table.Arrive(arrival, startTime)
+				stored := overload.Request{ID: fmt.Sprint(number), Pool: "p", Queue: "q", CoreMs: small.CoreMs}
+				table.MarkStored(stored, startTime)
 			}
 		}
-		// By then forecasts include what came in.
+		// By then forecasts include the stored jobs.
 		now := startTime.Add(1500 * time.Millisecond)
-		if got := table.Decide(small, now).IsAdmitted(); got == hasArrived {
-			t.Errorf("small jobs had arrived: %v, the next was admitted: %v", hasArrived, got)
+		if got := table.Decide(small, now).IsAdmitted(); got == areStored {
+			t.Errorf("small jobs were stored: %v, the next was admitted: %v", areStored, got)
 		}
 	}
 }
@@ -152,7 +152,7 @@
 	}
 }
 
-// TestRepeatedCall checks that a caller that calls twice has one entry, and that it lapses if the caller does not
+// TestRepeatedCall checks that a caller that calls twice has one entry, and that it expires if the caller does not
 // come back.
 func TestRepeatedCall(t *testing.T) {
 	table := overload.NewTable()
@@ -161,7 +161,7 @@
 	second := table.Decide(newRequest("1", time.Second), now)
 	caller, returned := second.Return()
 	if table.Len() != 1 || !returned || caller.Refusals() != 1 || caller.Late() != time.Second ||
-		caller.Told() != first.RetryAfter() {
+		caller.RetryAfter() != first.RetryAfter() {
 		t.Errorf("%d entries, returned %v: %+v", table.Len(), returned, caller)
 	}
 	if !table.Decide(newRequest("2", 0), now.Add(time.Minute)).IsAdmitted() || table.Len() != 1 {
@@ -191,7 +191,7 @@
 	}
 	bound := table.Len()
 	for number := range 5000 {
-		table.Settle(fmt.Sprint("settled ", number), startTime)
+		table.MarkMayBeStored(fmt.Sprint("settled ", number), startTime)
 	}
 	if bound >= 5000 || table.Len() > bound {
 		t.Errorf("%d entries, then %d", bound, table.Len())
@@ -227,42 +227,42 @@
 	}
 }
 
-func TestGate(t *testing.T) {
+func TestAppendTracker(t *testing.T) {
 	tests := map[string]struct {
-		prepare func(gate *overload.Gate)
+		prepare func(tracker *overload.AppendTracker)
 		after   time.Duration
 		want    bool
 	}{
-		"unknown":   {func(*overload.Gate) {}, 0, false},
-		"in flight": {func(gate *overload.Gate) { gate.BeginAppend("1", startTime) }, time.Hour, true},
-		"settled": {func(gate *overload.Gate) {
-			gate.BeginAppend("1", startTime)
-			gate.EndAppend("1", false, startTime)
+		"unknown":   {func(*overload.AppendTracker) {}, 0, false},
+		"in flight": {func(tracker *overload.AppendTracker) { tracker.BeginAppend("1", startTime) }, time.Hour, true},
+		"settled": {func(tracker *overload.AppendTracker) {
+			tracker.BeginAppend("1", startTime)
+			tracker.EndAppend("1", false, startTime)
 		}, 0, false},
-		"one of two settled": {func(gate *overload.Gate) {
-			gate.BeginAppend("1", startTime)
-			gate.BeginAppend("1", startTime)
-			gate.EndAppend("1", false, startTime)
+		"one of two settled": {func(tracker *overload.AppendTracker) {
+			tracker.BeginAppend("1", startTime)
+			tracker.BeginAppend("1", startTime)
+			tracker.EndAppend("1", false, startTime)
 		}, 0, true},
-		"unsettled": {func(gate *overload.Gate) {
-			gate.BeginAppend("1", startTime)
-			gate.EndAppend("1", true, startTime)
+		"unsettled": {func(tracker *overload.AppendTracker) {
+			tracker.BeginAppend("1", startTime)
+			tracker.EndAppend("1", true, startTime)
 		}, 20 * time.Second, true},
-		"unsettled long ago": {func(gate *overload.Gate) {
-			gate.BeginAppend("1", startTime)
-			gate.EndAppend("1", true, startTime)
+		"unsettled long ago": {func(tracker *overload.AppendTracker) {
+			tracker.BeginAppend("1", startTime)
+			tracker.EndAppend("1", true, startTime)
 		}, time.Minute, false},
-		"too many to keep": {func(gate *overload.Gate) {
+		"too many to keep": {func(tracker *overload.AppendTracker) {
 			for number := range 10_000 {
-				gate.BeginAppend(fmt.Sprint("other ", number), startTime)
+				tracker.BeginAppend(fmt.Sprint("other ", number), startTime)
 			}
 		}, time.Second, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			gate := overload.NewGate()
-			test.prepare(gate)
-			if got := gate.MayBeStored("1", startTime.Add(test.after)); got != test.want {
+			tracker := overload.NewAppendTracker()
+			test.prepare(tracker)
+			if got := tracker.MayBeStored("1", startTime.Add(test.after)); got != test.want {
 				t.Errorf("MayBeStored returned %v", got)
 			}
 		})
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -16,11 +16,11 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// tailMaxAge is the age of the last read of a shard's jobs above which jobs may be in the store that are not known
-// here. The store answers each read within readWait.
+// tailMaxAge is the age of the last read of a shard's jobs above which the store may have jobs that the owner doesn't
+// know. The store answers each read within readWait.
 const tailMaxAge = readWait + readTimeoutMargin
 
-// refusedCallers is what an owner knows of the callers of its shards' jobs that were refused for load.
+// refusedCallers holds the callers that an owner has refused for load.
 type refusedCallers struct {
 	table *overload.Table
 	late  metric.Float64Histogram
@@ -34,8 +34,8 @@
 	return refusedCallers{table: overload.NewTable(), late: late}
 }
 
-// Admit implements wire.DRPCPeerServer: it decides whether a job is accepted that may end too late to be of
-// use. A request without work and times reports that the job may be in the store.
+// Admit implements wire.DRPCPeerServer. It decides whether a job that may end too late to be of use is accepted. A
+// request without work and times reports that the job may be in the store.
 func (owner *Owner) Admit(ctx context.Context, request *wire.AdmitRequest) (*wire.AdmitReply, error) {
 	if !owner.options.Features.Has(feature.Admission) {
 		return owner.DRPCPeerUnimplementedServer.Admit(ctx, request)
@@ -47,9 +47,8 @@
 	return reply, nil
 }
 
-// decideAdmission leaves the decision open if the job's shard is not loaded here or its jobs could not be read
-// lately, or if the store has not confirmed lately that this entry owns it: then the job may be in the store and not
-// known here.
+// decideAdmission makes no decision if the job's shard is not loaded, if its jobs could not be read lately, or if the
+// store has not confirmed lately that this entry owns it. Then the job may be in the store without the owner knowing.
 func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
 	s, j := owner.loadedJob(request.GetId())
 	confirmed := now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
@@ -57,14 +56,14 @@
 	case s == nil:
 		return &wire.AdmitReply{}
 	case j != nil:
-		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonMayBeStored}
 	case request.GetCoreMs() == 0 && request.GetEndMs() == 0 && request.GetUsefulMs() == 0:
-		owner.refusedCallers.table.Settle(request.GetId(), now)
+		owner.refusedCallers.table.MarkMayBeStored(request.GetId(), now)
 		if !confirmed {
 			// Another entry may own the shard by now, and must be told as well.
 			return &wire.AdmitReply{}
 		}
-		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonSettled}
+		return &wire.AdmitReply{Decided: true, Admitted: true, Reason: overload.ReasonMayBeStored}
 	case !confirmed || now.Sub(s.tailReadAt) > tailMaxAge:
 		return &wire.AdmitReply{}
 	}
@@ -79,8 +78,8 @@
 	}
 }
 
-// overloadRequest returns the request for the table. The rate in the message is that of all shards; this owner
-// admits by the part that its own shards have.
+// overloadRequest returns the request for the table. The rate in the message is that of all shards. The owner admits
+// jobs by the share of the rate that its own shards have.
 func (owner *Owner) overloadRequest(request *wire.AdmitRequest) overload.Request {
 	loaded := 0
 	for _, s := range owner.shards {
@@ -98,35 +97,37 @@
 	}
 }
 
-// noteArrival takes a job out of the line that came in without the owner being asked.
-func (owner *Owner) noteArrival(j *job.Job, now time.Time) {
+// recordStoredJob records that a job has been read from the store. If it was refused before, and then accepted without
+// the owner being asked, it no longer waits ahead of others, and the return of its caller is logged.
+func (owner *Owner) recordStoredJob(j *job.Job, now time.Time) {
 	if !owner.options.Features.Has(feature.Admission) {
 		return
 	}
 	submission := j.Submission()
-	arrival := overload.Request{
+	stored := overload.Request{
 		ID: j.ID(), Queue: submission.GetQueue(),
 		Pool: overload.PoolName(submission.GetService(), overload.MainNeed(submission).String(), submission.GetPriority()),
 	}
 	if !j.IsLongRunning() && !j.IsScheduled() {
-		arrival.CoreMs = j.CoreMs()
+		stored.CoreMs = j.CoreMs()
 	}
-	if caller, returned := owner.refusedCallers.table.Arrive(arrival, now); returned {
+	if caller, returned := owner.refusedCallers.table.MarkStored(stored, now); returned {
 		owner.recordReturn(j.ID(), j.Submission().GetQueue(), caller, true, slog.Bool("asked", false))
 	}
 }
 
-// noteTailRead notes that the jobs of a shard have been read.
-func (owner *Owner) noteTailRead(s *shard) {
+// recordTailRead records when the jobs of a shard were read from the store.
+func (owner *Owner) recordTailRead(s *shard) {
 	if owner.options.Features.Has(feature.Admission) {
 		owner.eventLoop.Post(func(now time.Time) { s.tailReadAt = now })
 	}
 }
 
+// recordReturn logs and measures the return of a refused caller.
 func (owner *Owner) recordReturn(id, queue string, caller overload.Return, admitted bool, attributes ...slog.Attr) {
 	attributes = append([]slog.Attr{
 		slog.String("job", id), slog.String("queue", queue), slog.Duration("waited", caller.Waited()),
-		slog.Int("refusals", caller.Refusals()), slog.Duration("told", caller.Told()),
+		slog.Int("refusals", caller.Refusals()), slog.Duration("told", caller.RetryAfter()),
 		slog.Duration("late", caller.Late()), slog.Bool("admitted", admitted),
 	}, attributes...)
 	owner.log(event.JobReturned, attributes...)
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// TestUnaskedArrivalIsCounted checks that a job that came in unasked counts among those that compete with it, while
-// others ask.
-func TestUnaskedArrivalIsCounted(t *testing.T) {
+// TestUnaskedJobIsCounted checks that a job that was accepted without asking the owner counts, while callers of other
+// jobs that compete with it ask.
+func TestUnaskedJobIsCounted(t *testing.T) {
 	h, _ := newAdmissionHarness(t)
 	h.submit()
 	submission := h.shard.jobs[jobID].Submission()
@@ -100,7 +100,7 @@
 	h.owner.decideAdmission(request, h.clock.Now())
 	other := proto.Clone(submission).(*job.Submission)
 	other.Id = "0000000000000000"
-	h.owner.noteArrival(job.New(other, 0), h.clock.Now())
+	h.owner.recordStoredJob(job.New(other, 0), h.clock.Now())
 	if count := h.owner.refusedCallers.table.Len(); count != 2 {
 		t.Errorf("%d jobs in the table", count)
 	}
--- a/owner/records.go
+++ b/owner/records.go
@@ -34,7 +34,7 @@
 	if s.loaded {
 		j.RebaseObjective(now)
 		owner.placementChanges.addJob(j)
-		owner.noteArrival(j, now)
+		owner.recordStoredJob(j, now)
 	}
 	if s.cancelled[j.ID()] {
 		owner.cancelJob(s, j, now)
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -199,7 +199,7 @@
 		if len(tail.Records) > 0 {
 			owner.eventLoop.Post(func(now time.Time) { owner.applyRecords(s, tail, now) })
 		}
-		owner.noteTailRead(s)
+		owner.recordTailRead(s)
 	}
 }
 
