--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// TestSum checks what is known after reports that came late, twice, from two owners at once, or not at all. The
-// sum is taken 1 s after the reports came, over 3 shards.
+// TestSum checks the sum of reports that were received late, twice, from two owners of one shard, or not at all. It is
+// taken over 3 shards, 1 s after the reports were received.
 func TestSum(t *testing.T) {
 	type reports []*wire.OwnerBacklog
 	report := func(owner string, ageMs int64, jobs int32, shards ...int32) *wire.OwnerBacklog {
@@ -97,14 +97,16 @@
 		jobs    int32
 		age     time.Duration
 	}{
-		"none":                  {nil, []int{0, 1, 2}, 0, 0},
-		"all":                   {reports{report("a", 0, 1, 0, 1), report("b", 500, 2, 2)}, nil, 3, 1500 * time.Millisecond},
-		"one owner is silent":   {reports{report("a", 0, 1, 0, 1)}, []int{2}, 1, time.Second},
-		"without shards":        {reports{report("a", 0, 1, 0, 1, 2), report("b", 0, 2)}, nil, 1, time.Second},
-		"told late":             {reports{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
-		"told twice":            {reports{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
-		"told in reverse":       {reports{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
-		"moved as a whole":      {reports{report("a", 0, 1, 0, 1), report("b", 900, 2, 2), report("c", 0, 2, 2)}, nil, 3, time.Second},
+		"none":                {nil, []int{0, 1, 2}, 0, 0},
+		"all":                 {reports{report("a", 0, 1, 0, 1), report("b", 500, 2, 2)}, nil, 3, 1500 * time.Millisecond},
+		"one owner is silent": {reports{report("a", 0, 1, 0, 1)}, []int{2}, 1, time.Second},
+		"without shards":      {reports{report("a", 0, 1, 0, 1, 2), report("b", 0, 2)}, nil, 1, time.Second},
+		"told late":           {reports{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
+		"told twice":          {reports{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
+		"told in reverse":     {reports{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
+		"moved as a whole": {
+			reports{report("a", 0, 1, 0, 1), report("b", 900, 2, 2), report("c", 0, 2, 2)}, nil, 3, time.Second,
+		},
 		"moved in part":         {reports{report("a", 900, 1, 0, 1), report("b", 0, 2, 1, 2)}, []int{0}, 2, time.Second},
 		"of another deployment": {reports{report("a", 0, 1, 0, 1, 2, 3)}, []int{0, 1, 2}, 0, 0},
 		"same shard twice":      {reports{report("a", 0, 1, 0, 0)}, []int{0, 1, 2}, 0, 0},
@@ -122,7 +124,8 @@
 				jobs += row.GetOpenJobs()
 			}
 			isKnown := test.missing == nil
-			if !slices.Equal(sum.Missing(), test.missing) || sum.IsKnown() != isKnown || jobs != test.jobs || sum.Age() != test.age {
+			if !slices.Equal(sum.Missing(), test.missing) || sum.IsKnown() != isKnown ||
+				jobs != test.jobs || sum.Age() != test.age {
 				t.Errorf("missing %v, known %v, %d jobs, age %v", sum.Missing(), sum.IsKnown(), jobs, sum.Age())
 			}
 			table.Prune(now.Add(backlog.MaxAge + time.Millisecond))
@@ -157,7 +160,7 @@
 	l.outcomes.Apply(l.summary, l.now)
 	expected, _ := l.summary.Expect(work)
 	forecast, _ := l.summary.Forecast(work, 0)
-	l.outcomes.Expect(id, work, expected, forecast, l.now)
+	l.outcomes.AddJob(id, work, expected, forecast, l.now)
 	return id
 }
 
@@ -179,7 +182,7 @@
 			}
 			l.now = l.now.Add(time.Duration(truth * float64(10*time.Second)))
 			for _, id := range ids {
-				l.outcomes.End(id, true, l.now)
+				l.outcomes.Learn(id, true, l.now)
 			}
 			if ratio := l.ratio(); ratio < 1.0/16 || ratio > 8 {
 				t.Fatalf("ratio %v is out of bounds", ratio)
@@ -192,7 +195,7 @@
 	}
 	id := l.forecast()
 	l.now = l.now.Add(80 * time.Second)
-	l.outcomes.End(id, true, l.now)
+	l.outcomes.Learn(id, true, l.now)
 	before := l.ratio()
 	l.now = l.now.Add(time.Hour)
 	if after := l.ratio(); before < 1.5 || math.Abs(after-1) > 0.01 {
@@ -216,8 +219,8 @@
 	}
 	for id := range 8 {
 		if id < 4 {
-			l.outcomes.Forget(fmt.Sprint(id + 1))
-		} else if _, counted := l.outcomes.End(fmt.Sprint(id+1), false, l.now); !counted {
+			l.outcomes.RemoveJob(fmt.Sprint(id + 1))
+		} else if _, counted := l.outcomes.Learn(fmt.Sprint(id+1), false, l.now); !counted {
 			t.Error("a cancelled job that was late does not count")
 		}
 	}
@@ -225,7 +228,7 @@
 		t.Errorf("ratio %v after late jobs were cancelled", ratio)
 	}
 	id := l.forecast()
-	if _, counted := l.outcomes.End(id, false, l.now); counted {
+	if _, counted := l.outcomes.Learn(id, false, l.now); counted {
 		t.Error("a job that was cancelled in time counts")
 	}
 }
@@ -234,11 +237,11 @@
 func TestSizeOfBacklog(t *testing.T) {
 	size := func(jobs int) int {
 		summary := backlog.NewSummary()
-		l := newLoad(t)
+		sim := newSimulation(t)
 		for index := range jobs {
 			submission := newSubmission(fmt.Sprint(index))
 			submission.Queue = fmt.Sprintf("r-%d", index%10)
-			summary.AddJob(job.New(submission, 0), l, l.now)
+			summary.AddJob(job.New(submission, 0), sim, sim.now)
 		}
 		return proto.Size(&wire.OwnerBacklog{Owner: "a", Shards: []int32{1}, Queues: summary.Messages()})
 	}
@@ -250,7 +253,7 @@
 }
 
 // TestQuietQueueIsForgotten checks that a queue whose callers were kept away by late forecasts, so that it has no
-// outcomes, is soon forecast with little correction again, and with the deviation of one that little is known of.
+// outcomes, is soon forecast with little correction again, and with a large deviation.
 func TestQuietQueueIsForgotten(t *testing.T) {
 	l := newLearner()
 	var ids []string
@@ -259,7 +262,7 @@
 	}
 	l.now = l.now.Add(80 * time.Second)
 	for _, id := range ids {
-		l.outcomes.End(id, true, l.now)
+		l.outcomes.Learn(id, true, l.now)
 	}
 	if ratio := l.ratio(); ratio < 7 {
 		t.Fatalf("ratio %v after jobs that took 8 times the expected time", ratio)
@@ -281,7 +284,7 @@
 	if ratio := l.ratio(); ratio != 0 {
 		t.Errorf("ratio %v while the job waits", ratio)
 	}
-	if outcome, logged := l.outcomes.End(id, true, l.now); !logged || outcome.Ratio() != 0 || l.ratio() != 0 {
+	if outcome, logged := l.outcomes.Learn(id, true, l.now); !logged || outcome.Ratio() != 0 || l.ratio() != 0 {
 		t.Errorf("logged %v, ratio of the job %v, of the queue %v", logged, outcome.Ratio(), l.ratio())
 	}
 }
@@ -291,7 +294,7 @@
 	l := newLearner()
 	id := l.forecast()
 	l.now = l.now.Add(80 * time.Second)
-	l.outcomes.End(id, true, l.now)
+	l.outcomes.Learn(id, true, l.now)
 	for _, want := range []bool{true, true, false} {
 		row := newLearner().summary
 		l.outcomes.Apply(row, l.now)
@@ -308,7 +311,7 @@
 	l := newLearner()
 	id := l.forecast()
 	l.now = l.now.Add(10 * time.Second)
-	l.outcomes.Stop(id, l.now)
+	l.outcomes.RecordEnd(id, l.now)
 	l.now = l.now.Add(time.Minute)
 	if ratio := l.ratio(); ratio != 0 {
 		t.Errorf("ratio %v while the store is away", ratio)
@@ -318,17 +321,24 @@
 // TestDrainedCoreMsPerS checks the rate at which work of a service and need ends, over the queues of any priority.
 func TestDrainedCoreMsPerS(t *testing.T) {
 	row := func(queue, service string, need wire.TaskNeed, ended, used int64) *wire.QueueBacklog {
-		return &wire.QueueBacklog{Queue: queue, Service: service, Need: need, EndedCoreMs: ended, WindowMs: backlog.Window.Milliseconds(), UsedMilliCpu: used}
+		return &wire.QueueBacklog{
+			Queue: queue, Service: service, Need: need, EndedCoreMs: ended, WindowMs: backlog.Window.Milliseconds(),
+			UsedMilliCpu: used,
+		}
 	}
 	const fill, reserved = wire.TaskNeed_NEED_FILL, wire.TaskNeed_NEED_RESERVED
 	tests := map[string]struct {
 		rows []*wire.QueueBacklog
 		want int64
 	}{
-		"nothing known":              {nil, 0},
-		"two queues":                 {[]*wire.QueueBacklog{row("a", "s", fill, 5000, 0), row("b", "s", fill, 10000, 500)}, 3000},
+		"nothing known": {nil, 0},
+		"two queues": {
+			[]*wire.QueueBacklog{row("a", "s", fill, 5000, 0), row("b", "s", fill, 10000, 500)}, 3000,
+		},
 		"more in use than has ended": {[]*wire.QueueBacklog{row("a", "s", fill, 5000, 4000)}, 4000},
-		"another service or need":    {[]*wire.QueueBacklog{row("a", "other", fill, 5000, 0), row("a", "s", reserved, 5000, 0)}, 0},
+		"another service or need": {
+			[]*wire.QueueBacklog{row("a", "other", fill, 5000, 0), row("a", "s", reserved, 5000, 0)}, 0,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/backlog/expect.go
+++ b/backlog/expect.go
@@ -6,11 +6,10 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// maxExpected bounds forecasts. No caller waits that long, and a small rate would otherwise exceed the range of
-// a duration.
+// maxExpected bounds forecasts. No caller waits that long, and with a small rate a duration would overflow.
 const maxExpected = time.Hour
 
-// Expectation is when a job would start and end by the backlog alone, without what was learned from outcomes.
+// Expectation is when a job would start and end by the backlog alone, not corrected by what was learned from outcomes.
 type Expectation struct {
 	start, end time.Duration
 	ahead      workAhead
@@ -35,11 +34,11 @@
 // UsedMilliCPU returns what the running tasks of the job's service and need use.
 func (expected Expectation) UsedMilliCPU() int64 { return expected.ahead.usedMilliCPU }
 
-// Expect returns when a job is expected to start and to end. It reports false if that can't be told: tasks ahead
-// of the job lack resources while no work of its need has ended lately, or the job runs by a schedule.
+// Expect returns when a job is expected to start and to end. It reports false if that is not known: if tasks ahead of
+// the job lack resources and no work of its service and need has ended lately, or if the job runs by a schedule.
 //
-// Ahead of a job is the waiting work of the same service and need in queues that are at least as urgent. Work
-// waits if the placement has found no worker for one of its tasks; otherwise the job starts at once.
+// Ahead of a job is the waiting work of the same service and need in queues that are at least as urgent. If the
+// placement has found workers for all tasks of that work, the job is expected to start at once.
 func (summary *Summary) Expect(work Work) (Expectation, bool) {
 	if work.scheduled {
 		return Expectation{}, false
@@ -68,8 +67,8 @@
 	return max(ahead.endedCoreMs, ahead.usedMilliCPU*Window.Milliseconds()/millisPerCore)
 }
 
-// DrainedCoreMsPerS returns the work that is done in a second of the tasks of a service with a need, in ms of one
-// core. It is the rate by which Expect divides what is ahead of a job.
+// DrainedCoreMsPerS returns the work of a service and need that is done in a second, in ms of one core. It is the rate
+// by which Expect divides the work ahead of a job.
 func (summary *Summary) DrainedCoreMsPerS(service string, need wire.TaskNeed) int64 {
 	total := summary.workAhead(Work{key: rowKey{service: service, need: need}})
 	return total.drainedPerWindow() * time.Second.Milliseconds() / Window.Milliseconds()
@@ -93,9 +92,9 @@
 	return total
 }
 
-// Forecast returns when a job would start and end, as expected and corrected by what was learned from outcomes in
-// its queue. Before anything is learned, the deviation is the whole time to the end. A long-running job has no
-// end, so the end of its forecast is its start. The age is that of the backlogs in the summary.
+// Forecast returns when a job would start and end. It is the expectation, corrected by what was learned from outcomes
+// in the job's queue. Before anything is learned, the deviation is the whole time to the end. A long-running job has no
+// end, so the end of its forecast is its start. The age is that of the oldest backlog in the summary.
 func (summary *Summary) Forecast(work Work, age time.Duration) (Forecast, bool) {
 	expected, known := summary.Expect(work)
 	if !known {
@@ -108,6 +107,7 @@
 	return NewForecast(scale(expected.start, ratio), scale(expected.end, ratio), scale(expected.end, deviation), age), true
 }
 
+// scale multiplies a duration by a factor. The result is at most maxExpected.
 func scale(duration time.Duration, factor float64) time.Duration {
 	return time.Duration(min(float64(duration)*factor, float64(maxExpected)))
 }
--- a/backlog/forecast.go
+++ b/backlog/forecast.go
@@ -7,7 +7,7 @@
 	start, end, deviation, age time.Duration
 }
 
-// NewForecast returns a forecast. The times are counted from now; see the methods.
+// NewForecast returns a forecast. Its start and end are counted from now.
 func NewForecast(start, end, deviation, age time.Duration) Forecast {
 	return Forecast{start: start, end: end, deviation: deviation, age: age}
 }
@@ -18,8 +18,8 @@
 // End returns the time until the job ends.
 func (forecast Forecast) End() time.Duration { return forecast.end }
 
-// Deviation returns how far the end is expected to be off, by the forecasts made before.
+// Deviation returns the expected error of the end, by the errors of earlier forecasts.
 func (forecast Forecast) Deviation() time.Duration { return forecast.deviation }
 
-// Age returns the age of the oldest report that the forecast is based on.
+// Age returns the age of the oldest backlog that the forecast is based on.
 func (forecast Forecast) Age() time.Duration { return forecast.age }
--- a/backlog/load_test.go
+++ b/backlog/load_test.go
@@ -20,21 +20,21 @@
 	slowdown = 1.5
 )
 
-// load plays jobs of one task that wait for the cores of a service, first come, first served. Two owners report
-// their backlogs once a second.
-type load struct {
+// simulation simulates jobs of one task that wait for the cores of a service, first come, first served. Two owners
+// report their backlogs once a second.
+type simulation struct {
 	t        *testing.T
 	random   *rand.Rand
 	now      time.Time
 	cores    int
 	table    *backlog.Table
 	outcomes *backlog.Outcomes
-	ended    [shardCount]*backlog.Ended
-	open     []*playedJob // in the order of their arrival
+	ended    [shardCount]*backlog.EndCounter
+	open     []*simulatedJob // in the order of their arrival
 	arrived  int
 }
 
-type playedJob struct {
+type simulatedJob struct {
 	*job.Job
 	forecast   backlog.Forecast
 	known      bool
@@ -44,114 +44,114 @@
 	took       time.Duration
 }
 
-// ProgressPercent and LacksResources make load implement backlog.Tasks.
-func (l *load) ProgressPercent(*job.Task) int32 { return 50 }
-func (l *load) LacksResources(*job.Task) bool   { return true }
+// ProgressPercent and LacksResources make simulation implement backlog.Tasks.
+func (sim *simulation) ProgressPercent(*job.Task) int32 { return 50 }
+func (sim *simulation) LacksResources(*job.Task) bool   { return true }
 
-func newLoad(t *testing.T) *load {
-	l := &load{
+func newSimulation(t *testing.T) *simulation {
+	sim := &simulation{
 		t: t, random: rand.New(rand.NewSource(1)), now: time.Unix(1000, 0), cores: 20,
 		table: backlog.NewTable(), outcomes: backlog.NewOutcomes(),
 	}
-	for shard := range l.ended {
-		l.ended[shard] = backlog.NewEnded(l.now)
+	for shard := range sim.ended {
+		sim.ended[shard] = backlog.NewEndCounter(sim.now)
 	}
-	return l
+	return sim
 }
 
-// run plays the load for a time, at an even rate of jobs a second, and returns the jobs that arrived.
-func (l *load) run(duration time.Duration, rate float64) []*playedJob {
-	var arrived []*playedJob
+// run simulates the load for a time, at an even rate of jobs a second, and returns the jobs that arrived.
+func (sim *simulation) run(duration time.Duration, rate float64) []*simulatedJob {
+	var arrived []*simulatedJob
 	due := 0.0
-	for end := l.now.Add(duration); l.now.Before(end); l.now = l.now.Add(step) {
-		l.endAndStart()
-		if l.now.UnixMilli()%1000 == 0 {
-			l.report()
+	for end := sim.now.Add(duration); sim.now.Before(end); sim.now = sim.now.Add(step) {
+		sim.endAndStart()
+		if sim.now.UnixMilli()%1000 == 0 {
+			sim.report()
 		}
 		for due += rate * step.Seconds(); due >= 1; due-- {
-			arrived = append(arrived, l.arrive())
+			arrived = append(arrived, sim.arrive())
 		}
 	}
 	return arrived
 }
 
-func (l *load) endAndStart() {
-	free := l.cores
-	for _, played := range l.open {
-		task := played.Tasks()[0]
-		if task.State() == job.TaskState_TASK_STARTED && l.now.Sub(played.started) >= played.startedFor {
-			played.EndRun(task, task.Attempt(), job.EndDone, "", l.now)
-			l.ended[played.Shard()].AddTask(task, l.now)
-			l.ended[played.Shard()].AddJob(played.Job, l.now)
-			l.outcomes.End(played.ID(), true, l.now)
-			played.took = l.now.Sub(played.arrivedAt)
+func (sim *simulation) endAndStart() {
+	free := sim.cores
+	for _, simulated := range sim.open {
+		task := simulated.Tasks()[0]
+		if task.State() == job.TaskState_TASK_STARTED && sim.now.Sub(simulated.started) >= simulated.startedFor {
+			simulated.EndRun(task, task.Attempt(), job.EndDone, "", sim.now)
+			sim.ended[simulated.Shard()].AddTask(task, sim.now)
+			sim.ended[simulated.Shard()].AddJob(simulated.Job, sim.now)
+			sim.outcomes.Learn(simulated.ID(), true, sim.now)
+			simulated.took = sim.now.Sub(simulated.arrivedAt)
 		} else if task.State() == job.TaskState_TASK_STARTED {
 			free--
 		}
 	}
-	l.open = slices.DeleteFunc(l.open, func(played *playedJob) bool { return played.HasEnded() })
-	for _, played := range l.open {
-		task := played.Tasks()[0]
+	sim.open = slices.DeleteFunc(sim.open, func(simulated *simulatedJob) bool { return simulated.HasEnded() })
+	for _, simulated := range sim.open {
+		task := simulated.Tasks()[0]
 		switch {
 		case task.State() == job.TaskState_TASK_STARTED:
 		case free > 0:
-			played.StartRun(task, job.Place{}, l.now)
-			played.MarkRunning(l.now)
-			played.started = l.now
-			l.outcomes.Start(played.ID(), l.now)
+			simulated.StartRun(task, job.Place{}, sim.now)
+			simulated.MarkRunning(sim.now)
+			simulated.started = sim.now
+			sim.outcomes.RecordStart(simulated.ID(), sim.now)
 			free--
 		case !task.IsUnplaced():
-			task.MarkUnplaced("cpu", l.now)
+			task.MarkUnplaced("cpu", sim.now)
 		}
 	}
 }
 
-func (l *load) report() {
+func (sim *simulation) report() {
 	for shard := range shardCount {
 		summary := backlog.NewSummary()
-		for _, played := range l.open {
-			if played.Shard() == shard {
-				summary.AddJob(played.Job, l, l.now)
+		for _, simulated := range sim.open {
+			if simulated.Shard() == shard {
+				summary.AddJob(simulated.Job, sim, sim.now)
 			}
 		}
-		summary.AddEnded(l.ended[shard], l.now)
-		l.outcomes.Apply(summary, l.now)
+		summary.AddEnded(sim.ended[shard], sim.now)
+		sim.outcomes.Apply(summary, sim.now)
 		report := &wire.OwnerBacklog{Shards: []int32{int32(shard)}, Queues: summary.Messages()}
-		l.table.Put(fmt.Sprint(shard), report, l.now)
+		sim.table.Put(fmt.Sprint(shard), report, sim.now)
 	}
 }
 
-func (l *load) arrive() *playedJob {
-	l.arrived++
-	submission := newSubmission(fmt.Sprint(l.arrived))
-	submission.Steps[0].EstimateMs = 1000 + l.random.Int63n(2000)
-	played := &playedJob{Job: job.New(submission, l.arrived%shardCount), arrivedAt: l.now}
-	played.startedFor = time.Duration(float64(submission.GetSteps()[0].GetEstimateMs())*slowdown) * time.Millisecond
-	l.open = append(l.open, played)
-	sum := l.table.Sum(shardCount, l.now)
+func (sim *simulation) arrive() *simulatedJob {
+	sim.arrived++
+	submission := newSubmission(fmt.Sprint(sim.arrived))
+	submission.Steps[0].EstimateMs = 1000 + sim.random.Int63n(2000)
+	simulated := &simulatedJob{Job: job.New(submission, sim.arrived%shardCount), arrivedAt: sim.now}
+	simulated.startedFor = time.Duration(float64(submission.GetSteps()[0].GetEstimateMs())*slowdown) * time.Millisecond
+	sim.open = append(sim.open, simulated)
+	sum := sim.table.Sum(shardCount, sim.now)
 	if !sum.IsKnown() {
-		return played
+		return simulated
 	}
-	work := backlog.NewWork(played.Job)
-	played.forecast, played.known = sum.Summary().Forecast(work, sum.Age())
+	work := backlog.NewWork(simulated.Job)
+	simulated.forecast, simulated.known = sum.Summary().Forecast(work, sum.Age())
 	if expected, known := sum.Summary().Expect(work); known {
-		l.outcomes.Expect(played.ID(), work, expected, played.forecast, l.now)
+		sim.outcomes.AddJob(simulated.ID(), work, expected, simulated.forecast, sim.now)
 	}
-	return played
+	return simulated
 }
 
 // errors returns by how much the forecasts of ended jobs were off, as shares of the time that the jobs took,
 // sorted.
-func (l *load) errors(jobs []*playedJob) []float64 {
+func (sim *simulation) errors(jobs []*simulatedJob) []float64 {
 	var shares []float64
-	for _, played := range jobs {
-		if played.known && played.HasEnded() {
-			shares = append(shares, math.Abs(float64(played.forecast.End()-played.took))/float64(played.took))
+	for _, simulated := range jobs {
+		if simulated.known && simulated.HasEnded() {
+			shares = append(shares, math.Abs(float64(simulated.forecast.End()-simulated.took))/float64(simulated.took))
 		}
 	}
 	slices.Sort(shares)
 	if len(shares) < len(jobs)/2 {
-		l.t.Fatalf("%d of %d jobs had a forecast and ended", len(shares), len(jobs))
+		sim.t.Fatalf("%d of %d jobs had a forecast and ended", len(shares), len(jobs))
 	}
 	return shares
 }
@@ -163,34 +163,37 @@
 	}
 }
 
-// TestForecastUnderLoad plays a quiet phase, twice as much work as the cores can do, and a quiet phase again.
-// Callers bear about twice the time that their job takes by itself, so a forecast that is off by less than half
-// tells jobs that end within that time from those that take much longer.
+// TestForecastUnderLoad simulates a quiet phase, twice as much work as the cores can do, a burst, and a quiet phase
+// again. A job may take about twice its time without waiting, so a forecast that is off by less than half distinguishes
+// jobs that end within that time from jobs that take much longer.
 func TestForecastUnderLoad(t *testing.T) {
-	l := newLoad(t)
-	l.run(10*time.Second, 3)
-	quiet := l.run(20*time.Second, 3)
-	overload := l.run(30*time.Second, 13)
-	l.run(60*time.Second, 0)
-	burst := l.run(step, 1000)
-	afterBurst := l.run(10*time.Second, 3)
-	l.run(30*time.Second, 0)
-	quietAgain := l.run(20*time.Second, 3)
-	l.run(10*time.Second, 0)
+	sim := newSimulation(t)
+	sim.run(10*time.Second, 3)
+	quiet := sim.run(20*time.Second, 3)
+	overload := sim.run(30*time.Second, 13)
+	sim.run(60*time.Second, 0)
+	burst := sim.run(step, 1000)
+	afterBurst := sim.run(10*time.Second, 3)
+	sim.run(30*time.Second, 0)
+	quietAgain := sim.run(20*time.Second, 3)
+	sim.run(10*time.Second, 0)
 
-	for name, jobs := range map[string][]*playedJob{"quiet": quiet, "quiet again": quietAgain} {
-		for _, played := range jobs {
-			waited := played.started.Sub(played.arrivedAt)
-			if !played.known || played.forecast.Start() != 0 || waited > step {
-				t.Errorf("%s: forecast to start after %v (known %v), started after %v", name, played.forecast.Start(), played.known, waited)
+	for name, jobs := range map[string][]*simulatedJob{"quiet": quiet, "quiet again": quietAgain} {
+		for _, simulated := range jobs {
+			waited := simulated.started.Sub(simulated.arrivedAt)
+			if !simulated.known || simulated.forecast.Start() != 0 || waited > step {
+				t.Errorf("%s: forecast to start after %v (known %v), started after %v",
+					name, simulated.forecast.Start(), simulated.known, waited)
 			}
 		}
 	}
 	late := overload[len(overload)/3:] // those before that arrive while the cores fill up
 	const bound = 0.5
-	phases := map[string][]*playedJob{"quiet": quiet, "overload": late, "after the burst": afterBurst, "quiet again": quietAgain}
+	phases := map[string][]*simulatedJob{
+		"quiet": quiet, "overload": late, "after the burst": afterBurst, "quiet again": quietAgain,
+	}
 	for name, jobs := range phases {
-		shares := l.errors(jobs)
+		shares := sim.errors(jobs)
 		median, most := shares[len(shares)/2], shares[len(shares)*9/10]
 		t.Logf("%s: %d forecasts, off by %.2f in the median, %.2f in the worst tenth", name, len(shares), median, most)
 		if most > bound {
--- a/backlog/outcomes.go
+++ b/backlog/outcomes.go
@@ -8,24 +8,24 @@
 )
 
 const (
-	// minRatio and maxRatio bound what one outcome counts. The lower bound is the smaller factor, because a
-	// forecast that is too late makes callers go away for nothing.
+	// minRatio and maxRatio bound the ratio of one outcome. The lower bound is farther from 1, because forecasts that
+	// are too late turn callers away without need.
 	minRatio = 1.0 / 16
 	maxRatio = 8
-	// maxLearnedJobs is how many outcomes the mean ratio is taken over. The ratio follows a change of load
-	// after a few jobs, and one job that was held up by itself moves it by an eighth.
+	// maxLearnedJobs is how many outcomes the mean ratio is taken over. With it, the ratio follows a change of load after
+	// a few jobs, and one job with an unusual delay has a weight of an eighth.
 	maxLearnedJobs = 8
-	// ratioHalfLife is how long it takes a ratio and a deviation to lose half of their distance from 1, and half
-	// of their weight, without outcomes. Late forecasts keep callers away, and without jobs nothing corrects
-	// them, so they must not outlast the load by much.
+	// ratioHalfLife is how long it takes a ratio and a deviation to lose half of their distance from 1, and half of their
+	// weight, without outcomes. Forecasts that are too late turn callers away, and without jobs nothing corrects them, so
+	// they must not outlast the load by much.
 	ratioHalfLife = time.Minute
 	// forgetAfter is when a thousandth of what was learned is left.
 	forgetAfter = 10 * ratioHalfLife
 )
 
-// Outcomes learns the ratio of the time that jobs took to the time that was expected, by queue and need. Of a job
-// that was expected to start at once, it takes the time from the start: in a burst, jobs arrive faster than
-// backlogs are reported, and their wait says nothing about the rate at which a known backlog drains.
+// Outcomes learns the ratio of the time that jobs took to the time that was expected, by queue and need. For a job that
+// was expected to start at once, the time counts from its start. In a burst, jobs arrive faster than backlogs are
+// reported, and such a job's wait says nothing about the rate at which a known backlog drains.
 type Outcomes struct {
 	open    map[string]openJob // by job
 	learned map[rowKey]learned
@@ -38,7 +38,7 @@
 	since     time.Time
 	startedAt time.Time // zero until the job has started
 	stoppedAt time.Time // zero until the job has ended
-	excluded  bool
+	excluded  bool      // its time says nothing about that of other jobs
 }
 
 // learned is the mean of ratios and their mean absolute deviation from it.
@@ -53,7 +53,7 @@
 	return &Outcomes{open: map[string]openJob{}, learned: map[rowKey]learned{}}
 }
 
-// Outcome is what came of a forecast.
+// Outcome compares a forecast with the time that the job took.
 type Outcome struct {
 	expected Expectation
 	forecast Forecast
@@ -64,7 +64,7 @@
 // Forecast returns the forecast that was made.
 func (outcome Outcome) Forecast() Forecast { return outcome.forecast }
 
-// Expected returns what the forecast was corrected from.
+// Expected returns the expectation from which the forecast was made.
 func (outcome Outcome) Expected() Expectation { return outcome.expected }
 
 // Took returns the time from the forecast to the end of the job.
@@ -74,46 +74,47 @@
 // had been learned, as it counts for Outcomes. It is 0 if it does not count.
 func (outcome Outcome) Ratio() float64 { return outcome.ratio }
 
-// Expect records what is expected of a job from now on.
-func (outcomes *Outcomes) Expect(id string, work Work, expected Expectation, forecast Forecast, now time.Time) {
+// AddJob adds a job that is expected to start and to end as counted from now.
+func (outcomes *Outcomes) AddJob(id string, work Work, expected Expectation, forecast Forecast, now time.Time) {
 	if expected.end > 0 {
 		outcomes.open[id] = openJob{key: work.key, expected: expected, forecast: forecast, since: now}
 	}
 }
 
-// Start records that a job has started.
-func (outcomes *Outcomes) Start(id string, now time.Time) {
+// RecordStart records that a job has started.
+func (outcomes *Outcomes) RecordStart(id string, now time.Time) {
 	if open, found := outcomes.open[id]; found && open.startedAt.IsZero() {
 		open.startedAt = now
 		outcomes.open[id] = open
 	}
 }
 
-// Stop records that a job has ended, if its end is not in the store yet. Its time is that until now.
-func (outcomes *Outcomes) Stop(id string, now time.Time) {
+// RecordEnd records that a job has ended although its end may not be in the store yet. The time until then counts.
+func (outcomes *Outcomes) RecordEnd(id string, now time.Time) {
 	if open, found := outcomes.open[id]; found && open.stoppedAt.IsZero() {
 		open.stoppedAt = now
 		outcomes.open[id] = open
 	}
 }
 
-// ExcludeWaiting excludes a job if its time says nothing about that of other jobs: its own constraints keep a task
-// waiting, or it was expected to start at once and, since it started, has more tasks than the workers have room for.
-func (outcomes *Outcomes) ExcludeWaiting(j *job.Job, tasks Tasks, now time.Time) {
+// ExcludeUnrepresentative excludes a job if its time says nothing about that of other jobs. This is so if a task waits
+// because of its own constraints, or if the job was expected to start at once and, after its start, has more tasks than
+// the workers have room for.
+func (outcomes *Outcomes) ExcludeUnrepresentative(j *job.Job, tasks Tasks, now time.Time) {
 	open, found := outcomes.open[j.ID()]
 	if !found || open.excluded {
 		return
 	}
 	isTooWide := open.expected.start == 0 && !open.startedAt.IsZero()
 	for _, task := range j.Tasks() {
-		if task.IsDue(now) && (isHeld(task, tasks) || isTooWide && isUnplaced(task)) {
+		if task.IsDue(now) && (isConstrained(task, tasks) || isTooWide && isUnplaced(task)) {
 			outcomes.Exclude(j.ID())
 			return
 		}
 	}
 }
 
-// Exclude has an open job not count, however long it takes.
+// Exclude excludes an open job from the ratio, however long it takes.
 func (outcomes *Outcomes) Exclude(id string) {
 	if open, found := outcomes.open[id]; found {
 		open.excluded = true
@@ -121,12 +122,13 @@
 	}
 }
 
-// Forget drops a job of which the outcome won't be known.
-func (outcomes *Outcomes) Forget(id string) { delete(outcomes.open, id) }
+// RemoveJob removes a job of which the outcome won't be known.
+func (outcomes *Outcomes) RemoveJob(id string) { delete(outcomes.open, id) }
 
-// End learns from a job that has ended. It reports false if nothing was expected of the job. A job that was not
-// completed would have taken longer still, so it counts only if it is late already.
-func (outcomes *Outcomes) End(id string, completed bool, now time.Time) (Outcome, bool) {
+// Learn learns from a job that has ended, and removes it. It reports false if nothing was expected of the job, or if
+// the job was not completed and doesn't count. Such a job would have taken longer, so it counts only if it is late
+// already.
+func (outcomes *Outcomes) Learn(id string, completed bool, now time.Time) (Outcome, bool) {
 	ended, found := outcomes.open[id]
 	delete(outcomes.open, id)
 	if !found || !completed && (!ended.counts() || !ended.isLate(now)) {
@@ -140,9 +142,9 @@
 	return outcome, true
 }
 
-// Apply sets the ratios in a summary. An open job that has taken longer than expected counts with the time so
-// far, so that the ratio rises before the job ends. The other open jobs count with the present ratio, or the late
-// ones would stand for all.
+// Apply sets the ratios in a summary. An open job that has taken longer than expected counts with the time so far, so
+// that the ratio rises before the job ends. The other open jobs count with the present ratio, so that the late ones
+// don't determine the ratio alone.
 func (outcomes *Outcomes) Apply(summary *Summary, now time.Time) {
 	late := map[rowKey][]float64{}
 	inTime := map[rowKey]int{}
@@ -184,7 +186,7 @@
 	return !open.excluded && (open.expected.start > 0 || !open.startedAt.IsZero())
 }
 
-// timeSoFar returns the time that is compared with the expectation.
+// timeSoFar returns the time that is compared with the expectation, up to the end of the job or else to now.
 func (open openJob) timeSoFar(now time.Time) time.Duration {
 	if !open.stoppedAt.IsZero() {
 		now = open.stoppedAt
@@ -197,6 +199,7 @@
 
 func (open openJob) isLate(now time.Time) bool { return open.timeSoFar(now) > open.expected.end }
 
+// ratio returns the time so far divided by the expected time, within minRatio and maxRatio.
 func (open openJob) ratio(now time.Time) float64 {
 	return min(max(float64(open.timeSoFar(now))/float64(open.expected.end), minRatio), maxRatio)
 }
@@ -215,7 +218,7 @@
 	return known
 }
 
-// with adds a number of jobs with a ratio to the mean.
+// with returns the mean after a number of jobs with a ratio are added.
 func (known learned) with(ratio, jobs float64) learned {
 	share := jobs / (known.jobs + jobs)
 	known.deviation += share * (math.Abs(ratio-known.ratio) - known.deviation)
--- a/backlog/summary.go
+++ b/backlog/summary.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// Tasks tells what an owner knows of tasks beyond the state of their jobs.
+// Tasks is what an owner knows of tasks beyond the state of their jobs.
 type Tasks interface {
 	// ProgressPercent returns how much of its work a started task has done.
 	ProgressPercent(task *job.Task) int32
@@ -39,7 +39,7 @@
 
 type row struct {
 	message *wire.QueueBacklog
-	// outcomeJobs is the number of jobs of the backlogs that had an outcome ratio.
+	// outcomeJobs is the number of jobs over which the outcome ratio is the mean.
 	outcomeJobs int32
 }
 
@@ -81,8 +81,10 @@
 	return task.State() == job.TaskState_TASK_WAITING && task.IsUnplaced()
 }
 
-// isHeld reports whether only its own constraints keep a task waiting.
-func isHeld(task *job.Task, tasks Tasks) bool { return isUnplaced(task) && !tasks.LacksResources(task) }
+// isConstrained reports whether a task waits because of its own constraints, not because of a lack of resources.
+func isConstrained(task *job.Task, tasks Tasks) bool {
+	return isUnplaced(task) && !tasks.LacksResources(task)
+}
 
 // addWaitingJobs adds jobs of which no task has started. The objective is the earliest of them.
 func addWaitingJobs(message *wire.QueueBacklog, count int32, objectiveMs int64) {
@@ -103,8 +105,8 @@
 		message.UsedMilliCpu += spec.GetMilliCpu()
 		message.RunningCoreMs += stepCoreMs(spec) * int64(100-min(max(tasks.ProgressPercent(task), 0), 100)) / 100
 	case job.TaskState_TASK_WAITING:
-		if isHeld(task, tasks) {
-			// The task would not start if others made room, so it is ahead of none.
+		if isConstrained(task, tasks) {
+			// The task does not use resources that others wait for, so it is not ahead of any.
 			return
 		}
 		message.WaitingCoreMs += stepCoreMs(spec)
@@ -115,15 +117,15 @@
 	}
 }
 
-// AddEnded adds what ended lately. Counts over less than Window are extrapolated to it.
-func (summary *Summary) AddEnded(ended *Ended, now time.Time) {
-	ended.prune(now)
-	window := ended.window(now)
+// AddEnded adds the work and the jobs that ended lately. Work counted over less than Window is extrapolated to it.
+func (summary *Summary) AddEnded(counter *EndCounter, now time.Time) {
+	counter.prune(now)
+	window := counter.window(now)
 	if window <= 0 {
 		return
 	}
 	coreMs := map[rowKey]int64{}
-	for _, counted := range ended.ends {
+	for _, counted := range counter.ends {
 		summary.rowFor(counted.key).message.EndedJobs += counted.jobs
 		coreMs[counted.key] += counted.coreMs
 	}
@@ -145,9 +147,9 @@
 	key := rowKey{
 		queue: added.GetQueue(), service: added.GetService(), priority: added.GetPriority(), need: added.GetNeed(),
 	}
-	into := summary.rowFor(key)
-	into.addOutcome(added)
-	message := into.message
+	target := summary.rowFor(key)
+	target.addOutcome(added)
+	message := target.message
 	addWaitingJobs(message, added.GetWaitingJobs(), added.GetEarliestObjectiveMs())
 	message.OpenJobs += added.GetOpenJobs()
 	message.WaitingTasks += added.GetWaitingTasks()
@@ -159,16 +161,16 @@
 	message.WantedMilliCpu += added.GetWantedMilliCpu()
 }
 
-// addOutcome takes the mean of the outcome ratios, weighted by the number of jobs.
-func (into *row) addOutcome(added *wire.QueueBacklog) {
+// addOutcome adds the outcome ratio of another row to the mean, weighted by the number of jobs.
+func (target *row) addOutcome(added *wire.QueueBacklog) {
 	if added.GetOutcomeRatio() <= 0 {
 		return
 	}
 	jobs := max(added.GetOpenJobs()+added.GetEndedJobs(), 1)
-	into.outcomeJobs += jobs
-	share := float64(jobs) / float64(into.outcomeJobs)
-	into.message.OutcomeRatio += share * (added.GetOutcomeRatio() - into.message.GetOutcomeRatio())
-	into.message.OutcomeDeviation += share * (added.GetOutcomeDeviation() - into.message.GetOutcomeDeviation())
+	target.outcomeJobs += jobs
+	share := float64(jobs) / float64(target.outcomeJobs)
+	target.message.OutcomeRatio += share * (added.GetOutcomeRatio() - target.message.GetOutcomeRatio())
+	target.message.OutcomeDeviation += share * (added.GetOutcomeDeviation() - target.message.GetOutcomeDeviation())
 }
 
 // Messages returns copies of the rows, sorted.
--- a/backlog/table.go
+++ b/backlog/table.go
@@ -10,8 +10,8 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// MaxAge is how old the report of an owner may be to count. Reports are made once a second, so two may be lost.
-// Callers allow jobs several seconds, within which the backlog of an owner changes little in MaxAge.
+// MaxAge is how old the backlog of an owner may be to count. Owners report once a second, so two reports may be lost.
+// The target durations of jobs are several seconds, compared to which a backlog changes little within MaxAge.
 const MaxAge = 3 * time.Second
 
 // Table holds the backlogs of owners.
@@ -28,8 +28,8 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{parts: map[string]part{}} }
 
-// Put replaces the backlog of an owner, unless the one held describes a later time. receivedAt is when the
-// backlog had the age that it states: for an answer, the time of the request is the cautious choice.
+// Put replaces the backlog of an owner, unless the one held describes a later time. receivedAt is when the backlog had
+// the age that it states. For a reply, callers pass the time of the request, so that the age is not underestimated.
 func (table *Table) Put(owner string, backlog *wire.OwnerBacklog, receivedAt time.Time) {
 	age := time.Duration(max(backlog.GetAgeMs(), 0)) * time.Millisecond
 	asOf := receivedAt.Add(-age)
@@ -48,7 +48,7 @@
 	}
 }
 
-// Backlogs returns copies of the backlogs with their owners and their ages as of now, without that of one owner.
+// Backlogs returns copies of the backlogs of all owners but one, with their owners and their ages as of now.
 func (table *Table) Backlogs(without string, now time.Time) []*wire.OwnerBacklog {
 	var backlogs []*wire.OwnerBacklog
 	for owner, held := range table.parts {
@@ -63,7 +63,7 @@
 	return backlogs
 }
 
-// Sum is the sum of the backlogs of several owners.
+// Sum is the sum of the backlogs in a table.
 type Sum struct {
 	summary *Summary
 	age     time.Duration
--- a/feature/feature_test.go
+++ b/feature/feature_test.go
@@ -12,9 +12,11 @@
 		enabled []feature.Feature
 		fault   string
 	}{
-		"none":                  {},
-		"one":                   {names: []string{"offers"}, enabled: []feature.Feature{feature.Offers}},
-		"with its requirement":  {names: []string{"shares", " backlog"}, enabled: []feature.Feature{feature.Backlog, feature.Shares}},
+		"none": {},
+		"one":  {names: []string{"offers"}, enabled: []feature.Feature{feature.Offers}},
+		"with its requirement": {
+			names: []string{"shares", " backlog"}, enabled: []feature.Feature{feature.Backlog, feature.Shares},
+		},
 		"without a requirement": {names: []string{"admission"}, fault: "admission needs backlog"},
 		"unknown":               {names: []string{"offer", "backlog"}, fault: "there is no feature offer"},
 	}
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -18,23 +18,24 @@
 )
 
 const (
-	// backlogInterval is how often the owners are asked for their backlogs.
+	// backlogInterval is how often backlogs are requested from the owners.
 	backlogInterval = time.Second
-	// backlogIdleAfter is how long after the last submission an entry without shards goes on asking.
+	// backlogIdleAfter is how long after the last submission an entry without shards requests backlogs.
 	backlogIdleAfter = 10 * time.Second
-	// backlogStartTime is how long after the first round it is not logged that the backlog is unknown. Meanwhile
-	// the owners take their shards.
+	// backlogStartTime is how long after the first poll an unknown backlog is not logged. Meanwhile the owners acquire
+	// their shards.
 	backlogStartTime = 10 * time.Second
-	// maxOwnersAsked bounds how many owners are asked for the sum of all backlogs in one round, so that a round
-	// ends before the sum of an earlier one is too old.
+	// maxOwnersAsked bounds how many owners are asked for the sum of all backlogs in one poll, so that the poll ends
+	// before the sum of the previous one is too old.
 	maxOwnersAsked = 3
 )
 
-// backlogFollower keeps the backlog of all owners. An entry that owns shards asks all other owners; any other
-// entry asks one owner for the sum. The store is not called.
-type backlogFollower struct {
+// backlogPoller polls the backlogs of all owners and forecasts from their sum. An entry that owns shards requests the
+// backlogs of all other owners; any other entry requests the sum from one owner. The store is not called.
+type backlogPoller struct {
 	options Options
-	// askOwn asks the owner in this process, askMember another entry.
+	// askOwn requests the backlog of the owner in this process, askMember that of another entry. With merged set,
+	// askMember requests the sum that the other entry knows.
 	askOwn    func(ctx context.Context) (*wire.OwnerBacklog, error)
 	askMember func(ctx context.Context, member string, merged bool) (*wire.OwnerBacklog, error)
 	// members returns the other entries that own shards.
@@ -42,19 +43,19 @@
 	updateOwner func(backlogs []*wire.OwnerBacklog)
 	metrics     backlogMetrics
 
-	// These are used by the goroutine of run only. logged is the event that was logged last, 0 if none was.
+	// These are used by the goroutine of run only.
 	table     *backlog.Table
-	logged    event.Code
-	startedAt time.Time // of the first round
+	logged    event.Code // the event that was logged last, 0 if none was
+	startedAt time.Time  // of the first poll
 
 	mu          sync.Mutex
 	submittedAt time.Time
-	sum         backlog.Sum // not changed once it is here
+	sum         backlog.Sum // read-only, because forecasts use it without the lock
 	summedAt    time.Time
 }
 
-func newBacklogFollower(options Options, directory *ownerDirectory) *backlogFollower {
-	return &backlogFollower{
+func newBacklogPoller(options Options, directory *ownerDirectory) *backlogPoller {
+	return &backlogPoller{
 		options: options, askMember: directory.requestBacklog, members: directory.peers,
 		askOwn: func(ctx context.Context) (*wire.OwnerBacklog, error) {
 			reply, err := options.Owner.Backlog(ctx, &wire.BacklogRequest{})
@@ -75,41 +76,41 @@
 	return reply.GetBacklog(), err
 }
 
-// run follows the backlogs until ctx ends.
-func (follower *backlogFollower) run(ctx context.Context) {
-	ticker := follower.options.Clock.NewTicker(backlogInterval)
+// run polls the backlogs until ctx ends.
+func (poller *backlogPoller) run(ctx context.Context) {
+	ticker := poller.options.Clock.NewTicker(backlogInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			follower.update(ctx)
+			poller.update(ctx)
 		}
 	}
 }
 
-// recordSubmission notes that a client has submitted a job here.
-func (follower *backlogFollower) recordSubmission(now time.Time) {
-	follower.mu.Lock()
-	defer follower.mu.Unlock()
-	follower.submittedAt = now
+// recordSubmission records that a client has submitted a job to this gateway.
+func (poller *backlogPoller) recordSubmission(now time.Time) {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	poller.submittedAt = now
 }
 
-// forecast returns when a job would start and end if it were accepted now. It reports false if that is unknown,
-// as it is while the backlog of a shard is. It may be called by many goroutines.
-func (follower *backlogFollower) forecast(submission *job.Submission, now time.Time) (backlog.Forecast, bool) {
-	sum, age, known := follower.current(now)
+// forecast returns when a job would start and end if it were accepted now. It reports false if that is unknown, for
+// instance while the backlog of a shard is unknown. It may be called by many goroutines.
+func (poller *backlogPoller) forecast(submission *job.Submission, now time.Time) (backlog.Forecast, bool) {
+	sum, age, known := poller.current(now)
 	if !known {
 		return backlog.Forecast{}, false
 	}
 	return sum.Summary().Forecast(backlog.NewWork(job.New(submission, 0)), age)
 }
 
-// drainedCoreMsPerS returns the work that is done in a second of the tasks of a service with a need, in ms of one
-// core; 0 if it is not known.
-func (follower *backlogFollower) drainedCoreMsPerS(service string, need wire.TaskNeed, now time.Time) int64 {
-	sum, _, known := follower.current(now)
+// drainedCoreMsPerS returns the work of a service and need that is done in a second, in ms of one core. It returns 0 if
+// that is not known.
+func (poller *backlogPoller) drainedCoreMsPerS(service string, need wire.TaskNeed, now time.Time) int64 {
+	sum, _, known := poller.current(now)
 	if !known {
 		return 0
 	}
@@ -117,50 +118,51 @@
 }
 
 // current returns the sum of all backlogs with its age, and whether it is known.
-func (follower *backlogFollower) current(now time.Time) (backlog.Sum, time.Duration, bool) {
-	follower.mu.Lock()
-	defer follower.mu.Unlock()
-	age := follower.sum.Age() + now.Sub(follower.summedAt)
-	return follower.sum, age, follower.sum.IsKnown() && age <= backlog.MaxAge
+func (poller *backlogPoller) current(now time.Time) (backlog.Sum, time.Duration, bool) {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	age := poller.sum.Age() + now.Sub(poller.summedAt)
+	return poller.sum, age, poller.sum.IsKnown() && age <= backlog.MaxAge
 }
 
-// update asks for the backlogs once.
-func (follower *backlogFollower) update(ctx context.Context) {
-	now := follower.options.Clock.Now()
-	own, err := follower.requestOwn(ctx)
+// update polls the backlogs once.
+func (poller *backlogPoller) update(ctx context.Context) {
+	now := poller.options.Clock.Now()
+	own, err := poller.requestOwn(ctx)
 	switch {
 	case err == nil && len(own.GetShards()) > 0:
-		follower.table.Put(follower.options.MemberName, own, now)
-		follower.publish(ctx, follower.sumOfOwners(ctx))
-	case follower.isIdle(now):
+		poller.table.Put(poller.options.MemberName, own, now)
+		poller.publish(ctx, poller.sumOfOwners(ctx))
+	case poller.isIdle(now):
 	default:
-		follower.publish(ctx, follower.sumOfOneOwner(ctx))
+		poller.publish(ctx, poller.sumOfOneOwner(ctx))
 	}
 }
 
-// requestOwn asks the owner in this process.
-func (follower *backlogFollower) requestOwn(ctx context.Context) (*wire.OwnerBacklog, error) {
+// requestOwn requests the backlog of the owner in this process.
+func (poller *backlogPoller) requestOwn(ctx context.Context) (*wire.OwnerBacklog, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	return follower.askOwn(ctx)
+	return poller.askOwn(ctx)
 }
 
-func (follower *backlogFollower) isIdle(now time.Time) bool {
-	follower.mu.Lock()
-	defer follower.mu.Unlock()
-	return now.Sub(follower.submittedAt) >= backlogIdleAfter
+// isIdle reports whether no job has been submitted to this gateway for backlogIdleAfter.
+func (poller *backlogPoller) isIdle(now time.Time) bool {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return now.Sub(poller.submittedAt) >= backlogIdleAfter
 }
 
-// sumOfOwners asks all other owners for their backlogs and hands them to the owner in this process. The last
-// answer of an owner that does not answer now counts until it is too old.
-func (follower *backlogFollower) sumOfOwners(ctx context.Context) backlog.Sum {
-	members := follower.members()
+// sumOfOwners requests the backlogs of all other owners and passes them to the owner in this process. If an owner does
+// not answer, its last answer counts until it is too old.
+func (poller *backlogPoller) sumOfOwners(ctx context.Context) backlog.Sum {
+	members := poller.members()
 	answers := make([]*wire.OwnerBacklog, len(members))
-	askedAt := follower.options.Clock.Now()
+	askedAt := poller.options.Clock.Now()
 	var asked sync.WaitGroup
 	for index, member := range members {
 		asked.Go(func() {
-			if answer, err := follower.askMember(ctx, member, false); err == nil {
+			if answer, err := poller.askMember(ctx, member, false); err == nil {
 				answers[index] = answer
 			}
 		})
@@ -168,32 +170,32 @@
 	asked.Wait()
 	for index, member := range members {
 		if answers[index] != nil {
-			follower.table.Put(member, answers[index], askedAt)
+			poller.table.Put(member, answers[index], askedAt)
 		}
 	}
-	now := follower.options.Clock.Now()
-	follower.table.Prune(now)
-	follower.updateOwner(follower.table.Backlogs(follower.options.MemberName, now))
-	return follower.table.Sum(follower.options.Shards, now)
+	now := poller.options.Clock.Now()
+	poller.table.Prune(now)
+	poller.updateOwner(poller.table.Backlogs(poller.options.MemberName, now))
+	return poller.table.Sum(poller.options.Shards, now)
 }
 
-// sumOfOneOwner asks one owner after another for the sum of all backlogs until one knows it, and returns what the
-// last one knew. Each entry begins with another owner.
-func (follower *backlogFollower) sumOfOneOwner(ctx context.Context) backlog.Sum {
-	members := follower.members()
+// sumOfOneOwner asks one owner after another for the sum of all backlogs until one knows it. It returns the last sum
+// received. Entries begin with different owners, to spread the load.
+func (poller *backlogPoller) sumOfOneOwner(ctx context.Context) backlog.Sum {
+	members := poller.members()
 	table := backlog.NewTable()
-	sum := table.Sum(follower.options.Shards, follower.options.Clock.Now())
+	sum := table.Sum(poller.options.Shards, poller.options.Clock.Now())
 	for range min(len(members), maxOwnersAsked) {
-		member := membership.Owner(follower.options.Name, members)
+		member := membership.Owner(poller.options.Name, members)
 		members = slices.DeleteFunc(members, func(other string) bool { return other == member })
-		askedAt := follower.options.Clock.Now()
-		answer, err := follower.askMember(ctx, member, true)
+		askedAt := poller.options.Clock.Now()
+		answer, err := poller.askMember(ctx, member, true)
 		if err != nil {
 			continue
 		}
 		table = backlog.NewTable()
 		table.Put(member, answer, askedAt)
-		sum = table.Sum(follower.options.Shards, follower.options.Clock.Now())
+		sum = table.Sum(poller.options.Shards, poller.options.Clock.Now())
 		if sum.IsKnown() {
 			break
 		}
@@ -201,36 +203,36 @@
 	return sum
 }
 
-// publish has forecasts use a sum. The sum of an earlier round stays in use if the new one is not known.
-func (follower *backlogFollower) publish(ctx context.Context, sum backlog.Sum) {
-	now := follower.options.Clock.Now()
-	if _, _, known := follower.current(now); sum.IsKnown() || !known {
-		follower.mu.Lock()
-		follower.sum, follower.summedAt = sum, now
-		follower.mu.Unlock()
+// publish makes forecasts use a sum. If the sum is not known, the previous one stays in use until it is too old.
+func (poller *backlogPoller) publish(ctx context.Context, sum backlog.Sum) {
+	now := poller.options.Clock.Now()
+	if _, _, known := poller.current(now); sum.IsKnown() || !known {
+		poller.mu.Lock()
+		poller.sum, poller.summedAt = sum, now
+		poller.mu.Unlock()
 	}
-	current, age, known := follower.current(now)
-	follower.metrics.record(ctx, current, age)
-	if code := follower.change(known, now); code != 0 {
-		follower.options.Events.Log(ctx, code, slog.Any("missing", sum.Missing()), slog.Duration("age", age))
+	current, age, known := poller.current(now)
+	poller.metrics.record(ctx, current, age)
+	if code := poller.eventToLog(known, now); code != 0 {
+		poller.options.Events.Log(ctx, code, slog.Any("missing", sum.Missing()), slog.Duration("age", age))
 	}
 }
 
-// change returns the event to log if the backlog has become known or unknown, else 0. At the start the backlog is
-// unknown for a while, which is not logged.
-func (follower *backlogFollower) change(known bool, now time.Time) event.Code {
-	if follower.startedAt.IsZero() {
-		follower.startedAt = now
+// eventToLog returns the event to log if the backlog has become known or unknown, else 0. During backlogStartTime, an
+// unknown backlog is not logged.
+func (poller *backlogPoller) eventToLog(known bool, now time.Time) event.Code {
+	if poller.startedAt.IsZero() {
+		poller.startedAt = now
 	}
 	code := event.BacklogUnknown
 	if known {
 		code = event.BacklogKnown
 	}
-	starting := follower.logged == 0 && now.Sub(follower.startedAt) < backlogStartTime
-	if code == follower.logged || !known && starting {
+	starting := poller.logged == 0 && now.Sub(poller.startedAt) < backlogStartTime
+	if code == poller.logged || !known && starting {
 		return 0
 	}
-	follower.logged = code
+	poller.logged = code
 	return code
 }
 
@@ -239,7 +241,8 @@
 	age     metric.Float64Gauge
 	jobs    metric.Int64Gauge
 	waiting metric.Float64Gauge
-	// recorded holds the queues that were recorded last. One that has left the sum is recorded with zeros once.
+	// recorded holds the queues that were recorded last. A queue that is no longer in the sum is recorded with zeros
+	// once.
 	recorded map[string]bool
 }
 
--- a/gateway/backlog_test.go
+++ b/gateway/backlog_test.go
@@ -19,13 +19,13 @@
 
 // fakeOwners answers for the owners of 3 shards: the one in this process, if it has shards, and two peers.
 type fakeOwners struct {
-	clock    *clockwork.FakeClock
-	follower *backlogFollower
-	own      *wire.OwnerBacklog
-	answers  map[string]*wire.OwnerBacklog // by member; a member without one is silent
-	asked    []string
-	told     []*wire.OwnerBacklog
-	lines    bytes.Buffer
+	clock   *clockwork.FakeClock
+	poller  *backlogPoller
+	own     *wire.OwnerBacklog
+	answers map[string]*wire.OwnerBacklog // by member; a member without one does not answer
+	asked   []string
+	told    []*wire.OwnerBacklog
+	lines   bytes.Buffer
 }
 
 func newFakeOwners(t *testing.T, own *wire.OwnerBacklog, answers map[string]*wire.OwnerBacklog) *fakeOwners {
@@ -35,12 +35,12 @@
 		t.Fatal(err)
 	}
 	options := Options{Name: "edge-1", MemberName: "m-1", Shards: 3, Clock: owners.clock, Events: events}
-	owners.follower = newBacklogFollower(options, newOwnerDirectory(options))
-	owners.follower.members = func() []string { return []string{"m-2", "m-3"} }
-	owners.follower.askOwn = func(context.Context) (*wire.OwnerBacklog, error) { return owners.own, nil }
-	owners.follower.updateOwner = func(backlogs []*wire.OwnerBacklog) { owners.told = backlogs }
+	owners.poller = newBacklogPoller(options, newOwnerDirectory(options))
+	owners.poller.members = func() []string { return []string{"m-2", "m-3"} }
+	owners.poller.askOwn = func(context.Context) (*wire.OwnerBacklog, error) { return owners.own, nil }
+	owners.poller.updateOwner = func(backlogs []*wire.OwnerBacklog) { owners.told = backlogs }
 	var mu sync.Mutex // members are asked in parallel
-	owners.follower.askMember = func(_ context.Context, member string, _ bool) (*wire.OwnerBacklog, error) {
+	owners.poller.askMember = func(_ context.Context, member string, _ bool) (*wire.OwnerBacklog, error) {
 		mu.Lock()
 		defer mu.Unlock()
 		owners.asked = append(owners.asked, member)
@@ -52,20 +52,26 @@
 	return owners
 }
 
-// update has the follower ask once, a second later.
+// update has the poller ask once, a second later.
 func (owners *fakeOwners) update() {
 	owners.clock.Advance(backlogInterval)
-	owners.follower.update(context.Background())
+	owners.poller.update(context.Background())
 }
 
 func (owners *fakeOwners) forecast() (backlog.Forecast, bool) {
-	submission := &job.Submission{Id: "1", Queue: "r-1", Service: "verbale", Steps: []*job.StepSpec{{Count: 1, MilliCpu: 1000, EstimateMs: 1000}}}
-	return owners.follower.forecast(submission, owners.clock.Now())
+	submission := &job.Submission{
+		Id: "1", Queue: "r-1", Service: "verbale",
+		Steps: []*job.StepSpec{{Count: 1, MilliCpu: 1000, EstimateMs: 1000}},
+	}
+	return owners.poller.forecast(submission, owners.clock.Now())
 }
 
 func newBacklog(shards ...int32) *wire.OwnerBacklog {
 	return &wire.OwnerBacklog{Shards: shards, Queues: []*wire.QueueBacklog{
-		{Queue: "r-1", Service: "verbale", Need: wire.TaskNeed_NEED_RESERVED, WaitingTasks: 1, WaitingCoreMs: 1000, EndedCoreMs: 5000, WindowMs: 5000},
+		{
+			Queue: "r-1", Service: "verbale", Need: wire.TaskNeed_NEED_RESERVED, WaitingTasks: 1, WaitingCoreMs: 1000,
+			EndedCoreMs: 5000, WindowMs: 5000,
+		},
 	}}
 }
 
@@ -90,7 +96,8 @@
 	if _, known := owners.forecast(); known || len(owners.told) != 1 {
 		t.Errorf("known %v, told %v", known, owners.told)
 	}
-	if text := owners.lines.String(); strings.Count(text, "backlog unknown") != 1 || !strings.Contains(text, `"missing":[2]`) {
+	text := owners.lines.String()
+	if strings.Count(text, "backlog unknown") != 1 || !strings.Contains(text, `"missing":[2]`) {
 		t.Errorf("logged %s", text)
 	}
 	owners.answers["m-3"] = newBacklog(2)
@@ -110,7 +117,8 @@
 	for range 20 {
 		owners.update()
 	}
-	if text := owners.lines.String(); strings.Count(text, "backlog unknown") != 1 || !strings.Contains(text, `"missing":[2]`) {
+	text := owners.lines.String()
+	if strings.Count(text, "backlog unknown") != 1 || !strings.Contains(text, `"missing":[2]`) {
 		t.Errorf("logged %s", text)
 	}
 }
@@ -122,11 +130,15 @@
 		answers map[string]*wire.OwnerBacklog
 		known   bool
 	}{
-		"both answer":              {map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1, 2), "m-3": newBacklog(0, 1, 2)}, true},
-		"one is silent":            {map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1, 2)}, true},
-		"the other is silent":      {map[string]*wire.OwnerBacklog{"m-3": newBacklog(0, 1, 2)}, true},
-		"one doesn't know a shard": {map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1), "m-3": newBacklog(0, 1, 2)}, true},
-		"neither knows all":        {map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1), "m-3": newBacklog(2)}, false},
+		"both answer": {
+			map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1, 2), "m-3": newBacklog(0, 1, 2)}, true,
+		},
+		"one is silent":       {map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1, 2)}, true},
+		"the other is silent": {map[string]*wire.OwnerBacklog{"m-3": newBacklog(0, 1, 2)}, true},
+		"one doesn't know a shard": {
+			map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1), "m-3": newBacklog(0, 1, 2)}, true,
+		},
+		"neither knows all": {map[string]*wire.OwnerBacklog{"m-2": newBacklog(0, 1), "m-3": newBacklog(2)}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -135,7 +147,7 @@
 			if len(owners.asked) != 0 {
 				t.Errorf("asked %v before a submission", owners.asked)
 			}
-			owners.follower.recordSubmission(owners.clock.Now())
+			owners.poller.recordSubmission(owners.clock.Now())
 			owners.update()
 			if _, known := owners.forecast(); known != test.known || owners.told != nil {
 				t.Errorf("known %v after asking %v, told %v", known, owners.asked, owners.told)
@@ -155,12 +167,12 @@
 	all := newBacklog(0, 1, 2)
 	owners := newFakeOwners(t, all, nil)
 	owners.update()
-	if recorded := owners.follower.metrics.recorded; !recorded["r-1"] {
+	if recorded := owners.poller.metrics.recorded; !recorded["r-1"] {
 		t.Errorf("recorded %v", recorded)
 	}
 	owners.own = &wire.OwnerBacklog{Shards: all.GetShards()}
 	owners.update()
-	if recorded := owners.follower.metrics.recorded; len(recorded) != 0 {
+	if recorded := owners.poller.metrics.recorded; len(recorded) != 0 {
 		t.Errorf("recorded %v after the queue has left", recorded)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	options       Options
 	configuration atomic.Pointer[platform.Configuration]
 	directory     *ownerDirectory
-	backlogs      *backlogFollower
+	backlogs      *backlogPoller
 	shuttingDown  atomic.Bool
 	breaker       circuitBreaker
 	metrics       metrics
@@ -88,7 +88,7 @@
 func New(options Options) *Gateway {
 	directory := newOwnerDirectory(options)
 	gateway := &Gateway{
-		options: options, directory: directory, backlogs: newBacklogFollower(options, directory),
+		options: options, directory: directory, backlogs: newBacklogPoller(options, directory),
 		metrics: newMetrics(options.Meters), admission: newAdmission(options.Meters),
 	}
 	if options.Features.Has(feature.Backlog) {
--- a/overload/use.go
+++ b/overload/use.go
@@ -27,9 +27,9 @@
 	return forecast.End() - forecast.Deviation()
 }
 
-// ShouldAsk reports whether the owner of a job's shard must be asked to admit the job. The owner need not be asked for a
-// job that would end within its target duration: there is room for it whatever other jobs wait, and its caller has time
-// left even if it comes back late.
+// ShouldAsk reports whether the owner of a job's shard must be asked to admit the job. The owner need not be asked for
+// a job that would end within its target duration: there is room for it whatever other jobs wait, and its caller has
+// time left even if it comes back late.
 func ShouldAsk(end, useful time.Duration) bool { return end > useful/usefulTargets }
 
 // maxWait returns how long the caller of a job waits at most in all, without the spread. After its last return, one
--- a/owner/backlog.go
+++ b/owner/backlog.go
@@ -15,25 +15,25 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// backlogMaxAge is how long a computed backlog is used. All other owners ask once a second, each at its own time,
-// and jobs arrive in bursts.
+// backlogMaxAge is how long a computed backlog is used. It bounds how often it is computed: the other owners request it
+// once a second, each at another time, and jobs arrive in bursts.
 const backlogMaxAge = 250 * time.Millisecond
 
-// backlogState is what the owner keeps for the backlog and for forecasts.
+// backlogState is the state of an owner for backlogs and forecasts.
 type backlogState struct {
 	outcomes *backlog.Outcomes
-	// own is the backlog of the owner's shards, total that of all owners, and tasks what they were computed
-	// with, all as of computedAt. Jobs read since have been added to total.
+	// own is the backlog of the owner's shards, total that of all owners, and tasks the state of tasks from which own
+	// was computed, all as of computedAt. Jobs read since then have been added to total.
 	own        *wire.OwnerBacklog
 	total      backlog.Sum
-	tasks      taskKnowledge
+	tasks      taskStates
 	computedAt time.Time
 }
 
 func newBacklogState() backlogState { return backlogState{outcomes: backlog.NewOutcomes()} }
 
-// Backlog implements wire.DRPCPeerServer: it returns the backlog of the owner's shards, or the sum of all backlogs
-// that the owner knows.
+// Backlog implements wire.DRPCPeerServer. It returns the backlog of the owner's shards or, if the request is for the
+// merged one, the sum of all backlogs that the owner knows.
 func (owner *Owner) Backlog(ctx context.Context, request *wire.BacklogRequest) (*wire.BacklogReply, error) {
 	if !owner.options.Features.Has(feature.Backlog) {
 		return owner.DRPCPeerUnimplementedServer.Backlog(ctx, request)
@@ -81,12 +81,12 @@
 	state.total = table.Sum(owner.options.Shards, now)
 }
 
-// computeBacklog sums up the jobs of the owner's shards. A shard that has been loaded too recently for its rate
-// to be known is left out, so that the backlog of all owners is unknown meanwhile.
+// computeBacklog sums up the jobs of the owner's shards. A shard that was loaded too recently for a reliable rate is
+// left out, which makes the backlog of all owners unknown until then.
 func (owner *Owner) computeBacklog(now time.Time) *wire.OwnerBacklog {
 	summary := backlog.NewSummary()
 	message := &wire.OwnerBacklog{Owner: owner.MemberName()}
-	owner.backlogs.tasks = owner.newTaskKnowledge(now)
+	owner.backlogs.tasks = owner.newTaskStates(now)
 	for _, s := range owner.shards {
 		if !s.loaded || !s.ended.IsReliable(now) {
 			continue
@@ -94,7 +94,7 @@
 		message.Shards = append(message.Shards, int32(s.number))
 		for _, j := range s.live {
 			summary.AddJob(j, owner.backlogs.tasks, now)
-			owner.backlogs.outcomes.ExcludeWaiting(j, owner.backlogs.tasks, now)
+			owner.backlogs.outcomes.ExcludeUnrepresentative(j, owner.backlogs.tasks, now)
 		}
 		summary.AddEnded(s.ended, now)
 	}
@@ -103,16 +103,16 @@
 	return message
 }
 
-// taskKnowledge implements backlog.Tasks.
-type taskKnowledge struct {
+// taskStates implements backlog.Tasks.
+type taskStates struct {
 	owner *Owner
 	now   time.Time
 	// largest holds, by service, the most that any one of its workers has of each resource.
 	largest map[string]*wire.WorkerStatus
 }
 
-func (owner *Owner) newTaskKnowledge(now time.Time) taskKnowledge {
-	tasks := taskKnowledge{owner: owner, now: now, largest: map[string]*wire.WorkerStatus{}}
+func (owner *Owner) newTaskStates(now time.Time) taskStates {
+	tasks := taskStates{owner: owner, now: now, largest: map[string]*wire.WorkerStatus{}}
 	for _, view := range owner.agents {
 		status := view.status()
 		largest := tasks.largest[status.GetService()]
@@ -126,7 +126,7 @@
 }
 
 // ProgressPercent implements backlog.Tasks.
-func (tasks taskKnowledge) ProgressPercent(task *job.Task) int32 {
+func (tasks taskStates) ProgressPercent(task *job.Task) int32 {
 	view, found := tasks.owner.agents[task.Place().AgentAddress]
 	if !found {
 		return 0
@@ -137,9 +137,9 @@
 	return 0
 }
 
-// LacksResources implements backlog.Tasks. A task that no worker is large enough for, or that waits because of its own
-// constraints, would wait with any amount of free resources.
-func (tasks taskKnowledge) LacksResources(task *job.Task) bool {
+// LacksResources implements backlog.Tasks. It reports false for a task that no worker is large enough for or that waits
+// because of its own constraints: more free resources would not let it start.
+func (tasks taskStates) LacksResources(task *job.Task) bool {
 	spec := task.Spec()
 	largest, hasWorkers := tasks.largest[task.Job().Submission().GetService()]
 	fits := spec.GetMilliCpu() <= largest.GetMilliCpu() && spec.GetMemoryMb() <= largest.GetMemoryMb() &&
@@ -155,8 +155,8 @@
 	return true
 }
 
-// forecastJob forecasts the end of a job that was just read, to be compared with what comes of it. It is called
-// before the job is one of its shard, because a job is not ahead of itself.
+// forecastJob forecasts the end of a job that was just read, to compare it with the actual end later. It is called
+// before the job is added to its shard, because a job is not ahead of itself.
 func (owner *Owner) forecastJob(j *job.Job, now time.Time) {
 	if !owner.options.Features.Has(feature.Backlog) || j.IsLongRunning() {
 		return
@@ -171,13 +171,13 @@
 	expected, known := total.Summary().Expect(work)
 	forecast, _ := total.Summary().Forecast(work, age)
 	if known {
-		owner.backlogs.outcomes.Expect(j.ID(), work, expected, forecast, now)
+		owner.backlogs.outcomes.AddJob(j.ID(), work, expected, forecast, now)
 	}
 	total.Summary().AddJob(j, owner.backlogs.tasks, now)
 }
 
-// recordOutcome compares the forecast of a job with the job's end, which is in the store. The time that the store took
-// for it is left out: it says nothing about the backlog, and the store may have been away.
+// recordOutcome compares the forecast of a job with the job's end, once the end is in the store. The time that the
+// store took for the end is left out: it says nothing about the backlog, and the store may have been unavailable.
 func (owner *Owner) recordOutcome(s *shard, j *job.Job, now time.Time) {
 	if !owner.options.Features.Has(feature.Backlog) {
 		return
@@ -186,7 +186,7 @@
 	if completed {
 		s.ended.AddJob(j, now)
 	}
-	outcome, known := owner.backlogs.outcomes.End(j.ID(), completed, j.EndedAt())
+	outcome, known := owner.backlogs.outcomes.Learn(j.ID(), completed, j.EndedAt())
 	if !known {
 		return
 	}
@@ -206,9 +206,9 @@
 	}
 }
 
-// forgetForecasts drops the forecasts of the jobs of a shard that has been released.
-func (owner *Owner) forgetForecasts(s *shard) {
+// removeForecasts removes the forecasts of the jobs of a shard that has been released.
+func (owner *Owner) removeForecasts(s *shard) {
 	for id := range s.jobs {
-		owner.backlogs.outcomes.Forget(id)
+		owner.backlogs.outcomes.RemoveJob(id)
 	}
 }
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -50,7 +50,10 @@
 // peerBacklog returns the backlog of another owner, which has all shards but the harness's.
 func (h *harness) peerBacklog() *wire.OwnerBacklog {
 	peer := &wire.OwnerBacklog{Owner: "edge-2", Queues: []*wire.QueueBacklog{
-		{Queue: "r-1", Service: "verbale", Need: wire.TaskNeed_NEED_RESERVED, OpenJobs: 4, WaitingTasks: 4, WaitingCoreMs: 4000, EndedCoreMs: 5000, WindowMs: 5000},
+		{
+			Queue: "r-1", Service: "verbale", Need: wire.TaskNeed_NEED_RESERVED, OpenJobs: 4, WaitingTasks: 4,
+			WaitingCoreMs: 4000, EndedCoreMs: 5000, WindowMs: 5000,
+		},
 	}}
 	for shard := range h.owner.options.Shards {
 		if shard != h.shard.number {
@@ -60,6 +63,13 @@
 	return peer
 }
 
+// newDoneMessage returns the message of an agent that the first attempt of the first task is done.
+func newDoneMessage() *wire.AgentMessage {
+	return &wire.AgentMessage{Ends: []*wire.RunEnd{{
+		Task: firstTask, Attempt: 1, Worker: workerID, Reason: wire.EndReason_END_DONE, Number: 1,
+	}}}
+}
+
 // TestBacklogRPC checks the backlog of an owner with one job whose task runs, and the sum with that of a peer.
 func TestBacklogRPC(t *testing.T) {
 	h, _ := newBacklogHarness(t)
@@ -71,14 +81,16 @@
 		t.Fatalf("backlog %v, error %v", own, err)
 	}
 	row := own.GetQueues()[0]
-	if row.GetQueue() != "r-1" || row.GetOpenJobs() != 1 || row.GetUsedMilliCpu() != 1000 || row.GetRunningCoreMs() != 1000 || row.GetWaitingCoreMs() != 0 {
+	if row.GetQueue() != "r-1" || row.GetOpenJobs() != 1 || row.GetUsedMilliCpu() != 1000 ||
+		row.GetRunningCoreMs() != 1000 || row.GetWaitingCoreMs() != 0 {
 		t.Errorf("row %v", row)
 	}
 	h.owner.UpdatePeerBacklogs([]*wire.OwnerBacklog{h.peerBacklog()})
 	h.owner.eventLoop.RunNext(h.clock.Now())
 	h.clock.Advance(backlog.MaxAge)
 	merged, err := h.requestBacklog(true)
-	if err != nil || len(merged.GetShards()) != 8 || merged.GetQueues()[0].GetOpenJobs() != 5 || merged.GetAgeMs() != backlog.MaxAge.Milliseconds() {
+	if err != nil || len(merged.GetShards()) != 8 || merged.GetQueues()[0].GetOpenJobs() != 5 ||
+		merged.GetAgeMs() != backlog.MaxAge.Milliseconds() {
 		t.Errorf("merged %v, error %v", merged, err)
 	}
 	h.clock.Advance(time.Millisecond + backlogMaxAge)
@@ -100,7 +112,7 @@
 		t.Error("a backlog was computed")
 	}
 	h.attachAndStart()
-	h.receive(&wire.AgentMessage{Ends: []*wire.RunEnd{{Task: firstTask, Attempt: 1, Worker: workerID, Reason: wire.EndReason_END_DONE, Number: 1}}})
+	h.receive(newDoneMessage())
 	h.clock.Advance(time.Second)
 	summary := backlog.NewSummary()
 	if summary.AddEnded(h.shard.ended, h.clock.Now()); len(summary.Messages()) != 0 {
@@ -111,7 +123,7 @@
 // TestNewShardHasNoRate checks that a shard is not reported before ends have been counted for MinWindow.
 func TestNewShardHasNoRate(t *testing.T) {
 	h, _ := newBacklogHarness(t)
-	h.shard.ended = backlog.NewEnded(h.clock.Now())
+	h.shard.ended = backlog.NewEndCounter(h.clock.Now())
 	if own, err := h.requestBacklog(false); err != nil || len(own.GetShards()) != 0 {
 		t.Errorf("backlog %v, error %v", own, err)
 	}
@@ -126,9 +138,13 @@
 		storeDelay time.Duration
 	}{
 		"store is slow": {func(*harness) {}, []string{`"ratio":1.2,`}, 2 * time.Second},
-		"known":         {func(*harness) {}, []string{`"msg":"job forecast"`, `"queue":"r-1"`, `"need":"NEED_RESERVED"`, `"ratio":1.2,`, `"waiting_core_ms":4000`}, 0},
-		"unknown":       {func(h *harness) { h.owner.peerBacklogs = peerBacklogs{} }, nil, 0},
-		"too old":       {func(h *harness) { h.owner.peerBacklogs.receivedAt = h.clock.Now().Add(-backlog.MaxAge - 1) }, nil, 0},
+		"known": {func(*harness) {}, []string{
+			`"msg":"job forecast"`, `"queue":"r-1"`, `"need":"NEED_RESERVED"`, `"ratio":1.2,`, `"waiting_core_ms":4000`,
+		}, 0},
+		"unknown": {func(h *harness) { h.owner.peerBacklogs = peerBacklogs{} }, nil, 0},
+		"too old": {func(h *harness) {
+			h.owner.peerBacklogs.receivedAt = h.clock.Now().Add(-backlog.MaxAge - 1)
+		}, nil, 0},
 		"moved": {func(h *harness) {
 			h.owner.backlogs.computedAt = time.Time{}
 			h.owner.peerBacklogs.backlogs[0].Shards[0] = int32(h.shard.number)
@@ -142,7 +158,7 @@
 			h.submit()
 			h.attachAndStart()
 			h.clock.Advance(6 * time.Second)
-			h.receive(&wire.AgentMessage{Ends: []*wire.RunEnd{{Task: firstTask, Attempt: 1, Worker: workerID, Reason: wire.EndReason_END_DONE, Number: 1}}})
+			h.receive(newDoneMessage())
 			h.clock.Advance(test.storeDelay)
 			h.tick()
 			h.awaitWrites()
@@ -180,16 +196,16 @@
 			h.attach()
 			task := h.submitWith(test.change).Tasks()[0]
 			task.MarkUnplaced(string(test.obstacle), h.clock.Now())
-			if lacks := h.owner.newTaskKnowledge(h.clock.Now()).LacksResources(task); lacks != test.lacks {
+			if lacks := h.owner.newTaskStates(h.clock.Now()).LacksResources(task); lacks != test.lacks {
 				t.Errorf("lacks resources: %v", lacks)
 			}
 		})
 	}
 }
 
-// TestHeldJobDoesNotCount checks that a job that waits for a label that no worker has leaves the ratio of its queue as
-// it is, while one that waits for processors raises it when it is late.
-func TestHeldJobDoesNotCount(t *testing.T) {
+// TestConstrainedJobDoesNotCount checks that a job that waits for a label that no worker has leaves the ratio of its
+// queue as it is, while one that waits for processors raises it when it is late.
+func TestConstrainedJobDoesNotCount(t *testing.T) {
 	tests := map[string]struct {
 		obstacle obstacle
 		counts   bool
@@ -224,7 +240,9 @@
 	h.owner.peerBacklogs = peerBacklogs{backlogs: []*wire.OwnerBacklog{peer}, receivedAt: h.clock.Now()}
 	j := h.submitWith(func(submission *job.Submission) { submission.Steps[0].Count = 100 })
 	h.attachAndStart()
-	h.receive(&wire.AgentMessage{Results: []*wire.StartResult{{Task: firstTask, Attempt: 1, Worker: workerID, Outcome: wire.StartOutcome_START_STARTED}}})
+	h.receive(&wire.AgentMessage{Results: []*wire.StartResult{{
+		Task: firstTask, Attempt: 1, Worker: workerID, Outcome: wire.StartOutcome_START_STARTED,
+	}}})
 	if j.State() != job.State_STATE_RUNNING || len(j.ReadyTasks(h.clock.Now())) == 0 {
 		t.Fatalf("state %v, %d tasks are ready", j.State(), len(j.ReadyTasks(h.clock.Now())))
 	}
--- a/owner/records.go
+++ b/owner/records.go
@@ -122,7 +122,7 @@
 
 // reportEndOnceStored logs and counts the end of a job once it is in the store.
 func (owner *Owner) reportEndOnceStored(s *shard, j *job.Job) {
-	owner.backlogs.outcomes.Stop(j.ID(), j.EndedAt())
+	owner.backlogs.outcomes.RecordEnd(j.ID(), j.EndedAt())
 	s.afterFlush = append(s.afterFlush, func(now time.Time) {
 		s.endStoredAt[j.ID()] = now
 		owner.metrics.recordJobEnd(owner.ctx, j)
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -89,7 +89,7 @@
 	run.confirmed = true
 	run.task.ResetRefusals()
 	if run.task.Job().MarkRunning(now) {
-		owner.backlogs.outcomes.Start(run.task.Job().ID(), now)
+		owner.backlogs.outcomes.RecordStart(run.task.Job().ID(), now)
 		owner.metrics.jobWait.Record(owner.ctx, now.Sub(time.UnixMilli(run.task.Job().Submission().GetSubmittedMs())).Seconds())
 		owner.markDirty(run.shard, run.task.Job())
 	}
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -57,7 +57,7 @@
 	// learned holds the interference estimates; nil except for job.InterferenceShard.
 	learned *learnedTable
 	// ended counts what ended lately, since the shard was loaded.
-	ended *backlog.Ended
+	ended *backlog.EndCounter
 	// endStoredAt is when this process learned that the end of a job is in the store.
 	endStoredAt map[string]time.Time
 }
@@ -67,7 +67,7 @@
 	s := &shard{
 		number: number, epoch: epoch, acquiredAt: now, tailReadAt: now,
 		jobs: map[string]*job.Job{}, live: map[string]*job.Job{}, dirty: map[string]*job.Job{},
-		endStoredAt: map[string]time.Time{}, cancelled: map[string]bool{}, ended: backlog.NewEnded(now),
+		endStoredAt: map[string]time.Time{}, cancelled: map[string]bool{}, ended: backlog.NewEndCounter(now),
 	}
 	if number == job.InterferenceShard {
 		s.learned = newLearnedTable()
@@ -91,7 +91,7 @@
 		return
 	}
 	delete(owner.shards, s.number)
-	owner.forgetForecasts(s)
+	owner.removeForecasts(s)
 	for _, view := range owner.agents {
 		view.dropShard(s)
 		if s.number == job.InterferenceShard {
@@ -169,7 +169,7 @@
 		}
 	}
 	s.loaded, s.tailReadAt = true, now
-	s.ended = backlog.NewEnded(now)
+	s.ended = backlog.NewEndCounter(now)
 	s.nextOffset = jobs.Next
 	owner.adoptRuns(s, now)
 	owner.placementChanges.addAll()
