--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -101,9 +101,9 @@
 		"all":                 {reports{report("a", 0, 1, 0, 1), report("b", 500, 2, 2)}, nil, 3, 1500 * time.Millisecond},
 		"one owner is silent": {reports{report("a", 0, 1, 0, 1)}, []int{2}, 1, time.Second},
 		"without shards":      {reports{report("a", 0, 1, 0, 1, 2), report("b", 0, 2)}, nil, 1, time.Second},
-		"told late":           {reports{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
-		"told twice":          {reports{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
-		"told in reverse":     {reports{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
+		"received late":       {reports{report("a", 0, 1, 0, 1), report("b", 2001, 2, 2)}, []int{2}, 1, time.Second},
+		"received twice":      {reports{report("a", 0, 1, 0, 1, 2), report("a", 0, 1, 0, 1, 2)}, nil, 1, time.Second},
+		"received in reverse": {reports{report("a", 0, 1, 0, 1, 2), report("a", 900, 5, 0, 1, 2)}, nil, 1, time.Second},
 		"moved as a whole": {
 			reports{report("a", 0, 1, 0, 1), report("b", 900, 2, 2), report("c", 0, 2, 2)}, nil, 3, time.Second,
 		},
--- a/feature/feature.go
+++ b/feature/feature.go
@@ -1,8 +1,8 @@
 // Package feature selects optional behavior of the roles on the users' platform. Every feature is off unless
 // it is enabled.
 //
-// A feature that needs two processes takes effect only where both have it enabled. A process serves another
-// one that lacks it, or is of an earlier build, as if neither had it.
+// A feature that needs two processes takes effect only where both have it enabled. If one of them lacks it, or is of
+// an earlier build, they work as if neither had it.
 //
 // # Usage
 //
@@ -22,15 +22,14 @@
 
 // The features.
 const (
-	// Backlog makes entries tell each other what the jobs of their queues wait for, and forecast when a job
-	// would end.
+	// Backlog makes entries exchange the backlogs of their queues, and forecast when a job would end.
 	Backlog Feature = "backlog"
 	// Admission refuses a job at once if its forecast end is too late to be of use to its caller.
 	Admission Feature = "admission"
-	// Shares divides a service's workers among queues of one priority while there is too little room.
+	// Shares divides a service's processors among queues of one priority while they want more than there is.
 	Shares Feature = "shares"
-	// Offers makes agents offer a fill run to its owner, which finds another worker first, in place of
-	// evicting it.
+	// Offers makes agents offer a slowed fill run to its owner in place of evicting it. An offered run is stopped only
+	// once the owner has reserved room on another worker.
 	Offers Feature = "offers"
 	// Confirmation makes an owner decide nothing for shards that the store may have assigned to another entry.
 	Confirmation Feature = "confirmation"
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -67,8 +67,8 @@
 	reason     string
 }
 
-// checkAdmission returns the refusal of a job for load, or nil if the job is admitted. If the forecast is not known, or
-// the owner doesn't answer in time, the job is admitted.
+// checkAdmission returns the refusal of a job for load, or nil if the job is admitted. The job is admitted if anything
+// that the decision needs is not known, or if the owner doesn't answer in time.
 func (gateway *Gateway) checkAdmission(
 	ctx context.Context, configuration *platform.Configuration, submission *job.Submission, now time.Time,
 ) *refusal {
@@ -87,14 +87,7 @@
 	if !overload.ShouldAsk(end, useful) || gateway.mayBeStored(submission.GetId(), now) {
 		return nil
 	}
-	need := overload.MainNeed(submission)
-	reply, err := gateway.directory.requestAdmission(ctx, &wire.AdmitRequest{
-		Id: submission.GetId(), Shard: int32(job.ShardOf(submission.GetId(), gateway.options.Shards)),
-		Queue: submission.GetQueue(), Service: submission.GetService(), Priority: submission.GetPriority(),
-		Need: need, CoreMs: candidate.CoreMs(),
-		EndMs: end.Milliseconds(), UsefulMs: useful.Milliseconds(),
-		DrainedCoreMsPerS: gateway.forecaster.drainedCoreMsPerS(submission.GetService(), need, now),
-	})
+	reply, err := gateway.directory.requestAdmission(ctx, gateway.newAdmitRequest(submission, candidate, end, now))
 	if err != nil || !reply.GetDecided() || reply.GetAdmitted() {
 		return nil
 	}
@@ -108,6 +101,20 @@
 	}
 }
 
+// newAdmitRequest returns the request to admit a job, where end is the forecast time until its end.
+func (gateway *Gateway) newAdmitRequest(
+	submission *job.Submission, candidate *job.Job, end time.Duration, now time.Time,
+) *wire.AdmitRequest {
+	need := overload.MainNeed(submission)
+	return &wire.AdmitRequest{
+		Id: submission.GetId(), Shard: int32(job.ShardOf(submission.GetId(), gateway.options.Shards)),
+		Queue: submission.GetQueue(), Service: submission.GetService(), Priority: submission.GetPriority(),
+		Need: need, CoreMs: candidate.CoreMs(),
+		EndMs: end.Milliseconds(), UsefulMs: overload.UsefulDuration(candidate).Milliseconds(),
+		DrainedCoreMsPerS: gateway.forecaster.drainedCoreMsPerS(submission.GetService(), need, now),
+	}
+}
+
 // mayBeStored reports whether a job may be in the store by an append of this gateway.
 func (gateway *Gateway) mayBeStored(id string, now time.Time) bool {
 	gateway.admission.mu.Lock()
--- a/gateway/backlog_test.go
+++ b/gateway/backlog_test.go
@@ -24,7 +24,7 @@
 	own     *wire.OwnerBacklog
 	answers map[string]*wire.OwnerBacklog // by member; a member without one does not answer
 	asked   []string
-	told    []*wire.OwnerBacklog
+	updates []*wire.OwnerBacklog // the last ones that the owner in this process was given
 	lines   bytes.Buffer
 }
 
@@ -38,7 +38,7 @@
 	owners.poller = newBacklogPoller(options, newOwnerDirectory(options))
 	owners.poller.members = func() []string { return []string{"m-2", "m-3"} }
 	owners.poller.askOwn = func(context.Context) (*wire.OwnerBacklog, error) { return owners.own, nil }
-	owners.poller.updateOwner = func(backlogs []*wire.OwnerBacklog) { owners.told = backlogs }
+	owners.poller.updateOwner = func(backlogs []*wire.OwnerBacklog) { owners.updates = backlogs }
 	var mu sync.Mutex // members are asked in parallel
 	owners.poller.askMember = func(_ context.Context, member string, _ bool) (*wire.OwnerBacklog, error) {
 		mu.Lock()
@@ -80,8 +80,8 @@
 func TestSilentOwner(t *testing.T) {
 	owners := newFakeOwners(t, newBacklog(0), map[string]*wire.OwnerBacklog{"m-2": newBacklog(1), "m-3": newBacklog(2)})
 	owners.update()
-	if forecast, known := owners.forecast(); !known || forecast.Start() != time.Second || len(owners.told) != 2 {
-		t.Fatalf("known %v, start %v, told %v", known, forecast.Start(), owners.told)
+	if forecast, known := owners.forecast(); !known || forecast.Start() != time.Second || len(owners.updates) != 2 {
+		t.Fatalf("known %v, start %v, updates %v", known, forecast.Start(), owners.updates)
 	}
 	delete(owners.answers, "m-3")
 	for range 3 {
@@ -93,8 +93,8 @@
 	for range 3 {
 		owners.update()
 	}
-	if _, known := owners.forecast(); known || len(owners.told) != 1 {
-		t.Errorf("known %v, told %v", known, owners.told)
+	if _, known := owners.forecast(); known || len(owners.updates) != 1 {
+		t.Errorf("known %v, updates %v", known, owners.updates)
 	}
 	text := owners.lines.String()
 	if strings.Count(text, "backlog unknown") != 1 || !strings.Contains(text, `"missing":[2]`) {
@@ -149,8 +149,8 @@
 			}
 			owners.poller.recordSubmission(owners.clock.Now())
 			owners.update()
-			if _, known := owners.forecast(); known != test.known || owners.told != nil {
-				t.Errorf("known %v after asking %v, told %v", known, owners.asked, owners.told)
+			if _, known := owners.forecast(); known != test.known || owners.updates != nil {
+				t.Errorf("known %v after asking %v, updates %v", known, owners.asked, owners.updates)
 			}
 			owners.clock.Advance(backlogIdleAfter)
 			owners.asked = nil
