--- a/owner/records.go
+++ b/owner/records.go
@@ -34,7 +34,7 @@
 	if s.loaded {
 		j.RebaseObjective(now)
 		owner.placementChanges.addJob(j)
-		owner.noteArrival(j, now)
+		owner.recordStoredJob(j, now)
 	}
 	if s.cancelled[j.ID()] {
 		owner.cancelJob(s, j, now)
@@ -122,7 +122,7 @@
 
 // reportEndOnceStored logs and counts the end of a job once it is in the store.
 func (owner *Owner) reportEndOnceStored(s *shard, j *job.Job) {
-	owner.backlogs.outcomes.Stop(j.ID(), j.EndedAt())
+	owner.backlogs.outcomes.RecordEnd(j.ID(), j.EndedAt())
 	s.afterFlush = append(s.afterFlush, func(now time.Time) {
 		s.endStoredAt[j.ID()] = now
 		owner.metrics.recordJobEnd(owner.ctx, j)
