startahead: plainer names and comments in the model

The model used words of its own: life, note, lacks, store away, rules for what are faults. They are now those of the glossary: incarnation, acknowledge, missing attempt, store down, faults.

--- a/startahead/model_test.go
+++ b/startahead/model_test.go
@@ -5,15 +5,15 @@
 	modelAgents    = 2
 	grantTicks     = 4 // that an owner grants an agent's runs
 	leaseTicks     = 3 // that an agent grants its worker
-	toleranceTicks = 4 // for which an owner grants and orders without the store
+	toleranceTicks = 4 // for which an owner grants and orders without the store's confirmation
 	marginTicks    = 1
-	renewalPercent = 3 // of the agent's messages before which it renews its token without need
+	renewalPercent = 3 // of an agent's messages, before which it renews its token although it needn't
 	maxFailed      = 2 // failed runs until the job has failed
 	maxEpoch       = 4 // owners that a schedule has before it settles
-	nowhere        = -1
+	noAgent        = -1
 )
 
-// outcome is what a worker says of a run.
+// outcome is the state of a run as its worker reports it.
 type outcome int
 
 const (
@@ -22,10 +22,10 @@
 	failed
 )
 
-// modelRules are deviations from the design, each of which breaks a rule.
-type modelRules struct {
-	startsAtOnce, trustsReached, unboundPermission, reordersUnanswered, forgetsEarly,
-	obeysOldConfirmation, releasesByOwnGrant bool
+// modelFaults are deviations from the design, each of which breaks a rule.
+type modelFaults struct {
+	startsAtOnce, trustsReachableAgents, ignoresPermissionEpoch, ordersTwice, acknowledgesEarly,
+	acceptsOldConfirmation, releasesByOwnGrantAlone bool
 }
 
 // modelRecord is the task's record in the store: the owner of the epoch may start the attempt anywhere.
@@ -37,41 +37,42 @@
 
 func (record modelRecord) isOver() bool { return record.done || record.failed >= maxFailed }
 
-// modelWorker has at most one run, or its end until that is taken note of.
+// modelWorker has at most one run, or its end until that is acknowledged.
 type modelWorker struct {
-	life, token, attempt, leaseUntil int
-	outcome                          outcome
-	endedAfter                       int // number of starts of the task before the run's end
+	incarnation, token, attempt, leaseUntil int
+	outcome                                 outcome
+	endedAfter                              int // number of starts of the task before the run's end
 }
 
-// modelAgent loses all but its life with its process. It has handled an owner's messages up to a number, and
-// counts those that it has sent. A pending attempt is one that the worker was told to start, without an answer.
+// modelAgent is an agent's process; all but the incarnation is lost when it restarts. It has handled an owner's
+// messages up to a number, and counts those that it has sent. A pending attempt is one that the worker was ordered to
+// start, without an answer.
 type modelAgent struct {
-	life, startedAt, epoch, handled, sent                      int
-	grantUntil, pending, orderedAt, refused, token, workerLife int
+	incarnation, startedAt, epoch, handled, sent                      int
+	grantUntil, pending, orderedAt, refused, token, workerIncarnation int
 
 	ready bool // the worker's runs are known
 }
 
-// modelView is what an owner knows of an agent by the newest list of its runs, and by what it has sent there.
+// modelView is what an owner knows of an agent from the latest list of its runs and from its own messages.
 type modelView struct {
-	life, list, sequence, heardAt, agentTime, grantEnd, attempt int
+	incarnation, list, sequence, heardAt, agentTime, grantEnd, attempt int
 
-	outcome outcome
-	lacks   bool // the current attempt is neither there nor can be started there
+	outcome      outcome
+	lacksAttempt bool // the current attempt is neither there nor can be started there
 }
 
 // modelOwner is an owner of the task's shard, which may have been replaced.
 type modelOwner struct {
 	epoch, acquiredAt, confirmedAt, version int
-	holdsBack                               bool // it sends no orders at the moment
+	sendsNoOrders                           bool // while it delays its orders
 	record                                  modelRecord
 	next                                    *modelRecord // being appended
-	place, orderLife, orderSequence         int          // where the current attempt was ordered or found
+	place, orderIncarnation, orderSequence  int          // where the current attempt was ordered or found
 	views                                   [modelAgents]modelView
 }
 
-// messageKind says who receives a message, or what it answers.
+// messageKind is the receiver of a message, or the request that it answers.
 type messageKind int
 
 const (
@@ -85,19 +86,19 @@
 
 // message is a message of any kind; each kind uses some of the fields.
 type message struct {
-	kind                                                        messageKind
-	agent, life, epoch, sequence, handled, token                int
-	attempt, pending, refused, seen, until, confirmedAt, sentAt int
-	outcome                                                     outcome
-	record                                                      modelRecord
+	kind                                                                messageKind
+	agent, incarnation, epoch, sequence, handled, token                 int
+	attempt, pending, refused, acknowledged, until, confirmedAt, sentAt int
+	outcome                                                             outcome
+	record                                                              modelRecord
 }
 
 // modelState is the state of all processes and of the store.
 type modelState struct {
 	schedule
-	rules        modelRules
+	faults       modelFaults
 	now          int
-	storeAway    bool
+	storeDown    bool
 	storeEpoch   int
 	storeVersion int
 	stored       modelRecord
@@ -106,7 +107,7 @@
 	workers      [modelAgents]modelWorker
 }
 
-// receiveOrder handles an owner's message, with which a grant, an order or the note of a recorded end may come.
+// receiveOrder handles an owner's message, which may have a grant, an order or the acknowledgment of an end.
 func (state *modelState) receiveOrder(order message) {
 	agent, worker := &state.agents[order.agent], &state.workers[order.agent]
 	if order.epoch < agent.epoch {
@@ -115,12 +116,12 @@
 	if order.epoch > agent.epoch {
 		agent.epoch, agent.handled = order.epoch, 0
 	}
-	if order.life != agent.life || order.sequence <= agent.handled {
+	if order.incarnation != agent.incarnation || order.sequence <= agent.handled {
 		return
 	}
 	agent.handled, agent.grantUntil = order.sequence, max(agent.grantUntil, order.until)
-	if order.seen != 0 && order.seen == worker.attempt && worker.outcome != running {
-		state.takeNote(worker)
+	if order.acknowledged != 0 && order.acknowledged == worker.attempt && worker.outcome != running {
+		state.acknowledgeEnd(worker)
 	}
 	if order.attempt == 0 {
 		return
@@ -130,7 +131,7 @@
 		return
 	}
 	agent.pending, agent.refused, agent.orderedAt = order.attempt, 0, state.now
-	state.network = append(state.network, message{kind: toWorker, agent: order.agent, life: agent.workerLife,
+	state.network = append(state.network, message{kind: toWorker, agent: order.agent, incarnation: agent.workerIncarnation,
 		token: agent.token, attempt: order.attempt, until: agent.grantUntil, epoch: order.epoch})
 }
 
@@ -138,21 +139,22 @@
 // the agent's process began may have been replaced, and the process before may have known its successor.
 func (state *modelState) isStartable(order message) bool {
 	agent, worker := state.agents[order.agent], state.workers[order.agent]
-	confirmed := order.confirmedAt > agent.startedAt || state.rules.obeysOldConfirmation
+	confirmed := order.confirmedAt > agent.startedAt || state.faults.acceptsOldConfirmation
 	free := agent.ready && agent.pending == 0 && worker.attempt == 0 && !state.chance(state.rates[lossRate])
 	return confirmed && free && state.now < agent.grantUntil
 }
 
-// start carries out an agent's call, unless the agent has a newer token or the grant is over.
+// start executes an agent's call to start a run, unless the agent has a newer token or the grant is over.
 func (state *modelState) start(call message) {
 	worker := &state.workers[call.agent]
-	if call.life != worker.life || call.token != worker.token || worker.attempt != 0 || state.now >= call.until {
+	isOutdated := call.incarnation != worker.incarnation || call.token != worker.token || state.now >= call.until
+	if isOutdated || worker.attempt != 0 {
 		return
 	}
 	state.starts++
-	state.note("worker %d starts attempt %d by order of owner %d", call.agent, call.attempt, call.epoch)
-	if state.storeAway {
-		state.startsWhileAway++
+	state.logEvent("worker %d starts attempt %d by order of owner %d", call.agent, call.attempt, call.epoch)
+	if state.storeDown {
+		state.startsWhileDown++
 	}
 	worker.attempt, worker.outcome, worker.leaseUntil = call.attempt, running, min(state.now+leaseTicks, call.until)
 	state.check()
@@ -163,14 +165,14 @@
 	}
 }
 
-// store carries out an append. It refuses those of earlier epochs, and acknowledges doubled ones again.
+// store executes an append. It rejects those of earlier epochs, and answers duplicates again.
 func (state *modelState) store(request message) {
-	if state.storeAway || request.epoch != state.storeEpoch {
+	if state.storeDown || request.epoch != state.storeEpoch {
 		return
 	}
 	if request.sequence > state.storeVersion {
 		state.storeVersion, state.stored = request.sequence, request.record
-		state.note("owner %d appends %+v", request.epoch, request.record)
+		state.logEvent("owner %d appends %+v", request.epoch, request.record)
 	}
 	state.network = append(state.network, message{kind: appendAnswer, epoch: request.epoch, sequence: request.sequence})
 }
@@ -184,7 +186,7 @@
 			return
 		}
 		if owner.next.attempt != owner.record.attempt {
-			owner.place = nowhere
+			owner.place = noAgent
 		}
 		owner.record, owner.next = *owner.next, nil
 	case toOwner:
@@ -192,39 +194,39 @@
 	}
 }
 
-// receiveList updates an owner's view by an agent's list, and decides what became of the current attempt.
+// receiveList updates an owner's view from an agent's list, and handles the current attempt's end or absence.
 func (state *modelState) receiveList(owner *modelOwner, list message) {
 	view := &owner.views[list.agent]
-	if list.life < view.life || list.life == view.life && list.sequence <= view.list {
+	if list.incarnation < view.incarnation || list.incarnation == view.incarnation && list.sequence <= view.list {
 		return
 	}
-	if list.life > view.life {
+	if list.incarnation > view.incarnation {
 		view.sequence = 0
 	}
-	view.life, view.list, view.attempt, view.outcome = list.life, list.sequence, list.attempt, list.outcome
+	view.incarnation, view.list, view.attempt, view.outcome = list.incarnation, list.sequence, list.attempt, list.outcome
 	view.heardAt, view.agentTime = state.now, list.sentAt
 	attempt := owner.record.attempt
 	ordered := owner.place == list.agent
-	handled := !ordered || list.life > owner.orderLife || list.handled >= owner.orderSequence
+	handled := !ordered || list.incarnation > owner.orderIncarnation || list.handled >= owner.orderSequence
 	there := list.attempt == attempt || list.pending == attempt
-	view.lacks = !there && handled
-	if there && owner.place == nowhere {
-		owner.place, owner.orderLife, owner.orderSequence = list.agent, list.life, 0
+	view.lacksAttempt = !there && handled
+	if there && owner.place == noAgent {
+		owner.place, owner.orderIncarnation, owner.orderSequence = list.agent, list.incarnation, 0
 		state.found++
 	}
 	if ordered && list.attempt == attempt && list.outcome > running {
 		state.recordEnd(owner, list.outcome)
 	}
-	if ordered && view.lacks {
-		state.handleLack(owner, list)
+	if ordered && view.lacksAttempt {
+		state.handleMissingAttempt(owner, list)
 	}
 }
 
-// handleLack handles a list without the attempt that was ordered. A refused one was never started, and may be
+// handleMissingAttempt handles a list without the attempt that was ordered. A refused one was never started, and may be
 // ordered elsewhere.
-func (state *modelState) handleLack(owner *modelOwner, list message) {
-	if owner.orderSequence > 0 && list.life == owner.orderLife && list.refused == owner.record.attempt {
-		owner.place = nowhere
+func (state *modelState) handleMissingAttempt(owner *modelOwner, list message) {
+	if owner.orderSequence > 0 && list.incarnation == owner.orderIncarnation && list.refused == owner.record.attempt {
+		owner.place = noAgent
 		return
 	}
 	state.recordLoss(owner)
@@ -261,28 +263,28 @@
 func (state *modelState) isReleased(owner *modelOwner, i int) bool {
 	view := owner.views[i]
 	deadline := max(view.grantEnd, owner.acquiredAt+toleranceTicks+grantTicks)
-	if state.rules.releasesByOwnGrant && owner.record.epoch == owner.epoch {
+	if state.faults.releasesByOwnGrantAlone && owner.record.epoch == owner.epoch {
 		deadline = view.grantEnd
 	}
 	return state.now > deadline+marginTicks
 }
 
-// isFree reports whether an attempt that an earlier owner was allowed to start is over or can't start.
-func (state *modelState) isFree(owner *modelOwner) bool {
+// mayReplaceAttempt reports whether an attempt that an earlier owner was allowed to start is over or can't start.
+func (state *modelState) mayReplaceAttempt(owner *modelOwner) bool {
 	free, reached := true, false
 	for i, view := range owner.views {
-		reached = reached || view.lacks
-		free = free && (view.lacks || state.isReleased(owner, i))
+		reached = reached || view.lacksAttempt
+		free = free && (view.lacksAttempt || state.isReleased(owner, i))
 	}
-	return free || state.rules.startsAtOnce || state.rules.trustsReached && reached
+	return free || state.faults.startsAtOnce || state.faults.trustsReachableAgents && reached
 }
 
 // stepOwner lets an owner decide and send a message to each agent.
 func (state *modelState) stepOwner(owner *modelOwner) {
-	if owner.place != nowhere && state.isReleased(owner, owner.place) {
+	if owner.place != noAgent && state.isReleased(owner, owner.place) {
 		state.recordLoss(owner)
 	}
-	if owner.place == nowhere && owner.record.epoch != owner.epoch && state.isFree(owner) {
+	if owner.place == noAgent && owner.record.epoch != owner.epoch && state.mayReplaceAttempt(owner) {
 		state.recordLoss(owner)
 	}
 	if owner.next != nil {
@@ -298,20 +300,22 @@
 // sendOrder sends what the owner has for an agent: a first message, or a grant with an order.
 func (state *modelState) sendOrder(owner *modelOwner, i int) {
 	view := &owner.views[i]
-	order := message{kind: toAgent, agent: i, life: view.life, epoch: owner.epoch, confirmedAt: owner.confirmedAt}
-	if view.life != 0 {
+	order := message{
+		kind: toAgent, agent: i, incarnation: view.incarnation, epoch: owner.epoch, confirmedAt: owner.confirmedAt,
+	}
+	if view.incarnation != 0 {
 		view.sequence++
 		order.sequence = view.sequence
-		isRecorded := owner.record.ended&(1<<view.attempt) != 0 || state.rules.forgetsEarly
+		isRecorded := owner.record.ended&(1<<view.attempt) != 0 || state.faults.acknowledgesEarly
 		if view.outcome > running && isRecorded {
-			order.seen = view.attempt
+			order.acknowledged = view.attempt
 		}
 	}
-	if view.life != 0 && state.now <= owner.confirmedAt+toleranceTicks {
+	if view.incarnation != 0 && state.now <= owner.confirmedAt+toleranceTicks {
 		order.until, view.grantEnd = view.agentTime+grantTicks, view.heardAt+grantTicks
 		if state.mayOrder(owner, i) {
 			order.attempt = owner.record.attempt
-			owner.place, owner.orderLife, owner.orderSequence = i, view.life, view.sequence
+			owner.place, owner.orderIncarnation, owner.orderSequence = i, view.incarnation, view.sequence
 		}
 	}
 	state.network = append(state.network, order)
@@ -319,11 +323,11 @@
 
 // mayOrder reports whether the owner may order the current attempt at an agent.
 func (state *modelState) mayOrder(owner *modelOwner, i int) bool {
-	unplaced := owner.place == nowhere
-	if state.rules.reordersUnanswered {
+	unplaced := owner.place == noAgent
+	if state.faults.ordersTwice {
 		unplaced = unplaced || owner.place != i && owner.orderSequence > 0
 	}
-	permitted := !owner.holdsBack && owner.record.epoch == owner.epoch && !owner.record.isOver() && owner.next == nil
+	permitted := !owner.sendsNoOrders && owner.record.epoch == owner.epoch && !owner.record.isOver() && owner.next == nil
 	return unplaced && permitted && state.now <= owner.views[i].heardAt+1
 }
 
@@ -331,9 +335,9 @@
 func (state *modelState) stepAgent(i int) {
 	agent, worker := &state.agents[i], &state.workers[i]
 	unanswered := agent.pending != 0 && state.now > agent.orderedAt+1
-	if worker.life != agent.workerLife || !agent.ready || unanswered || state.chance(renewalPercent) {
+	if worker.incarnation != agent.workerIncarnation || !agent.ready || unanswered || state.chance(renewalPercent) {
 		agent.token = worker.token + 1 // The worker obeys no earlier call from here on.
-		worker.token, agent.workerLife = agent.token, worker.life
+		worker.token, agent.workerIncarnation = agent.token, worker.incarnation
 		agent.ready, agent.pending = true, 0
 	}
 	if worker.attempt == agent.pending {
@@ -341,7 +345,8 @@
 	}
 	worker.leaseUntil = max(worker.leaseUntil, min(state.now+leaseTicks, agent.grantUntil))
 	agent.sent++
-	state.network = append(state.network, message{kind: toOwner, agent: i, life: agent.life, epoch: agent.epoch,
-		sequence: agent.sent, handled: agent.handled, attempt: worker.attempt, outcome: worker.outcome,
+	state.network = append(state.network, message{kind: toOwner, agent: i,
+		incarnation: agent.incarnation, epoch: agent.epoch, sequence: agent.sent, handled: agent.handled,
+		attempt: worker.attempt, outcome: worker.outcome,
 		pending: agent.pending, refused: agent.refused, sentAt: state.now})
 }
--- a/startahead/schedule_test.go
+++ b/startahead/schedule_test.go
@@ -18,39 +18,39 @@
 	processRate // of agents and workers
 	linkRate
 	reorderRate
-	lossRate      // of messages that are lost, of those that are doubled, and of orders refused for room
-	slowClockRate // of ticks left out
+	lossRate      // of messages lost, of messages duplicated, and of orders refused for lack of resources
+	slowClockRate // of ticks skipped
 	rateCount
 )
 
 // scheduleSteps is the number of random steps of a schedule.
 const scheduleSteps = 400
 
-// noProgress is a violation by which no rule is broken, but the task doesn't end.
+// noProgress means that no rule is broken but the task doesn't end.
 const noProgress = "no progress"
 
-// schedule is how the events of a model state are chosen, and what an observer has seen of them.
+// schedule determines the events of a model state, and records what the checks need of them.
 type schedule struct {
-	random          *rand.Rand
-	network         []message
-	rates           [rateCount]int
-	cut             [maxEpoch + 2][modelAgents]bool // links between owners, by epoch, and agents
-	starts          int
-	notedDone       []int // for each end that was taken note of, the starts before it
-	notedFailed     []int
-	violation       string
-	traced          bool
-	log             []string // with traced set
-	startsWhileAway int      // starts while the store was away
-	found           int      // runs of earlier owners that an owner found
+	random             *rand.Rand
+	network            []message
+	rates              [rateCount]int
+	disconnected       [maxEpoch + 2][modelAgents]bool // links between owners, by epoch, and agents
+	starts             int
+	acknowledgedDone   []int // for each end that was acknowledged, the starts before it
+	acknowledgedFailed []int
+	violation          string
+	traced             bool
+	log                []string // if traced
+	startsWhileDown    int      // starts while the store was down
+	found              int      // runs of earlier owners that an owner found
 }
 
 // newModel returns the state in which the first owner has the shard.
-func newModel(seed int64, rules modelRules, traced bool) *modelState {
-	state := &modelState{rules: rules, stored: modelRecord{attempt: 1, epoch: 1}}
+func newModel(seed int64, faults modelFaults, traced bool) *modelState {
+	state := &modelState{faults: faults, stored: modelRecord{attempt: 1, epoch: 1}}
 	state.random, state.traced = rand.New(rand.NewSource(seed)), traced
 	for i := range state.agents {
-		state.agents[i].life, state.workers[i].life = 1, 1
+		state.agents[i].incarnation, state.workers[i].incarnation = 1, 1
 	}
 	for i := range state.rates {
 		state.rates[i] = state.drawRate()
@@ -67,8 +67,8 @@
 
 func (state *modelState) chance(percent int) bool { return state.random.Intn(100) < percent }
 
-// note logs an event of a traced schedule.
-func (state *modelState) note(format string, values ...any) {
+// logEvent logs an event of a traced schedule.
+func (state *modelState) logEvent(format string, values ...any) {
 	if !state.traced {
 		return
 	}
@@ -79,39 +79,39 @@
 func (state *modelState) acquire() {
 	state.storeEpoch++
 	state.storeVersion = 0
-	owner := &modelOwner{epoch: state.storeEpoch, record: state.stored, place: nowhere}
+	owner := &modelOwner{epoch: state.storeEpoch, record: state.stored, place: noAgent}
 	owner.acquiredAt, owner.confirmedAt = state.now, state.now
-	if state.rules.unboundPermission {
+	if state.faults.ignoresPermissionEpoch {
 		owner.record.epoch = owner.epoch
 	}
 	state.owners = append(state.owners, owner)
-	state.note("owner %d reads %+v", owner.epoch, owner.record)
+	state.logEvent("owner %d reads %+v", owner.epoch, owner.record)
 }
 
-// takeNote has a worker forget the end of its run, which counts from then on.
-func (state *modelState) takeNote(worker *modelWorker) {
+// acknowledgeEnd has a worker forget the end of its run, which counts from then on.
+func (state *modelState) acknowledgeEnd(worker *modelWorker) {
 	if worker.outcome == done {
-		state.notedDone = append(state.notedDone, worker.endedAfter)
+		state.acknowledgedDone = append(state.acknowledgedDone, worker.endedAfter)
 	} else {
-		state.notedFailed = append(state.notedFailed, worker.endedAfter)
+		state.acknowledgedFailed = append(state.acknowledgedFailed, worker.endedAfter)
 	}
-	state.note("note is taken of the end of attempt %d", worker.attempt)
+	state.logEvent("the end of attempt %d is acknowledged", worker.attempt)
 	worker.attempt, worker.outcome = 0, 0
 	state.check()
 }
 
-// check looks for starts after ends that were taken note of before or since.
+// check looks for starts after an acknowledged end, also if it was acknowledged after the start.
 func (state *modelState) check() {
 	before := 0
-	for _, starts := range state.notedFailed {
+	for _, starts := range state.acknowledgedFailed {
 		if starts < state.starts {
 			before++
 		}
 	}
-	if before >= maxFailed || len(state.notedFailed) > state.stored.failed {
+	if before >= maxFailed || len(state.acknowledgedFailed) > state.stored.failed {
 		state.violation = "BUDGET"
 	}
-	for _, starts := range state.notedDone {
+	for _, starts := range state.acknowledgedDone {
 		if starts < state.starts || !state.stored.done {
 			state.violation = "TWICE: a start after the end"
 		}
@@ -124,28 +124,28 @@
 	switch kind := scheduleRate(state.random.Intn(4)); {
 	case !state.chance(state.rates[kind]):
 	case kind == storeRate:
-		state.storeAway = !state.storeAway
+		state.storeDown = !state.storeDown
 	case kind == ownerRate && len(state.owners) > 1 && state.chance(30): // The oldest owner crashes.
 		state.owners = state.owners[1:]
 	case kind == ownerRate && state.chance(50):
 		owner := state.owners[state.random.Intn(len(state.owners))]
-		owner.holdsBack = !owner.holdsBack
-	case kind == ownerRate && !state.storeAway && state.storeEpoch < maxEpoch:
+		owner.sendsNoOrders = !owner.sendsNoOrders
+	case kind == ownerRate && !state.storeDown && state.storeEpoch < maxEpoch:
 		state.acquire()
 	case kind == processRate && state.chance(20):
-		state.workers[i] = modelWorker{life: state.workers[i].life + 1}
-		state.note("worker %d restarts", i)
+		state.workers[i] = modelWorker{incarnation: state.workers[i].incarnation + 1}
+		state.logEvent("worker %d restarts", i)
 	case kind == processRate:
-		state.agents[i] = modelAgent{life: state.agents[i].life + 1, startedAt: state.now}
-		state.note("agent %d restarts", i)
+		state.agents[i] = modelAgent{incarnation: state.agents[i].incarnation + 1, startedAt: state.now}
+		state.logEvent("agent %d restarts", i)
 	case kind == linkRate:
-		link := &state.cut[state.storeEpoch][i]
+		link := &state.disconnected[state.storeEpoch][i]
 		*link = !*link
-		state.note("link of owner %d to agent %d is cut: %v", state.storeEpoch, i, *link)
+		state.logEvent("link of owner %d to agent %d is disconnected: %v", state.storeEpoch, i, *link)
 	}
 }
 
-// step carries out one random action.
+// step executes one random action.
 func (state *modelState) step() {
 	owner, i := state.owners[state.random.Intn(len(state.owners))], state.random.Intn(modelAgents)
 	switch action := state.random.Intn(100); {
@@ -168,7 +168,7 @@
 	}
 }
 
-// deliverAny delivers, loses or doubles a message. Calls of agents to workers are not doubled.
+// deliverAny delivers, loses or duplicates a message. Calls of agents to workers are not duplicated.
 func (state *modelState) deliverAny() {
 	if len(state.network) == 0 {
 		return
@@ -191,7 +191,7 @@
 func (state *modelState) deliver(i int) {
 	sent := state.network[i]
 	state.network = append(state.network[:i], state.network[i+1:]...)
-	if (sent.kind == toAgent || sent.kind == toOwner) && state.cut[sent.epoch][sent.agent] {
+	if (sent.kind == toAgent || sent.kind == toOwner) && state.disconnected[sent.epoch][sent.agent] {
 		return
 	}
 	switch sent.kind {
@@ -210,12 +210,12 @@
 	}
 }
 
-// tick lets time pass. Ends that are not noted when the lease is over become void.
+// tick advances the time. Ends that are not acknowledged when the lease is over become void.
 func (state *modelState) tick() {
 	state.now++
 	for i := range state.workers {
 		if worker := &state.workers[i]; worker.attempt != 0 && state.now >= worker.leaseUntil {
-			state.note("lease of worker %d ends, attempt %d", i, worker.attempt)
+			state.logEvent("lease of worker %d ends, attempt %d", i, worker.attempt)
 			worker.attempt, worker.outcome = 0, 0
 		}
 	}
@@ -223,7 +223,7 @@
 
 // join has the store confirm the owner.
 func (state *modelState) join(owner *modelOwner) {
-	if !state.storeAway && owner.epoch == state.storeEpoch {
+	if !state.storeDown && owner.epoch == state.storeEpoch {
 		state.network = append(state.network, message{kind: joinAnswer, epoch: owner.epoch, sentAt: state.now})
 	}
 }
@@ -231,14 +231,14 @@
 func (state *modelState) endRun(i int, end outcome) {
 	if worker := &state.workers[i]; worker.outcome == running {
 		worker.outcome, worker.endedAfter = end, state.starts
-		state.note("attempt %d on worker %d ends: %d", worker.attempt, i, end)
+		state.logEvent("attempt %d on worker %d ends: %d", worker.attempt, i, end)
 	}
 }
 
-// settle lets a successor work without further failures, with one agent silent for good if silent names
-// one, and checks that the task is over within the time that its wait and a few runs take.
+// settle lets a successor work without further failures, except that the agent with the index silent stays silent if
+// there is one, and checks that the task is over within the time that its wait and a few runs take.
 func (state *modelState) settle(silent int) {
-	state.storeAway, state.rates = false, [rateCount]int{}
+	state.storeDown, state.rates = false, [rateCount]int{}
 	state.acquire()
 	state.owners = state.owners[len(state.owners)-1:]
 	for range toleranceTicks + 2*grantTicks + 20 {
@@ -265,9 +265,9 @@
 	}
 }
 
-// play plays the schedule of a seed until a rule is broken.
-func play(seed int64, rules modelRules, traced bool) *modelState {
-	state := newModel(seed, rules, traced)
+// runSchedule runs the schedule of a seed until a rule is broken.
+func runSchedule(seed int64, faults modelFaults, traced bool) *modelState {
+	state := newModel(seed, faults, traced)
 	for step := 0; step < scheduleSteps && state.violation == ""; step++ {
 		state.step()
 	}
@@ -277,7 +277,7 @@
 	return state
 }
 
-// exchange lets the owners and agents speak, and delivers all messages.
+// exchange lets the owners and agents send, and delivers all messages.
 func (state *modelState) exchange() {
 	for _, owner := range state.owners {
 		state.stepOwner(owner)
@@ -290,23 +290,25 @@
 	}
 }
 
-// TestRestartedAgentServesReplacedOwner plays the schedule that rule 5 of the design note is for. An agent
+// TestRestartedAgentServesReplacedOwner runs the schedule that rule 5 of the design note is for. An agent
 // restarts and forgets the owner of its run, which can't reach it any more. The owner before, which doesn't know
 // that it was replaced, extends the run.
 func TestRestartedAgentServesReplacedOwner(t *testing.T) {
 	tests := map[string]struct {
-		rules     modelRules
+		faults    modelFaults
 		violation string
 	}{
-		"design": {modelRules{}, ""},
-		"run is released by its owner's own grant alone": {modelRules{releasesByOwnGrant: true}, "TWICE: two runs at once"},
+		"design": {modelFaults{}, ""},
+		"run is released by its owner's own grant alone": {
+			modelFaults{releasesByOwnGrantAlone: true}, "TWICE: two runs at once",
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			state := newModel(1, test.rules, true)
+			state := newModel(1, test.faults, true)
 			state.rates = [rateCount]int{}
 			state.acquire()
-			state.owners[0].holdsBack = true
+			state.owners[0].sendsNoOrders = true
 			for step := 0; step < scheduleSteps && state.starts == 0; step++ {
 				state.exchange()
 			}
@@ -314,8 +316,8 @@
 			if agent < 0 {
 				t.Fatalf("nothing runs\n%s", state)
 			}
-			state.agents[agent] = modelAgent{life: state.agents[agent].life + 1, startedAt: state.now}
-			state.cut[state.storeEpoch][agent] = true
+			state.agents[agent] = modelAgent{incarnation: state.agents[agent].incarnation + 1, startedAt: state.now}
+			state.disconnected[state.storeEpoch][agent] = true
 			for range 2 * (toleranceTicks + grantTicks) {
 				state.join(state.owners[1])
 				state.exchange()
@@ -329,34 +331,34 @@
 	}
 }
 
-// TestStartsAhead plays random schedules against the design, which keeps the rules, and against broken
-// variants of it, each of which breaks one.
+// TestStartsAhead runs random schedules of the design, none of which breaks a rule, and of variants with a fault, each
+// of which breaks one.
 func TestStartsAhead(t *testing.T) {
 	const schedules = 10_000
-	tests := map[string]modelRules{
+	tests := map[string]modelFaults{
 		"successor starts at once":                                    {startsAtOnce: true},
-		"successor trusts the agents that it reaches":                 {trustsReached: true},
-		"permission is not bound to the epoch":                        {unboundPermission: true},
-		"two agents get the same attempt after a lost order":          {reordersUnanswered: true},
-		"end is forgotten before it is recorded":                      {forgetsEarly: true},
-		"restarted agent obeys an owner that was confirmed before it": {obeysOldConfirmation: true},
+		"successor trusts the agents that it reaches":                 {trustsReachableAgents: true},
+		"permission is not bound to the epoch":                        {ignoresPermissionEpoch: true},
+		"two agents get the same attempt after a lost order":          {ordersTwice: true},
+		"end is forgotten before it is recorded":                      {acknowledgesEarly: true},
+		"restarted agent obeys an owner that was confirmed before it": {acceptsOldConfirmation: true},
 	}
 	t.Run("design", func(t *testing.T) {
 		starts, found := 0, 0
 		for seed := range int64(schedules) {
-			state := play(seed, modelRules{}, false)
+			state := runSchedule(seed, modelFaults{}, false)
 			if state.violation != "" {
-				t.Fatalf("seed %d: %s", seed, play(seed, modelRules{}, true))
+				t.Fatalf("seed %d: %s", seed, runSchedule(seed, modelFaults{}, true))
 			}
-			starts, found = starts+state.startsWhileAway, found+state.found
+			starts, found = starts+state.startsWhileDown, found+state.found
 		}
-		t.Logf("%d schedules, %d starts while the store was away, %d runs of earlier owners found", schedules, starts, found)
+		t.Logf("%d schedules, %d starts while the store was down, %d runs of earlier owners found", schedules, starts, found)
 	})
-	for name, rules := range tests {
+	for name, faults := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(schedules) {
-				if state := play(seed, rules, false); state.violation != "" && state.violation != noProgress {
-					t.Logf("seed %d: %s", seed, play(seed, rules, true))
+				if state := runSchedule(seed, faults, false); state.violation != "" && state.violation != noProgress {
+					t.Logf("seed %d: %s", seed, runSchedule(seed, faults, true))
 					return
 				}
 			}
