agent: clearer names for offers

needsNoOffer, offersTo, isOfferTurn, gainsByMove and isMoveUseful did not say what they decide, and gainsByMove was easy to mistake for benefitsFromMove. They are mayEvictWithoutOffer, requiresOffer, canOfferNow, savesMoveCost and isMoveStillUseful. Behavior is unchanged.

--- a/agent/evict.go
+++ b/agent/evict.go
@@ -39,11 +39,11 @@
 		run := state.runs[fills[i].Task]
 		fills[i].Movable = run.isEvictable(now) && run.losesLittleProgress(maxRestartPercent) &&
 			agent.benefitsFromMove(run, paces[run.task]) &&
-			(agent.needsNoOffer(run, servings) || agent.mayOffer(run, paces[run.task], now))
+			(agent.mayEvictWithoutOffer(run, servings) || agent.mayOffer(run, paces[run.task], now))
 	}
 	if task, found := agent.pacer.model.EvictionCandidate(servings, fills, paces); found {
 		run := state.runs[task]
-		if agent.needsNoOffer(run, servings) {
+		if agent.mayEvictWithoutOffer(run, servings) {
 			agent.evict(state, run, now)
 			return
 		}
@@ -57,15 +57,15 @@
 // not be offered now are passed over, so that they delay no others.
 func (agent *Agent) moveLongestSlowed(state *workerState, servings []interference.ServingTask, paces map[string]float64, now time.Time) {
 	run := state.longestSlowed(now, func(run *runState) bool {
-		return agent.needsNoOffer(run, servings) || agent.isOfferTurn(run, now)
+		return agent.mayEvictWithoutOffer(run, servings) || agent.canOfferNow(run, now)
 	})
 	switch {
 	case run == nil:
-	case agent.needsNoOffer(run, servings):
+	case agent.mayEvictWithoutOffer(run, servings):
 		if agent.benefitsFromMove(run, paces[run.task]) {
 			agent.evict(state, run, now)
 		}
-	case !agent.gainsByMove(run, paces[run.task]):
+	case !agent.savesMoveCost(run, paces[run.task]):
 		run.offerBackoff.Extend(now) // The next run has its turn.
 	default:
 		agent.offer(state, run, paces[run.task], now)
--- a/agent/offers.go
+++ b/agent/offers.go
@@ -14,19 +14,20 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// offerTracker holds the offers of slowed fill runs to their owners, with the session that the open one was made
-// on. It is unused unless feature.Offers is enabled.
+// offerTracker holds the offers of slowed fill runs to their owners, and the session on which the open one was
+// sent. It is unused unless feature.Offers is enabled.
 type offerTracker struct {
 	relocation.OfferTracker
 	session *session
 }
 
-// outcomeNeedless is the outcome of an offer whose run needs no move any more, or can't make it.
+// outcomeNeedless is the outcome of an offer whose run need not be moved any more, has ended or is being
+// stopped.
 const outcomeNeedless relocation.Outcome = "needless"
 
-// offersTo reports whether the run may only be evicted once its owner has accepted an offer. It is false if the
-// owner is known not to take offers. While no owner is attached, nobody would place the run elsewhere.
-func (agent *Agent) offersTo(run *runState) bool {
+// requiresOffer reports whether the run may only be evicted once its owner has accepted an offer. It is false if the
+// owner is known not to take offers. It is true while no owner is attached, since none would place the run elsewhere.
+func (agent *Agent) requiresOffer(run *runState) bool {
 	if !agent.options.Features.Has(feature.Offers) {
 		return false
 	}
@@ -43,34 +44,35 @@
 	return claim.session
 }
 
-// needsNoOffer reports whether the run may be evicted without a destination: its owner takes no offers, or a
+// mayEvictWithoutOffer reports whether the run may be evicted without a destination: its owner takes no offers, or a
 // serving run beside it has missed its target for too long.
-func (agent *Agent) needsNoOffer(run *runState, servings []interference.ServingTask) bool {
-	return !agent.offersTo(run) || agent.pacer.model.IsOverdue(servings, run.demand.GetImage())
+func (agent *Agent) mayEvictWithoutOffer(run *runState, servings []interference.ServingTask) bool {
+	return !agent.requiresOffer(run) || agent.pacer.model.IsOverdue(servings, run.demand.GetImage())
 }
 
 // mayOffer reports whether the run, which goes at a pace from 0 to 1, may be offered to its owner now.
 func (agent *Agent) mayOffer(run *runState, pace float64, now time.Time) bool {
-	return agent.isOfferTurn(run, now) && agent.gainsByMove(run, pace)
+	return agent.canOfferNow(run, now) && agent.savesMoveCost(run, pace)
 }
 
-// isOfferTurn reports whether the run has an owner to answer an offer, is not passed over, and no other offer is in
-// the way.
-func (agent *Agent) isOfferTurn(run *runState, now time.Time) bool {
+// canOfferNow reports whether the run may be offered now: its owner is attached, its backoff is over, and no other
+// offer of the worker is open or too recent.
+func (agent *Agent) canOfferNow(run *runState, now time.Time) bool {
 	return agent.attachedOwner(run) != nil && run.offerBackoff.IsOver(now) && agent.offerTracker.MayOffer(now)
 }
 
-// gainsByMove reports whether the run, which goes at a pace from 0 to 1, is slowed, and would save as much time
-// by a move as the move costs. Its owner may ask for more.
-func (agent *Agent) gainsByMove(run *runState, pace float64) bool {
+// savesMoveCost reports whether the run, which goes at a pace from 0 to 1, is slowed, and would save at least as much
+// time by a move as the move costs. Its owner may require more.
+func (agent *Agent) savesMoveCost(run *runState, pace float64) bool {
 	percent := toPercent(pace)
-	return percent < slowedPercent && relocation.TimeSaved(run.remainingWork(), percent, relocation.FullPercent) >= agent.moveCost(run)
+	saved := relocation.TimeSaved(run.remainingWork(), percent, relocation.FullPercent)
+	return percent < slowedPercent && saved >= agent.moveCost(run)
 }
 
 // toPercent returns a pace from 0 to 1 as a percentage.
 func toPercent(pace float64) int32 { return int32(math.Round(pace * fullPercent)) }
 
-// offer asks the run's owner whether another worker would take the run, which goes on meanwhile.
+// offer asks the run's owner whether another worker would tolerate the run, which goes on meanwhile.
 func (agent *Agent) offer(state *workerState, run *runState, pace float64, now time.Time) {
 	s := agent.attachedOwner(run)
 	offer := agent.offerTracker.Open(run.task, run.attempt, now)
@@ -85,12 +87,13 @@
 	agent.logRun(event.MoveOffered, run,
 		slog.Int64("offer", offer.Number()), slog.String("owner", s.ownerName), slog.String("image", run.demand.GetImage()),
 		slog.Int("percent", int(percent)), slog.Duration("remaining", remaining),
-		slog.Duration("saves", relocation.TimeSaved(remaining, percent, relocation.FullPercent)), slog.Duration("least", cost),
+		slog.Duration("saves", relocation.TimeSaved(remaining, percent, relocation.FullPercent)),
+		slog.Duration("least", cost),
 		slog.Duration("age", now.Sub(state.provenAliveAt)))
 }
 
-// handleMoveAnswer applies an owner's answer to the open offer. It has no effect unless it comes in time, from
-// the present owner of the run, on the connection that the offer was made on, while the worker answers.
+// handleMoveAnswer applies an owner's answer to the open offer. The answer has no effect unless it arrives in time,
+// from the present owner of the run, on the connection on which the offer was sent, while the worker is ready.
 func (agent *Agent) handleMoveAnswer(s *session, answer *wire.MoveAnswer, now time.Time) {
 	state := agent.worker
 	claim, claimed := agent.claims[answer.GetShard()]
@@ -113,8 +116,8 @@
 	case outcome != relocation.Accepted:
 		run.offerBackoff.Extend(now)
 		agent.closeOffer(offer, outcome, now)
-	case !agent.isMoveUseful(state, run, now):
-		// Offered again at once, it could keep a worker reserved in vain.
+	case !agent.isMoveStillUseful(state, run, now):
+		// If it were offered again at once, it could reserve a worker in vain.
 		run.offerBackoff.Extend(now)
 		agent.closeOffer(offer, outcomeNeedless, now)
 	default:
@@ -129,15 +132,15 @@
 	return run, found && run.attempt == offer.Attempt() && run.phase == phaseRunning
 }
 
-// isMoveUseful reports whether the run is still slowed, and would still gain by a move. After an eviction, its
-// effect is awaited first.
-func (agent *Agent) isMoveUseful(state *workerState, run *runState, now time.Time) bool {
+// isMoveStillUseful reports whether the run is still slowed, and would still save the cost of a move. It is false
+// for evictionInterval after an eviction, until its effect shows.
+func (agent *Agent) isMoveStillUseful(state *workerState, run *runState, now time.Time) bool {
 	if now.Sub(agent.pacer.lastEvictionAt) < evictionInterval {
 		return false
 	}
 	servings, fills := state.interferenceTasks(now)
 	pace := agent.pacer.model.Paces(servings, fills)[run.task]
-	return run.isEvictable(now) && agent.gainsByMove(run, pace)
+	return run.isEvictable(now) && agent.savesMoveCost(run, pace)
 }
 
 // expireOffer closes the open offer if its run has ended or it has lapsed. The run of an offer that was not
@@ -159,7 +162,7 @@
 	}
 }
 
-// closeOffer logs and counts what became of an offer.
+// closeOffer logs and counts the outcome of an offer.
 func (agent *Agent) closeOffer(offer relocation.Offer, outcome relocation.Outcome, now time.Time) {
 	agent.metrics.moveOffers.Add(agent.ctx, 1, telemetry.WithAttribute("outcome", string(outcome)))
 	agent.log(event.MoveAnswered, slog.String("task", offer.Task()), slog.Int("attempt", int(offer.Attempt())),
