--- a/owner/confirmation.go
+++ b/owner/confirmation.go
@@ -8,11 +8,11 @@
 	"ambertiller.example/ambertiller/feature"
 )
 
-// isConfirmed reports whether the store cannot have assigned this owner's shards to another entry for lack of
-// joins. It does so once MemberTimeout has passed since the last join of this entry arrived.
+// isConfirmed reports whether the store can't have assigned this owner's shards to another entry because joins are
+// missing. The store does so once MemberTimeout has passed since the last join of this entry arrived.
 //
-// What an owner decides for a shard that it has lost has no effect on workers, because the store and the agents
-// refuse it. It would only make false what the owner logs, counts and answers.
+// Decisions for a shard that the owner has lost have no effect on workers, because the store and the agents refuse
+// them. But the logs, metrics and answers of the owner would be wrong.
 func (owner *Owner) isConfirmed(now time.Time) bool {
 	if !owner.options.Features.Has(feature.Confirmation) {
 		return true
@@ -20,10 +20,10 @@
 	return now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
 }
 
-// mayPlace reports whether tasks of a shard may be placed. If joins are not answered, an append that succeeded
-// allows it as well: the next owner had not fenced this one yet when the store carried it out. The shard may
-// have been assigned to another entry since, but each start is appended before it is ordered, and the store
-// refuses that to an owner that has been replaced. Nothing of the kind prevents a run from being taken for lost.
+// mayPlace reports whether tasks of a shard may be placed. If joins are not answered, a recent successful append
+// allows it as well: no later owner had fenced this one when the store executed it. The shard may have been assigned
+// to another entry since, but each start is appended before it is ordered, and the store rejects the appends of an
+// owner that has been replaced. No such check protects a run from being considered lost, so that requires isConfirmed.
 func (owner *Owner) mayPlace(s *shard, now time.Time) bool {
 	return owner.isConfirmed(now) || now.Sub(s.appendedAt) <= owner.options.MemberTimeout
 }
@@ -44,9 +44,11 @@
 	switch {
 	case unconfirmed && owner.unconfirmedSince.IsZero():
 		owner.unconfirmedSince = owner.lastJoinAt
-		owner.log(event.OwnershipUnconfirmed, slog.Int("shards", len(owner.shards)), slog.Duration("since", now.Sub(owner.lastJoinAt)))
+		owner.log(event.OwnershipUnconfirmed, slog.Int("shards", len(owner.shards)),
+			slog.Duration("since", now.Sub(owner.lastJoinAt)))
 	case !unconfirmed && !owner.unconfirmedSince.IsZero():
-		owner.log(event.OwnershipConfirmed, slog.Int("shards", len(owner.shards)), slog.Duration("after", now.Sub(owner.unconfirmedSince)))
+		owner.log(event.OwnershipConfirmed, slog.Int("shards", len(owner.shards)),
+			slog.Duration("after", now.Sub(owner.unconfirmedSince)))
 		owner.unconfirmedSince = time.Time{}
 		owner.placementChanges.addAll()
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -138,7 +138,7 @@
 	evacuationState  operator.EvacuationState
 	peerBacklogs     peerBacklogs
 	backlogs         backlogState
-	shares           *roomShares // nil if the feature is off
+	shares           *queueShares // nil if the feature is off
 	refusedCallers   refusedCallers
 	placementChanges placementChanges
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
@@ -147,7 +147,7 @@
 	// learnedPublishedAt is when the interference estimates for agents were last recomputed.
 	learnedPublishedAt time.Time
 	advice             adviceQueue
-	moves              moves
+	moves              moveState
 	traffic            *traffic.Counter
 	metrics            metrics
 	gaugesRecordedAt   time.Time
@@ -171,8 +171,8 @@
 		advice:           adviceQueue{steps: map[string]*stepAdvice{}},
 		placementChanges: newPlacementChanges(),
 		backlogs:         newBacklogState(),
-		moves:            newMoves(),
-		shares:           newRoomShares(options),
+		moves:            newMoveState(),
+		shares:           newQueueShares(options),
 	}
 	owner.leaveBeforeJoin.Store(true)
 	if options.Suspended != nil {
@@ -224,7 +224,7 @@
 	for _, view := range owner.agents {
 		owner.releaseExpiredRuns(view, now)
 	}
-	owner.settleReservations(now)
+	owner.updateReservations(now)
 	if owner.placementChanges.isDue(now) {
 		owner.placeJobs(owner.placementChanges.take(now), now)
 	}
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -315,7 +315,7 @@
 func TestStoppedRunWithoutReservation(t *testing.T) {
 	h := newMoveHarness(t, "offers")
 	h.offer(newOffer(1))
-	h.owner.moves = newMoves()
+	h.owner.moves = newMoveState()
 	h.endRuns(firstTask)
 	if h.destination.runs[firstTask] == nil {
 		t.Errorf("the task is %v, want it on the worker that tolerates it", h.job.Tasks()[0].State())
@@ -332,7 +332,7 @@
 	other := h.connect("10.0.0.3:7001")
 	h.owner.handleAgentMessage(other, other.conn, &wire.AgentMessage{Agent: "i-3", Offers: []*wire.MoveOffer{stray}}, h.clock.Now())
 	h.tick()
-	if _, reserved := h.owner.moves.reservations.For(firstTask); !reserved {
+	if _, reserved := h.owner.moves.reservations.ByTask(firstTask); !reserved {
 		t.Error("the reservation has ended")
 	}
 	h.endRuns(firstTask)
--- a/owner/shares.go
+++ b/owner/shares.go
@@ -1,17 +1,13 @@
 package owner
 
 import (
-	"log/slog"
-	"maps"
 	"math"
 	"slices"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"ambertiller.example/ambertiller/admission"
-	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/share"
@@ -19,13 +15,11 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// sharesLogInterval is the minimum time between two log lines about shares.
-const sharesLogInterval = time.Second
-
-// roomShares orders the owner's jobs by the shares of their queues. A nil pointer means that the feature is off.
-type roomShares struct {
+// queueShares holds what the owner needs to order its jobs by the shares of their queues. A nil pointer means that the
+// feature is off.
+type queueShares struct {
 	table *share.Table
-	// jobs holds what decides about the order of each job, as of the last count.
+	// jobs holds the properties that determine the order of each job, as of the last count.
 	jobs map[*job.Job]*share.Job
 	// peers is the number of other owners' reports that counted, and peersAge the age of the oldest.
 	peers    int
@@ -46,13 +40,13 @@
 	return share.Key{Service: submission.GetService(), Queue: queue}
 }
 
-// newRoomShares returns shares without queues, or nil if the feature is off.
-func newRoomShares(options Options) *roomShares {
+// newQueueShares returns shares without queues, or nil if the feature is off.
+func newQueueShares(options Options) *queueShares {
 	if !options.Features.Has(feature.Shares) {
 		return nil
 	}
 	meter := telemetry.Meter(options.Meters, "owner")
-	shares := &roomShares{table: share.NewTable(), jobs: map[*job.Job]*share.Job{}, gauged: map[share.Key]bool{}}
+	shares := &queueShares{table: share.NewTable(), jobs: map[*job.Job]*share.Job{}, gauged: map[share.Key]bool{}}
 	shares.shareGauge, _ = meter.Int64Gauge("ambertiller.queue.share", metric.WithUnit("mCPU"),
 		metric.WithDescription("Share of a queue in the processors of its service while they are too few, else 0."))
 	shares.useGauge, _ = meter.Int64Gauge("ambertiller.queue.use", metric.WithUnit("mCPU"),
@@ -61,7 +55,7 @@
 }
 
 // noteUnplaced records that no worker could take a task, if that is for lack of resources.
-func (shares *roomShares) noteUnplaced(task *job.Task, workers []*candidate, now time.Time) {
+func (shares *queueShares) noteUnplaced(task *job.Task, workers []*candidate, now time.Time) {
 	if shares == nil {
 		return
 	}
@@ -72,7 +66,7 @@
 }
 
 // lacksResources reports whether a task is without a worker because other tasks use the resources that queues
-// compete for. Tolerance is none of them: it depends on the serving tasks, and on some fleets always lacks.
+// compete for. Tolerance is not one of them: it depends on the serving tasks, and some fleets always lack it.
 func lacksResources(task *job.Task, workers []*candidate) bool {
 	lacking := false
 	for _, worker := range workers {
@@ -124,8 +118,8 @@
 	owner.publishShares(now)
 }
 
-// jobDetails returns what decides about the order of a job. Jobs that have come since the last count are added.
-func (shares *roomShares) jobDetails(j *job.Job, now time.Time) *share.Job {
+// jobDetails returns the properties that determine the order of a job. It adds jobs that are new since the last count.
+func (shares *queueShares) jobDetails(j *job.Job, now time.Time) *share.Job {
 	details, known := shares.jobs[j]
 	if !known {
 		details = describeJob(j, now)
@@ -134,7 +128,7 @@
 	return details
 }
 
-// describeJob returns what decides about the order of a job.
+// describeJob computes the properties that determine the order of a job.
 func describeJob(j *job.Job, now time.Time) *share.Job {
 	details := &share.Job{
 		ID: j.ID(), Key: queueOf(j), LongRunning: j.IsLongRunning(), Late: j.SlackRatio(now) <= 0,
@@ -181,13 +175,13 @@
 		shares.table.AddJob(shares.jobDetails(j, now))
 	}
 	owner.addPeerDemands(now)
-	if shares.table.EndCount(owner.roomOf, now) {
+	if shares.table.EndCount(owner.capacityOf, now) {
 		shares.changed = true
 	}
 }
 
-// roomOf returns the processors of the workers of a service that tasks may be placed on.
-func (owner *Owner) roomOf(service string) int64 {
+// capacityOf returns the processors of the workers of a service that tasks may be placed on.
+func (owner *Owner) capacityOf(service string) int64 {
 	milliCPU := int64(0)
 	for view := range owner.agentViews() {
 		status := view.status()
@@ -198,8 +192,8 @@
 	return milliCPU
 }
 
-// addPeerDemands adds what the other owners have reported of their queues lately. Without such reports, the
-// shares are those of the queues that this owner has jobs of.
+// addPeerDemands adds the recent reports of the other owners about their queues. Without such reports, only the queues
+// that this owner has jobs of have shares.
 func (owner *Owner) addPeerDemands(now time.Time) {
 	shares := owner.shares
 	shares.peers, shares.peersAge = 0, 0
@@ -221,8 +215,8 @@
 	}
 }
 
-// addPeerRow adds a fraction of what another owner has reported of a queue.
-func (shares *roomShares) addPeerRow(row *wire.QueueBacklog, fraction float64) {
+// addPeerRow adds a fraction of another owner's report about a queue.
+func (shares *queueShares) addPeerRow(row *wire.QueueBacklog, fraction float64) {
 	queue := share.Queue{Name: row.GetQueue(), Priority: row.GetPriority()}
 	used := math.Round(fraction * float64(row.GetUsedMilliCpu()))
 	wanted := math.Round(fraction * float64(row.GetWantedMilliCpu()))
@@ -249,127 +243,3 @@
 		details.Waited = 0
 	}
 }
-
-// observeShortTasks records what short tasks use on a worker. The owner knows only those of its own shards;
-// jobs are distributed over the shards by hash, so all owners together have more in proportion.
-func (owner *Owner) observeShortTasks(view *agentView, now time.Time) {
-	loaded := 0
-	for _, s := range owner.shards {
-		if s.loaded {
-			loaded++
-		}
-	}
-	used := map[int32]int64{}
-	for _, run := range view.runs {
-		demand := run.demand
-		estimate := time.Duration(demand.GetEstimateMs()) * time.Millisecond
-		if !demand.GetFills() && !demand.GetLasting() && share.IsShort(estimate) {
-			used[demand.GetPriority()] += demand.GetMilliCpu()
-		}
-	}
-	maps.DeleteFunc(view.shortPeaks, func(_ int32, peak *share.RecentPeak) bool { return peak.MilliCPU(now) == 0 })
-	for priority, milliCPU := range used {
-		if view.shortPeaks[priority] == nil {
-			view.shortPeaks[priority] = &share.RecentPeak{}
-		}
-		view.shortPeaks[priority].Observe(milliCPU*int64(owner.options.Shards)/int64(max(loaded, 1)), now)
-	}
-}
-
-// shortReserve is the part of a worker's processors that long-running tasks of a priority, and of less urgent
-// ones, leave to short tasks. Those of more urgent priorities don't have to.
-type shortReserve struct {
-	milliCPU int64
-	priority int32
-}
-
-// shortReserveOf returns the reserve on an agent's worker: nothing while the workers of its service suffice.
-func (owner *Owner) shortReserveOf(view *agentView, now time.Time) shortReserve {
-	if owner.shares == nil {
-		return shortReserve{}
-	}
-	priority, isShort := owner.shares.table.ShortPriority(view.status().GetService(), now)
-	if !isShort {
-		return shortReserve{}
-	}
-	peak := int64(0)
-	for of, recent := range view.shortPeaks {
-		if of <= priority {
-			peak += recent.MilliCPU(now)
-		}
-	}
-	return shortReserve{milliCPU: share.ShortReserve(view.status().GetMilliCpu(), peak), priority: priority}
-}
-
-// isReserved reports whether a task that fits on the worker has to leave its processors to short tasks. A task
-// that has been refused doesn't have to: its wait is counted anew, and it would wait the same time again.
-func (worker *candidate) isReserved(task *job.Task) bool {
-	spec, reserve := task.Spec(), worker.shortReserve
-	isMoreUrgent := task.Job().Submission().GetPriority() < reserve.priority
-	if reserve.milliCPU == 0 || isMoreUrgent || task.Refusals() > 0 || !spec.GetLasting() || spec.GetFills() {
-		return false
-	}
-	waited, _ := task.UnplacedFor(worker.createdAt)
-	return share.IsReserved(worker.free.MilliCPU, spec.GetMilliCpu(), reserve.milliCPU, waited)
-}
-
-// queueRow is what the log says of one queue.
-type queueRow struct {
-	Service  string `json:"service"`
-	Queue    string `json:"queue"`
-	Priority int32  `json:"priority"`
-	Room     int64  `json:"room_milli_cpu"`
-	Share    int64  `json:"share_milli_cpu"`
-	Used     int64  `json:"used_milli_cpu"`
-	Demand   int64  `json:"demand_milli_cpu"`
-	Lag      int64  `json:"lag_milli_cpu_ms"`
-}
-
-// publishShares logs the shares if they have changed, and records the gauges, once per sharesLogInterval.
-func (owner *Owner) publishShares(now time.Time) {
-	shares := owner.shares
-	if now.Sub(shares.loggedAt) < sharesLogInterval {
-		return
-	}
-	shares.loggedAt = now
-	var rows []queueRow
-	current := map[share.Key]bool{}
-	for _, row := range shares.table.Rows() {
-		current[row.Key] = true
-		owner.recordShareGauges(row.Key, row.ShareMilliCPU, row.UsedMilliCPU)
-		rows = append(rows, queueRow{
-			Service: row.Key.Service, Queue: row.Key.Queue.Name, Priority: row.Key.Queue.Priority,
-			Room: row.RoomMilliCPU, Share: row.ShareMilliCPU, Used: row.UsedMilliCPU, Demand: row.DemandMilliCPU,
-			Lag: int64(row.Lag),
-		})
-	}
-	owner.clearShareGauges(current)
-	if !shares.changed || len(rows) == 0 {
-		return
-	}
-	shares.changed = false
-	owner.log(event.SharesChanged, slog.Any("queues", rows),
-		slog.Int("peers", shares.peers), slog.Duration("peers_age", shares.peersAge))
-}
-
-// recordShareGauges records the gauges of a queue.
-func (owner *Owner) recordShareGauges(key share.Key, shareMilliCPU, usedMilliCPU int64) {
-	attributes := metric.WithAttributes(
-		attribute.String("service", key.Service),
-		attribute.String("queue", key.Queue.Name),
-		attribute.Int("priority", int(key.Queue.Priority)),
-	)
-	owner.shares.shareGauge.Record(owner.ctx, shareMilliCPU, attributes)
-	owner.shares.useGauge.Record(owner.ctx, usedMilliCPU, attributes)
-	owner.shares.gauged[key] = true
-}
-
-// clearShareGauges sets the gauges of all queues to 0 but for those given.
-func (owner *Owner) clearShareGauges(current map[share.Key]bool) {
-	for key := range owner.shares.gauged {
-		if !current[key] {
-			owner.recordShareGauges(key, 0, 0)
-			delete(owner.shares.gauged, key)
-		}
-	}
-}
--- a/owner/shares_test.go
+++ b/owner/shares_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.owner.shares = newRoomShares(Options{Features: features})
+	h.owner.shares = newQueueShares(Options{Features: features})
 }
 
 // beginShortage has tasks of two queues wait for resources.
--- a/relocation/gain.go
+++ b/relocation/gain.go
@@ -5,15 +5,15 @@
 const (
 	// FullPercent is the pace of a run that is not slowed.
 	FullPercent = 100
-	// paceHorizon is how long a run is taken to stay at its present pace. The load of serving tasks swings
-	// within tens of seconds, so a slowed run goes faster again by itself. Without this limit, runs without
-	// checkpoints would repeat more work than a slow stretch costs them.
+	// paceHorizon is how long a run is assumed to keep its present pace. The load of serving tasks changes
+	// within tens of seconds, so a slowed run gets faster again by itself. Without this limit, runs without
+	// checkpoints would repeat more work than they lose by the slow period.
 	paceHorizon = 8 * time.Second
 )
 
-// TimeSaved returns how much sooner a run with so much work left, measured as time at full pace, would end at the
-// pace there than if it stayed at the pace here, for paceHorizon at most. Both paces are percentages. The cost of
-// the move is not included.
+// TimeSaved returns how much sooner a run would end at the pace there than at the pace here, which it is assumed to
+// keep for paceHorizon at most. The remaining work is given as its duration at full pace. Both paces are percentages.
+// The cost of the move is not included.
 func TimeSaved(remaining time.Duration, here, there int32) time.Duration {
 	if remaining <= 0 || here >= there {
 		return 0
@@ -25,9 +25,9 @@
 	return time.Duration(slowFor * float64(there-here) / float64(there))
 }
 
-// LeastGain returns the least time that a move has to save for a task that has been interrupted before. cost is
-// the time that a move loses. The first move has to make up for itself. Each further one has to make up for the
-// earlier ones too, which shows that the gain is larger than the fluctuations that led to them.
-func LeastGain(cost time.Duration, interruptions int) time.Duration {
+// MinGain returns the least time that a move has to save for a task with so many earlier interruptions. The cost is
+// the time that a move loses. Each move has to save its own cost and that of the interruptions before, so that a task
+// isn't moved repeatedly because of fluctuations.
+func MinGain(cost time.Duration, interruptions int) time.Duration {
 	return max(cost, 0) * time.Duration(1+max(interruptions, 0))
 }
--- a/relocation/load_test.go
+++ b/relocation/load_test.go
@@ -69,7 +69,7 @@
 			count++
 		}
 	}
-	if _, reserved := load.reservations.At(fmt.Sprint(worker)); reserved {
+	if _, reserved := load.reservations.ByDestination(fmt.Sprint(worker)); reserved {
 		count++
 	}
 	return count
@@ -83,7 +83,7 @@
 func (load *load) destination(source int) (int, bool) {
 	best, most := -1, math.Inf(-1)
 	for worker := range loadWorkers {
-		_, reserved := load.reservations.At(fmt.Sprint(worker))
+		_, reserved := load.reservations.ByDestination(fmt.Sprint(worker))
 		if spare := load.tolerance(worker) - float64(load.countRuns(worker)); worker != source && !reserved && spare > most {
 			best, most = worker, spare
 		}
@@ -132,7 +132,7 @@
 func (load *load) negotiate(task *fillTask, tracker *relocation.OfferTracker, saved, cost time.Duration) {
 	offer := tracker.Open(task.name, 1, load.now)
 	destination, tolerated := load.destination(task.worker)
-	accepted := tolerated && saved >= relocation.LeastGain(cost, task.moves)
+	accepted := tolerated && saved >= relocation.MinGain(cost, task.moves)
 	if accepted {
 		load.reservations.Release(task.name)
 		load.reservations.Reserve(relocation.NewReservation(task.name, 1, offer.Number(), fmt.Sprint(destination), load.now))
@@ -154,7 +154,7 @@
 func (load *load) step() {
 	load.now = load.now.Add(loadStep)
 	for _, reservation := range load.reservations.All() {
-		if _, ended := reservation.EndIn(relocation.Situation{Running: true}, load.now); ended {
+		if _, ended := reservation.CheckEnd(relocation.Situation{Running: true}, load.now); ended {
 			load.reservations.Release(reservation.Task())
 		}
 	}
@@ -195,12 +195,17 @@
 // play plays the load of a seed to its end, and returns it with the mean time that callers waited for a task.
 // spread is the share of a swing by which workers lag behind others.
 func play(seed uint64, tasks int, spread float64, offers bool) (*load, time.Duration) {
-	load := &load{random: rand.New(rand.NewPCG(seed, 45)), offers: offers, now: epoch, reservations: relocation.NewReservationSet()}
+	load := &load{
+		random: rand.New(rand.NewPCG(seed, 45)), offers: offers, now: epoch,
+		reservations: relocation.NewReservationSet(),
+	}
 	for worker := range load.phases {
 		load.phases[worker] = load.random.Float64() * spread
 	}
 	for i := range tasks {
-		load.tasks = append(load.tasks, &fillTask{name: fmt.Sprint("t", i), saves: i%2 == 0, worker: -1, last: -1, earlier: -1, waitingSince: epoch})
+		load.tasks = append(load.tasks, &fillTask{
+			name: fmt.Sprint("t", i), saves: i%2 == 0, worker: -1, last: -1, earlier: -1, waitingSince: epoch,
+		})
 	}
 	for load.now.Sub(epoch) < 2*time.Minute {
 		load.step()
@@ -244,8 +249,10 @@
 					returns[i] += load.returns
 				}
 			}
-			if waited[0] > waited[1] || gap[0] > gap[1] || wasted[0] > wasted[1] || stops[0] > stops[1] || returns[0] > returns[1] {
-				t.Errorf("offers, evictions: waited %v, without a run %v, wasted %v, stopped %v, returned %v", waited, gap, wasted, stops, returns)
+			if waited[0] > waited[1] || gap[0] > gap[1] || wasted[0] > wasted[1] || stops[0] > stops[1] ||
+				returns[0] > returns[1] {
+				t.Errorf("offers, evictions: waited %v, without a run %v, wasted %v, stopped %v, returned %v",
+					waited, gap, wasted, stops, returns)
 			}
 		})
 	}
--- a/relocation/offers.go
+++ b/relocation/offers.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// offerTime is how long an offer holds. An answer takes two messages and a pass of the owner, about
-	// 50 ms; a busy owner answers within half a second. Tolerances are as old as the offer when it is used.
+	// offerTime is how long an offer is open. An answer takes two messages and a tick of the owner, about
+	// 50 ms; a busy owner answers within half a second. The answer relies on tolerances as old as the offer.
 	offerTime = 600 * time.Millisecond
-	// offerInterval is the minimum time between two offers of a worker: the effect of a move shows in the
-	// next reading of the tail latencies.
+	// offerInterval is the minimum time between two offers of a worker, so that the next measurement of the tail
+	// latencies includes the effect of a move.
 	offerInterval = 300 * time.Millisecond
 	// firstBackoff is how long a run is passed over after its offer was declined for the first time. It
 	// doubles with each further time, up to maxBackoff: the load of serving tasks changes within seconds.
@@ -38,7 +38,7 @@
 // LapsesAt returns the time from which on an answer has no effect.
 func (offer Offer) LapsesAt() time.Time { return offer.openedAt.Add(offerTime) }
 
-// Outcome is what became of an offer.
+// Outcome is how an offer ended.
 type Outcome string
 
 // The outcomes.
@@ -81,7 +81,9 @@
 
 // Answer applies an owner's answer. It returns the offer that it closes and its outcome, or Unknown if the
 // answer has no effect. An answer to an offer that has lapsed leaves it to Lapse.
-func (tracker *OfferTracker) Answer(number int64, task string, attempt int32, accepted bool, now time.Time) (Offer, Outcome) {
+func (tracker *OfferTracker) Answer(
+	number int64, task string, attempt int32, accepted bool, now time.Time,
+) (Offer, Outcome) {
 	offer := tracker.open
 	isForOffer := number != 0 && offer.number == number && offer.task == task && offer.attempt == attempt
 	if !isForOffer || !now.Before(offer.LapsesAt()) {
--- a/relocation/relocation_test.go
+++ b/relocation/relocation_test.go
@@ -38,7 +38,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			saved := relocation.TimeSaved(test.remaining, test.here, test.there)
-			if got := saved >= relocation.LeastGain(2*time.Second, test.interruptions); got != test.moves {
+			if got := saved >= relocation.MinGain(2*time.Second, test.interruptions); got != test.moves {
 				t.Errorf("moved: %v, saves %v", got, saved)
 			}
 		})
@@ -77,7 +77,7 @@
 				return
 			}
 			if _, got := tracker.Answer(test.number, test.task, test.attempt, true, at); got != relocation.Unknown {
-				t.Errorf("outcome when told again %v", got)
+				t.Errorf("outcome when sent again %v", got)
 			}
 		})
 	}
@@ -98,7 +98,8 @@
 	}
 	tracker.Open("b", 1, offer.LapsesAt())
 	tracker.Withdraw()
-	if tracker.MayOffer(offer.LapsesAt().Add(299*time.Millisecond)) || !tracker.MayOffer(offer.LapsesAt().Add(300*time.Millisecond)) {
+	if tracker.MayOffer(offer.LapsesAt().Add(299*time.Millisecond)) ||
+		!tracker.MayOffer(offer.LapsesAt().Add(300*time.Millisecond)) {
 		t.Error("offers are not 300 ms apart")
 	}
 	var backoff relocation.Backoff
@@ -120,14 +121,14 @@
 		if random.IntN(3) == 0 {
 			reservations.Release(task)
 		}
-		_, hasTask := reservations.For(task)
-		_, hasDestination := reservations.At(destination)
+		_, hasTask := reservations.ByTask(task)
+		_, hasDestination := reservations.ByDestination(destination)
 		if reservations.Reserve(relocation.NewReservation(task, 1, 1, destination, epoch)) == (hasTask || hasDestination) {
 			t.Fatalf("step %d: reserved although there was a reservation, or refused without one", step)
 		}
 		taken := map[string]bool{}
 		for _, reservation := range reservations.All() {
-			at, found := reservations.At(reservation.Destination())
+			at, found := reservations.ByDestination(reservation.Destination())
 			if taken[reservation.Destination()] || !found || at.Task() != reservation.Task() {
 				t.Fatalf("step %d: %v", step, reservations.All())
 			}
--- a/relocation/reservations.go
+++ b/relocation/reservations.go
@@ -10,7 +10,7 @@
 // of the run, which may have to be sent twice, and the message with its end.
 const ReservationTime = 2 * time.Second
 
-// Reservation holds room on a worker for a run that is offered by the agent of another one.
+// Reservation is the reservation of a worker's resources for a run on another worker that its agent has offered.
 type Reservation struct {
 	task        string
 	attempt     int32
@@ -39,8 +39,8 @@
 	return now.Sub(reservation.reservedAt)
 }
 
-// Answers reports whether the reservation was made for an offer, which may have been told twice.
-func (reservation Reservation) Answers(offer int64, attempt int32) bool {
+// IsFor reports whether the reservation was made for an offer, which may have been received twice.
+func (reservation Reservation) IsFor(offer int64, attempt int32) bool {
 	return reservation.offer == offer && reservation.attempt == attempt
 }
 
@@ -56,30 +56,30 @@
 	Running, Waiting bool
 }
 
-// End is why a reservation ended.
-type End string
+// EndReason is why a reservation ended.
+type EndReason string
 
-// The ends.
+// The reasons.
 const (
 	// Used means that the task is to be placed on the destination now.
-	Used                 End = "used"
-	Expired              End = "expired"
-	JobEnded             End = "job ended"
-	RunEnded             End = "run ended by itself"
-	ShardReleased        End = "shard released"
-	DestinationLost      End = "destination lost"
-	DestinationDrains    End = "destination drains"
-	DestinationEvacuated End = "destination evacuated"
+	Used                 EndReason = "used"
+	Expired              EndReason = "expired"
+	JobEnded             EndReason = "job ended"
+	RunEnded             EndReason = "run ended by itself"
+	ShardReleased        EndReason = "shard released"
+	DestinationLost      EndReason = "destination lost"
+	DestinationDrains    EndReason = "destination drains"
+	DestinationEvacuated EndReason = "destination evacuated"
 	// OfferedAgain means that the run has been offered again, under another number.
-	OfferedAgain End = "offered again"
+	OfferedAgain EndReason = "offered again"
 	// PlacedElsewhere means that the destination can't take the task any more, and another worker has it.
-	PlacedElsewhere End = "placed elsewhere"
+	PlacedElsewhere EndReason = "placed elsewhere"
 	// Unfit means that neither the destination nor any other worker can take the task any more.
-	Unfit End = "no longer fits"
+	Unfit EndReason = "no longer fits"
 )
 
-// EndIn returns why the reservation ends in a situation, and false if it goes on.
-func (reservation Reservation) EndIn(situation Situation, now time.Time) (End, bool) {
+// CheckEnd returns why the reservation ends in a situation, and false if it goes on.
+func (reservation Reservation) CheckEnd(situation Situation, now time.Time) (EndReason, bool) {
 	switch {
 	case situation.Released:
 		return ShardReleased, true
@@ -130,14 +130,14 @@
 	delete(set.byTask, task)
 }
 
-// For returns the reservation of a task, and whether there is one.
-func (set *ReservationSet) For(task string) (Reservation, bool) {
+// ByTask returns the reservation of a task, and whether there is one.
+func (set *ReservationSet) ByTask(task string) (Reservation, bool) {
 	reservation, found := set.byTask[task]
 	return reservation, found
 }
 
-// At returns the reservation of a destination, and whether there is one.
-func (set *ReservationSet) At(destination string) (Reservation, bool) {
+// ByDestination returns the reservation of a destination, and whether there is one.
+func (set *ReservationSet) ByDestination(destination string) (Reservation, bool) {
 	task, reserved := set.byDestination[destination]
 	return set.byTask[task], reserved
 }
--- a/share/divide.go
+++ b/share/divide.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// noticeableChange is the relative change of a demand, or of the room, that changes the shares at once.
+	// noticeableChange is the relative change of a demand, or of the capacity, that changes the shares at once.
 	// It is greater than the difference between two values that deviate from the same mean by 10%.
 	noticeableChange = 0.25
 	// returnFraction is the share of the shortest target duration after which shares follow smaller changes.
-	// A queue that gets back what others have borrowed has most of the time left to use it.
+	// Tasks that wait for a share that other queues have used then still have most of their target duration.
 	returnFraction = 0.25
 	// minReturnTime and maxReturnTime limit that period. Shares are of no use for longer than a caller of
 	// a short task waits, and reports of other owners arrive no more often than once a second.
@@ -36,7 +36,7 @@
 	return strings.Compare(a.Name, b.Name)
 }
 
-// Demand is what the jobs of a queue use and want of the service's processors.
+// Demand is how much of the service's processors the jobs of a queue use and wait for.
 type Demand struct {
 	Queue Queue
 	// UsedMilliCPU is what its running tasks asked for, WantedMilliCPU what its waiting tasks ask for.
@@ -49,15 +49,15 @@
 func (demand Demand) MilliCPU() int64 { return demand.UsedMilliCPU + demand.WantedMilliCPU }
 
 // Divide returns the max-min fair share of each demand, in the same order. Within a priority, the shares sum
-// to what more urgent queues leave of the room, or to all demands if that is less.
-func Divide(roomMilliCPU int64, demands []Demand) []int64 {
+// to the capacity that more urgent queues leave, or to all demands if that is less.
+func Divide(capacityMilliCPU int64, demands []Demand) []int64 {
 	order := make([]int, len(demands))
 	for index := range order {
 		order[index] = index
 	}
 	slices.SortFunc(order, func(a, b int) int { return compareDemands(demands[a], demands[b]) })
 	shares := make([]int64, len(demands))
-	left := max(roomMilliCPU, 0)
+	left := max(capacityMilliCPU, 0)
 	for first := 0; first < len(order); {
 		end := first
 		used := int64(0)
@@ -93,43 +93,43 @@
 	}
 }
 
-// Division is the present division of a service's room. The zero value divides nothing yet. It can be lost:
-// the next call of Update makes it anew.
+// Division is the current division of a service's capacity among its queues. The zero value has no shares.
+// It needn't be stored: the next call of Update computes it again.
 type Division struct {
-	roomMilliCPU int64
-	demands      map[Queue]Demand
-	shares       map[Queue]int64
-	dividedAt    time.Time
+	capacityMilliCPU int64
+	demands          map[Queue]Demand
+	shares           map[Queue]int64
+	dividedAt        time.Time
 }
 
-// Update divides the room anew if that is due. It reports whether any share has changed.
-func (division *Division) Update(roomMilliCPU int64, demands []Demand, now time.Time) bool {
-	if !division.isDue(roomMilliCPU, demands, now) {
+// Update divides the capacity again if that is due. It reports whether any share has changed.
+func (division *Division) Update(capacityMilliCPU int64, demands []Demand, now time.Time) bool {
+	if !division.isDue(capacityMilliCPU, demands, now) {
 		return false
 	}
 	shares := make(map[Queue]int64, len(demands))
 	divided := make(map[Queue]Demand, len(demands))
 	changed := len(demands) != len(division.shares)
-	for index, milliCPU := range Divide(roomMilliCPU, demands) {
+	for index, milliCPU := range Divide(capacityMilliCPU, demands) {
 		queue := demands[index].Queue
 		shares[queue] = milliCPU
 		divided[queue] = demands[index]
 		before, known := division.shares[queue]
 		changed = changed || !known || before != milliCPU
 	}
-	*division = Division{roomMilliCPU: roomMilliCPU, demands: divided, shares: shares, dividedAt: now}
+	*division = Division{capacityMilliCPU: capacityMilliCPU, demands: divided, shares: shares, dividedAt: now}
 	return changed
 }
 
 // ShareMilliCPU returns the share of a queue, 0 if it had no demand.
 func (division *Division) ShareMilliCPU(queue Queue) int64 { return division.shares[queue] }
 
-// RoomMilliCPU returns the room that was divided.
-func (division *Division) RoomMilliCPU() int64 { return division.roomMilliCPU }
+// CapacityMilliCPU returns the capacity that was divided.
+func (division *Division) CapacityMilliCPU() int64 { return division.capacityMilliCPU }
 
-// isDue reports whether the room has to be divided anew.
-func (division *Division) isDue(roomMilliCPU int64, demands []Demand, now time.Time) bool {
-	if len(demands) != len(division.demands) || hasChanged(division.roomMilliCPU, roomMilliCPU) {
+// isDue reports whether the capacity has to be divided again.
+func (division *Division) isDue(capacityMilliCPU int64, demands []Demand, now time.Time) bool {
+	if len(demands) != len(division.demands) || hasChanged(division.capacityMilliCPU, capacityMilliCPU) {
 		return true
 	}
 	for _, demand := range demands {
--- a/share/doc.go
+++ b/share/doc.go
@@ -1,9 +1,8 @@
 // Package share divides the workers of a service among its queues while they are too few.
 //
-// The load that it answers: queues of one priority want more than the workers have. In the order of
-// objectives alone, a queue of long-running tasks, which keep what they reserve, leaves nothing for a queue of
-// short tasks that would need a fraction of a core for a second; and among the batch jobs of a queue all make
-// some progress while none ends in time.
+// It is for the case that queues of one priority want more than the workers have. In the order of objectives alone,
+// a queue of long-running tasks, which keep what they reserve, leaves nothing for a queue of short tasks that need a
+// fraction of a core for a second; and all batch jobs of a queue make some progress while none ends in time.
 //
 // # Shares
 //
@@ -13,15 +12,15 @@
 //
 // [Divide] gives each queue its max-min fair share of the processors. Priorities come first: what more urgent
 // queues use is subtracted before the rest is divided. Within a priority all queues have the same weight, and
-// a queue's share is at most its demand, so that other queues borrow what it doesn't need. A [Division] keeps
+// a queue's share is at most its demand, so that other queues use what it doesn't need. A [Division] keeps
 // the shares until a demand has changed noticeably or a period has passed that depends on the shortest target
 // duration.
 //
-// Shares limit nothing: they only decide about the order of placing. [Sequence] gives the next turn to the queue that
-// uses the least relative to its share. A queue that got less than its share before, say because others had borrowed
-// it, has a [Lag]: it counts as using less until it has got that back, and the others as using more. Within a queue,
+// Shares are not limits: they only determine the order of placing. [Sequence] gives the next turn to the queue that
+// uses the least relative to its share. A queue that got less than its share before, for example because others used
+// it, has a [Lag]: it counts as using less until that is compensated, and the others as using more. Within a queue,
 // jobs that can still meet their objective come first, and of these the job with the least work left. Every few starts,
-// the turn is that of the job that has waited longest, once that exceeds a limit given by its own target duration.
+// the turn is that of the job that has waited longest, once its wait exceeds a limit given by its target duration.
 //
 // # Reserve for short tasks
 //
@@ -42,7 +41,7 @@
 //		if table.IsCountDue(now) {
 //			table.BeginCount(now)
 //			table.AddJob(job) // and AddPeerDemand for other owners
-//			changed := table.EndCount(roomOf, now)
+//			changed := table.EndCount(capacityOf, now)
 //		}
 //		for _, job := range table.Order(jobs) { ... } // and RecordStart for each task placed
 //	}
--- a/share/lag_test.go
+++ b/share/lag_test.go
@@ -8,8 +8,9 @@
 	"ambertiller.example/ambertiller/share"
 )
 
-// TestLagIsBounded: however a queue's use, demand and share vary, it is owed at most what its share yields in twice the
-// shortest target duration, given back within its own one; and nothing without waiting tasks or a target duration.
+// TestLagIsBounded: however a queue's use, demand and share vary, its lag is at most what its share yields in twice the
+// shortest target duration, compensated within its own one. There is none without a target duration, and no positive one
+// without waiting tasks.
 func TestLagIsBounded(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -25,20 +26,20 @@
 				t.Fatalf("seed %d, step %d: %d beyond a share of %d, want %g", seed, step, extra, shareMilliCPU, most)
 			}
 			if lag > 0 && demand.WantedMilliCPU == 0 {
-				t.Fatalf("seed %d, step %d: a queue without waiting tasks is owed %d", seed, step, lag)
+				t.Fatalf("seed %d, step %d: a queue without waiting tasks has a lag of %d", seed, step, lag)
 			}
 			demand.Target = 0
 			if lag.Add(shareMilliCPU, demand, shortest, time.Second) != 0 {
-				t.Fatalf("seed %d, step %d: a queue without a target duration is owed something", seed, step)
+				t.Fatalf("seed %d, step %d: a queue without a target duration has a lag", seed, step)
 			}
 		}
 	}
 }
 
-// TestLagStarvesNoQueue: a queue of short tasks that comes and goes at random, and is owed its share each time, never
-// takes more of the other queue's share in any period than it can be owed at once, and one long task.
+// TestLagStarvesNoQueue: a queue of short tasks whose load changes at random, so that it has a lag again and again,
+// never takes more of the other queue's share in any period than the greatest lag and one long task.
 func TestLagStarvesNoQueue(t *testing.T) {
-	const most = loadRoom/2*int64(2*shortTarget/loadTick) + 1000*longRuns
+	const most = loadCapacity/2*int64(2*shortTarget/loadTick) + 1000*longRuns
 	for seed := range uint64(10) {
 		rng, arriving, lacked := rand.New(rand.NewPCG(seed, 2)), 0, int64(0)
 		played := &load{table: share.NewTable(), longArriving: func(int) int { return 1 }}
@@ -51,7 +52,7 @@
 		for tick := range loadArrivals {
 			played.arrive(tick)
 			played.place(tick)
-			lacked += loadRoom / 2
+			lacked += loadCapacity / 2
 			for _, queued := range played.tasks {
 				if queued.queue == "long" && queued.started >= 0 && tick < queued.started+queued.runs {
 					lacked -= queued.milliCPU
@@ -67,16 +68,17 @@
 	}
 }
 
-// TestLagOrder: a queue that has used less than its share goes first until it has got that back. Who has given it back
-// is owed nothing for it, and owes nothing to a queue that has stopped waiting. What none could use is owed to none.
+// TestLagOrder: a queue that has used less than its share goes first until that is compensated. The queue that
+// compensated for it gets no lag by that, and does so no more once the other has stopped waiting. Processors that none
+// could use cause no lag.
 func TestLagOrder(t *testing.T) {
 	type count struct{ used, wanted, usedByOther int64 }
 	tests := map[string]struct {
 		counts []count // one every half second, that of the order last
 		first  string
 	}{
-		"it is owed":         {[]count{{0, 50_000, 20_000}, {11_000, 50_000, 9000}}, "a"},
-		"it has it back":     {[]count{{0, 50_000, 20_000}, {20_000, 50_000, 0}, {10_000, 50_000, 11_000}}, "a"},
+		"it lags":            {[]count{{0, 50_000, 20_000}, {11_000, 50_000, 9000}}, "a"},
+		"it has caught up":   {[]count{{0, 50_000, 20_000}, {20_000, 50_000, 0}, {10_000, 50_000, 11_000}}, "a"},
 		"none could use it":  {[]count{{5000, 50_000, 5000}, {6000, 50_000, 5500}}, "b"},
 		"it stopped waiting": {[]count{{0, 50_000, 20_000}, {10_000, 0, 10_000}, {10_000, 50_000, 9000}}, "b"},
 	}
--- a/share/load_test.go
+++ b/share/load_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	loadRoom     = 20_000
+	loadCapacity = 20_000
 	loadTick     = 100 * time.Millisecond
 	loadArrivals = 300 // ticks
 	shortRuns    = 2   // ticks
@@ -28,12 +28,12 @@
 	target                 time.Duration
 }
 
-// load is a room and two queues, of which one has tasks that run 20 times as long as those of the other.
+// load is a service with two queues, of which one has tasks that run 20 times as long as those of the other.
 type load struct {
 	table *share.Table
 	tasks []*task
 	// shortArriving and longArriving return the number of tasks of a queue that arrive in a tick. A short task a tick
-	// wants 0.05 of the room, a long one in two seconds a tenth of it.
+	// wants 0.05 of the capacity, a long one in two seconds a tenth of it.
 	shortArriving, longArriving func(tick int) int
 }
 
@@ -83,9 +83,9 @@
 		for _, job := range jobs {
 			load.table.AddJob(job)
 		}
-		load.table.EndCount(func(string) int64 { return loadRoom }, now)
+		load.table.EndCount(func(string) int64 { return loadCapacity }, now)
 	}
-	free := int64(loadRoom)
+	free := int64(loadCapacity)
 	for _, job := range jobs {
 		free -= job.UsedMilliCPU
 	}
@@ -145,9 +145,9 @@
 	return time.Duration(longest) * loadTick
 }
 
-// TestLoadOfLongAndShortTasks: at 1.3 times the room, each short task ends within its target, also while the shortage
-// begins, and also if the short ones want all of their share. No long one waits longer by more than its target than if
-// the long ones were served in the order of arrival, with what the short ones leave of the room.
+// TestLoadOfLongAndShortTasks: at 1.3 times the capacity, each short task ends within its target, also while the
+// shortage begins, and also if the short ones want all of their share. No long one waits longer by more than its target
+// than if the long ones were served in the order of arrival, with the capacity that the short ones leave.
 func TestLoadOfLongAndShortTasks(t *testing.T) {
 	tests := map[string]struct {
 		shortPerTick int
@@ -172,7 +172,7 @@
 	}
 }
 
-// TestLoadAfterIdleTime: a queue that has been idle, while the other one had borrowed its share, uses its share once
+// TestLoadAfterIdleTime: a queue that has been idle, while the other one used its share, uses its share once
 // the tasks have ended that were running when it came back. Its tasks end within their target when those that had
 // waited until then have caught up; it wants less than its share, or they never could.
 func TestLoadAfterIdleTime(t *testing.T) {
@@ -186,12 +186,13 @@
 	played.play(t)
 	running := 0
 	for _, queued := range played.tasks {
-		if queued.queue == "short" && queued.started <= idleUntil+longRuns && idleUntil+longRuns < queued.started+queued.runs {
+		if queued.queue == "short" && queued.started <= idleUntil+longRuns &&
+			idleUntil+longRuns < queued.started+queued.runs {
 			running++
 		}
 	}
 	if want := 16; running < want {
-		t.Errorf("%d short tasks run after the borrowed time, want %d", running, want)
+		t.Errorf("%d short tasks run after the other queue used their share, want %d", running, want)
 	}
 	if waited := played.longestWait("short", caughtUp); waited > shortTarget-shortRuns*loadTick {
 		t.Errorf("a short task waited %v after the others had caught up", waited)
@@ -210,6 +211,6 @@
 	}}
 	played.play(t)
 	if waited := played.longestWait("short", idleUntil+longRuns); waited > shortTarget-shortRuns*loadTick {
-		t.Errorf("a short task waited %v after the borrowed time", waited)
+		t.Errorf("a short task waited %v after the other queue used their share", waited)
 	}
 }
--- a/share/order.go
+++ b/share/order.go
@@ -8,16 +8,15 @@
 )
 
 const (
-	// startsPerOldest is the number of starts of a queue of which one is due to the job that has waited longest
-	// of those that are over their limits. If all starts were, a queue with too much work would be served in the order
-	// of arrival, and all its jobs would be late.
+	// startsPerOldest is the number of starts of a queue of which one goes to the overdue job that has waited longest.
+	// If all did, a queue with too much work would be served in the order of arrival, and all its jobs would be late.
 	startsPerOldest = 4
 	// maxLongRunningWait is how long a long-running job may be passed over. Its caller has no use of it before
-	// it runs, however long it is going to run.
+	// it runs, however long it then runs.
 	maxLongRunningWait = 1500 * time.Millisecond
 )
 
-// Job is what decides about the turn of a job within its queue.
+// Job holds the properties of a job that determine its position within its queue.
 type Job struct {
 	ID  string
 	Key Key
@@ -47,7 +46,7 @@
 	return job.Waited > limit
 }
 
-// Compare orders two jobs of a queue while there is too little room: jobs that can meet their objective before
+// Compare orders two jobs of a queue while there are too few workers: jobs that can meet their objective before
 // late ones, then the one with the least work left. A long-running job has no end, and comes after those
 // that have.
 func (job *Job) Compare(other *Job) int {
@@ -66,7 +65,7 @@
 	return strings.Compare(job.ID, other.ID)
 }
 
-// falseFirst compares two flags that differ, of which the first is given.
+// falseFirst compares a flag with its opposite: false sorts before true.
 func falseFirst(flag bool) int {
 	if flag {
 		return 1
@@ -74,32 +73,32 @@
 	return -1
 }
 
-// Line is a queue whose jobs are to be placed.
-type Line struct {
+// PlacementQueue is a queue with its jobs that wait to be placed.
+type PlacementQueue struct {
 	Queue Queue
-	// UsedMilliCPU is less than what the tasks of the queue use if it is owed some, and more if it owes some.
+	// UsedMilliCPU is what the tasks of the queue use, less what compensates for its lag.
 	ShareMilliCPU, UsedMilliCPU int64
 	// StartsSinceOldest counts the starts of the queue since the last one of a job that had a turn for being overdue.
 	StartsSinceOldest int
 	Jobs              []*Job
-	// overdueTurns holds the IDs of the jobs that have such a turn.
+	// overdueTurns holds the IDs of the jobs that have a turn for being overdue.
 	overdueTurns map[string]bool
-	next         int
+	next         int // the position of the next job in Jobs
 }
 
 // Compare orders two queues: the one that uses less relative to its share is placed first.
-func (line *Line) Compare(other *Line) int {
-	used, usedByOther := line.UsedMilliCPU*max(other.ShareMilliCPU, 1), other.UsedMilliCPU*max(line.ShareMilliCPU, 1)
+func (queue *PlacementQueue) Compare(other *PlacementQueue) int {
+	used, usedByOther := queue.UsedMilliCPU*max(other.ShareMilliCPU, 1), other.UsedMilliCPU*max(queue.ShareMilliCPU, 1)
 	if order := cmp.Compare(used, usedByOther); order != 0 {
 		return order
 	}
-	return compareQueues(line.Queue, other.Queue)
+	return compareQueues(queue.Queue, other.Queue)
 }
 
 // overdue returns the overdue jobs, the one that has waited longest first.
-func (line *Line) overdue() []*Job {
+func (queue *PlacementQueue) overdue() []*Job {
 	var overdue []*Job
-	for _, job := range line.Jobs {
+	for _, job := range queue.Jobs {
 		if job.IsOverdue() {
 			overdue = append(overdue, job)
 		}
@@ -108,27 +107,27 @@
 	return overdue
 }
 
-// turn returns the position that is due to the overdue job with a number, counted from the longest wait. If the
-// jobs before it can't be placed, its turn comes nonetheless, after as many more starts.
-func (line *Line) turn(number int) int {
-	return max(startsPerOldest*(number+1)-1-line.StartsSinceOldest, number)
+// turn returns the position in the queue of the overdue job with a rank, 0 for the longest wait. If the jobs before it
+// can't be placed, it nevertheless gets its turn, after as many more starts.
+func (queue *PlacementQueue) turn(rank int) int {
+	return max(startsPerOldest*(rank+1)-1-queue.StartsSinceOldest, rank)
 }
 
 // sort orders the jobs of the queue by their turns, and sets which of them have a turn for being overdue.
-func (line *Line) sort() {
-	slices.SortFunc(line.Jobs, (*Job).Compare)
-	overdue := line.overdue()
+func (queue *PlacementQueue) sort() {
+	slices.SortFunc(queue.Jobs, (*Job).Compare)
+	overdue := queue.overdue()
 	if len(overdue) == 0 {
 		return
 	}
-	line.overdueTurns = map[string]bool{overdue[0].ID: true}
-	ordered := make([]*Job, 0, len(line.Jobs))
-	taken := make(map[*Job]bool, len(line.Jobs))
-	number := 0
-	for _, job := range line.Jobs {
-		for ; number < len(overdue) && line.turn(number) <= len(ordered); number++ {
-			if due := overdue[number]; !taken[due] {
-				taken[due], line.overdueTurns[due.ID] = true, true
+	queue.overdueTurns = map[string]bool{overdue[0].ID: true}
+	ordered := make([]*Job, 0, len(queue.Jobs))
+	taken := make(map[*Job]bool, len(queue.Jobs))
+	rank := 0
+	for _, job := range queue.Jobs {
+		for ; rank < len(overdue) && queue.turn(rank) <= len(ordered); rank++ {
+			if due := overdue[rank]; !taken[due] {
+				taken[due], queue.overdueTurns[due.ID] = true, true
 				ordered = append(ordered, due)
 			}
 		}
@@ -137,46 +136,46 @@
 			ordered = append(ordered, job)
 		}
 	}
-	line.Jobs = ordered
+	queue.Jobs = ordered
 }
 
 // Sequence returns the jobs of all queues in the order in which they are to be placed. Each turn is that of the
-// queue that would use the least relative to its share if the jobs before were placed. The lines are changed.
+// queue that would use the least relative to its share if the jobs before were placed. The queues are modified.
 //
 // Performance: comparisons don't allocate.
-func Sequence(lines []*Line) []*Job {
+func Sequence(queues []*PlacementQueue) []*Job {
 	count := 0
-	for _, line := range lines {
-		line.sort()
-		count += len(line.Jobs)
+	for _, queue := range queues {
+		queue.sort()
+		count += len(queue.Jobs)
 	}
 	sequence := make([]*Job, 0, count)
 	for len(sequence) < count {
-		line := nextLine(lines)
-		job := line.Jobs[line.next]
-		line.next++
-		line.countTurn(job)
+		queue := nextQueue(queues)
+		job := queue.Jobs[queue.next]
+		queue.next++
+		queue.countTurn(job)
 		sequence = append(sequence, job)
 	}
 	return sequence
 }
 
-// countTurn adds what a job wants to the use of its queue, but not beyond its share at once: a job that no worker can
-// take would cost the queue the turns of its other jobs.
-func (line *Line) countTurn(job *Job) {
-	used := line.UsedMilliCPU + job.WantedMilliCPU
-	if line.UsedMilliCPU < line.ShareMilliCPU {
-		used = min(used, line.ShareMilliCPU)
+// countTurn adds what a job wants to the use of its queue. A queue below its share only reaches its share by that:
+// otherwise a large job that no worker can take would make the other jobs of the queue wait.
+func (queue *PlacementQueue) countTurn(job *Job) {
+	used := queue.UsedMilliCPU + job.WantedMilliCPU
+	if queue.UsedMilliCPU < queue.ShareMilliCPU {
+		used = min(used, queue.ShareMilliCPU)
 	}
-	line.UsedMilliCPU = used
+	queue.UsedMilliCPU = used
 }
 
-// nextLine returns the queue with the next turn among those that have jobs left.
-func nextLine(lines []*Line) *Line {
-	var best *Line
-	for _, line := range lines {
-		if line.next < len(line.Jobs) && (best == nil || line.Compare(best) < 0) {
-			best = line
+// nextQueue returns the queue with the next turn among those that have jobs left.
+func nextQueue(queues []*PlacementQueue) *PlacementQueue {
+	var best *PlacementQueue
+	for _, queue := range queues {
+		if queue.next < len(queue.Jobs) && (best == nil || queue.Compare(best) < 0) {
+			best = queue
 		}
 	}
 	return best
--- a/share/report.go
+++ b/share/report.go
@@ -16,9 +16,9 @@
 	Age    time.Duration
 }
 
-// Fractions returns the fraction of each report that counts, in the same order. A shard counts for the owner
-// that asks if it owns the shard, else in the most recent report: a shard that has just moved is reported
-// twice. A report does not say which shard has how much, so each of its shards counts for the same part.
+// Fractions returns the fraction of each report that counts, in the same order. A shard that
+// the caller owns counts in no report, any other one only in the most recent report: a shard that has just moved is
+// reported twice. A report does not say how much each shard has, so all its shards count for equal parts.
 func Fractions(reports []Report, owned func(shard int32) bool) []float64 {
 	order := make([]int, len(reports))
 	for index := range order {
@@ -32,14 +32,14 @@
 		if report.Age > MaxReportAge || len(report.Shards) == 0 {
 			continue
 		}
-		own := 0
+		counting := 0
 		for _, shard := range report.Shards {
 			if !counted[shard] && !owned(shard) {
-				own++
+				counting++
 			}
 			counted[shard] = true
 		}
-		fractions[index] = float64(own) / float64(len(report.Shards))
+		fractions[index] = float64(counting) / float64(len(report.Shards))
 	}
 	return fractions
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -11,9 +11,9 @@
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// randomDemands returns demands of up to eight queues with three priorities, and a room that is often too
+// randomDemands returns demands of up to eight queues with three priorities, and a capacity that is often too
 // small for them.
-func randomDemands(rng *rand.Rand) (roomMilliCPU int64, demands []share.Demand) {
+func randomDemands(rng *rand.Rand) (capacityMilliCPU int64, demands []share.Demand) {
 	for number := range 1 + rng.IntN(8) {
 		demands = append(demands, share.Demand{
 			Queue:        share.Queue{Name: fmt.Sprint(number), Priority: rng.Int32N(3)},
@@ -23,14 +23,14 @@
 	return 10_000 + rng.Int64N(100_000), demands
 }
 
-// TestDivideProperties: within each priority, shares sum exactly to the room that is left or to all demands;
+// TestDivideProperties: within each priority, shares sum exactly to the capacity that is left or to all demands;
 // every queue gets its demand or an equal part; and a greater demand never gets less.
 func TestDivideProperties(t *testing.T) {
 	for seed := range uint64(2000) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		room, demands := randomDemands(rng)
-		shares := share.Divide(room, demands)
-		left := room
+		capacity, demands := randomDemands(rng)
+		shares := share.Divide(capacity, demands)
+		left := capacity
 		for priority := range int32(3) {
 			sum, wanted, used, queues := int64(0), int64(0), int64(0), int64(0)
 			for index, demand := range demands {
@@ -50,7 +50,7 @@
 		}
 		index := rng.IntN(len(demands))
 		demands[index].WantedMilliCPU += 1 + rng.Int64N(10_000)
-		if more := share.Divide(room, demands)[index]; more < shares[index] {
+		if more := share.Divide(capacity, demands)[index]; more < shares[index] {
 			t.Fatalf("seed %d: a greater demand gets %d, not %d", seed, more, shares[index])
 		}
 	}
@@ -73,8 +73,8 @@
 		if division.Update(100_000, demands, start.Add(time.Duration(tick)*100*time.Millisecond)) {
 			changes++
 		}
-		low := &share.Line{Queue: b, ShareMilliCPU: division.ShareMilliCPU(b), UsedMilliCPU: 20_000}
-		high := &share.Line{Queue: a, ShareMilliCPU: division.ShareMilliCPU(a), UsedMilliCPU: 30_000}
+		low := &share.PlacementQueue{Queue: b, ShareMilliCPU: division.ShareMilliCPU(b), UsedMilliCPU: 20_000}
+		high := &share.PlacementQueue{Queue: a, ShareMilliCPU: division.ShareMilliCPU(a), UsedMilliCPU: 30_000}
 		if low.Compare(high) >= 0 {
 			t.Fatalf("tick %d: the queue further below its share is not first", tick)
 		}
@@ -85,7 +85,7 @@
 }
 
 // TestDivisionFollowsDemand: a noticeable change counts at once, a small one after a quarter of the shortest
-// target duration, and a queue without demand lends its share.
+// target duration, and other queues use the share of one without demand.
 func TestDivisionFollowsDemand(t *testing.T) {
 	tests := map[string]struct {
 		wanted  int64
@@ -102,8 +102,8 @@
 			busy := share.Demand{Queue: share.Queue{Name: "busy"}, WantedMilliCPU: 90_000}
 			division := &share.Division{}
 			division.Update(60_000, []share.Demand{quiet, busy}, start)
-			if borrowed := division.ShareMilliCPU(busy.Queue); borrowed != 50_000 {
-				t.Fatalf("the busy queue has %d", borrowed)
+			if got := division.ShareMilliCPU(busy.Queue); got != 50_000 {
+				t.Fatalf("the busy queue has %d", got)
 			}
 			quiet.WantedMilliCPU = test.wanted
 			if changed := division.Update(60_000, []share.Demand{quiet, busy}, start.Add(test.after)); changed != test.changed {
@@ -139,7 +139,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var ids []string
-			for _, job := range share.Sequence([]*share.Line{{StartsSinceOldest: test.starts, Jobs: jobs()}}) {
+			for _, job := range share.Sequence([]*share.PlacementQueue{{StartsSinceOldest: test.starts, Jobs: jobs()}}) {
 				ids = append(ids, job.ID)
 			}
 			if fmt.Sprint(ids) != test.want {
@@ -151,8 +151,8 @@
 	if !overdue.IsOverdue() {
 		t.Error("a long-running job may be passed over for longer than 1.5 s")
 	}
-	line, other := &share.Line{ShareMilliCPU: 5, Jobs: jobs()}, &share.Line{ShareMilliCPU: 4}
-	compare := func() { line.Compare(other); line.Jobs[0].Compare(line.Jobs[1]) }
+	queue, other := &share.PlacementQueue{ShareMilliCPU: 5, Jobs: jobs()}, &share.PlacementQueue{ShareMilliCPU: 4}
+	compare := func() { queue.Compare(other); queue.Jobs[0].Compare(queue.Jobs[1]) }
 	if allocations := testing.AllocsPerRun(100, compare); allocations > 0 {
 		t.Errorf("comparisons allocate %v times", allocations)
 	}
@@ -172,7 +172,7 @@
 		return jobs
 	}
 	late := 0
-	for _, job := range share.Sequence([]*share.Line{{Jobs: jobs(0)}})[:8] {
+	for _, job := range share.Sequence([]*share.PlacementQueue{{Jobs: jobs(0)}})[:8] {
 		if job.Late {
 			late++
 		}
@@ -200,24 +200,24 @@
 	}
 }
 
-// TestLargeJobCostsNoTurns: a job that wants more than the queue's share, and that no worker can take, doesn't leave the
-// other jobs of its queue behind all those of a queue that uses more than its share.
+// TestLargeJobCostsNoTurns: a job that wants more than the queue's share, and that no worker can take, doesn't leave
+// the other jobs of its queue behind all those of a queue that uses more than its share.
 func TestLargeJobCostsNoTurns(t *testing.T) {
-	a := &share.Line{ShareMilliCPU: 10_000, Jobs: []*share.Job{
+	a := &share.PlacementQueue{ShareMilliCPU: 10_000, Jobs: []*share.Job{
 		{ID: "a-stuck", Work: 1, WantedMilliCPU: 50_000, Target: time.Hour},
 		{ID: "a", Work: 2, WantedMilliCPU: 1000, Target: time.Hour},
 	}}
-	b := &share.Line{Queue: share.Queue{Name: "b"}, ShareMilliCPU: 10_000, UsedMilliCPU: 20_000}
+	b := &share.PlacementQueue{Queue: share.Queue{Name: "b"}, ShareMilliCPU: 10_000, UsedMilliCPU: 20_000}
 	for number := range 9 {
 		b.Jobs = append(b.Jobs, &share.Job{ID: fmt.Sprint("b", number), WantedMilliCPU: 1000, Target: time.Hour})
 	}
-	if second := share.Sequence([]*share.Line{a, b})[1]; second.ID != "a" {
+	if second := share.Sequence([]*share.PlacementQueue{a, b})[1]; second.ID != "a" {
 		t.Errorf("%s goes before the other job of the queue that uses nothing", second.ID)
 	}
 }
 
 // TestShortReserve: the reserve is at most an eighth of the worker, decreases to nothing, and doesn't bind
-// a task that has waited or that has room twice over.
+// a task that has waited or that finds twice the processors that it needs.
 func TestShortReserve(t *testing.T) {
 	peak := &share.RecentPeak{}
 	if peak.MilliCPU(start) != 0 {
@@ -238,11 +238,11 @@
 		waited       time.Duration
 		reserved     bool
 	}{
-		"a sliver":                    {1200, 1000, 0, true},
-		"beside the reserve":          {1500, 1000, 0, false},
-		"it has waited":               {1200, 1000, 2 * time.Second, false},
-		"room twice over":             {400, 200, 0, false},
-		"nearly twice, and no sliver": {390, 200, 0, true},
+		"part of the reserve is needed": {1200, 1000, 0, true},
+		"beside the reserve":            {1500, 1000, 0, false},
+		"it has waited":                 {1200, 1000, 2 * time.Second, false},
+		"twice as many are free":        {400, 200, 0, false},
+		"nearly twice as many are free": {390, 200, 0, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -330,7 +330,7 @@
 			table.AddJob(&share.Job{Key: key("a"), UsedMilliCPU: test.used, WantedMilliCPU: 9000})
 			table.AddJob(&share.Job{Key: key("b"), UsedMilliCPU: test.usedByOther})
 			table.EndCount(func(string) int64 { return 10_000 }, start)
-			if _, short := table.ShortPriority("", start); short != test.short {
+			if _, short := table.ContendedPriority("", start); short != test.short {
 				t.Errorf("short: %v", short)
 			}
 		})
--- a/share/table.go
+++ b/share/table.go
@@ -20,9 +20,9 @@
 	Queue   Queue
 }
 
-// competition returns the competition that the queue takes part in.
-func (key Key) competition() competition {
-	return competition{service: key.Service, priority: key.Queue.Priority}
+// contentionGroup returns the queues that the queue competes with.
+func (key Key) contentionGroup() contentionGroup {
+	return contentionGroup{service: key.Service, priority: key.Queue.Priority}
 }
 
 // compareKeys orders queues by service, priority and name.
@@ -30,8 +30,8 @@
 	return cmp.Or(strings.Compare(a.Service, b.Service), compareQueues(a.Queue, b.Queue))
 }
 
-// state is what a Table knows of a queue.
-type state struct {
+// queueState is what a Table knows of a queue.
+type queueState struct {
 	// demand is that of all owners as of the last count, plus what this owner has started since.
 	demand Demand
 	// lag is that of all owners' tasks together.
@@ -43,11 +43,11 @@
 }
 
 // Table keeps the use and the share of each queue, as one owner knows them, and orders the owner's jobs while
-// there are too few workers. Nothing of it has to be stored: the first count of a new table has all but the
-// starts since a job that had waited longest, and what queues are owed.
+// there are too few workers. It needn't be stored: the first count of a new table restores all but the lags and
+// the starts since an overdue job had its turn.
 type Table struct {
-	short     shortages
-	queues    map[Key]*state
+	shortages shortageSet
+	queues    map[Key]*queueState
 	divisions map[string]*Division // by service
 	countedAt time.Time
 }
@@ -55,37 +55,38 @@
 // NewTable returns a table without queues.
 func NewTable() *Table {
 	return &Table{
-		short:  shortages{unplacedAt: map[Key]time.Time{}, until: map[competition]time.Time{}},
-		queues: map[Key]*state{}, divisions: map[string]*Division{},
+		shortages: shortageSet{unplacedAt: map[Key]time.Time{}, until: map[contentionGroup]time.Time{}},
+		queues:    map[Key]*queueState{}, divisions: map[string]*Division{},
 	}
 }
 
 // state returns what is known of a queue. It adds the queue if it is new.
-func (table *Table) state(key Key) *state {
+func (table *Table) state(key Key) *queueState {
 	known, found := table.queues[key]
 	if !found {
-		known = &state{demand: Demand{Queue: key.Queue}}
+		known = &queueState{demand: Demand{Queue: key.Queue}}
 		table.queues[key] = known
 	}
 	return known
 }
 
 // NoteUnplaced records that a task of a queue is without a worker for lack of resources.
-func (table *Table) NoteUnplaced(key Key, now time.Time) { table.short.note(key, now) }
+func (table *Table) NoteUnplaced(key Key, now time.Time) { table.shortages.note(key, now) }
 
-// IsNoted reports whether NoteUnplaced has been called for a queue at this very time.
+// IsNoted reports whether NoteUnplaced has been called for a queue in the same pass, that is with the same time.
 func (table *Table) IsNoted(key Key, now time.Time) bool {
-	return table.short.unplacedAt[key].Equal(now)
+	return table.shortages.unplacedAt[key].Equal(now)
 }
 
-// ShortPriority returns the most urgent priority of which queues of a service compete for too few workers.
-func (table *Table) ShortPriority(service string, now time.Time) (priority int32, isShort bool) {
-	return table.short.priority(service, now)
+// ContendedPriority returns the most urgent priority whose queues compete for too few workers of a service, and
+// whether there is one.
+func (table *Table) ContendedPriority(service string, now time.Time) (priority int32, contended bool) {
+	return table.shortages.priority(service, now)
 }
 
-// Expire forgets the shortages that are over, and all queues once none lacks resources. It reports whether any does.
+// Expire removes the shortages that are over, and all queues once none lacks resources. It reports whether any does.
 func (table *Table) Expire(now time.Time) bool {
-	if table.short.expire(now) {
+	if table.shortages.expire(now) {
 		return true
 	}
 	clear(table.queues)
@@ -106,40 +107,40 @@
 	}
 }
 
-// updateLags adds the time since the last count to the lags of the queues that compete. Shares count for the part of
-// them that the queues use together: what none can use is owed to none. If no queue of a competition is owed anything,
-// none owes anything.
+// updateLags adds the time since the last count to the lags of the queues that compete. Shares are scaled to what the
+// queues of a group use together: processors that none could use cause no lag. If no queue of a group has a positive
+// lag, none has a negative one.
 func (table *Table) updateLags(elapsed time.Duration) {
-	shortest, owed := table.shortestTargets(), map[competition]bool{}
+	shortest, lagging := table.shortestTargets(), map[contentionGroup]bool{}
 	used, shares := table.sums()
 	for key, known := range table.queues {
-		competing := key.competition()
-		if _, competes := table.short.until[competing]; !competes || shares[competing] == 0 {
+		group := key.contentionGroup()
+		if _, competes := table.shortages.until[group]; !competes || shares[group] == 0 {
 			known.lag = 0
 			continue
 		}
-		due := table.shareMilliCPU(key) * used[competing] / shares[competing]
-		known.lag = known.lag.Add(due, known.demand, shortest[competing], elapsed)
-		owed[competing] = owed[competing] || known.lag > 0
+		usableShare := table.shareMilliCPU(key) * used[group] / shares[group]
+		known.lag = known.lag.Add(usableShare, known.demand, shortest[group], elapsed)
+		lagging[group] = lagging[group] || known.lag > 0
 	}
 	for key, known := range table.queues {
-		if !owed[key.competition()] {
+		if !lagging[key.contentionGroup()] {
 			known.lag = 0
 		}
 	}
 }
 
-// sums returns what the queues of each competition use, and the sum of their shares.
-func (table *Table) sums() (used, shares map[competition]int64) {
-	used, shares = map[competition]int64{}, map[competition]int64{}
+// sums returns what the queues of each group use, and the sum of their shares.
+func (table *Table) sums() (used, shares map[contentionGroup]int64) {
+	used, shares = map[contentionGroup]int64{}, map[contentionGroup]int64{}
 	for key, known := range table.queues {
-		used[key.competition()] += known.demand.UsedMilliCPU
-		shares[key.competition()] += table.shareMilliCPU(key)
+		used[key.contentionGroup()] += known.demand.UsedMilliCPU
+		shares[key.contentionGroup()] += table.shareMilliCPU(key)
 	}
 	return used, shares
 }
 
-// shareMilliCPU returns the share of a queue, 0 if the room of its service is not divided.
+// shareMilliCPU returns the share of a queue, 0 if the capacity of its service is not divided.
 func (table *Table) shareMilliCPU(key Key) int64 {
 	if division := table.divisions[key.Service]; division != nil {
 		return division.ShareMilliCPU(key.Queue)
@@ -147,13 +148,13 @@
 	return 0
 }
 
-// shortestTargets returns the shortest known target duration of the queues of each competition.
-func (table *Table) shortestTargets() map[competition]time.Duration {
-	shortest := map[competition]time.Duration{}
+// shortestTargets returns the shortest known target duration of the queues of each group.
+func (table *Table) shortestTargets() map[contentionGroup]time.Duration {
+	shortest := map[contentionGroup]time.Duration{}
 	for key, known := range table.queues {
-		competing, target := key.competition(), known.demand.Target
-		if before, found := shortest[competing]; target > 0 && (!found || target < before) {
-			shortest[competing] = target
+		group, target := key.contentionGroup(), known.demand.Target
+		if before, found := shortest[group]; target > 0 && (!found || target < before) {
+			shortest[group] = target
 		}
 	}
 	return shortest
@@ -179,17 +180,17 @@
 	demand.WantedMilliCPU += max(wantedMilliCPU, 0)
 }
 
-// EndCount divides the room of each service that has too few workers, and forgets the queues without demand. It
+// EndCount divides the capacity of each service that has too few workers, and removes the queues without demand. It
 // reports whether any share has changed.
-func (table *Table) EndCount(roomOf func(service string) int64, now time.Time) bool {
-	table.beginShortages(roomOf, now)
+func (table *Table) EndCount(capacityOf func(service string) int64, now time.Time) bool {
+	table.beginShortages(capacityOf, now)
 	demands := map[string][]Demand{}
 	for key, known := range table.queues {
 		if known.demand.MilliCPU() == 0 {
 			delete(table.queues, key)
 			continue
 		}
-		if _, isShort := table.ShortPriority(key.Service, now); isShort {
+		if _, contended := table.ContendedPriority(key.Service, now); contended {
 			demands[key.Service] = append(demands[key.Service], known.demand)
 		}
 	}
@@ -204,7 +205,7 @@
 		if table.divisions[service] == nil {
 			table.divisions[service] = &Division{}
 		}
-		if table.divisions[service].Update(roomOf(service), ofService, now) {
+		if table.divisions[service].Update(capacityOf(service), ofService, now) {
 			changed = true
 		}
 	}
@@ -213,19 +214,20 @@
 
 // beginShortages begins a shortage for each queue that lacks resources while it uses less than its share, though other
 // queues have what they want: they use more than their shares, so that they lack nothing themselves.
-func (table *Table) beginShortages(roomOf func(service string) int64, now time.Time) {
+func (table *Table) beginShortages(capacityOf func(service string) int64, now time.Time) {
 	lacking := map[string]bool{}
 	for key := range table.queues {
-		if table.short.lacks(key, now) {
+		if table.shortages.lacks(key, now) {
 			lacking[key.Service] = true
 		}
 	}
 	for service := range lacking {
 		demands := table.demandsOf(service)
-		for index, shareMilliCPU := range Divide(roomOf(service), demands) {
+		for index, shareMilliCPU := range Divide(capacityOf(service), demands) {
 			key := Key{Service: service, Queue: demands[index].Queue}
-			if demands[index].UsedMilliCPU < shareMilliCPU && table.short.lacks(key, now) && hasCompetitor(key.Queue, demands) {
-				table.short.begin(key.competition(), now)
+			isBelowShare := demands[index].UsedMilliCPU < shareMilliCPU
+			if isBelowShare && table.shortages.lacks(key, now) && hasCompetitor(key.Queue, demands) {
+				table.shortages.begin(key.contentionGroup(), now)
 			}
 		}
 	}
@@ -267,60 +269,61 @@
 // workers take turns, within the positions that they have among all jobs. All others keep their positions.
 func (table *Table) Order(jobs []*Job) []*Job {
 	ordered := slices.Clone(jobs)
-	for competing := range table.short.until {
+	for group := range table.shortages.until {
 		var positions []int
 		for position, job := range jobs {
-			if job.Key.competition() == competing {
+			if job.Key.contentionGroup() == group {
 				positions = append(positions, position)
 			}
 		}
-		lines := table.lines(jobs, competing)
-		for turn, job := range Sequence(lines) {
+		queues := table.placementQueues(jobs, group)
+		for turn, job := range Sequence(queues) {
 			ordered[positions[turn]] = job
 		}
-		for _, line := range lines {
-			table.state(Key{Service: competing.service, Queue: line.Queue}).overdueTurns = line.overdueTurns
+		for _, queue := range queues {
+			table.state(Key{Service: group.service, Queue: queue.Queue}).overdueTurns = queue.overdueTurns
 		}
 	}
 	return ordered
 }
 
-// lines returns the queues of a competition with their jobs.
-func (table *Table) lines(jobs []*Job, competing competition) []*Line {
-	byKey := map[Key]*Line{}
-	var lines []*Line
+// placementQueues returns the queues of a group with their jobs.
+func (table *Table) placementQueues(jobs []*Job, group contentionGroup) []*PlacementQueue {
+	byKey := map[Key]*PlacementQueue{}
+	var queues []*PlacementQueue
 	for _, job := range jobs {
-		if job.Key.competition() != competing {
+		if job.Key.contentionGroup() != group {
 			continue
 		}
-		line, known := byKey[job.Key]
+		queue, known := byKey[job.Key]
 		if !known {
-			line = table.newLine(job.Key)
-			byKey[job.Key] = line
-			lines = append(lines, line)
+			queue = table.newPlacementQueue(job.Key)
+			byKey[job.Key] = queue
+			queues = append(queues, queue)
 		}
-		line.Jobs = append(line.Jobs, job)
+		queue.Jobs = append(queue.Jobs, job)
 	}
-	return lines
+	return queues
 }
 
-// newLine returns the line of a queue, without its jobs.
-func (table *Table) newLine(key Key) *Line {
+// newPlacementQueue returns a queue of the table without jobs.
+func (table *Table) newPlacementQueue(key Key) *PlacementQueue {
 	known := table.state(key)
-	line := &Line{Queue: key.Queue, ShareMilliCPU: table.shareMilliCPU(key), StartsSinceOldest: known.startsSinceOldest}
-	line.UsedMilliCPU = known.demand.UsedMilliCPU - known.lag.MilliCPU(known.demand.Target)
-	return line
+	return &PlacementQueue{
+		Queue: key.Queue, ShareMilliCPU: table.shareMilliCPU(key), StartsSinceOldest: known.startsSinceOldest,
+		UsedMilliCPU: known.demand.UsedMilliCPU - known.lag.MilliCPU(known.demand.Target),
+	}
 }
 
 // Row is the share and the use of one queue.
 type Row struct {
 	Key Key
-	// RoomMilliCPU is that of the service.
-	RoomMilliCPU, ShareMilliCPU, UsedMilliCPU, DemandMilliCPU int64
-	Lag                                                       Lag
+	// CapacityMilliCPU is that of the service.
+	CapacityMilliCPU, ShareMilliCPU, UsedMilliCPU, DemandMilliCPU int64
+	Lag                                                           Lag
 }
 
-// Rows returns the queues with a demand whose service's room is divided, ordered by service, priority and name.
+// Rows returns the queues with a demand whose service's capacity is divided, ordered by service, priority and name.
 func (table *Table) Rows() []Row {
 	var rows []Row
 	for key, known := range table.queues {
@@ -329,7 +332,7 @@
 			continue
 		}
 		rows = append(rows, Row{
-			Key: key, RoomMilliCPU: division.RoomMilliCPU(), ShareMilliCPU: division.ShareMilliCPU(key.Queue),
+			Key: key, CapacityMilliCPU: division.CapacityMilliCPU(), ShareMilliCPU: division.ShareMilliCPU(key.Queue),
 			UsedMilliCPU: known.demand.UsedMilliCPU, DemandMilliCPU: known.demand.MilliCPU(),
 			Lag: known.lag,
 		})
