agent, relocation: runs are offered only where a stop may take long

Change: offers take effect only where the platform's settings let a stop take half a second or more; elsewhere runs are evicted as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -125,6 +125,8 @@
 	// lies between two checkpoints.
 	RestoreTime        time.Duration
 	CheckpointInterval time.Duration
+	// StopTime is how long the worker may take to stop a run; 0 if that is not known.
+	StopTime time.Duration
 	// EvacuationDeadline is the longest time from an operator's request until nothing is started any more in
 	// the evacuated failure domain.
 	EvacuationDeadline time.Duration
--- a/agent/offers_test.go
+++ b/agent/offers_test.go
@@ -146,6 +146,7 @@
 		stopped  bool
 	}{
 		"the feature is off":            {nil, func(*offerHarness) {}, true},
+		"stops are short":               {[]string{"offers"}, func(h *offerHarness) { h.agent.options.StopTime = 400 * time.Millisecond }, true},
 		"an owner of an earlier build":  {[]string{"offers"}, func(h *offerHarness) { h.owner.takesOffers = false }, true},
 		"no owner is attached":          {[]string{"offers"}, func(h *offerHarness) { delete(h.agent.sessions, h.owner) }, false},
 		"the target is missed for long": {[]string{"offers"}, func(h *offerHarness) { h.now = h.now.Add(time.Minute); h.observe() }, true},
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -170,7 +170,7 @@
 	role := agent.New(agent.Options{
 		Name: settings.Name(), FailureDomain: settings.FailureDomain(), Shards: settings.Partitions(), FirstToken: deps.clock.Now().UnixMilli(), MaxTargetMiss: settings.MaxTargetMiss(),
 		EvacuationDeadline: settings.EvacuationDeadline(), RestoreTime: settings.RestoreTime(), CheckpointInterval: settings.CheckpointInterval(),
-		MaxLease: settings.MaxLease(),
+		MaxLease: settings.MaxLease(), StopTime: settings.StopTime(),
 		Connect: func(address string, id incarnation.ID) *platform.Worker {
 			return platform.NewWorker(address, id, transport)
 		},
--- a/relocation/gain.go
+++ b/relocation/gain.go
@@ -9,8 +9,15 @@
 	// within tens of seconds, so a slowed run gets faster again by itself. Without this limit, runs without
 	// checkpoints would repeat more work than they lose by the slow period.
 	paceHorizon = 8 * time.Second
+	// minStopTime is the stop time from which on offers are worthwhile. An eviction with a shorter stop costs a run
+	// less than the wait for an answer, during which it stays slowed.
+	minStopTime = 500 * time.Millisecond
 )
 
+// IsWorthwhile reports whether runs should be offered before they are stopped, on a worker that may take so long to
+// stop one. It is true if the time is 0, that is not known.
+func IsWorthwhile(stopTime time.Duration) bool { return stopTime <= 0 || stopTime >= minStopTime }
+
 // TimeSaved returns how much sooner a run would end at the pace there than at the pace here, which it is assumed to
 // keep for paceHorizon at most. The remaining work is given as its duration at full pace. Both paces are percentages.
 // The cost of the move is not included.
--- a/relocation/relocation_test.go
+++ b/relocation/relocation_test.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// TestOffersWithLongStops checks from which stop time on runs are offered.
+func TestOffersWithLongStops(t *testing.T) {
+	tests := map[string]struct {
+		stopTime   time.Duration
+		worthwhile bool
+	}{
+		"not known": {0, true},
+		"short":     {400 * time.Millisecond, false},
+		"long":      {900 * time.Millisecond, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := relocation.IsWorthwhile(test.stopTime); got != test.worthwhile {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
+
 // TestAnswer checks that an answer has an effect once, for the run that was offered, before the offer lapses.
 func TestAnswer(t *testing.T) {
 	const inTime = 100 * time.Millisecond
