soak: the processes run with all features

Cause: the soak checked the promises of the service only with the parts for hard load off. Change: gateways run with backlog, admission, shares, offers and confirmation, agents with offers.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -28,6 +28,9 @@
 	closing bool
 }
 
+// features holds the features that are enabled, by role: all that there are.
+var features = map[string]string{"gateway": "backlog,admission,shares,offers,confirmation", "agent": "offers"}
+
 // maxLease is the longest lease that workers accept.
 const maxLease = 10 * time.Second
 
@@ -60,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(p.binary, p.role)
+	command := exec.Command(p.binary, p.role, "--enable", features[p.role])
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
 	command.Stdout, command.Stderr = logFile, logFile
 	if err := command.Start(); err != nil {
