backlog: one need of a job, and one expectation for a forecast

Cause: overload had a second function for whether a job mostly fills or reserves, so that the pool of a job and the queue of its forecast could differ by rounding; a forecast for a job that was read computed what is ahead of it twice; a gateway built all tasks of a job to forecast it. Change: backlog.NewWork gives the need everywhere, Summary.Correct takes the expectation, and gateways forecast from job.Outline.

--- a/backlog/expect.go
+++ b/backlog/expect.go
@@ -100,11 +100,16 @@
 	if !known {
 		return Forecast{}, false
 	}
+	return summary.Correct(work, expected, age), true
+}
+
+// Correct returns the forecast for a job of which the expectation is known; see Forecast.
+func (summary *Summary) Correct(work Work, expected Expectation, age time.Duration) Forecast {
 	ratio, deviation := 1.0, 1.0
 	if found := summary.rows[work.key]; found != nil && found.message.GetOutcomeRatio() > 0 {
 		ratio, deviation = found.message.GetOutcomeRatio(), found.message.GetOutcomeDeviation()
 	}
-	return NewForecast(scale(expected.start, ratio), scale(expected.end, ratio), scale(expected.end, deviation), age), true
+	return NewForecast(scale(expected.start, ratio), scale(expected.end, ratio), scale(expected.end, deviation), age)
 }
 
 // scale multiplies a duration by a factor. The result is at most maxExpected.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -105,7 +105,7 @@
 func (gateway *Gateway) newAdmitRequest(
 	submission *job.Submission, candidate *job.Job, end time.Duration, now time.Time,
 ) *wire.AdmitRequest {
-	need := overload.MainNeed(submission)
+	need := backlog.NewWork(candidate).Need()
 	return &wire.AdmitRequest{
 		Id: submission.GetId(), Shard: int32(job.ShardOf(submission.GetId(), gateway.options.Shards)),
 		Queue: submission.GetQueue(), Service: submission.GetService(), Priority: submission.GetPriority(),
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -101,7 +101,7 @@
 	if !known {
 		return backlog.Forecast{}, false
 	}
-	return sum.Summary().Forecast(backlog.NewWork(job.New(submission, 0)), age)
+	return sum.Summary().Forecast(backlog.NewWork(job.Outline(submission)), age)
 }
 
 // drainedCoreMsPerS returns the work of a service and need that is done in a second, in ms of one core. It returns 0 if
--- a/overload/use.go
+++ b/overload/use.go
@@ -5,7 +5,6 @@
 
 	"ambertiller.example/ambertiller/backlog"
 	"ambertiller.example/ambertiller/job"
-	"ambertiller.example/ambertiller/wire"
 )
 
 // usefulTargets is how many times its target duration a job may take and still be of some use to its caller.
@@ -40,20 +39,3 @@
 
 // retryAfterUnit is the unit to which the time that callers are told is rounded up.
 const retryAfterUnit = time.Second
-
-// MainNeed returns the need of most of a job's work: whether it fills or reserves processors.
-func MainNeed(submission *job.Submission) wire.TaskNeed {
-	fillWork, reservedWork := int64(0), int64(0)
-	for _, step := range submission.GetSteps() {
-		work := int64(step.GetCount()) * step.GetMilliCpu() * step.GetEstimateMs()
-		if step.GetFills() {
-			fillWork += work
-		} else {
-			reservedWork += work
-		}
-	}
-	if fillWork > reservedWork {
-		return wire.TaskNeed_NEED_FILL
-	}
-	return wire.TaskNeed_NEED_RESERVED
-}
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"ambertiller.example/ambertiller/backlog"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
@@ -106,13 +107,13 @@
 	submission := j.Submission()
 	stored := overload.Request{
 		ID: j.ID(), Queue: submission.GetQueue(),
-		Pool: overload.PoolName(submission.GetService(), overload.MainNeed(submission).String(), submission.GetPriority()),
+		Pool: overload.PoolName(submission.GetService(), backlog.NewWork(j).Need().String(), submission.GetPriority()),
 	}
 	if !j.IsLongRunning() && !j.IsScheduled() {
 		stored.CoreMs = j.CoreMs()
 	}
 	if caller, returned := owner.refusedCallers.table.MarkStored(stored, now); returned {
-		owner.recordReturn(j.ID(), j.Submission().GetQueue(), caller, true, slog.Bool("asked", false))
+		owner.recordReturn(j.ID(), submission.GetQueue(), caller, true, slog.Bool("asked", false))
 	}
 }
 
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -10,10 +10,10 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcerr"
 
+	"ambertiller.example/ambertiller/backlog"
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
-	"ambertiller.example/ambertiller/overload"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -96,7 +96,7 @@
 	delete(h.shard.jobs, jobID)
 	request := newAdmitRequest()
 	request.Service, request.Priority = submission.GetService(), submission.GetPriority()
-	request.Need = overload.MainNeed(submission)
+	request.Need = backlog.NewWork(job.New(submission, 0)).Need()
 	h.owner.decideAdmission(request, h.clock.Now())
 	other := proto.Clone(submission).(*job.Submission)
 	other.Id = "0000000000000000"
--- a/owner/backlog.go
+++ b/owner/backlog.go
@@ -116,9 +116,8 @@
 	}
 	work := backlog.NewWork(j)
 	age := total.Age() + now.Sub(owner.backlogs.computedAt)
-	expected, known := total.Summary().Expect(work)
-	forecast, _ := total.Summary().Forecast(work, age)
-	if known {
+	if expected, known := total.Summary().Expect(work); known {
+		forecast := total.Summary().Correct(work, expected, age)
 		owner.backlogs.outcomes.AddJob(j.ID(), work, expected, forecast, now)
 	}
 	total.Summary().AddJob(j, owner.backlogs.tasks, now)
