owner: shared conditions stand once

Cause: the parts for hard load each wrote out whether the last join is recent, whether an agent has been heard lately and how many shards are loaded, beside places that had the same before; five harnesses enabled features and four captured the log in their own way. Change: hasRecentJoin, isHeard, loadedShards; the harness has enable and captureLog. A join exactly MemberTimeout ago now counts as not recent everywhere, as it did for offers; before, two of the three places were laxer by that instant. Result: the whole tests of owner pass, no assertion changed; tests of shares run with their features enabled in the options too.

--- a/agent/offers.go
+++ b/agent/offers.go
@@ -26,7 +26,8 @@
 const outcomeNeedless relocation.Outcome = "needless"
 
 // requiresOffer reports whether the run may only be evicted once its owner has accepted an offer. It is false if the
-// owner is known not to take offers, or if stops are short. It is true while no owner is attached, since none would place the run elsewhere.
+// owner is known not to take offers, or if stops are short. It is true while no owner is attached, since none would
+// place the run elsewhere.
 func (agent *Agent) requiresOffer(run *runState) bool {
 	if !agent.options.Features.Has(feature.Offers) || !relocation.IsWorthwhile(agent.options.StopTime) {
 		return false
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -52,7 +52,7 @@
 // store has not confirmed lately that this entry owns it. Then the job may be in the store without the owner knowing.
 func (owner *Owner) decideAdmission(request *wire.AdmitRequest, now time.Time) *wire.AdmitReply {
 	s, j := owner.loadedJob(request.GetId())
-	confirmed := now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
+	confirmed := owner.hasRecentJoin(now)
 	switch {
 	case s == nil:
 		return &wire.AdmitReply{}
@@ -82,19 +82,13 @@
 // overloadRequest returns the request for the table. The rate in the message is that of all shards. The owner admits
 // jobs by the share of the rate that its own shards have.
 func (owner *Owner) overloadRequest(request *wire.AdmitRequest) overload.Request {
-	loaded := 0
-	for _, s := range owner.shards {
-		if s.loaded {
-			loaded++
-		}
-	}
 	return overload.Request{
 		ID: request.GetId(), Queue: request.GetQueue(), CoreMs: request.GetCoreMs(),
 		Pool:              overload.PoolName(request.GetService(), request.GetNeed().String(), request.GetPriority()),
 		End:               time.Duration(request.GetEndMs()) * time.Millisecond,
 		Useful:            time.Duration(request.GetUsefulMs()) * time.Millisecond,
 		DrainedCoreMsPerS: float64(request.GetDrainedCoreMsPerS()),
-		Share:             float64(loaded) / float64(owner.options.Shards),
+		Share:             float64(owner.loadedShards()) / float64(owner.options.Shards),
 	}
 }
 
--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -11,8 +11,6 @@
 	"storj.io/drpc/drpcerr"
 
 	"ambertiller.example/ambertiller/backlog"
-	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -20,16 +18,8 @@
 // newAdmissionHarness returns a harness with admission enabled, and what its owner logs.
 func newAdmissionHarness(t *testing.T) (*harness, *bytes.Buffer) {
 	h := newHarness(t)
-	enabled, err := feature.Parse([]string{"backlog", "admission"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines := &bytes.Buffer{}
-	if h.owner.options.Events, err = event.Open(lines, "json", "info"); err != nil {
-		t.Fatal(err)
-	}
-	h.owner.options.Features = enabled
-	return h, lines
+	h.enable("backlog", "admission")
+	return h, h.captureLog()
 }
 
 // newAdmitRequest returns a request for a job that would end when it is of no use any more.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -84,6 +84,11 @@
 // status returns the last known status of the agent's worker.
 func (view *agentView) status() *wire.WorkerStatus { return view.statusDecoder.Status() }
 
+// isHeard reports whether the agent is connected and has sent a message lately.
+func (view *agentView) isHeard(now time.Time) bool {
+	return view.conn != nil && now.Sub(view.lastMessageAt) <= 2*grantInterval
+}
+
 // newAgentView returns the view of an agent that has sent no message yet.
 func newAgentView(address string) *agentView {
 	return &agentView{
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -10,8 +10,6 @@
 	"storj.io/drpc/drpcerr"
 
 	"ambertiller.example/ambertiller/backlog"
-	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -20,18 +18,9 @@
 // shard is known.
 func newBacklogHarness(t *testing.T) (*harness, *bytes.Buffer) {
 	h := newHarness(t)
-	features, err := feature.Parse([]string{string(feature.Backlog)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var lines bytes.Buffer
-	events, err := event.Open(&lines, "json", "info")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h.owner.options.Features, h.owner.options.Events = features, events
+	h.enable("backlog")
 	h.clock.Advance(backlog.MinWindow)
-	return h, &lines
+	return h, h.captureLog()
 }
 
 // requestBacklog calls the RPC while the event loop runs.
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -58,7 +58,7 @@
 	var workers []*candidate
 	for view := range views {
 		status := view.status()
-		if view.conn == nil || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) || now.Sub(view.lastMessageAt) > 2*grantInterval {
+		if !view.isHeard(now) || !status.GetReady() || status.GetDraining() || now.Before(view.avoidUntil) {
 			continue
 		}
 		worker := newCandidate(view)
--- a/owner/confirmation.go
+++ b/owner/confirmation.go
@@ -17,7 +17,12 @@
 	if !owner.options.Features.Has(feature.Confirmation) {
 		return true
 	}
-	return now.Sub(owner.lastJoinAt) <= owner.options.MemberTimeout
+	return owner.hasRecentJoin(now)
+}
+
+// hasRecentJoin reports whether the store has confirmed the ownership of the shards within MemberTimeout.
+func (owner *Owner) hasRecentJoin(now time.Time) bool {
+	return now.Sub(owner.lastJoinAt) < owner.options.MemberTimeout
 }
 
 // mayPlace reports whether tasks of a shard may be placed. If joins are not answered, a recent successful append
--- a/owner/confirmation_test.go
+++ b/owner/confirmation_test.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"bytes"
 	"slices"
 	"strings"
 	"testing"
@@ -10,8 +9,6 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
-	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/wire"
@@ -20,14 +17,9 @@
 // newConfirmationHarness returns a harness with or without feature.Confirmation.
 func newConfirmationHarness(t *testing.T, enabled bool) *harness {
 	h := newHarness(t)
-	if !enabled {
-		return h
+	if enabled {
+		h.enable("confirmation")
 	}
-	features, err := feature.Parse([]string{string(feature.Confirmation)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	h.owner.options.Features = features
 	return h
 }
 
@@ -211,12 +203,7 @@
 // ticks and answers there are in it.
 func TestUnconfirmedPeriodIsLoggedOnce(t *testing.T) {
 	h := newConfirmationHarness(t, true)
-	var lines bytes.Buffer
-	events, err := event.Open(&lines, "json", "info")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h.owner.options.Events = events
+	lines := h.captureLog()
 	expectLogged := func(unconfirmed, confirmed int) {
 		t.Helper()
 		if got := strings.Count(lines.String(), "ownership unconfirmed"); got != unconfirmed {
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/incarnation"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
@@ -68,6 +70,28 @@
 	return h
 }
 
+// enable enables features of the owner.
+func (h *harness) enable(features ...string) {
+	h.t.Helper()
+	enabled, err := feature.Parse(features)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.owner.options.Features = enabled
+}
+
+// captureLog returns what the owner logs from now on.
+func (h *harness) captureLog() *bytes.Buffer {
+	h.t.Helper()
+	lines := &bytes.Buffer{}
+	events, err := event.Open(lines, "json", "info")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.owner.options.Events = events
+	return lines
+}
+
 // newSubmission returns a job with one step of one task.
 func newSubmission() *job.Submission {
 	return &job.Submission{
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -79,11 +79,8 @@
 		return
 	}
 	owner.gaugesRecordedAt = now
-	shards, live, attached := int64(0), int64(0), int64(0)
+	live, attached := int64(0), int64(0)
 	for _, s := range owner.shards {
-		if s.loaded {
-			shards++
-		}
 		live += int64(len(s.live))
 	}
 	for _, view := range owner.agents {
@@ -91,7 +88,7 @@
 			attached++
 		}
 	}
-	owner.metrics.ownedShards.Record(owner.ctx, shards)
+	owner.metrics.ownedShards.Record(owner.ctx, int64(owner.loadedShards()))
 	owner.metrics.liveJobs.Record(owner.ctx, live)
 	if owner.options.Features.Has(feature.Confirmation) {
 		unconfirmed := 0
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -163,7 +163,7 @@
 		return verdictNotCurrent
 	case run.task.Spec().GetGang() || !run.task.Spec().GetFills():
 		return verdictFixed
-	case now.Sub(owner.lastJoinAt) >= owner.options.MemberTimeout:
+	case !owner.hasRecentJoin(now):
 		return verdictUnconfirmed // The next start could not be recorded.
 	}
 	if _, reserved := owner.moves.reservations.ByTask(run.taskName); reserved {
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/relocation"
 	"ambertiller.example/ambertiller/wire"
@@ -27,11 +26,7 @@
 
 func newMoveHarness(t *testing.T, features ...string) *moveHarness {
 	h := &moveHarness{harness: newHarness(t), sourceTolerance: -100}
-	enabled, err := feature.Parse(features)
-	if err != nil {
-		t.Fatal(err)
-	}
-	h.owner.options.Features = enabled
+	h.enable(features...)
 	h.job = h.submitWith(func(submission *job.Submission) {
 		step := submission.Steps[0]
 		step.Fills, step.Image, step.Checkpointing, step.EstimateMs, step.Count = true, "f", true, 20000, 2
--- a/owner/reservations.go
+++ b/owner/reservations.go
@@ -89,10 +89,9 @@
 func (owner *Owner) situationOf(move reservedMove, now time.Time) relocation.Situation {
 	view, task := move.destination, move.run.task
 	return relocation.Situation{
-		Released: owner.shards[move.run.shard.number] != move.run.shard,
-		Ended:    task.Job().HasEnded(),
-		Lost: owner.agents[view.address] != view || view.conn == nil || view.incarnation() != move.worker ||
-			now.Sub(view.lastMessageAt) > 2*grantInterval,
+		Released:  owner.shards[move.run.shard.number] != move.run.shard,
+		Ended:     task.Job().HasEnded(),
+		Lost:      owner.agents[view.address] != view || view.incarnation() != move.worker || !view.isHeard(now),
 		Draining:  view.status().GetDraining(),
 		Evacuated: owner.isEvacuated(view),
 		Running:   move.source.runs[move.run.taskName] == move.run,
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -76,6 +76,17 @@
 	return s
 }
 
+// loadedShards returns the number of shards that this entry owns and has loaded.
+func (owner *Owner) loadedShards() int {
+	loaded := 0
+	for _, s := range owner.shards {
+		if s.loaded {
+			loaded++
+		}
+	}
+	return loaded
+}
+
 // acquireShard starts to own a shard. Its jobs are loaded in the background.
 func (owner *Owner) acquireShard(number int, epoch int64, now time.Time) {
 	s := newShard(owner.ctx, number, epoch, now)
--- a/owner/shares_test.go
+++ b/owner/shares_test.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -9,7 +8,6 @@
 	"time"
 
 	"ambertiller.example/ambertiller/event"
-	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/share"
 	"ambertiller.example/ambertiller/wire"
@@ -18,11 +16,8 @@
 // enableShares enables the feature.
 func enableShares(h *harness) {
 	h.t.Helper()
-	features, err := feature.Parse([]string{"backlog", "shares"})
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.owner.shares = newQueueShares(Options{Features: features})
+	h.enable("backlog", "shares")
+	h.owner.shares = newQueueShares(h.owner.options)
 }
 
 // beginShortage has tasks of two queues wait for resources.
@@ -321,17 +316,12 @@
 func TestSharesAreLogged(t *testing.T) {
 	h := newHarness(t)
 	enableShares(h)
-	logged := &bytes.Buffer{}
-	events, err := event.Open(logged, "json", "info")
-	if err != nil {
-		t.Fatal(err)
-	}
 	submitQueues(h, "")
 	h.attach()
 	status := idleWorkerStatus()
 	status.MilliCpu, status.FreeMilliCpu = 40_000, 0
 	h.receive(&wire.AgentMessage{Status: status})
-	h.owner.options.Events = events
+	logged := h.captureLog()
 	for count := range 21 {
 		beginShortage(h)
 		used := &wire.QueueBacklog{Queue: "long", Service: "verbale", UsedMilliCpu: int64(count) * 1000}
--- a/owner/short_reserve.go
+++ b/owner/short_reserve.go
@@ -11,12 +11,7 @@
 // observeShortTasks records what short tasks use on a worker. The owner knows only those of its own shards. Jobs are
 // distributed over the shards by hash, so it extrapolates their use to all shards.
 func (owner *Owner) observeShortTasks(view *agentView, now time.Time) {
-	loaded := 0
-	for _, s := range owner.shards {
-		if s.loaded {
-			loaded++
-		}
-	}
+	loaded := owner.loadedShards()
 	used := map[int32]int64{}
 	for _, run := range view.runs {
 		demand := run.demand
