event, feature, gateway: texts and names that two places need stand once

Change: the reasons are constants beside the catalogue of events, feature.Names gives the list, one closure marks the record. Result: tests of event, report, gateway, feature, command and trace pass; texts are as before, the help lists the features in alphabetical order. Agents of the soak are given all features too, of which they have one.

--- a/command/platform.go
+++ b/command/platform.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -60,7 +61,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info", Sources: envVar("LOG_LEVEL")},
-			&cli.StringSliceFlag{Name: "enable", Usage: "features to enable, separated by commas: backlog, admission, shares, offers, confirmation", Sources: envVar("ENABLE")},
+			&cli.StringSliceFlag{Name: "enable", Usage: "features to enable, separated by commas: " + strings.Join(feature.Names(), ", "), Sources: envVar("ENABLE")},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error { return runPlatformRole(ctx, cmd, newRole) },
--- a/feature/feature.go
+++ b/feature/feature.go
@@ -40,6 +40,16 @@
 	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Offers: nil, Confirmation: nil,
 }
 
+// Names returns the names of all features, sorted.
+func Names() []string {
+	var names []string
+	for feature := range requirements {
+		names = append(names, string(feature))
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Set is a set of enabled features. The zero value has none.
 type Set struct {
 	enabled []Feature
--- a/gateway/append.go
+++ b/gateway/append.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/wire"
@@ -57,10 +58,16 @@
 	shard := job.ShardOf(id, gateway.options.Shards)
 	request := platform.Append{Topic: job.TopicJobs, Partition: shard, Records: []platform.Record{{Key: key, Value: value}}}
 	if gateway.breaker.shouldReject(gateway.options.Clock.Now()) {
-		return appendResult{status: appendRefused, reason: "the platform's store is unavailable"}
+		return appendResult{status: appendRefused, reason: event.ReasonStoreUnavailable}
 	}
 	mayBeStored := false // whether an attempt so far may have stored the record
-	reason := "the client's deadline has passed"
+	markUnsettled := func() {
+		if !mayBeStored {
+			mayBeStored = true
+			gateway.startUnsettledReport(ctx, id, key)
+		}
+	}
+	reason := event.ReasonDeadlinePassed
 	for ctx.Err() == nil {
 		err := gateway.appendOnce(ctx, request)
 		if err == nil {
@@ -69,9 +76,8 @@
 			return appendResult{status: appendSucceeded, appendedBy: gateway.options.Name}
 		}
 		reason = err.Error()
-		if !mayBeStored && !platform.IsRefused(err) {
-			mayBeStored = true
-			gateway.startUnsettledReport(ctx, id, key)
+		if !platform.IsRefused(err) {
+			markUnsettled()
 		}
 		relayed := gateway.directory.relay(ctx, &wire.RelayRequest{Shard: int32(shard), Key: key, Value: value})
 		if relayed.status == appendSucceeded {
@@ -79,14 +85,10 @@
 			return relayed
 		}
 		gateway.breaker.recordFailure(gateway.options.Clock.Now())
-		if !mayBeStored && relayed.status == appendUnknown {
-			mayBeStored = true
-			gateway.startUnsettledReport(ctx, id, key)
-		}
-		if !mayBeStored {
-			break
+		if relayed.status == appendUnknown {
+			markUnsettled()
 		}
-		if gateway.isAppendRetryUseless(ctx) {
+		if !mayBeStored || gateway.isAppendRetryUseless(ctx) {
 			break
 		}
 		sleep(ctx, gateway.options.Clock, appendRetryDelay)
--- a/report/refusal.go
+++ b/report/refusal.go
@@ -32,18 +32,11 @@
 const (
 	causeLoadPrefix = "load: "
 	causeStoreAway  = "store: unavailable"
-	causeDeadline   = "store: the client's deadline has passed"
+	causeDeadline   = "store: " + event.ReasonDeadlinePassed
 	causeNotTaken   = "store: did not take the record"
 	causeInvalid    = "other: invalid submission"
 )
 
-// The reasons that gateways log for a record that they have not sent to the store. Other reasons of a refusal that
-// is not for load are errors of the store.
-const (
-	reasonStoreAway = "the platform's store is unavailable"
-	reasonDeadline  = "the client's deadline has passed"
-)
-
 // refusalHistory holds what is known of refused jobs.
 type refusalHistory struct {
 	counts   map[string]int             // refusals by cause
@@ -92,9 +85,9 @@
 		return causeLoadPrefix + ln.Reason
 	case len(ln.RetryAfter) == 0:
 		return causeInvalid
-	case ln.Reason == reasonStoreAway:
+	case ln.Reason == event.ReasonStoreUnavailable:
 		return causeStoreAway
-	case ln.Reason == reasonDeadline:
+	case ln.Reason == event.ReasonDeadlinePassed:
 		return causeDeadline
 	}
 	return causeNotTaken
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -5,11 +5,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/standin/bootfile"
 	"ambertiller.example/ambertiller/standin/relay"
@@ -28,9 +30,6 @@
 	closing bool
 }
 
-// features holds the features that are enabled, by role: all that there are.
-var features = map[string]string{"gateway": "backlog,admission,shares,offers,confirmation", "agent": "offers"}
-
 // maxLease is the longest lease that workers accept.
 const maxLease = 10 * time.Second
 
@@ -63,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(p.binary, p.role, "--enable", features[p.role])
+	command := exec.Command(p.binary, p.role, "--enable", strings.Join(feature.Names(), ","))
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
 	command.Stdout, command.Stderr = logFile, logFile
 	if err := command.Start(); err != nil {
