gateway: log and measure how old the knowledge of the configuration is

Callers were served by a configuration that two gateways had not been able to confirm for 46 s, and no line or metric of theirs said so: a failed read of operators' records was not logged.

Event 1060 reports the first failed read in a row with its error, 1061 the next confirmation, with the time between and the number of failed reads. The metric ambertiller_configuration_age_seconds is the time since the configuration was confirmed as the newest one; it grows while a read does not return, since it is computed when it is collected. The lines of accepted and refused jobs name the version that decided and its age, those of accepted cancellations the version; event 1062 does for a request that is answered with 404, which had no line.

No decision changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -147,6 +147,8 @@
 	candidacyRelease = "0.10"
 	// hardLoadRelease lets owners, agents and gateways decide together while resources are short.
 	hardLoadRelease = "0.11"
+	// slowLinkRelease makes reads of the store independent of the speed of the link.
+	slowLinkRelease = "0.12"
 )
 
 // Shares of queues.
@@ -193,6 +195,13 @@
 	OwnershipConfirmed
 )
 
+// What a gateway knows of the configuration that operators have published.
+const (
+	ConfigurationUnconfirmed Code = 1060 + iota
+	ConfigurationConfirmed
+	QueueUnknown
+)
+
 // Agents and their workers.
 const (
 	AgentAttached Code = 900 + iota
@@ -378,6 +387,10 @@
 	{MoveReservationEnded, slog.LevelInfo, "move reservation ended", "Room that was reserved for a run is not reserved any more. The attribute reason is used if the run was stopped and its task was placed there, placed elsewhere if only another worker fitted by then, or else says why that did not happen. The attribute after says how long the room was reserved.", hardLoadRelease},
 	{OwnershipUnconfirmed, slog.LevelWarn, "ownership unconfirmed", "The store has not confirmed the ownership of this entry's shards for so long that it may have assigned them to others. The entry considers none of their runs lost until the store answers a join, and places tasks only of shards for which the store has just accepted an append. The attribute shards says how many shards the entry owns as far as it knows, and since how long ago the last join that was answered had been sent.", hardLoadRelease},
 	{OwnershipConfirmed, slog.LevelInfo, "ownership confirmed", "After event 1050, the store has confirmed the ownership of all shards that this entry still has. Shards that it has lost, or all if it stops to own any, are given up by then (event 704). The attribute after says how long ago the last join that was answered before event 1050 had been sent.", hardLoadRelease},
+
+	{ConfigurationUnconfirmed, slog.LevelWarn, "configuration unconfirmed", "A read of the records that operators write failed, so this gateway does not know whether its configuration is the newest one. The attribute age says for how long it has not known that, error why the read failed. Further failures are counted in event 1061.", slowLinkRelease},
+	{ConfigurationConfirmed, slog.LevelInfo, "configuration confirmed", "After event 1060, this gateway knows again that its configuration is the newest one. The attribute after says for how long it had not known that, reads how many reads had failed.", slowLinkRelease},
+	{QueueUnknown, slog.LevelInfo, "queue unknown", "A request was answered with 404 because the configuration in force has no queue for its host and path. The attributes give the version of the configuration and the time since it was confirmed as the newest one.", slowLinkRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -25,6 +25,7 @@
 	for ctx.Err() == nil {
 		update, err := reader.Read(ctx)
 		if err != nil {
+			gateway.recordReadFailure(ctx, err)
 			sleep(ctx, gateway.options.Clock, operatorRetryDelay)
 			continue
 		}
@@ -34,6 +35,7 @@
 				gateway.applyConfiguration(ctx, record.Value)
 			}
 		}
+		gateway.recordRead(ctx, update)
 		if gateway.configuration.Load() == nil {
 			// The store may have removed the record of the configuration before it was read. Restarting the
 			// reader asks for the newest record.
@@ -58,3 +60,33 @@
 	gateway.metrics.configuration.Record(ctx, parsed.Version())
 	gateway.options.Events.Log(ctx, event.ConfigurationInForce, slog.Int64("version", parsed.Version()))
 }
+
+// recordReadFailure logs a failed read of operators' records if it is the first one in a row.
+func (gateway *Gateway) recordReadFailure(ctx context.Context, err error) {
+	if ctx.Err() != nil || !gateway.confirmation.recordFailure() {
+		return
+	}
+	gateway.options.Events.Log(ctx, event.ConfigurationUnconfirmed, slog.Int64("version", gateway.version()),
+		slog.Duration("age", gateway.confirmation.age(gateway.options.Clock.Now())), slog.Any("error", err))
+}
+
+// recordRead records that the configuration in force is the newest one, if the read reached the end of the
+// operators' records.
+func (gateway *Gateway) recordRead(ctx context.Context, update operator.Update) {
+	if update.AsOf.IsZero() || gateway.configuration.Load() == nil {
+		return
+	}
+	if unconfirmed, failedReads := gateway.confirmation.recordConfirmed(update.AsOf); failedReads > 0 {
+		gateway.options.Events.Log(ctx, event.ConfigurationConfirmed, slog.Int64("version", gateway.version()),
+			slog.Duration("after", unconfirmed), slog.Int("reads", failedReads))
+	}
+}
+
+// version returns the version of the configuration in force, or 0 if there is none.
+func (gateway *Gateway) version() int64 {
+	configuration := gateway.configuration.Load()
+	if configuration == nil {
+		return 0
+	}
+	return configuration.Version()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 type Gateway struct {
 	options       Options
 	configuration atomic.Pointer[platform.Configuration]
+	confirmation  confirmation
 	directory     *ownerDirectory
 	backlogs      *backlogPoller
 	shuttingDown  atomic.Bool
@@ -89,8 +90,9 @@
 	directory := newOwnerDirectory(options)
 	gateway := &Gateway{
 		options: options, directory: directory, backlogs: newBacklogPoller(options, directory),
-		metrics: newMetrics(options.Meters), admission: newAdmission(options.Meters),
+		admission: newAdmission(options.Meters),
 	}
+	gateway.metrics = newMetrics(options.Meters, gateway.configurationAge)
 	if options.Features.Has(feature.Backlog) {
 		gateway.forecaster = gateway.backlogs
 	}
@@ -115,7 +117,7 @@
 	}
 	queue, found := configuration.Match(request.Host, request.URL.Path)
 	if !found {
-		writer.WriteHeader(http.StatusNotFound)
+		gateway.respondQueueUnknown(writer, request, configuration)
 		return
 	}
 	id := queue.TrimPrefix(request.URL.Path)
@@ -132,12 +134,24 @@
 	case request.Method == http.MethodGet:
 		gateway.respondState(writer, request, id)
 	case request.Method == http.MethodDelete:
-		gateway.cancelJob(writer, request, id)
+		gateway.cancelJob(writer, request, configuration, id)
 	default:
 		writer.WriteHeader(http.StatusMethodNotAllowed)
 	}
 }
 
+// respondQueueUnknown responds with 404 Not Found to a request for a queue that the configuration doesn't have.
+func (gateway *Gateway) respondQueueUnknown(writer http.ResponseWriter, request *http.Request, configuration *platform.Configuration) {
+	gateway.options.Events.Log(request.Context(), event.QueueUnknown, slog.String("host", request.Host), slog.String("path", request.URL.Path),
+		slog.Int64("configuration", configuration.Version()), slog.Duration("configuration_age", gateway.configurationAge()))
+	writer.WriteHeader(http.StatusNotFound)
+}
+
+// configurationAge returns the time since the configuration in force was confirmed as the newest one.
+func (gateway *Gateway) configurationAge() time.Duration {
+	return gateway.confirmation.age(gateway.options.Clock.Now())
+}
+
 func isJobID(text string) bool {
 	if len(text) != jobIDDigits {
 		return false
@@ -173,7 +187,7 @@
 	gateway.respondAppend(writer, request, result, id, event.JobAccepted, configuration.Version(), receivedAt)
 }
 
-func (gateway *Gateway) cancelJob(writer http.ResponseWriter, request *http.Request, id string) {
+func (gateway *Gateway) cancelJob(writer http.ResponseWriter, request *http.Request, configuration *platform.Configuration, id string) {
 	receivedAt := gateway.options.Clock.Now()
 	value, err := proto.Marshal(&job.Cancellation{Id: id, AtMs: receivedAt.UnixMilli()})
 	if err != nil {
@@ -181,7 +195,7 @@
 		return
 	}
 	result := gateway.appendRecord(request.Context(), id, job.CancellationKey(id), value)
-	gateway.respondAppend(writer, request, result, id, event.JobCancelAccepted, 0, receivedAt)
+	gateway.respondAppend(writer, request, result, id, event.JobCancelAccepted, configuration.Version(), receivedAt)
 }
 
 func (gateway *Gateway) respondAppend(writer http.ResponseWriter, request *http.Request, result appendResult, id string, acceptedEvent event.Code, version int64, receivedAt time.Time) {
@@ -190,7 +204,7 @@
 	switch result.status {
 	case appendSucceeded:
 		gateway.options.Events.Log(request.Context(), acceptedEvent, slog.String("job", id), slog.Duration("took", took),
-			slog.String("by", result.appendedBy), slog.Int64("configuration", version))
+			slog.String("by", result.appendedBy), slog.Int64("configuration", version), slog.Duration("configuration_age", gateway.configurationAge()))
 		writer.WriteHeader(http.StatusOK)
 	case appendRefused:
 		gateway.respondRefused(writer, id, result.reason)
@@ -210,7 +224,8 @@
 // only called when the request had no effect.
 func (gateway *Gateway) respondRefused(writer http.ResponseWriter, id, reason string) {
 	retryAfter := gateway.storeRetryAfter(id)
-	gateway.options.Events.Log(context.Background(), event.JobRefused, slog.String("job", id), slog.String("reason", reason), slog.Duration("retry_after", retryAfter))
+	gateway.options.Events.Log(context.Background(), event.JobRefused, slog.String("job", id), slog.String("reason", reason), slog.Duration("retry_after", retryAfter),
+		slog.Int64("configuration", gateway.version()), slog.Duration("configuration_age", gateway.configurationAge()))
 	respondRetryLater(writer, http.StatusServiceUnavailable, retryAfter)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,13 +18,20 @@
 }
 
 // newMetrics creates the instruments. Errors are ignored because the library returns them only for invalid
-// names, and these names are valid constants.
-func newMetrics(provider metric.MeterProvider) metrics {
+// names, and these names are valid constants. configurationAge returns the time since the configuration was
+// confirmed as the newest one.
+func newMetrics(provider metric.MeterProvider, configurationAge func() time.Duration) metrics {
 	meter := telemetry.Meter(provider, "gateway")
 	var instruments metrics
 	instruments.answers, _ = meter.Int64Counter("ambertiller.request.answered", metric.WithDescription("Clients' requests, by kind and outcome."))
 	instruments.duration, _ = meter.Float64Histogram("ambertiller.request.duration", metric.WithUnit("s"), metric.WithDescription("Time to the answer, by kind."))
 	instruments.configuration, _ = meter.Int64Gauge("ambertiller.configuration.version", metric.WithDescription("Version of the configuration in force."))
+	_, _ = meter.Float64ObservableGauge("ambertiller.configuration.age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the configuration in force was confirmed as the newest one."),
+		metric.WithFloat64Callback(func(_ context.Context, observer metric.Float64Observer) error {
+			observer.Observe(configurationAge().Seconds())
+			return nil
+		}))
 	return instruments
 }
 
