wirestore: limit reads and pages of newest records as the platform's store does

The stand-in answered a read with all records and a page with all keys, whatever their size, so that no test had a response that the real store would have cut. Reads keep to max_kb (1,024 if not set) with at least one record, pages to 500 items or 1 MiB.

--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -77,9 +77,25 @@
 	writeJSON(writer, http.StatusOK, appendResponse{Offset: partition.endOffset - int64(len(added)), End: partition.endOffset})
 }
 
-// serveRead responds with the records from the requested offset on. If there are none, it waits for an append
-// for up to wait_ms milliseconds. A read below the first readable offset is answered with 410 Gone and that
-// offset.
+const (
+	// defaultMaxReadKB limits a read that sets no max_kb.
+	defaultMaxReadKB = 1024
+	// maxPageBytes and maxPageItems limit a page of newest records.
+	maxPageBytes = 1 << 20
+	maxPageItems = 500
+)
+
+// maxReadBytes returns the limit of a read in bytes.
+func maxReadBytes(request *http.Request) int64 {
+	if kb := queryInt(request, "max_kb"); kb > 0 {
+		return kb << 10
+	}
+	return defaultMaxReadKB << 10
+}
+
+// serveRead responds with the records from the requested offset on, limited in size by max_kb. If there are none,
+// it waits for an append for up to wait_ms milliseconds. A read below the first readable offset is answered with
+// 410 Gone and that offset.
 func (store *Store) serveRead(writer http.ResponseWriter, request *http.Request) {
 	from := queryInt(request, "source")
 	timer := time.NewTimer(time.Duration(queryInt(request, "wait_ms")) * time.Millisecond)
@@ -95,7 +111,7 @@
 			}{partition.firstOffset})
 			return
 		}
-		body := partition.encodeFrom(from)
+		body := partition.encodeFrom(from, maxReadBytes(request))
 		hasEntries := partition.endOffset > from
 		store.mu.Unlock()
 		if hasEntries {
@@ -120,8 +136,8 @@
 	Offset int64  `json:"offset"`
 }
 
-// serveNewest responds with the newest record of every key that is greater than the query parameter "after",
-// sorted by key. A key whose newest value is empty counts as deleted and is left out.
+// serveNewest responds with a page of the newest record of every key that is greater than the query parameter
+// "after", sorted by key. A key whose newest value is empty counts as deleted and is left out.
 func (store *Store) serveNewest(writer http.ResponseWriter, request *http.Request) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
@@ -142,9 +158,22 @@
 		}
 		return 1
 	})
+	page := limitPage(items)
 	writeJSON(writer, http.StatusOK, struct {
 		Items []newestRecord `json:"items"`
 		More  bool           `json:"more"`
 		End   int64          `json:"end"`
-	}{items, false, partition.endOffset})
+	}{page, len(page) < len(items), partition.endOffset})
+}
+
+// limitPage returns the first items that fit a page, but at least one.
+func limitPage(items []newestRecord) []newestRecord {
+	size := 0
+	for index, item := range items {
+		size += len(item.Key) + len(item.Value)
+		if index > 0 && (size > maxPageBytes || index == maxPageItems) {
+			return items[:index]
+		}
+	}
+	return items
 }
--- a/standin/wirestore/partition.go
+++ b/standin/wirestore/partition.go
@@ -13,6 +13,9 @@
 	offset int64
 }
 
+// size returns the number of bytes of the key and the value.
+func (e entry) size() int64 { return int64(len(e.key) + len(e.value)) }
+
 // partitionKey identifies a partition of a topic.
 type partitionKey struct {
 	topic     string
@@ -108,13 +111,19 @@
 }
 
 // encodeFrom encodes the body of a read: the end offset and the first readable offset as 8-byte big-endian
-// integers, followed by the records from offset on.
-func (partition *partition) encodeFrom(offset int64) []byte {
+// integers, followed by the records from offset on, up to maxBytes of keys and values but at least one record.
+func (partition *partition) encodeFrom(offset, maxBytes int64) []byte {
 	var entries []entry
+	size := int64(0)
 	for _, entry := range partition.entries {
-		if entry.offset >= offset {
-			entries = append(entries, entry)
+		if entry.offset < offset {
+			continue
+		}
+		size += entry.size()
+		if len(entries) > 0 && size > maxBytes {
+			break
 		}
+		entries = append(entries, entry)
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(partition.endOffset))
 	body = binary.BigEndian.AppendUint64(body, uint64(partition.firstOffset))
