platform: bound the silence of a read of the store, not its duration

Cause: each read of the store had one deadline for its whole response, whatever its size, and began again with the same question when it passed. operator.Reader allowed 0.7 s beyond its wait, and 0.7 s in all after a failed read; 815 KB take 0.78 s there, so that no read after the first failure could succeed, while the link stayed full. The same deadline of 1.5 s bounded the loading of a shard with all its pages.

Change: package progress cancels a transfer that receives nothing for a time. Reads of records and of the newest records use it, and have no deadline of their own: the operator's, a shard's first and later ones, those of agents, and the question for a job's state, which keeps its caller's. A read after a failed one may begin later than before (1.5 s), as the store or the link may be slow. Why this works: as long as bytes arrive a repetition could only lose them; a connection that has broken without notice is still found, by its silence.

The count of registered agents runs on its own, since a seat must be renewed in time however long the count takes.

--- a/operator/reader.go
+++ b/operator/reader.go
@@ -17,10 +17,11 @@
 	// readWait is how long a read waits for new records. A read that is waiting while the store drops its
 	// history receives nothing until it is repeated, and a configuration has to take effect within 2 s.
 	readWait = 800 * time.Millisecond
-	// readMargin is the part of a read's timeout beyond its wait, for the round trip.
-	readMargin = 700 * time.Millisecond
-	// newestTimeout is the timeout of reading the newest records.
-	newestTimeout = 1500 * time.Millisecond
+	// readSilence bounds how long a response may make no progress. A connection that has broken without notice
+	// has to be found while there is time to read a configuration on another one.
+	readSilence = 700 * time.Millisecond
+	// retrySilence is readSilence after a read that failed, since the store or the link may be slow.
+	retrySilence = 1500 * time.Millisecond
 )
 
 // offsetUnknown is the offset of a reader that has to start with the newest records.
@@ -31,9 +32,9 @@
 	store      *platform.Store
 	clock      clockwork.Clock
 	nextOffset int64
-	// skipWait makes the next read return at once, even without new records. After a failed read, the
-	// current state has to be known as soon as possible.
-	skipWait  bool
+	// hasFailed is set after a read that failed, and for a new reader. The next read returns at once, even
+	// without new records, because the current state has to be known as soon as possible.
+	hasFailed bool
 	evacuated map[string]bool
 }
 
@@ -50,28 +51,27 @@
 
 // NewReader returns a reader that starts with the newest record of each key.
 func NewReader(store *platform.Store, clock clockwork.Clock) *Reader {
-	return &Reader{store: store, clock: clock, nextOffset: offsetUnknown, skipWait: true, evacuated: map[string]bool{}}
+	return &Reader{store: store, clock: clock, nextOffset: offsetUnknown, hasFailed: true, evacuated: map[string]bool{}}
 }
 
 // Restart makes the next read return the newest record of each key.
 func (reader *Reader) Restart() { reader.nextOffset = offsetUnknown }
 
-// Read waits for new records for less than a second. If there are none, it returns the known evacuations
-// with the time at which it confirmed them. If it fails because the store has removed the records that are to
-// be read next, the next call reads the newest record of each key.
+// Read waits for new records for less than a second, and then for as long as they arrive. If there are none, it
+// returns the known evacuations with the time at which it confirmed them. If it fails because the store has removed
+// the records that are to be read next, the next call reads the newest record of each key.
 func (reader *Reader) Read(ctx context.Context) (Update, error) {
 	startedAt := reader.clock.Now()
-	isRestart := reader.nextOffset == offsetUnknown
 	result, err := reader.read(ctx)
 	if err != nil {
-		reader.skipWait = true
+		reader.hasFailed = true
 		if platform.IsGone(err) {
 			reader.Restart()
 		}
 		return Update{}, err
 	}
-	reader.skipWait = false
-	if isRestart {
+	reader.hasFailed = false
+	if reader.nextOffset == offsetUnknown {
 		// An evacuation without a record among the newest ones has been deleted.
 		clear(reader.evacuated)
 	}
@@ -86,19 +86,19 @@
 	return update, nil
 }
 
+// read reads the newest record of each key if the offset is unknown, otherwise the records from the offset on.
 func (reader *Reader) read(ctx context.Context) (platform.ReadResult, error) {
-	if reader.nextOffset == offsetUnknown {
-		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
-		defer cancel()
-		return reader.store.Newest(ctx, platform.OperatorTopic, operatorPartition)
+	wait, silence := readWait, readSilence
+	if reader.hasFailed {
+		wait, silence = 0, retrySilence
 	}
-	wait := readWait
-	if reader.skipWait {
-		wait = 0
+	if reader.nextOffset == offsetUnknown {
+		return reader.store.Newest(ctx, platform.OperatorTopic, operatorPartition, silence)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
-	defer cancel()
-	return reader.store.Read(ctx, platform.OperatorTopic, operatorPartition, reader.nextOffset, wait)
+	return reader.store.Read(ctx, platform.Read{
+		Topic: platform.OperatorTopic, Partition: operatorPartition, Offset: reader.nextOffset,
+		Wait: wait, Silence: silence,
+	})
 }
 
 // apply updates the evacuated failure domains if the record evacuates one or ends an evacuation.
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -19,7 +19,7 @@
 
 // tailMaxAge is the age of the last read of a shard's jobs above which the store may have jobs that the owner doesn't
 // know. The store answers each read within readWait.
-const tailMaxAge = readWait + readTimeoutMargin
+const tailMaxAge = readWait + readSilence
 
 // refusedCallers holds the callers that an owner has refused for load.
 type refusedCallers struct {
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -138,12 +138,12 @@
 // readAgentRecords reads the records of agents from an offset on, or the newest record of each agent if the
 // offset is negative.
 func (owner *Owner) readAgentRecords(ctx context.Context, part int, nextOffset int64) (platform.ReadResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, agentReadWait+readTimeoutMargin)
-	defer cancel()
 	if nextOffset < 0 {
-		return owner.options.Store.Newest(ctx, job.TopicAgents, part)
+		return owner.options.Store.Newest(ctx, job.TopicAgents, part, storeTimeout)
 	}
-	return owner.options.Store.Read(ctx, job.TopicAgents, part, nextOffset, agentReadWait)
+	return owner.options.Store.Read(ctx, platform.Read{
+		Topic: job.TopicAgents, Partition: part, Offset: nextOffset, Wait: agentReadWait, Silence: readSilence,
+	})
 }
 
 // applyAgentRecords connects to newly registered agents, and marks the incarnations that have ended.
--- a/owner/candidacy.go
+++ b/owner/candidacy.go
@@ -88,7 +88,7 @@
 		owner.queryHolders(ctx, job.OwnersGroup, seat.ObserveOwners)
 	}
 	if seat.NeedsAgentCount() {
-		owner.countAgents(ctx, seat)
+		owner.passAgentCount(ctx, seat)
 	}
 	owner.refreshSeatHolders(ctx, seat)
 }
@@ -123,29 +123,56 @@
 	return candidacy.Entry{Name: member, Strong: !strings.HasPrefix(member, weakPrefix)}
 }
 
-// countAgents passes the number of agents to the candidacy: those that the entry knows, or, if it knows
-// none, those that are registered in the store.
-func (owner *Owner) countAgents(ctx context.Context, seat *candidacy.Candidacy) {
-	count := 0
-	if !owner.eventLoop.Call(ctx, func(time.Time) { count = len(owner.agents) }) {
+// agentCount is the result of counting the agents in the store. done is closed when the count has ended.
+type agentCount struct {
+	done  chan struct{}
+	count int
+	err   error
+}
+
+// passAgentCount passes the number of agents to the candidacy: those that the entry knows, or, if it knows none,
+// those that are registered in the store. It waits no longer than joinTimeout for them, since the seat has to be
+// renewed in time; a count that takes longer goes on for the next call.
+func (owner *Owner) passAgentCount(ctx context.Context, seat *candidacy.Candidacy) {
+	known := 0
+	if !owner.eventLoop.Call(ctx, func(time.Time) { known = len(owner.agents) }) {
+		return
+	}
+	if known > 0 {
+		seat.SetAgentCount(known)
+		return
+	}
+	if owner.counting == nil {
+		owner.counting = &agentCount{done: make(chan struct{})}
+		go owner.countAgents(ctx, owner.counting)
+	}
+	select {
+	case <-owner.counting.done:
+	case <-owner.options.Clock.After(joinTimeout):
+		return
+	case <-ctx.Done():
 		return
 	}
-	if count > 0 {
-		seat.SetAgentCount(count)
+	counted := owner.counting
+	owner.counting = nil
+	if counted.err != nil {
+		owner.log(event.OwnersUnknown, slog.Any("error", counted.err))
 		return
 	}
+	seat.SetAgentCount(counted.count)
+}
+
+// countAgents counts the agents that are registered in the store.
+func (owner *Owner) countAgents(ctx context.Context, counting *agentCount) {
+	defer close(counting.done)
 	for partition := range job.AgentPartitions(owner.options.Shards) {
-		// A slow store answers each read in time, but not all of them within the timeout of one.
-		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		tail, err := owner.options.Store.Newest(callCtx, job.TopicAgents, partition)
-		cancel()
+		tail, err := owner.options.Store.Newest(ctx, job.TopicAgents, partition, joinTimeout)
 		if err != nil {
-			owner.log(event.OwnersUnknown, slog.Any("error", err))
+			counting.err = err
 			return
 		}
-		count += len(tail.Records)
+		counting.count += len(tail.Records)
 	}
-	seat.SetAgentCount(count)
 }
 
 // applyForSeat joins the group of seats, or renews the membership in it, and passes the number of
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -113,6 +113,8 @@
 	candidacyCtx  context.Context
 	stopCandidacy context.CancelFunc
 	candidacyDone chan struct{}
+	// counting is the count of the registered agents in progress, nil if there is none. Only the candidacy uses it.
+	counting *agentCount
 	// session is nil while the entry is not a candidate for owning shards. Only the goroutine of the
 	// candidacy changes it, and Leave after that goroutine has ended.
 	session *ownerSession
--- a/owner/peer.go
+++ b/owner/peer.go
@@ -29,7 +29,7 @@
 	if reply.GetKnown() {
 		return reply, nil
 	}
-	tail, err := owner.options.Store.Read(ctx, job.TopicJobs, s.number, nextOffset, 0)
+	tail, err := owner.options.Store.Read(ctx, platform.Read{Topic: job.TopicJobs, Partition: s.number, Offset: nextOffset, Silence: readSilence})
 	if err != nil {
 		return nil, errors.Wrap(err, "read the shard to its end")
 	}
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -12,15 +12,16 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store. A slow store answers within a quarter of a second.
+	// storeTimeout bounds a write to the store, and how long the response to a read of the newest records may
+	// make no progress. A slow store answers within a quarter of a second.
 	storeTimeout = 1500 * time.Millisecond
 	// storeRetryDelay is the pause before a failed call to the store is retried.
 	storeRetryDelay = 100 * time.Millisecond
 	// readWait is how long a read of the store waits for a record. If the store compacts its log during a
 	// read, the read returns nothing until it is repeated, and cancellations must be seen within 3 s.
 	readWait = time.Second
-	// readTimeoutMargin is added to the wait of a read for the round trip.
-	readTimeoutMargin = time.Second
+	// readSilence bounds how long the response to a read may make no progress.
+	readSilence = time.Second
 	// producer is the name under which all owners write to the store, which fences them by epoch.
 	producer = "owner"
 )
@@ -144,9 +145,7 @@
 // succeeds, and reports false if the shard is released before.
 func (owner *Owner) readNewest(s *shard, topic string) (platform.ReadResult, bool) {
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
-		tail, err := owner.options.Store.Newest(ctx, topic, s.number)
-		cancel()
+		tail, err := owner.options.Store.Newest(s.ctx, topic, s.number, storeTimeout)
 		if err == nil {
 			return tail, true
 		}
@@ -191,9 +190,9 @@
 // followShard reads the jobs and cancellations that entries append, until the shard is released.
 func (owner *Owner) followShard(s *shard, nextOffset int64) {
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, readWait+readTimeoutMargin)
-		tail, err := owner.options.Store.Read(ctx, job.TopicJobs, s.number, nextOffset, readWait)
-		cancel()
+		tail, err := owner.options.Store.Read(s.ctx, platform.Read{
+			Topic: job.TopicJobs, Partition: s.number, Offset: nextOffset, Wait: readWait, Silence: readSilence,
+		})
 		if platform.IsGone(err) {
 			owner.log(event.TailRestarted, slog.Int("shard", s.number), slog.Int64("offset", nextOffset))
 			newest, ok := owner.readNewest(s, job.TopicJobs)
