operator: read the newest records instead of a series of large ones

Cause: the reader took each version in its order, though only the newest counts. Over 10 Mbit/s six versions of 815 KB take 4.7 s, and versions that come faster than the link carries them are followed at a growing distance.

Why this works: a version in transit is finished, and the next read brings the newest there is, so that a version waits for two transfers at most, however many were written. The newest records are a third larger on the wire (base64), hence only where a second record follows.

--- a/operator/reader.go
+++ b/operator/reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"ambertiller.example/ambertiller/platform"
 )
@@ -22,6 +23,9 @@
 	readSilence = 700 * time.Millisecond
 	// retrySilence is readSilence after a read that failed, since the store or the link may be slow.
 	retrySilence = 1500 * time.Millisecond
+	// maxBacklogBytes is the size of a record above which it is not read if others follow it: the newest record
+	// of each key takes less time than a series of large ones, of which only the newest counts.
+	maxBacklogBytes = 64 << 10
 )
 
 // offsetUnknown is the offset of a reader that has to start with the newest records.
@@ -59,10 +63,15 @@
 
 // Read waits for new records for less than a second, and then for as long as they arrive. If there are none, it
 // returns the known evacuations with the time at which it confirmed them. If it fails because the store has removed
-// the records that are to be read next, the next call reads the newest record of each key.
+// the records that are to be read next, the next call reads the newest record of each key. If several large records
+// are to be read, it reads the newest record of each key instead.
 func (reader *Reader) Read(ctx context.Context) (Update, error) {
 	startedAt := reader.clock.Now()
 	result, err := reader.read(ctx)
+	if errors.Is(err, platform.ErrBacklog) {
+		reader.Restart()
+		result, err = reader.read(ctx)
+	}
 	if err != nil {
 		reader.hasFailed = true
 		if platform.IsGone(err) {
@@ -97,7 +106,7 @@
 	}
 	return reader.store.Read(ctx, platform.Read{
 		Topic: platform.OperatorTopic, Partition: operatorPartition, Offset: reader.nextOffset,
-		Wait: wait, Silence: silence,
+		Wait: wait, Silence: silence, MaxBacklogBytes: maxBacklogBytes,
 	})
 }
 
--- a/operator/reader_test.go
+++ b/operator/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -30,6 +31,14 @@
 	writer.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, []byte(`{"version":1}`))
 }
 
+// writeLargeConfigurations writes configurations that are too large to be read one after another.
+func (writer topicWriter) writeLargeConfigurations() {
+	const size = 100_000
+	for range 3 {
+		writer.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, fmt.Appendf(nil, `{"version":2,"comment":"%s"}`, strings.Repeat("x", size)))
+	}
+}
+
 // TestReader checks that a reader finds the evacuated failure domains although a read fails, and although
 // the store may drop its history between two reads.
 func TestReader(t *testing.T) {
@@ -49,6 +58,16 @@
 			writer.endEvacuation("a")
 			writer.evacuate("a")
 		}, []string{"a"}},
+		"evacuated between large configurations": {topicWriter.writeConfiguration, func(writer topicWriter) {
+			writer.writeLargeConfigurations()
+			writer.evacuate("a")
+			writer.writeLargeConfigurations()
+		}, []string{"a"}},
+		"evacuation ended between large configurations": {func(writer topicWriter) { writer.evacuate("b") }, func(writer topicWriter) {
+			writer.writeLargeConfigurations()
+			writer.endEvacuation("b")
+			writer.writeLargeConfigurations()
+		}, nil},
 		"evacuated just before history is dropped": {topicWriter.writeConfiguration, func(writer topicWriter) {
 			writer.evacuate("a")
 			writer.store.Compact()
