soak: change configurations of realistic size, over a slow link and a slow store

A fifth list of faults publishes series of up to five versions of up to 1 MB, also while the store takes up to 250 ms for each answer; the first gateway receives from the store at 10 Mbit/s. Each gateway is asked every 100 ms, over a connection that stays open, whether it has a queue that came with the newest version acknowledged more than 3 s ago. It must, if neither it nor the store was disturbed for 4 s before; and no process may go back. After the other faults three more series come.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -91,11 +91,16 @@
 	return `{"spec":"s","steps":[` + strings.Join(stepsJSON, ",") + `]}`
 }
 
-// call sends a request to a gateway. Status 0 means that no response arrived.
+// call sends a request for a job to a gateway. Status 0 means that no response arrived.
 func (c *client) call(ctx context.Context, method string, gateway int, id, body string) (status int, text string) {
+	return c.send(ctx, method, gateway, "/q/"+id, body)
+}
+
+// send sends a request to a gateway. Status 0 means that no response arrived.
+func (c *client) send(ctx context.Context, method string, gateway int, path, body string) (status int, text string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	url := "http://" + bootfile.ClientAddress(c.deployment.gateways[gateway%gatewayCount].ip) + "/q/" + id
+	url := "http://" + bootfile.ClientAddress(c.deployment.gateways[gateway%gatewayCount].ip) + path
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
--- /dev/null
+++ b/soak/configuration_test.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"ambertiller.example/ambertiller/platform"
+)
+
+const (
+	// configurationFaultInterval is the mean time between two of configurationFaults.
+	configurationFaultInterval = 4 * time.Second
+	probeInterval              = 100 * time.Millisecond
+	// weakLinkBytesPerSecond is the payload that a link of 10 Mbit/s carries.
+	weakLinkBytesPerSecond = 1_040_000
+	// maxConfigurationBytes takes less than half of inForceBound over the weak link, so that a gateway that has
+	// just begun to read one version can read the next one in time.
+	maxConfigurationBytes = 1_000_000
+	maxSeriesLength       = 5
+	maxSeriesPause        = 900 * time.Millisecond
+	maxStoreLatency       = 250 * time.Millisecond
+	firstVersion          = 7
+)
+
+// configurationFaults change the configuration, and slow the store down meanwhile.
+var configurationFaults = []fault{
+	{"configurations published", func(ctx context.Context, d *deployment, rng *rand.Rand) { d.publishSeries(ctx, rng) }},
+	{"configurations published while the store is slow", func(ctx context.Context, d *deployment, rng *rand.Rand) {
+		defer d.disturbed.begin(storeName)()
+		d.store.SetLatency(time.Duration(rng.Int64N(int64(maxStoreLatency))))
+		d.publishSeries(ctx, rng)
+		sleep(ctx, drawDuration(rng))
+		d.store.SetLatency(0)
+	}},
+}
+
+// publishSeries publishes up to maxSeriesLength versions one after another.
+func (d *deployment) publishSeries(ctx context.Context, rng *rand.Rand) {
+	size, pause := rng.IntN(maxConfigurationBytes), time.Duration(rng.Int64N(int64(maxSeriesPause)))
+	for range 1 + rng.IntN(maxSeriesLength) {
+		d.publish(size)
+		sleep(ctx, pause)
+	}
+}
+
+// publish publishes the next version, with about size bytes.
+func (d *deployment) publish(size int) {
+	d.publishMu.Lock()
+	defer d.publishMu.Unlock()
+	d.version++
+	d.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, configurationText(d.version, size))
+	d.publications.add(d.version, time.Now())
+}
+
+// configurationText returns a configuration. For each version so far it has a queue "since-VERSION".
+func configurationText(version, size int) []byte {
+	type route struct {
+		Name       string  `json:"name"`
+		Host       string  `json:"host"`
+		PathPrefix string  `json:"path_prefix"`
+		Service    string  `json:"service"`
+		Attempts   int     `json:"attempts"`
+		Extension  float64 `json:"extension"`
+	}
+	newRoute := func(name, path string) route {
+		return route{name, "q.example", path, "verbale", maxTaskAttempts, 1.5}
+	}
+	routes := []route{newRoute("r-1", "/q/")}
+	for since := firstVersion; since <= version; since++ {
+		routes = append(routes, newRoute(fmt.Sprintf("since-%d", since), fmt.Sprintf("/since-%d/", since)))
+	}
+	const routeBytes = 150
+	for number := range size / routeBytes {
+		name := fmt.Sprintf("filler-route-%016d", number)
+		routes = append(routes, newRoute(name, "/"+name+"/"))
+	}
+	text, err := json.Marshal(map[string]any{"version": version, "routes": routes})
+	if err != nil {
+		panic(err) // The value is built from strings and numbers.
+	}
+	return text
+}
+
+// startProbes starts to probe all gateways if configurations change in the run of a seed. The function that it
+// returns ends the probes and waits for them.
+func (d *deployment) startProbes(ctx context.Context, c *client, seed uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	if hasConfigurationFaults(seed) {
+		for gateway := range d.gateways {
+			wg.Go(func() { d.probeConfigurations(ctx, c, gateway) })
+		}
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// probeConfigurations probes a gateway until ctx is done, and records violations in the ledger.
+func (d *deployment) probeConfigurations(ctx context.Context, c *client, gateway int) {
+	p := d.gateways[gateway]
+	for ctx.Err() == nil {
+		sleep(ctx, probeInterval)
+		sentAt, process := time.Now(), p.startCount()
+		version := d.publications.due(sentAt)
+		if version == 0 {
+			continue
+		}
+		// A gateway that has the queue answers with 405 without asking anyone, since a job has no such method.
+		status, _ := c.send(ctx, http.MethodPatch, gateway, fmt.Sprintf("/since-%d/%016x", version, 0), "")
+		if status != http.StatusMethodNotAllowed && status != http.StatusNotFound || p.startCount() != process {
+			continue
+		}
+		seen := probe{gatewayProcess{p.name, process}, version, sentAt, status == http.StatusNotFound}
+		if violation := d.publications.check(seen, d.disturbed.isCalmSince(p.name, sentAt.Add(-contactTime))); violation != "" {
+			d.ledger.recordConfiguration(p.name, version, violation)
+		}
+	}
+}
+
+// checkConfigurationsAfterFaults publishes series of versions without other faults, while the gateways are probed.
+func (d *deployment) checkConfigurationsAfterFaults(ctx context.Context, seed uint64) {
+	const seriesCount = 3
+	rng := rand.New(rand.NewPCG(seed, seed))
+	sleep(ctx, contactTime)
+	for range seriesCount {
+		d.publishSeries(ctx, rng)
+		sleep(ctx, inForceBound)
+	}
+	sleep(ctx, contactTime)
+}
+
+// hasConfigurationFaults reports whether configurations change in the run of a seed. If so, the first gateway is
+// behind a weak link.
+func hasConfigurationFaults(seed uint64) bool { return faultListCount(seed) == len(faultLists) }
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -21,6 +21,7 @@
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/standin/bootfile"
 	"ambertiller.example/ambertiller/standin/relay"
+	"ambertiller.example/ambertiller/standin/slowlink"
 	"ambertiller.example/ambertiller/standin/wirestore"
 )
 
@@ -45,12 +46,20 @@
 	// relayAddresses maps the address of each agent to that of its relay.
 	relayAddressesMu sync.Mutex
 	relayAddresses   map[string]string
+
+	disturbed    *disturbances
+	publications *publications
+	publishMu    sync.Mutex
+	version      int // of the last configuration published
 }
 
-// newDeployment starts a deployment on loopback addresses that begin with network.
-func newDeployment(ctx context.Context, t *testing.T, dir, binary, network string, agentCount int, reportsStartTime func(index int) bool) *deployment {
+// newDeployment starts the deployment of a seed on loopback addresses that begin with network.
+func newDeployment(ctx context.Context, t *testing.T, dir, binary, network string, agentCount int, seed uint64) *deployment {
 	t.Helper()
-	d := &deployment{dir: dir, binary: binary, store: wirestore.New(shardCount, time.Now), ledger: newLedger(), relayAddresses: map[string]string{}}
+	d := &deployment{
+		dir: dir, binary: binary, store: wirestore.New(shardCount, time.Now), ledger: newLedger(), relayAddresses: map[string]string{},
+		disturbed: newDisturbances(), publications: newPublications(), version: firstVersion,
+	}
 	d.store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, []byte(publishedConfig))
 	d.store.RewriteAppends(job.TopicAgents, d.rewriteAgentAddress)
 	server := httptest.NewServer(d.store)
@@ -62,6 +71,10 @@
 	for index := range gatewayCount {
 		d.gateways = append(d.gateways, newProcess(ctx, t, d, "gateway", fmt.Sprintf("edge-%d", index), fmt.Sprintf("%s.1.%d", network, index+1), ""))
 	}
+	if hasConfigurationFaults(seed) {
+		d.gateways[0].storeRelay.LimitToClient(slowlink.New(weakLinkBytesPerSecond))
+	}
+	reportsStartTime := startTimeReporters(seed)
 	for index := range agentCount {
 		d.addAgent(ctx, t, index, fmt.Sprintf("%s.2.%d", network, index+1), reportsStartTime(index))
 	}
@@ -130,6 +143,7 @@
 // resumes all relays.
 func (d *deployment) endFaults() {
 	d.store.InjectFaults(nil)
+	d.store.SetLatency(0)
 	for _, agentRelay := range d.agentRelays {
 		agentRelay.Resume()
 	}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -56,10 +56,14 @@
 		d.agentRelays[rng.IntN(len(d.agentRelays))].Reset()
 	}},
 	{"store connections of a process paused", func(ctx context.Context, d *deployment, rng *rand.Rand) {
-		pauseRelays(ctx, rng, fromAny, d.drawProcess(rng).storeRelay)
+		p := d.drawProcess(rng)
+		defer d.disturbed.begin(p.name)()
+		pauseRelays(ctx, rng, fromAny, p.storeRelay)
 	}},
 	{"store connections of a process reset", func(_ context.Context, d *deployment, rng *rand.Rand) {
-		d.drawProcess(rng).storeRelay.Reset()
+		p := d.drawProcess(rng)
+		d.disturbed.record(p.name)
+		p.storeRelay.Reset()
 	}},
 	{"process paused", func(ctx context.Context, d *deployment, rng *rand.Rand) {
 		d.drawProcess(rng).pause(ctx, drawDuration(rng))
@@ -73,6 +77,7 @@
 	{"some store calls failing", func(ctx context.Context, d *deployment, rng *rand.Rand) {
 		kind := []wirestore.Fault{wirestore.FaultUnavailable, wirestore.FaultLostResponse, wirestore.FaultReset}[rng.IntN(3)]
 		share := 0.2 + 0.8*rng.Float64()
+		defer d.disturbed.begin(storeName)()
 		d.store.InjectFaults(func(string) wirestore.Fault {
 			if rand.Float64() < share {
 				return kind
@@ -113,17 +118,22 @@
 var faultLists = []struct {
 	faults   []fault
 	interval time.Duration
-}{{baseFaults, baseFaultInterval}, {reloadFaults, reloadFaultInterval}, {restartFaults, restartFaultInterval}, {storeFaults, storeFaultInterval}}
+}{
+	{baseFaults, baseFaultInterval}, {reloadFaults, reloadFaultInterval}, {restartFaults, restartFaultInterval},
+	{storeFaults, storeFaultInterval}, {configurationFaults, configurationFaultInterval},
+}
 
 // storeFaults are faults that affect the whole store.
 var storeFaults = []fault{
 	{"store unavailable", func(ctx context.Context, d *deployment, rng *rand.Rand) {
 		kind := []wirestore.Fault{wirestore.FaultNoResponse, wirestore.FaultReset, wirestore.FaultUnavailable}[rng.IntN(3)]
+		defer d.disturbed.begin(storeName)()
 		d.store.InjectFaults(func(string) wirestore.Fault { return kind })
 		sleep(ctx, time.Duration(rng.Int64N(int64(maxStoreOutage))))
 		d.store.InjectFaults(nil)
 	}},
 	{"store compacted", func(_ context.Context, d *deployment, _ *rand.Rand) {
+		d.disturbed.record(storeName)
 		d.store.Compact()
 	}},
 }
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -57,6 +57,13 @@
 	l.violations = append(l.violations, fmt.Sprintf("%.3f %s: %s", at, rule, fmt.Sprintf(format, args...)))
 }
 
+// recordConfiguration records that a gateway used an older version of the configuration than it must.
+func (l *ledger) recordConfiguration(gateway string, version int, violation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation("CONFIG", "%s, version %d: %s", gateway, version, violation)
+}
+
 // taskHistory returns the history of a task, and creates it if there is none. The caller holds the lock.
 func (l *ledger) taskHistory(name string) *taskHistory {
 	if l.tasks[name] == nil {
--- a/soak/ledger_violations_test.go
+++ b/soak/ledger_violations_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ambertiller.example/ambertiller/standin/wireworker"
@@ -116,3 +117,59 @@
 		})
 	}
 }
+
+// TestPublicationsDetectViolations checks which probes of gateways show a violation.
+func TestPublicationsDetectViolations(t *testing.T) {
+	const version = 8
+	first, second := gatewayProcess{"edge-0", 1}, gatewayProcess{"edge-0", 2}
+	tests := map[string]struct {
+		earlier *probe // a probe before, if any
+		seen    probe
+		calm    bool
+		want    bool
+	}{
+		"in force":                       {seen: probe{process: first, version: version}, calm: true},
+		"older in a calm time":           {seen: probe{process: first, version: version, isOlder: true}, calm: true, want: true},
+		"older while disturbed":          {seen: probe{process: first, version: version, isOlder: true}},
+		"back to an older one":           {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version, isOlder: true}, want: true},
+		"older in another process":       {earlier: &probe{process: first, version: version}, seen: probe{process: second, version: version, isOlder: true}},
+		"older than what was never used": {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version + 1, isOlder: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPublications()
+			if test.earlier != nil {
+				p.check(*test.earlier, false)
+			}
+			if got := p.check(test.seen, test.calm); (got != "") != test.want {
+				t.Errorf("got violation %q, want one: %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestDisturbances checks until when a fault counts as a disturbance of a process.
+func TestDisturbances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDisturbances()
+		calmSince := func(name string) bool { return d.isCalmSince(name, time.Now().Add(-contactTime)) }
+		end := d.begin("edge-0")
+		time.Sleep(time.Hour)
+		if calmSince("edge-0") || !calmSince("edge-1") {
+			t.Error("a fault that lasts must disturb its process and no other")
+		}
+		end()
+		time.Sleep(contactTime / 2)
+		if calmSince("edge-0") {
+			t.Error("a process is calm right after a fault")
+		}
+		time.Sleep(contactTime)
+		if !calmSince("edge-0") {
+			t.Error("a process is not calm long after a fault")
+		}
+		d.record(storeName)
+		if calmSince("edge-1") {
+			t.Error("a fault of the store must disturb all processes")
+		}
+	})
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -25,9 +25,12 @@
 	// storeRelay is the relay through which the process connects to the platform's store.
 	storeRelay *relay.Relay
 
+	disturbed *disturbances
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	closing bool
+	starts  int
 }
 
 // maxLease is the longest lease that workers accept.
@@ -41,7 +44,7 @@
 		t.Fatal(err)
 	}
 	p := &process{
-		role: role, name: name, ip: ip, binary: d.binary, storeRelay: storeRelay,
+		role: role, name: name, ip: ip, binary: d.binary, storeRelay: storeRelay, disturbed: d.disturbed,
 		settingsPath: filepath.Join(d.dir, name+".toml"), logPath: filepath.Join(d.dir, name+".log"),
 	}
 	settings := bootfile.File{NodeName: name, IP: ip, WorkerAddress: workerAddress, StoreAddress: storeRelay.Address(), MaxLease: maxLease}
@@ -69,6 +72,8 @@
 		return err
 	}
 	p.command = command
+	p.starts++
+	p.disturbed.record(p.name)
 	go func() {
 		// The process logs why it exits.
 		_ = command.Wait()
@@ -82,8 +87,19 @@
 // restartDelay is how long a process that has exited stays down.
 const restartDelay = 300 * time.Millisecond
 
-// signal sends the process a signal. It does nothing if the process has just exited.
+// startCount returns how often the process has been started.
+func (p *process) startCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// signal sends the process a signal. It does nothing if the process has just exited. A signal to reload settings
+// must not disturb the process.
 func (p *process) signal(sig syscall.Signal) {
+	if sig != syscall.SIGHUP {
+		p.disturbed.record(p.name)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil {
@@ -93,6 +109,7 @@
 
 // pause suspends the process for a duration.
 func (p *process) pause(ctx context.Context, duration time.Duration) {
+	defer p.disturbed.begin(p.name)()
 	p.signal(syscall.SIGSTOP)
 	sleep(ctx, duration)
 	p.signal(syscall.SIGCONT)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,17 +82,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	dir := logsDir(t, seed)
-	d := newDeployment(ctx, t, dir, binary, reserveNetwork(t), intFromEnv(t, "AMBERTILLER_SOAK_AGENTS", defaultAgentCount), startTimeReporters(seed))
+	d := newDeployment(ctx, t, dir, binary, reserveNetwork(t), intFromEnv(t, "AMBERTILLER_SOAK_AGENTS", defaultAgentCount), seed)
 	log := openLog(t, dir)
 	sleep(ctx, startupDelay)
 	faultCtx, cancelFaults := context.WithTimeout(ctx, faultDuration(t))
 	defer cancelFaults()
 	c := newClient(d)
+	stopProbes := d.startProbes(ctx, c, seed)
 	for index := range clientCount {
 		go c.run(faultCtx, rand.New(rand.NewPCG(seed, uint64(index))))
 	}
 	d.injectFaults(faultCtx, seed, log)
 	sleep(ctx, callTimeout) // Calls that are still in progress end.
+	if hasConfigurationFaults(seed) {
+		d.checkConfigurationsAfterFaults(ctx, seed)
+	}
+	stopProbes()
 	waitForJobs(ctx, d, c)
 	d.ledger.checkRefused()
 	violations, runs := d.ledger.results()
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -17,13 +17,16 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/standin/slowlink"
 )
 
 // Relay is a TCP proxy in front of a server.
 //
 // DiscardTraffic makes the open connections lose all data while they stay open; new connections work. Pause
 // delays the data of open and new connections until Resume, like a network partition that ends and after which
-// the lost packets are sent again. Reset resets the open connections.
+// the lost packets are sent again. Reset resets the open connections. LimitToClient limits the rate at which
+// clients receive data.
 type Relay struct {
 	listener net.Listener
 	server   string
@@ -32,6 +35,7 @@
 	mu          sync.Mutex
 	connections map[*connection]bool
 	pause       *pause // nil unless paused
+	link        *slowlink.Link
 }
 
 // pause selects the connections and directions that are paused. resumed is closed when the pause ends.
@@ -92,13 +96,13 @@
 		relay.mu.Lock()
 		relay.connections[conn] = true
 		relay.mu.Unlock()
-		go relay.forward(conn, conn.client, conn.server, true)
-		go relay.forward(conn, conn.server, conn.client, false)
+		go relay.forward(ctx, conn, conn.client, conn.server, true)
+		go relay.forward(ctx, conn, conn.server, conn.client, false)
 	}
 }
 
 // forward copies one direction of a connection until its sender closes it or a write fails.
-func (relay *Relay) forward(conn *connection, from, to net.Conn, toServer bool) {
+func (relay *Relay) forward(ctx context.Context, conn *connection, from, to net.Conn, toServer bool) {
 	defer relay.closeConnection(conn)
 	discard := &conn.discardToClient
 	if toServer {
@@ -114,6 +118,9 @@
 			conn.recordGreeting(buffer[:count])
 		}
 		relay.waitWhilePaused(conn, toServer)
+		if !toServer {
+			relay.waitForLink(ctx, count)
+		}
 		if discard.Load() {
 			continue
 		}
@@ -123,6 +130,24 @@
 	}
 }
 
+// LimitToClient makes data to clients arrive over a link, which all connections share.
+func (relay *Relay) LimitToClient(link *slowlink.Link) {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	relay.link = link
+}
+
+// waitForLink waits until the link to the clients has carried count bytes, if there is one.
+func (relay *Relay) waitForLink(ctx context.Context, count int) {
+	relay.mu.Lock()
+	link := relay.link
+	relay.mu.Unlock()
+	if link != nil {
+		// Once ctx has ended nobody waits for the data.
+		_ = link.Wait(ctx, count)
+	}
+}
+
 // maxGreetingBytes is the length at which a greeting is no longer extended. It may exceed this by one read.
 const maxGreetingBytes = 512
 
--- a/standin/wirestore/wirestore.go
+++ b/standin/wirestore/wirestore.go
@@ -40,6 +40,7 @@
 	appended           chan struct{} // closed and replaced at each append
 	groups             map[string]*group
 	fault              func(call string) Fault
+	latency            time.Duration
 	calls              map[string]int
 	// topicCalls counts calls by path and topic.
 	topicCalls  map[topicCall]int
@@ -68,6 +69,27 @@
 	store.fault = fault
 }
 
+// SetLatency makes the store answer every later call after latency.
+func (store *Store) SetLatency(latency time.Duration) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.latency = latency
+}
+
+// awaitLatency waits for the latency of a call.
+func (store *Store) awaitLatency(request *http.Request) {
+	store.mu.Lock()
+	latency := store.latency
+	store.mu.Unlock()
+	if latency == 0 {
+		return
+	}
+	select {
+	case <-time.After(latency):
+	case <-request.Context().Done():
+	}
+}
+
 // InjectAppendFaults makes fault choose the fault of every later append to a topic.
 func (store *Store) InjectAppendFaults(topic string, fault func() Fault) {
 	store.mu.Lock()
@@ -130,6 +152,7 @@
 
 // ServeHTTP implements http.Handler.
 func (store *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	store.awaitLatency(request)
 	fault := store.recordCall(request.URL.Path, request.URL.Query().Get("topic"))
 	switch fault {
 	case FaultUnavailable:
