changelog, logservice: reads of the log arrive whatever their size

A page that can't arrive so would never have been read, and the entry would have stayed not ready.

A read is bounded by its silence.

TestLogThatIsTooLargeForOneReadNeverFollowed timed out before and passes.

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -50,8 +50,12 @@
 	defaultAppendsPerSecond = 100
 	defaultSnapshotEvery    = 20_000
 	// appendBurst is the number of appends that may exceed the rate at once.
-	appendBurst    = 10
-	maxReadEntries = 512
+	appendBurst = 10
+	// maxReadEntries limits a read. After a read that failed, the limit is divided by readLimitDivisor, since the
+	// response may be too large to arrive; after each one that succeeds, it is multiplied by readLimitGrowth.
+	maxReadEntries   = 512
+	readLimitDivisor = 8
+	readLimitGrowth  = 4
 	// readWait is how long the platform holds a read at the end of the log open.
 	readWait = time.Second
 	// queueCapacity bounds the proposals that wait to be sent.
@@ -117,6 +121,9 @@
 	limiter *rate.Limiter
 	queue   chan *proposal
 
+	// readLimit is the number of entries to read at once. Only follow uses it.
+	readLimit int
+
 	// mu guards all fields below.
 	mu    sync.Mutex
 	state *state.State
@@ -156,6 +163,7 @@
 	return &Journal{
 		service:          service,
 		options:          options,
+		readLimit:        maxReadEntries,
 		limiter:          rate.NewLimiter(rate.Limit(options.AppendsPerSecond), appendBurst),
 		queue:            make(chan *proposal, queueCapacity),
 		state:            state.NewForFormat(options.KnownFormat),
--- a/changelog/changelog_test.go
+++ b/changelog/changelog_test.go
@@ -124,6 +124,34 @@
 	return log.Log.Read(ctx, stream, options)
 }
 
+// largePageLog fails reads of records whose page has more than maxEntries entries.
+type largePageLog struct {
+	*standin.Log
+	maxEntries int
+}
+
+func (log *largePageLog) Read(ctx context.Context, stream string, options logservice.ReadOptions) (logservice.Page, error) {
+	page, err := log.Log.Read(ctx, stream, options)
+	if err == nil && len(page.Entries) > log.maxEntries {
+		return logservice.Page{}, errors.New("the page is too large")
+	}
+	return page, err
+}
+
+// TestLogThatIsTooLargeForOneReadNeverFollowed guards against asking again and again for a page too large to arrive.
+func TestLogThatIsTooLargeForOneReadNeverFollowed(t *testing.T) {
+	const versions = 100
+	log := standin.NewLog(0)
+	writer := startJournal(t, log, changelog.Options{Writer: "one"})
+	for version := range uint64(versions) {
+		if _, err := writer.Append(testContext(t), publishRecord(version, "x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reader := startJournal(t, &largePageLog{Log: log, maxEntries: 3}, changelog.Options{})
+	waitFor(t, "all versions to be read", func() bool { return configVersion(reader) == versions })
+}
+
 // TestCancelledAppend tests that a caller whose context ends learns whether the
 // records may still take effect, and that records which were never sent don't.
 func TestCancelledAppend(t *testing.T) {
--- a/changelog/follow.go
+++ b/changelog/follow.go
@@ -53,6 +53,7 @@
 	}
 	startedAt := j.options.Clock.Now()
 	page, err := j.service.Read(ctx, RecordStream, j.readOptions())
+	j.adjustReadLimit(err)
 	var trimmed *logservice.TrimmedError
 	if errors.As(err, &trimmed) {
 		*restored = false
@@ -76,13 +77,22 @@
 func (j *Journal) readOptions() logservice.ReadOptions {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	options := logservice.ReadOptions{From: j.state.NextOffset(), Max: maxReadEntries}
+	options := logservice.ReadOptions{From: j.state.NextOffset(), Max: j.readLimit}
 	if j.caughtUp {
 		options.Wait = readWait
 	}
 	return options
 }
 
+// adjustReadLimit adjusts readLimit to the outcome of a read.
+func (j *Journal) adjustReadLimit(err error) {
+	if err != nil {
+		j.readLimit = max(1, j.readLimit/readLimitDivisor)
+		return
+	}
+	j.readLimit = min(maxReadEntries, j.readLimit*readLimitGrowth)
+}
+
 func (j *Journal) nextOffset() int64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/logservice/client.go
+++ b/logservice/client.go
@@ -11,13 +11,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"ambertiller.example/ambertiller/progress"
 )
 
 const (
-	contentTypeBytes   = "application/octet-stream"
-	defaultRetryAfter  = 100 * time.Millisecond
-	maxResponseBytes   = 64 << 20
-	readResponseMargin = 5 * time.Second
+	contentTypeBytes  = "application/octet-stream"
+	defaultRetryAfter = 100 * time.Millisecond
+	maxResponseBytes  = 64 << 20
+	// readSilence bounds how long the response to a read may make no progress.
+	readSilence = 5 * time.Second
 )
 
 // Client implements Service over HTTP.
@@ -68,25 +71,26 @@
 
 // Read returns the entries from an offset on.
 func (client *Client) Read(ctx context.Context, stream string, options ReadOptions) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, options.Wait+readResponseMargin)
-	defer cancel()
+	watch, ctx := progress.NewWatch(ctx, options.Wait+readSilence, readSilence)
+	defer watch.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.recordsURL(stream)+readQuery(options), nil)
 	if err != nil {
 		return Page{}, errors.Wrap(err, "read")
 	}
 	response, err := client.httpClient.Do(request)
 	if err != nil {
-		return Page{}, errors.Wrap(err, "read")
+		return Page{}, errors.Wrap(watch.Error(err), "read")
 	}
+	body := watch.Reader(response.Body)
 	defer func() {
-		drain(response.Body)
+		drain(body)
 		_ = response.Body.Close()
 	}()
 	var page Page
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusGone:
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&page); err != nil {
-			return Page{}, errors.Wrap(err, "read: the answer is cut")
+		if err := json.NewDecoder(io.LimitReader(body, maxResponseBytes)).Decode(&page); err != nil {
+			return Page{}, errors.Wrap(watch.Error(err), "read: the answer is cut")
 		}
 	case http.StatusTooManyRequests:
 		return Page{}, &ThrottledError{RetryAfter: retryAfter(response)}
