gateway: don't decide by a configuration that is overdue

Two questions are answered differently once the configuration has not been confirmed for 3 s, the time in which users expect a new version everywhere. A request for an unknown queue gets 503 with a time to come back in place of 404, as on a gateway without a configuration. A submission is refused as not run if the store has accepted a record from this gateway although the configuration was overdue already: then others can have a newer version. Such a gateway is not ready either. While the store can't be reached none of this applies to submissions: nothing newer can be in force, and records still reach the store through peers.

The first two reads after a failed one are bounded by 0.7 s of silence again, and 1.5 s only after that, so that lost answers don't make a configuration overdue.

TestOutdatedConfigurationDecides covers reads that fail for a short and a long time, and a store that fails as a whole; the statuses 503 and the readiness are new, the others were so before.

--- a/gateway/append.go
+++ b/gateway/append.go
@@ -72,6 +72,7 @@
 		err := gateway.appendOnce(ctx, request)
 		if err == nil {
 			gateway.breaker.recordSuccess()
+			gateway.confirmation.recordStoreAnswer(gateway.options.Clock.Now())
 			go gateway.directory.notifyOwner(context.WithoutCancel(ctx), &wire.TakenRequest{Shard: int32(shard), Key: key, Value: value})
 			return appendResult{status: appendSucceeded, appendedBy: gateway.options.Name}
 		}
--- a/gateway/confirmation.go
+++ b/gateway/confirmation.go
@@ -11,6 +11,8 @@
 	mu          sync.Mutex
 	confirmedAt time.Time // zero until the first confirmation
 	failedReads int       // in a row
+	// storeAnsweredAt is when the store last accepted a record from this gateway.
+	storeAnsweredAt time.Time
 }
 
 // recordConfirmed records that the configuration was the newest one at asOf. It returns how long the gateway had
@@ -43,3 +45,19 @@
 	}
 	return now.Sub(c.confirmedAt)
 }
+
+// recordStoreAnswer records that the store accepted a record from this gateway.
+func (c *confirmation) recordStoreAnswer(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeAnsweredAt = now
+}
+
+// isOverdue reports whether the store has served this gateway although the configuration had been unconfirmed for
+// longer than maxConfigurationAge, so that a newer one must be assumed to be in force elsewhere. While the store can't
+// be reached, a configuration is not overdue: nothing may be in force elsewhere either, and peers may still append.
+func (c *confirmation) isOverdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.confirmedAt.IsZero() && c.storeAnsweredAt.Sub(c.confirmedAt) > maxConfigurationAge
+}
--- /dev/null
+++ b/gateway/confirmation_test.go
@@ -0,0 +1,116 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wirestore"
+)
+
+const (
+	knownQueue   = "/v1/" + jobID
+	unknownQueue = "/v2/" + jobID
+	readCall     = "/v1/log-read"
+)
+
+// TestOutdatedConfigurationDecides guards against requests that are decided by a configuration that the gateway has not
+// been able to confirm within the time in which a newer one has to be in force. It runs in a bubble.
+func TestOutdatedConfigurationDecides(t *testing.T) {
+	tests := map[string]struct {
+		// fault is that of a call to the store during the outage, which lasts for outage.
+		fault  func(call string) wirestore.Fault
+		outage time.Duration
+		// submissions is how many jobs are submitted before the one whose status is checked.
+		submissions                int
+		wantUnknown, wantSubmitted int
+	}{
+		"no outage": {
+			fault:  func(string) wirestore.Fault { return wirestore.FaultNone },
+			outage: 10 * time.Second, submissions: 1, wantUnknown: http.StatusNotFound, wantSubmitted: http.StatusOK,
+		},
+		"reads fail for a short time": {
+			fault: failReads, outage: 2 * time.Second, submissions: 1, wantUnknown: http.StatusNotFound, wantSubmitted: http.StatusOK,
+		},
+		"reads fail for long": {
+			fault: failReads, outage: 5 * time.Second, submissions: 1, wantUnknown: http.StatusServiceUnavailable, wantSubmitted: http.StatusServiceUnavailable,
+		},
+		"all calls fail for long": {
+			fault:  func(string) wirestore.Fault { return wirestore.FaultUnavailable },
+			outage: 5 * time.Second, wantUnknown: http.StatusServiceUnavailable, wantSubmitted: http.StatusServiceUnavailable,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := wirestore.New(shardCount, time.Now)
+				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(t, 1, 1000))
+				log := &bytes.Buffer{}
+				handler := newSlowLinkGateway(t, store, event.New(slog.New(slog.NewTextHandler(log, nil))))
+				time.Sleep(10 * time.Second)
+				store.InjectFaults(test.fault)
+				time.Sleep(test.outage)
+				for range test.submissions {
+					sendTo(handler, http.MethodPost, knownQueue, submissionBody)
+				}
+				if got := sendTo(handler, http.MethodPatch, unknownQueue, ""); got != test.wantUnknown {
+					t.Errorf("status %d for an unknown queue, want %d", got, test.wantUnknown)
+				}
+				if got := sendTo(handler, http.MethodPost, knownQueue, submissionBody); got != test.wantSubmitted {
+					t.Errorf("status %d for a submission, want %d", got, test.wantSubmitted)
+				}
+				// Only a gateway that the store has served meanwhile is not ready: while the store can't be reached, no
+				// other gateway is better.
+				if want := test.submissions == 0 || test.wantSubmitted == http.StatusOK; handler.IsReady() != want {
+					t.Errorf("ready: %v, want %v", handler.IsReady(), want)
+				}
+				store.InjectFaults(nil)
+				time.Sleep(3 * time.Second)
+				if got := sendTo(handler, http.MethodPatch, unknownQueue, ""); got != http.StatusNotFound {
+					t.Errorf("status %d for an unknown queue after the outage", got)
+				}
+				if got := sendTo(handler, http.MethodPost, knownQueue, submissionBody); got != http.StatusOK {
+					t.Errorf("status %d for a submission after the outage", got)
+				}
+				time.Sleep(time.Second) // Calls that the submissions have begun end.
+				checkReadLines(t, log.String(), test.fault(readCall) != wirestore.FaultNone)
+			})
+		})
+	}
+}
+
+// failReads is the fault of a store that answers all calls but reads.
+func failReads(call string) wirestore.Fault {
+	if call == readCall {
+		return wirestore.FaultUnavailable
+	}
+	return wirestore.FaultNone
+}
+
+// checkReadLines checks that the begin and the end of a series of failed reads are each logged once.
+func checkReadLines(t *testing.T, log string, failed bool) {
+	t.Helper()
+	want := 0
+	if failed {
+		want = 1
+	}
+	for _, code := range []event.Code{event.ConfigurationUnconfirmed, event.ConfigurationConfirmed} {
+		if got := strings.Count(log, fmt.Sprintf("event=%d ", code)); got != want {
+			t.Errorf("event %d was logged %d times, want %d", code, got, want)
+		}
+	}
+}
+
+func sendTo(handler http.Handler, method, path, body string) int {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(method, "http://q.example"+path, strings.NewReader(body)))
+	return recorder.Code
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	retryDelay = time.Second
 	// defaultMaxBodyBytes limits the body of a submission, unless the configuration allows a larger one.
 	defaultMaxBodyBytes = 1 << 20
+	// maxConfigurationAge is the age above which the configuration may not be the newest one any more: operators
+	// expect a new version to be in force within this time.
+	maxConfigurationAge = 3 * time.Second
 	// jobIDDigits is the number of hexadecimal digits in a job's ID.
 	jobIDDigits      = 16
 	retryAfterHeader = "Retry-After"
@@ -99,9 +102,9 @@
 	return gateway
 }
 
-// IsReady reports whether the gateway has a configuration and is not shutting down.
+// IsReady reports whether the gateway has a configuration that is not overdue, and is not shutting down.
 func (gateway *Gateway) IsReady() bool {
-	return gateway.configuration.Load() != nil && !gateway.shuttingDown.Load()
+	return gateway.configuration.Load() != nil && !gateway.confirmation.isOverdue() && !gateway.shuttingDown.Load()
 }
 
 // BeginShutdown makes IsReady report false, so that the platform routes clients to other gateways. Requests
@@ -140,10 +143,16 @@
 	}
 }
 
-// respondQueueUnknown responds with 404 Not Found to a request for a queue that the configuration doesn't have.
+// respondQueueUnknown responds to a request for a queue that the configuration doesn't have: with 404 Not Found, or
+// with 503 Service Unavailable if the configuration may be outdated, because the queue may have been added since.
 func (gateway *Gateway) respondQueueUnknown(writer http.ResponseWriter, request *http.Request, configuration *platform.Configuration) {
+	age := gateway.configurationAge()
+	if age > maxConfigurationAge {
+		gateway.respondRefused(writer, "", event.ReasonConfigurationOutdated)
+		return
+	}
 	gateway.options.Events.Log(request.Context(), event.QueueUnknown, slog.String("host", request.Host), slog.String("path", request.URL.Path),
-		slog.Int64("configuration", configuration.Version()), slog.Duration("configuration_age", gateway.configurationAge()))
+		slog.Int64("configuration", configuration.Version()), slog.Duration("configuration_age", age))
 	writer.WriteHeader(http.StatusNotFound)
 }
 
@@ -161,6 +170,10 @@
 }
 
 func (gateway *Gateway) submitJob(writer http.ResponseWriter, request *http.Request, configuration *platform.Configuration, queue *platform.Queue, id string) {
+	if gateway.confirmation.isOverdue() {
+		gateway.respondRefused(writer, id, event.ReasonConfigurationOutdated)
+		return
+	}
 	receivedAt := gateway.options.Clock.Now()
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, max(configuration.MaxBodyBytes(), defaultMaxBodyBytes)))
 	if err != nil {
--- a/gateway/slow_link_test.go
+++ b/gateway/slow_link_test.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,7 +79,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := wirestore.New(shardCount, time.Now)
 				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(t, 1, 1000))
-				handler := newSlowLinkGateway(t, store)
+				handler := newSlowLinkGateway(t, store, event.Discard())
 				time.Sleep(10 * time.Second)
 				synctest.Wait()
 				if !isInForce(handler, 1) {
@@ -105,7 +103,7 @@
 }
 
 // newSlowLinkGateway starts a gateway in a bubble that reaches the store over a slow link.
-func newSlowLinkGateway(t *testing.T, store *wirestore.Store) *gateway.Gateway {
+func newSlowLinkGateway(t *testing.T, store *wirestore.Store, events *event.Logger) *gateway.Gateway {
 	t.Helper()
 	clock := clockwork.NewRealClock() // It reads the time of the bubble.
 	client := platform.NewStore("store", slowlink.New(slowLinkBytesPerSecond).Transport(store, slowLinkLatency))
@@ -115,7 +113,7 @@
 	})
 	handler := gateway.New(gateway.Options{
 		Name: "edge-1", Shards: shardCount, Store: client, Owner: shardOwner, MemberName: shardOwner.MemberName(),
-		Pool: rpc.NewPool(nil), Clock: clock, Events: event.Discard(),
+		Pool: rpc.NewPool(nil), Clock: clock, Events: events,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -125,8 +123,5 @@
 
 // isInForce reports whether the gateway finds the queue that is named after a version.
 func isInForce(handler *gateway.Gateway, version int) bool {
-	request := httptest.NewRequestWithContext(context.Background(), http.MethodPatch, fmt.Sprintf("http://q.example/v%d/%s", version, jobID), strings.NewReader(""))
-	recorder := httptest.NewRecorder()
-	handler.ServeHTTP(recorder, request)
-	return recorder.Code == http.StatusMethodNotAllowed
+	return sendTo(handler, http.MethodPatch, fmt.Sprintf("/v%d/%s", version, jobID), "") == http.StatusMethodNotAllowed
 }
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -21,8 +21,9 @@
 	// readSilence bounds how long a response may make no progress. A connection that has broken without notice
 	// has to be found while there is time to read a configuration on another one.
 	readSilence = 700 * time.Millisecond
-	// retrySilence is readSilence after a read that failed, since the store or the link may be slow.
-	retrySilence = 1500 * time.Millisecond
+	// retrySilence is readSilence after maxFastRetries reads that failed in a row, since the store may be slow.
+	retrySilence   = 1500 * time.Millisecond
+	maxFastRetries = 2
 	// maxBacklogBytes is the size of a record above which it is not read if others follow it: the newest record
 	// of each key takes less time than a series of large ones, of which only the newest counts.
 	maxBacklogBytes = 64 << 10
@@ -36,10 +37,10 @@
 	store      *platform.Store
 	clock      clockwork.Clock
 	nextOffset int64
-	// hasFailed is set after a read that failed, and for a new reader. The next read returns at once, even
-	// without new records, because the current state has to be known as soon as possible.
-	hasFailed bool
-	evacuated map[string]bool
+	// failedReads is the number of reads that failed in a row. After a failed read, the next one returns at once,
+	// even without new records, because the current state has to be known as soon as possible.
+	failedReads int
+	evacuated   map[string]bool
 }
 
 // Update is the result of a read.
@@ -55,7 +56,7 @@
 
 // NewReader returns a reader that starts with the newest record of each key.
 func NewReader(store *platform.Store, clock clockwork.Clock) *Reader {
-	return &Reader{store: store, clock: clock, nextOffset: offsetUnknown, hasFailed: true, evacuated: map[string]bool{}}
+	return &Reader{store: store, clock: clock, nextOffset: offsetUnknown, evacuated: map[string]bool{}}
 }
 
 // Restart makes the next read return the newest record of each key.
@@ -73,13 +74,13 @@
 		result, err = reader.read(ctx)
 	}
 	if err != nil {
-		reader.hasFailed = true
+		reader.failedReads++
 		if platform.IsGone(err) {
 			reader.Restart()
 		}
 		return Update{}, err
 	}
-	reader.hasFailed = false
+	reader.failedReads = 0
 	if reader.nextOffset == offsetUnknown {
 		// An evacuation without a record among the newest ones has been deleted.
 		clear(reader.evacuated)
@@ -98,8 +99,11 @@
 // read reads the newest record of each key if the offset is unknown, otherwise the records from the offset on.
 func (reader *Reader) read(ctx context.Context) (platform.ReadResult, error) {
 	wait, silence := readWait, readSilence
-	if reader.hasFailed {
-		wait, silence = 0, retrySilence
+	if reader.failedReads > 0 {
+		wait = 0
+	}
+	if reader.failedReads > maxFastRetries {
+		silence = retrySilence
 	}
 	if reader.nextOffset == offsetUnknown {
 		return reader.store.Newest(ctx, platform.OperatorTopic, operatorPartition, silence)
