owner: write the changes of a shard in appends that the store takes

The platform's store refuses an append of more than 2 MiB for good; the owner took that for a sign of another writer, gave the shard up and left the group, and what it had not written was lost with it. Over 10 Mbit/s an append of more than 1.5 MB would not have arrived within its 1.5 s either.

Changes are written in batches of 512 KiB one after another, each under its own sequence number. What waits for the write goes on after the last one, as before, and no further write of the shard begins meanwhile.

TestProgressLargerThanAnAppendNeverStored failed before with "the shard was given up". The stand-in refuses appends above 2 MiB as the store does.

--- a/owner/flush.go
+++ b/owner/flush.go
@@ -31,8 +31,10 @@
 	s.writing = true
 	beganAt, suspendedBefore := now, owner.eventLoop.SuspendedFor()
 	go func() {
-		if !owner.appendUntilStored(s, records) {
-			return
+		for _, batch := range splitRecords(records, maxAppendBytes) {
+			if !owner.appendUntilStored(s, batch) {
+				return
+			}
 		}
 		owner.eventLoop.Post(func(now time.Time) {
 			if owner.shards[s.number] != s {
@@ -47,6 +49,24 @@
 	}()
 }
 
+// maxAppendBytes limits the records of one append. Within storeTimeout it must arrive over a slow link, and the store
+// refuses larger appends for good.
+const maxAppendBytes = 512 << 10
+
+// splitRecords splits records into batches of up to maxBytes, with at least one record each.
+func splitRecords(records []platform.Record, maxBytes int) [][]platform.Record {
+	var batches [][]platform.Record
+	begin, size := 0, 0
+	for index, record := range records {
+		if index > begin && size+record.Size() > maxBytes {
+			batches = append(batches, records[begin:index])
+			begin, size = index, 0
+		}
+		size += record.Size()
+	}
+	return append(batches, records[begin:])
+}
+
 // takeDirtyRecords returns the records to write, and resets what has changed.
 func (owner *Owner) takeDirtyRecords(s *shard) []platform.Record {
 	records := s.tombstones
--- a/owner/shard_test.go
+++ b/owner/shard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +124,60 @@
 		t.Errorf("job state %v, want STATE_CANCELLED", first.State())
 	}
 }
+
+// TestProgressLargerThanAnAppendNeverStored guards against a shard that is given up because the store refuses all its
+// changes as too large for one append.
+func TestProgressLargerThanAnAppendNeverStored(t *testing.T) {
+	const records, keyBytes = 20_000, 250
+	h := newHarness(t)
+	h.submit()
+	h.attach()
+	for number := range records {
+		h.shard.deleteProgress(fmt.Sprintf("%0*d", keyBytes, number))
+	}
+	done := false
+	h.shard.afterFlush = append(h.shard.afterFlush, func(time.Time) { done = true })
+	h.tick()
+	for h.shard.writing {
+		h.owner.eventLoop.RunNext(h.clock.Now())
+		if h.owner.shards[h.shard.number] != h.shard {
+			t.Fatal("the shard was given up")
+		}
+	}
+	if !done {
+		t.Error("what waits for the write was not called")
+	}
+	if _, stored := h.store.Newest(job.TopicRuns, h.shard.number, jobID); !stored {
+		t.Error("the job's progress is not in the store")
+	}
+}
+
+func TestSplitRecords(t *testing.T) {
+	const maxBytes = 100
+	tests := map[string]struct {
+		sizes []int // of the values
+		want  []int // numbers of records in the batches
+	}{
+		"none":                      {nil, []int{0}},
+		"one":                       {[]int{10}, []int{1}},
+		"one that is too large":     {[]int{200}, []int{1}},
+		"all fit":                   {[]int{20, 20, 20}, []int{3}},
+		"split":                     {[]int{40, 40, 40, 40, 40}, []int{2, 2, 1}},
+		"a large one between small": {[]int{10, 200, 10}, []int{1, 1, 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var records []platform.Record
+			for _, size := range test.sizes {
+				records = append(records, platform.Record{Key: "k", Value: make([]byte, size)})
+			}
+			var got []int
+			for _, batch := range splitRecords(records, maxBytes) {
+				got = append(got, len(batch))
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got batches of %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -37,7 +37,10 @@
 	End    int64 `json:"end"`
 }
 
-// serveAppend appends the records of the request body to a partition. An append that names a producer is
+// maxAppendBytes is the size above which an append is refused.
+const maxAppendBytes = 2 << 20
+
+// serveAppend appends the records of the request body to a partition. An append that is too large is refused. An append that names a producer is
 // checked against the epoch and the sequence number of that producer's last append.
 func (store *Store) serveAppend(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
@@ -45,6 +48,10 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if len(body) > maxAppendBytes {
+		writeJSON(writer, http.StatusRequestEntityTooLarge, refusalResponse{"size"})
+		return
+	}
 	if !store.awaitAppend(partitionKey{request.URL.Query().Get("topic"), int(queryInt(request, "part"))}) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
