--- a/operator/reader.go
+++ b/operator/reader.go
@@ -24,9 +24,9 @@
 	// retrySilence is readSilence after maxFastRetries reads that failed in a row, since the store may be slow.
 	retrySilence   = 1500 * time.Millisecond
 	maxFastRetries = 2
-	// maxBacklogBytes is the size of a record above which it is not read if others follow it: the newest record
+	// maxFollowedBytes is the size of a record above which it is not read if others follow it: the newest record
 	// of each key takes less time than a series of large ones, of which only the newest counts.
-	maxBacklogBytes = 64 << 10
+	maxFollowedBytes = 64 << 10
 )
 
 // offsetUnknown is the offset of a reader that has to start with the newest records.
@@ -69,7 +69,7 @@
 func (reader *Reader) Read(ctx context.Context) (Update, error) {
 	startedAt := reader.clock.Now()
 	result, err := reader.read(ctx)
-	if errors.Is(err, platform.ErrBacklog) {
+	if errors.Is(err, platform.ErrFallenBehind) {
 		reader.Restart()
 		result, err = reader.read(ctx)
 	}
@@ -110,7 +110,7 @@
 	}
 	return reader.store.Read(ctx, platform.Read{
 		Topic: platform.OperatorTopic, Partition: operatorPartition, Offset: reader.nextOffset,
-		Wait: wait, Silence: silence, MaxBacklogBytes: maxBacklogBytes,
+		Wait: wait, Silence: silence, MaxFollowedBytes: maxFollowedBytes,
 	})
 }
 
