gateway: event 708 tells the size of the configuration

The size of the versions in the incident had to be inferred from the bytes that the machines received. The line of a version that comes into force has it now.

--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -58,7 +58,7 @@
 	}
 	gateway.configuration.Store(parsed)
 	gateway.metrics.configuration.Record(ctx, parsed.Version())
-	gateway.options.Events.Log(ctx, event.ConfigurationInForce, slog.Int64("version", parsed.Version()))
+	gateway.options.Events.Log(ctx, event.ConfigurationInForce, slog.Int64("version", parsed.Version()), slog.Int("bytes", len(text)))
 }
 
 // recordReadFailure logs a failed read of operators' records if it is the first one in a row.
