owner: go on with the page of a shard that failed

The class of the incident once more: the newest records of a shard come in pages of 1 MB, and a page that failed made all of them be read again. Where every second call fails a shard of two pages would never have been loaded.

A read of newest records keeps its pages; the owner asks again for the page that failed.

--- a/owner/shard.go
+++ b/owner/shard.go
@@ -141,18 +141,17 @@
 	}
 }
 
-// readNewest reads the newest record of each key in the shard's partition of a topic. It retries until it
+// readNewest reads the newest record of each key in the shard's partition of a topic. It retries each page until it
 // succeeds, and reports false if the shard is released before.
 func (owner *Owner) readNewest(s *shard, topic string) (platform.ReadResult, bool) {
-	for s.ctx.Err() == nil {
-		tail, err := owner.options.Store.Newest(s.ctx, topic, s.number, storeTimeout)
-		if err == nil {
-			return tail, true
+	read := owner.options.Store.NewNewestRead(topic, s.number, storeTimeout)
+	for s.ctx.Err() == nil && !read.IsDone() {
+		if err := read.ReadPage(s.ctx); err != nil {
+			owner.log(event.AppendRetried, slog.String("call", "newest"), slog.Int("shard", s.number), slog.Any("error", err))
+			owner.sleep(s.ctx, storeRetryDelay)
 		}
-		owner.log(event.AppendRetried, slog.String("call", "newest"), slog.Int("shard", s.number), slog.Any("error", err))
-		owner.sleep(s.ctx, storeRetryDelay)
 	}
-	return platform.ReadResult{}, false
+	return read.Result(), read.IsDone()
 }
 
 // activateShard applies the records that were read of a shard, and marks the shard as loaded.
--- a/owner/slow_link_test.go
+++ b/owner/slow_link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,7 +72,7 @@
 }
 
 // newSlowLinkOwner starts an owner in a bubble that reaches the store over a slow link. Agents accept no connections.
-func newSlowLinkOwner(t *testing.T, store *wirestore.Store) *Owner {
+func newSlowLinkOwner(t *testing.T, store http.Handler) *Owner {
 	t.Helper()
 	owner := New(Options{
 		Name: "edge-1", Strong: true, Address: "10.0.1.1:7000", Shards: 8, GrantDuration: 6 * time.Second, MemberTimeout: 1500 * time.Millisecond,
@@ -124,3 +125,29 @@
 
 // countAgentViews returns the number of agents that the owner knows.
 func countAgentViews(owner *Owner) int { return len(owner.agents) }
+
+// TestShardNeverLoadedIfEverySecondPageFails guards against reading all pages of a shard again after one has failed. It
+// runs in a bubble.
+func TestShardNeverLoadedIfEverySecondPageFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := wirestore.New(8, time.Now)
+		putJobs(t, store)
+		pages := 0
+		owner := newSlowLinkOwner(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if query := request.URL.Query(); request.URL.Path == "/v1/log-newest" && query.Get("topic") == job.TopicJobs && query.Get("part") == "0" {
+				if pages++; pages%2 == 0 {
+					writer.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+			}
+			store.ServeHTTP(writer, request)
+		}))
+		time.Sleep(slowLinkBound)
+		synctest.Wait()
+		count := 0
+		owner.eventLoop.Call(context.Background(), func(time.Time) { count = countJobs(owner) })
+		if count != manyJobs {
+			t.Errorf("%d of %d jobs were read within %v", count, manyJobs, slowLinkBound)
+		}
+	})
+}
