--- a/gateway/confirmation_test.go
+++ b/gateway/confirmation_test.go
@@ -52,7 +52,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := wirestore.New(shardCount, time.Now)
-				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(t, 1, 1000))
+				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(1, 1000))
 				log := &bytes.Buffer{}
 				handler := newSlowLinkGateway(t, store, event.New(slog.New(slog.NewTextHandler(log, nil))))
 				time.Sleep(10 * time.Second)
--- a/gateway/slow_link_test.go
+++ b/gateway/slow_link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -32,26 +31,9 @@
 
 // largeConfiguration returns a configuration of about the given size. Its queues include one that is named after
 // the version.
-func largeConfiguration(t *testing.T, version, size int) []byte {
-	t.Helper()
-	type route struct {
-		Name       string `json:"name"`
-		Host       string `json:"host"`
-		PathPrefix string `json:"path_prefix"`
-		Service    string `json:"service"`
-		Attempts   int    `json:"attempts"`
-	}
-	routes := []route{{Name: fmt.Sprintf("v%d", version), Host: "q.example", PathPrefix: fmt.Sprintf("/v%d/", version), Service: "s", Attempts: 2}}
-	const routeBytes = 120
-	for number := range size / routeBytes {
-		name := fmt.Sprintf("filler-route-%016d", number)
-		routes = append(routes, route{Name: name, Host: "f.example", PathPrefix: "/" + name + "/", Service: "s", Attempts: 2})
-	}
-	text, err := json.Marshal(map[string]any{"version": version, "routes": routes})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return text
+func largeConfiguration(version, size int) []byte {
+	name := fmt.Sprintf("v%d", version)
+	return wirestore.Configuration(version, []wirestore.Route{wirestore.NewRoute(name, "q.example", "/"+name+"/", "s")}, size)
 }
 
 // TestLargeConfigurationNeverInForceOverSlowLink guards against reads of the store that end before a large
@@ -78,7 +60,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := wirestore.New(shardCount, time.Now)
-				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(t, 1, 1000))
+				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(1, 1000))
 				handler := newSlowLinkGateway(t, store, event.Discard())
 				time.Sleep(10 * time.Second)
 				synctest.Wait()
@@ -90,7 +72,7 @@
 				for range test.versions {
 					time.Sleep(test.pause)
 					version++
-					store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(t, version, test.size))
+					store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(version, test.size))
 				}
 				time.Sleep(inForceBound)
 				synctest.Wait()
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/standin/wirestore"
 )
 
 const (
@@ -57,33 +57,15 @@
 	d.publications.add(d.version, time.Now())
 }
 
-// configurationText returns a configuration. For each version so far it has a queue "since-VERSION".
+// configurationText returns a configuration of about size bytes. For each version so far it has a queue
+// "since-VERSION".
 func configurationText(version, size int) []byte {
-	type route struct {
-		Name       string  `json:"name"`
-		Host       string  `json:"host"`
-		PathPrefix string  `json:"path_prefix"`
-		Service    string  `json:"service"`
-		Attempts   int     `json:"attempts"`
-		Extension  float64 `json:"extension"`
-	}
-	newRoute := func(name, path string) route {
-		return route{name, "q.example", path, "verbale", maxTaskAttempts, 1.5}
-	}
-	routes := []route{newRoute("r-1", "/q/")}
+	routes := []wirestore.Route{wirestore.NewRoute("r-1", "q.example", "/q/", "verbale")}
 	for since := firstVersion; since <= version; since++ {
-		routes = append(routes, newRoute(fmt.Sprintf("since-%d", since), fmt.Sprintf("/since-%d/", since)))
-	}
-	const routeBytes = 150
-	for number := range size / routeBytes {
-		name := fmt.Sprintf("filler-route-%016d", number)
-		routes = append(routes, newRoute(name, "/"+name+"/"))
-	}
-	text, err := json.Marshal(map[string]any{"version": version, "routes": routes})
-	if err != nil {
-		panic(err) // The value is built from strings and numbers.
+		name := fmt.Sprintf("since-%d", since)
+		routes = append(routes, wirestore.NewRoute(name, "q.example", "/"+name+"/", "verbale"))
 	}
-	return text
+	return wirestore.Configuration(version, routes, size)
 }
 
 // startProbes starts to probe all gateways if configurations change in the run of a seed. The function that it
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -29,7 +29,7 @@
 	gatewayCount    = 3
 	shardCount      = 8
 	publishedConfig = `{"version":7,"routes":[{"name":"r-1","host":"q.example","path_prefix":"/q/","service":"verbale","attempts":3,"extension":1.5}]}`
-	maxTaskAttempts = 3
+	maxTaskAttempts = 3 // as in the routes of wirestore.Configuration
 )
 
 // deployment runs real gateway and agent processes over stand-ins for the platform and its workers.
