soak: a gateway that can't tell in a calm time breaks CONFIG too

Since a gateway answers 503 in place of 404 while its configuration may be outdated, a probe of a gateway that never learns of a version would have been passed over. In a calm time only the answer that shows the version counts now, which is what the bound says: in force on each gateway within 3 s.

--- a/soak/configuration_ledger_test.go
+++ b/soak/configuration_ledger_test.go
@@ -100,23 +100,31 @@
 	process gatewayProcess
 	version int
 	sentAt  time.Time
-	// isOlder is set if the gateway used an older version.
-	isOlder bool
+	answer  probeAnswer
 }
 
+// probeAnswer is what the answer to a probe shows.
+type probeAnswer int
+
+const (
+	usesVersion probeAnswer = iota
+	usesOlderVersion
+	// doesNotKnow is the answer of a gateway that has no configuration, or one that may be outdated.
+	doesNotKnow
+)
+
 // check returns a description of the violation that a probe shows, or an empty string. A gateway that has been
 // disturbed may use an older version, but no process may go back to a version older than one that it has used.
 func (p *publications) check(seen probe, calm bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !seen.isOlder {
+	switch {
+	case seen.answer == usesVersion:
 		p.used[seen.process] = max(p.used[seen.process], seen.version)
 		return ""
-	}
-	if p.used[seen.process] >= seen.version {
+	case seen.answer == usesOlderVersion && p.used[seen.process] >= seen.version:
 		return "the process went back to an older version than it had used"
-	}
-	if calm {
+	case calm:
 		return "the version is not in force in time"
 	}
 	return ""
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -94,18 +94,30 @@
 		if version == 0 {
 			continue
 		}
-		// A gateway that has the queue answers with 405 without asking anyone, since a job has no such method.
-		status, _ := c.send(ctx, http.MethodPatch, gateway, fmt.Sprintf("/since-%d/%016x", version, 0), "")
-		if status != http.StatusMethodNotAllowed && status != http.StatusNotFound || p.startCount() != process {
+		answer, answered := c.probe(ctx, gateway, version)
+		if !answered || p.startCount() != process {
 			continue
 		}
-		seen := probe{gatewayProcess{p.name, process}, version, sentAt, status == http.StatusNotFound}
+		seen := probe{gatewayProcess{p.name, process}, version, sentAt, answer}
 		if violation := d.publications.check(seen, d.disturbed.isCalmSince(p.name, sentAt.Add(-contactTime))); violation != "" {
 			d.ledger.recordConfiguration(p.name, version, violation)
 		}
 	}
 }
 
+// probe asks a gateway for the queue that came with a version. It reports false if the gateway doesn't answer.
+func (c *client) probe(ctx context.Context, gateway, version int) (answer probeAnswer, answered bool) {
+	// A gateway that has the queue answers with 405 without asking anyone, since a job has no such method.
+	status, _ := c.send(ctx, http.MethodPatch, gateway, fmt.Sprintf("/since-%d/%016x", version, 0), "")
+	switch status {
+	case http.StatusMethodNotAllowed:
+		return usesVersion, true
+	case http.StatusNotFound:
+		return usesOlderVersion, true
+	}
+	return doesNotKnow, status != 0
+}
+
 // checkConfigurationsAfterFaults publishes series of versions without other faults, while the gateways are probed.
 func (d *deployment) checkConfigurationsAfterFaults(ctx context.Context, seed uint64) {
 	const seriesCount = 3
--- a/soak/ledger_violations_test.go
+++ b/soak/ledger_violations_test.go
@@ -129,11 +129,13 @@
 		want    bool
 	}{
 		"in force":                       {seen: probe{process: first, version: version}, calm: true},
-		"older in a calm time":           {seen: probe{process: first, version: version, isOlder: true}, calm: true, want: true},
-		"older while disturbed":          {seen: probe{process: first, version: version, isOlder: true}},
-		"back to an older one":           {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version, isOlder: true}, want: true},
-		"older in another process":       {earlier: &probe{process: first, version: version}, seen: probe{process: second, version: version, isOlder: true}},
-		"older than what was never used": {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version + 1, isOlder: true}},
+		"older in a calm time":           {seen: probe{process: first, version: version, answer: usesOlderVersion}, calm: true, want: true},
+		"older while disturbed":          {seen: probe{process: first, version: version, answer: usesOlderVersion}},
+		"not known in a calm time":       {seen: probe{process: first, version: version, answer: doesNotKnow}, calm: true, want: true},
+		"not known while disturbed":      {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version, answer: doesNotKnow}},
+		"back to an older one":           {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version, answer: usesOlderVersion}, want: true},
+		"older in another process":       {earlier: &probe{process: first, version: version}, seen: probe{process: second, version: version, answer: usesOlderVersion}},
+		"older than what was never used": {earlier: &probe{process: first, version: version}, seen: probe{process: first, version: version + 1, answer: usesOlderVersion}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
