gateway: don't answer for a dropped queue while a newer configuration arrives

What callers saw: the requests of the incident that only test which configuration is in force were counts of a queue that version 20 had dropped; they got 200 from a gateway that had been receiving a newer version for 9 s.

Cause: a gateway learned that it was behind only from a record that the store accepted from it. The first 8 bytes of the response to a read say so before the records arrive, and were not looked at until all had arrived.

Change: a read reports that there are records as soon as its response says so, or if the store has removed them. If that has been so for 3 s or more, counted from the last confirmation, the gateway refuses each request as not run and is not ready, until the version has arrived. A read that took long is followed by one that doesn't wait, so that the version is confirmed at once; the time of a confirmation is that of the begin of its read.

Evidence: TestDroppedQueueServedWhileNewerConfigurationArrives, 5 s of transfer: before, a submission and a cancellation got 200, a request by another method 405, and the gateway was ready in four of six cases. All pass now.

Why this works: what the gateway refuses by is certain, so that an outage of the store, or of the partition of the operators' records, refuses nothing more than before. Submissions on a gateway whose reads fail without a response stay as they were.

--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -22,6 +22,7 @@
 		go gateway.backlogs.run(ctx)
 	}
 	reader := operator.NewReader(gateway.options.Store, gateway.options.Clock)
+	reader.NotifyBehind(gateway.confirmation.recordBehind)
 	for ctx.Err() == nil {
 		update, err := reader.Read(ctx)
 		if err != nil {
--- a/gateway/confirmation_test.go
+++ b/gateway/confirmation_test.go
@@ -87,6 +87,52 @@
 	}
 }
 
+// TestDroppedQueueServedWhileNewerConfigurationArrives guards against requests that are decided by a configuration of
+// which the gateway knows that a newer one has been arriving for longer than it may take to be in force.
+func TestDroppedQueueServedWhileNewerConfigurationArrives(t *testing.T) {
+	const arrivesWithin = 6 * time.Second
+	tests := map[string]struct {
+		method, path, body string
+		wantArrived        int // status once the new configuration is in force
+	}{
+		"submission":          {http.MethodPost, knownQueue, submissionBody, http.StatusNotFound},
+		"cancellation":        {http.MethodDelete, knownQueue, "", http.StatusNotFound},
+		"state":               {http.MethodGet, knownQueue, "", http.StatusNotFound},
+		"count":               {http.MethodGet, "/v1/", "", http.StatusNotFound},
+		"unknown method":      {http.MethodPatch, knownQueue, "", http.StatusNotFound},
+		"queue that is added": {http.MethodPatch, unknownQueue, "", http.StatusMethodNotAllowed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := wirestore.New(shardCount, time.Now)
+				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(1, 1000))
+				handler := newSlowLinkGateway(t, store, event.Discard())
+				time.Sleep(10 * time.Second)
+				store.Put(platform.OperatorTopic, 0, platform.ConfigurationKey, largeConfiguration(2, 5*slowLinkBytesPerSecond))
+				time.Sleep(inForceBound / 2)
+				if !handler.IsReady() {
+					t.Error("not ready before the new configuration must be in force")
+				}
+				time.Sleep(inForceBound/2 + time.Millisecond)
+				if got := sendTo(handler, test.method, test.path, test.body); got != http.StatusServiceUnavailable {
+					t.Errorf("status %d while the new configuration is overdue, want %d", got, http.StatusServiceUnavailable)
+				}
+				if handler.IsReady() {
+					t.Error("ready although the new configuration is overdue")
+				}
+				time.Sleep(arrivesWithin - inForceBound)
+				if got := sendTo(handler, test.method, test.path, test.body); got != test.wantArrived {
+					t.Errorf("status %d after the new configuration has arrived, want %d", got, test.wantArrived)
+				}
+				if !handler.IsReady() {
+					t.Error("not ready after the new configuration has arrived")
+				}
+			})
+		})
+	}
+}
+
 // failReads is the fault of a store that answers all calls but reads.
 func failReads(call string) wirestore.Fault {
 	if call == readCall {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,9 +102,9 @@
 	return gateway
 }
 
-// IsReady reports whether the gateway has a configuration that is not overdue, and is not shutting down.
+// IsReady reports whether the gateway has a configuration that is neither outdated nor overdue, and is not shutting down.
 func (gateway *Gateway) IsReady() bool {
-	return gateway.configuration.Load() != nil && !gateway.confirmation.isOverdue() && !gateway.shuttingDown.Load()
+	return gateway.configuration.Load() != nil && !gateway.isConfigurationOutdated() && !gateway.confirmation.isOverdue() && !gateway.shuttingDown.Load()
 }
 
 // BeginShutdown makes IsReady report false, so that the platform routes clients to other gateways. Requests
@@ -124,6 +124,10 @@
 		return
 	}
 	id := queue.TrimPrefix(request.URL.Path)
+	if gateway.isConfigurationOutdated() {
+		gateway.respondRefused(writer, id, event.ReasonConfigurationOutdated)
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), platform.ClientTimeout(request, defaultTimeout)-responseMargin)
 	defer cancel()
 	request = request.WithContext(ctx)
@@ -161,6 +165,11 @@
 	return gateway.confirmation.age(gateway.options.Clock.Now())
 }
 
+// isConfigurationOutdated reports whether a configuration that the gateway has not read yet must be in force.
+func (gateway *Gateway) isConfigurationOutdated() bool {
+	return gateway.confirmation.isOutdated(gateway.options.Clock.Now())
+}
+
 func isJobID(text string) bool {
 	if len(text) != jobIDDigits {
 		return false
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -37,10 +37,13 @@
 	store      *platform.Store
 	clock      clockwork.Clock
 	nextOffset int64
-	// failedReads is the number of reads that failed in a row. After a failed read, the next one returns at once,
-	// even without new records, because the current state has to be known as soon as possible.
+	// failedReads is the number of reads that failed in a row.
 	failedReads int
-	evacuated   map[string]bool
+	// isLate is whether the last read took so long that what it returned may be outdated.
+	isLate    bool
+	evacuated map[string]bool
+	// notifyBehind is called when the store has records that no read has returned yet. It may be nil.
+	notifyBehind func()
 }
 
 // Update is the result of a read.
@@ -59,6 +62,10 @@
 	return &Reader{store: store, clock: clock, nextOffset: offsetUnknown, evacuated: map[string]bool{}}
 }
 
+// NotifyBehind makes the reader call notify as soon as a read finds out that the store has new records, before they
+// have arrived. It must not be called during a read.
+func (reader *Reader) NotifyBehind(notify func()) { reader.notifyBehind = notify }
+
 // Restart makes the next read return the newest record of each key.
 func (reader *Reader) Restart() { reader.nextOffset = offsetUnknown }
 
@@ -77,10 +84,14 @@
 		reader.failedReads++
 		if platform.IsGone(err) {
 			reader.Restart()
+			if reader.notifyBehind != nil {
+				reader.notifyBehind()
+			}
 		}
 		return Update{}, err
 	}
 	reader.failedReads = 0
+	reader.isLate = reader.clock.Since(startedAt) > readWait+readSilence
 	if reader.nextOffset == offsetUnknown {
 		// An evacuation without a record among the newest ones has been deleted.
 		clear(reader.evacuated)
@@ -99,7 +110,8 @@
 // read reads the newest record of each key if the offset is unknown, otherwise the records from the offset on.
 func (reader *Reader) read(ctx context.Context) (platform.ReadResult, error) {
 	wait, silence := readWait, readSilence
-	if reader.failedReads > 0 {
+	if reader.failedReads > 0 || reader.isLate {
+		// The current state has to be known as soon as possible, even if there are no new records.
 		wait = 0
 	}
 	if reader.failedReads > maxFastRetries {
@@ -110,7 +122,7 @@
 	}
 	return reader.store.Read(ctx, platform.Read{
 		Topic: platform.OperatorTopic, Partition: operatorPartition, Offset: reader.nextOffset,
-		Wait: wait, Silence: silence, MaxFollowedBytes: maxFollowedBytes,
+		Wait: wait, Silence: silence, MaxFollowedBytes: maxFollowedBytes, NotifyFound: reader.notifyBehind,
 	})
 }
 
