--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -51,11 +51,8 @@
 	defaultSnapshotEvery    = 20_000
 	// appendBurst is the number of appends that may exceed the rate at once.
 	appendBurst = 10
-	// maxReadEntries limits a read. After a read that failed, the limit is divided by readLimitDivisor, since the
-	// response may be too large to arrive; after each one that succeeds, it is multiplied by readLimitGrowth.
-	maxReadEntries   = 512
-	readLimitDivisor = 8
-	readLimitGrowth  = 4
+	// maxReadEntries limits a read of records.
+	maxReadEntries = 512
 	// readWait is how long the platform holds a read at the end of the log open.
 	readWait = time.Second
 	// queueCapacity bounds the proposals that wait to be sent.
@@ -121,8 +118,11 @@
 	limiter *rate.Limiter
 	queue   chan *proposal
 
-	// readLimit is the number of entries to read at once. Only follow uses it.
-	readLimit int
+	// recordLimit and snapshotLimit limit the reads of the two streams. Only follow uses them.
+	recordLimit   readLimit
+	snapshotLimit readLimit
+	// restoring is the read of the snapshot to start from, nil if none is in progress. Only follow uses it.
+	restoring *snapshotRead
 
 	// mu guards all fields below.
 	mu    sync.Mutex
@@ -163,7 +163,8 @@
 	return &Journal{
 		service:          service,
 		options:          options,
-		readLimit:        maxReadEntries,
+		recordLimit:      newReadLimit(maxReadEntries),
+		snapshotLimit:    newReadLimit(maxSnapshotReadEntries),
 		limiter:          rate.NewLimiter(rate.Limit(options.AppendsPerSecond), appendBurst),
 		queue:            make(chan *proposal, queueCapacity),
 		state:            state.NewForFormat(options.KnownFormat),
--- a/changelog/changelog_test.go
+++ b/changelog/changelog_test.go
@@ -287,6 +287,26 @@
 	}
 }
 
+// TestSnapshotsTooLargeForOneReadNeverRestored guards against asking again and again for a page of snapshots too large to
+// arrive, or for pages that have been read.
+func TestSnapshotsTooLargeForOneReadNeverRestored(t *testing.T) {
+	const snapshots, tasksEach = 20, 5
+	log := standin.NewLog(0)
+	writer := startJournal(t, log, changelog.Options{Writer: "one"})
+	for index := range snapshots {
+		appendTasks(t, writer, index*tasksEach, (index+1)*tasksEach)
+		if err := writer.WriteSnapshot(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log.Trim(changelog.RecordStream, snapshots*tasksEach)
+	reader := startJournal(t, &largePageLog{Log: log, maxEntries: 3}, changelog.Options{Writer: "two"})
+	waitFor(t, "the reader to be ready", func() bool { return reader.Ready() == nil })
+	if taskCount(reader) != snapshots*tasksEach {
+		t.Errorf("the reader has %d tasks, want %d", taskCount(reader), snapshots*tasksEach)
+	}
+}
+
 // TestIncompleteSnapshotIgnored tests that readers fall back to the previous
 // complete snapshot when the writer of the newest one crashed between two chunks.
 func TestIncompleteSnapshotIgnored(t *testing.T) {
--- a/changelog/follow.go
+++ b/changelog/follow.go
@@ -41,19 +41,18 @@
 	}
 }
 
-// followOnce restores a snapshot if that has not been done, and applies one read of
-// the log. If records were trimmed before this instance has read them, it clears
-// restored, so that the next call restores a newer snapshot.
+// followOnce reads one page: of the snapshots if none has been restored yet, otherwise of the log. If records were
+// trimmed before this instance has read them, it clears restored, so that the next call begins to restore a newer
+// snapshot.
 func (j *Journal) followOnce(ctx context.Context, restored *bool) error {
 	if !*restored {
-		if err := j.restoreSnapshot(ctx); err != nil {
-			return err
-		}
-		*restored = true
+		isDone, err := j.continueRestoring(ctx)
+		*restored = isDone
+		return err
 	}
 	startedAt := j.options.Clock.Now()
 	page, err := j.service.Read(ctx, RecordStream, j.readOptions())
-	j.adjustReadLimit(err)
+	j.recordLimit.adjust(err)
 	var trimmed *logservice.TrimmedError
 	if errors.As(err, &trimmed) {
 		*restored = false
@@ -77,22 +76,13 @@
 func (j *Journal) readOptions() logservice.ReadOptions {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	options := logservice.ReadOptions{From: j.state.NextOffset(), Max: j.readLimit}
+	options := logservice.ReadOptions{From: j.state.NextOffset(), Max: j.recordLimit.entries}
 	if j.caughtUp {
 		options.Wait = readWait
 	}
 	return options
 }
 
-// adjustReadLimit adjusts readLimit to the outcome of a read.
-func (j *Journal) adjustReadLimit(err error) {
-	if err != nil {
-		j.readLimit = max(1, j.readLimit/readLimitDivisor)
-		return
-	}
-	j.readLimit = min(maxReadEntries, j.readLimit*readLimitGrowth)
-}
-
 func (j *Journal) nextOffset() int64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/changelog/snapshot.go
+++ b/changelog/snapshot.go
@@ -111,33 +111,52 @@
 	data       []byte
 }
 
-// newestSnapshot reads the snapshot stream and returns the complete snapshot with
-// the highest offset, or nil if there is none. The chunks of concurrent writers
-// may be interleaved, and those of a writer that crashed may be incomplete.
-func (j *Journal) newestSnapshot(ctx context.Context) (*completeSnapshot, error) {
-	chunks := map[string][]*record.SnapshotChunk{}
-	var newest *completeSnapshot
-	from := int64(0)
-	for {
-		page, err := j.service.Read(ctx, SnapshotStream, logservice.ReadOptions{From: from, Max: maxSnapshotReadEntries})
-		var trimmed *logservice.TrimmedError
-		if errors.As(err, &trimmed) {
-			from = trimmed.Earliest
-			continue
-		}
-		if err != nil {
-			return nil, errors.Wrap(err, "read snapshots")
-		}
-		for _, entry := range page.Entries {
-			if snapshot := addChunk(chunks, entry.Data); snapshot != nil && (newest == nil || snapshot.nextOffset >= newest.nextOffset) {
-				newest = snapshot
-			}
-			from = entry.Offset + 1
+// snapshotRead reads the snapshot stream page by page, to find the complete snapshot with the highest offset. The
+// chunks of concurrent writers may be interleaved, and those of a writer that crashed may be incomplete.
+type snapshotRead struct {
+	from   int64
+	chunks map[string][]*record.SnapshotChunk
+	newest *completeSnapshot // nil if none has been found yet
+	isDone bool
+}
+
+func newSnapshotRead() *snapshotRead {
+	return &snapshotRead{chunks: map[string][]*record.SnapshotChunk{}}
+}
+
+// readSnapshotPage reads the next page. After an error it may be called again, and goes on with the same page.
+func (j *Journal) readSnapshotPage(ctx context.Context, read *snapshotRead) error {
+	page, err := j.service.Read(ctx, SnapshotStream, logservice.ReadOptions{From: read.from, Max: j.snapshotLimit.entries})
+	var trimmed *logservice.TrimmedError
+	if errors.As(err, &trimmed) {
+		read.from = trimmed.Earliest
+		return nil
+	}
+	j.snapshotLimit.adjust(err)
+	if err != nil {
+		return errors.Wrap(err, "read snapshots")
+	}
+	for _, entry := range page.Entries {
+		snapshot := addChunk(read.chunks, entry.Data)
+		if snapshot != nil && (read.newest == nil || snapshot.nextOffset >= read.newest.nextOffset) {
+			read.newest = snapshot
 		}
-		if len(page.Entries) == 0 || from >= page.Next {
-			return newest, nil
+		read.from = entry.Offset + 1
+	}
+	read.isDone = len(page.Entries) == 0 || read.from >= page.Next
+	return nil
+}
+
+// newestSnapshot reads the snapshot stream and returns the complete snapshot with the highest offset, or nil if there
+// is none.
+func (j *Journal) newestSnapshot(ctx context.Context) (*completeSnapshot, error) {
+	read := newSnapshotRead()
+	for !read.isDone {
+		if err := j.readSnapshotPage(ctx, read); err != nil {
+			return nil, err
 		}
 	}
+	return read.newest, nil
 }
 
 // addChunk adds a chunk to those read so far, by snapshot ID, and returns the
@@ -163,14 +182,30 @@
 	return snapshot
 }
 
-// restoreSnapshot replaces the state by the newest snapshot if that has a higher
+// continueRestoring reads one page of the snapshots, and restores the newest snapshot once all pages have been read. It
+// reports whether that has been done.
+func (j *Journal) continueRestoring(ctx context.Context) (isDone bool, err error) {
+	if j.restoring == nil {
+		j.restoring = newSnapshotRead()
+	}
+	if err := j.readSnapshotPage(ctx, j.restoring); err != nil {
+		return false, err
+	}
+	if !j.restoring.isDone {
+		return false, nil
+	}
+	newest := j.restoring.newest
+	j.restoring = nil
+	if err := j.restoreSnapshot(ctx, newest); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+// restoreSnapshot replaces the state by the newest snapshot, which may be nil, if that has a higher
 // offset. If the snapshot requires a format that this build does not support, the
 // journal halts.
-func (j *Journal) restoreSnapshot(ctx context.Context) error {
-	newest, err := j.newestSnapshot(ctx)
-	if err != nil {
-		return err
-	}
+func (j *Journal) restoreSnapshot(ctx context.Context, newest *completeSnapshot) error {
 	if newest == nil || newest.nextOffset <= j.nextOffset() {
 		return nil
 	}
