gateway: event 708 tells how old the configuration before was

How long a version takes to be in force could not be read from the log of a gateway: the line had no time but its own, and that of the acknowledgement is only in the operators' log. The line has the age of the configuration before now, counted from when it was last known to be the newest one. The version was published after that, so the age is an upper bound of the time that it took on this gateway. No decision changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -308,7 +308,7 @@
 	{AppendRetried, slog.LevelWarn, "append retried", "An append to the store failed or was not answered, and is sent again with the same sequence number.", platformRelease},
 	{TailRestarted, slog.LevelInfo, "tail restarted", "A topic is read again, beginning with the newest record of each key, because records were removed before they had been read.", platformRelease},
 	{RecordUnreadable, slog.LevelError, "record unreadable", "A record in the store could not be decoded and was skipped.", platformRelease},
-	{ConfigurationInForce, slog.LevelInfo, "configuration in force", "This process decides by this version of the configuration from now on. The attribute bytes is its size.", platformRelease},
+	{ConfigurationInForce, slog.LevelInfo, "configuration in force", "This process decides by this version of the configuration from now on. The attribute bytes is its size, age the time since the version before was last confirmed as the newest one: the new one was published no longer ago.", platformRelease},
 	{ConfigurationRefused, slog.LevelError, "configuration refused", "A version of the configuration can't be decoded. The previous version stays in force.", platformRelease},
 
 	{StoreSlow, slog.LevelWarn, "store slow", "An append took much longer than the store usually takes. The attribute took says how long. Everything that waits for the store is delayed by as much.", platformRelease},
--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -59,7 +59,8 @@
 	}
 	gateway.configuration.Store(parsed)
 	gateway.metrics.configuration.Record(ctx, parsed.Version())
-	gateway.options.Events.Log(ctx, event.ConfigurationInForce, slog.Int64("version", parsed.Version()), slog.Int("bytes", len(text)))
+	gateway.options.Events.Log(ctx, event.ConfigurationInForce, slog.Int64("version", parsed.Version()), slog.Int("bytes", len(text)),
+		slog.Duration("age", gateway.configurationAge()))
 }
 
 // recordReadFailure logs a failed read of operators' records if it is the first one in a row.
