wirestore: answer other calls while a page of newest records is written

Cause, of the stand-in: it held its lock while it wrote a page of newest records, so that a client behind a slow link stopped the store for all others as soon as the buffers of its connection were full. A page of a configuration of 1 MB has 1.4 MB.

TestSlowReaderBlocksOtherCalls failed for newest records before; reads of records were written without the lock already.

--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -143,9 +143,22 @@
 	Offset int64  `json:"offset"`
 }
 
-// serveNewest responds with a page of the newest record of every key that is greater than the query parameter
-// "after", sorted by key. A key whose newest value is empty counts as deleted and is left out.
+// newestResponse is the body of a response with a page of newest records.
+type newestResponse struct {
+	Items []newestRecord `json:"items"`
+	More  bool           `json:"more"`
+	End   int64          `json:"end"`
+}
+
+// serveNewest responds with a page of the newest records. The store is not locked while the response is written, which
+// may take long over a slow link.
 func (store *Store) serveNewest(writer http.ResponseWriter, request *http.Request) {
+	writeJSON(writer, http.StatusOK, store.newestPage(request))
+}
+
+// newestPage returns a page of the newest record of every key that is greater than the query parameter "after", sorted
+// by key. A key whose newest value is empty counts as deleted and is left out.
+func (store *Store) newestPage(request *http.Request) newestResponse {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	partition := store.requestedPartition(request)
@@ -166,11 +179,7 @@
 		return 1
 	})
 	page := limitPage(items)
-	writeJSON(writer, http.StatusOK, struct {
-		Items []newestRecord `json:"items"`
-		More  bool           `json:"more"`
-		End   int64          `json:"end"`
-	}{page, len(page) < len(items), partition.endOffset})
+	return newestResponse{Items: page, More: len(page) < len(items), End: partition.endOffset}
 }
 
 // limitPage returns the first items that fit a page, but at least one.
