owner: don't release runs by an agent's message that is older than they are

What callers saw: TWICE.

Meanwhile the agent's worker was replaced (27:45.33), and another owner started tasks on the new one (27:45.56), which ended (27:47.68). The first owner took the shard over (27:48.57) and then received the agent's first message, sent before all that, with the worker of then (27:49.02). Reconcile took the worker in the message for the successor of that of the runs, released the runs, and started the tasks again; their ends came with the next message.

The rule that an agent has to have handled the order of a run, or the claim of its shard, before what it doesn't list counts as over, stood beside that conclusion and was not applied to it. It is applied to both now. Why this works: what an agent sends after it has handled the claim is newer than any run that an earlier owner has started there.

TestDelayedStateOfPreviousWorkerReleasesRun fails without the change, whether workers report start times or not. TestNewIncarnationReleasesRuns asked for the release by the first message of a connection, which is the fault; it asks for none then, and for it by the first message after the claim, without any further delay.

--- a/owner/incarnation_test.go
+++ b/owner/incarnation_test.go
@@ -250,3 +250,27 @@
 		})
 	}
 }
+
+// TestDelayedStateOfPreviousWorkerReleasesRun guards against taking a worker that an agent had before a run was started
+// for the next one: a message may arrive long after it was sent.
+func TestDelayedStateOfPreviousWorkerReleasesRun(t *testing.T) {
+	for name, startedMs := range map[string][]int64{"workers report start times": {firstStartedMs}, "workers report none": nil} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			j := h.restoreRun(startedMs...)
+			h.attach()
+			other := idleWorkerStatus()
+			other.Worker = "i-9"
+			h.receive(&wire.AgentMessage{Status: other, Complete: true})
+			if !firstRunActive(j) {
+				t.Error("released by a message that the agent may have sent before the run was started")
+			}
+			h.tick()
+			h.takeSent()
+			h.receive(&wire.AgentMessage{Status: other, Complete: true})
+			if firstRunActive(j) {
+				t.Error("not released although the agent has had another worker since it received the claim of the shard")
+			}
+		})
+	}
+}
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -66,6 +66,15 @@
 	return sequence > 0 && sequence <= view.handledSequence
 }
 
+// hasHandledOrder reports whether the agent has handled the order of a run, or, if that was sent on an earlier connection
+// or by an earlier owner, the claim of the run's shard.
+func (view *agentView) hasHandledOrder(run *trackedRun) bool {
+	if run.orderedEarlier {
+		return view.hasHandled(view.claimSequences[run.shard.number])
+	}
+	return view.hasHandled(run.orderSequence)
+}
+
 // reconcile compares the runs that an agent lists with those that the owner has placed there.
 func (owner *Owner) reconcile(view *agentView, message *wire.AgentMessage, now time.Time) {
 	listed := map[string]*wire.RunStatus{}
@@ -113,6 +122,11 @@
 		// The agent may not know all runs of its worker yet.
 		return
 	}
+	// An agent lists what its worker carried out of the order once it has handled the message with the order, or the
+	// claim of the shard for an earlier order. Before that, its message may be older than the run.
+	if !view.hasHandledOrder(run) {
+		return
+	}
 	if !worker.IsZero() && worker.WorkerID() != run.place.Incarnation.WorkerID() {
 		// A machine has one worker. If a different one is ready there, the previous one has ended with all
 		// its runs. A worker that is not ready may be known only from a delayed heartbeat.
@@ -121,15 +135,6 @@
 		}
 		return
 	}
-	// Another incarnation with the same worker ID may have carried out the order. The agent lists such a run
-	// once it has handled the message with the order, or the claim of the shard for an earlier order.
-	handled := view.hasHandled(run.orderSequence)
-	if run.orderedEarlier {
-		handled = view.hasHandled(view.claimSequences[run.shard.number])
-	}
-	if !handled {
-		return
-	}
 	reason := "not listed by its agent"
 	if worker.IsOtherIncarnationOf(run.place.Incarnation) {
 		if !status.GetReady() {
--- a/owner/reconcile_test.go
+++ b/owner/reconcile_test.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// TestNewIncarnationReleasesRuns: if the agent reports another incarnation of its worker, the runs of the
-// previous one are over. Otherwise long-running tasks would wait for 20 s after a power loss of all
-// machines.
+// TestNewIncarnationReleasesRuns: if the agent reports another incarnation of its worker after it has received the claim
+// of the shard, the runs of the previous one are over. Otherwise long-running tasks would wait for 20 s after a power loss
+// of all machines.
 func TestNewIncarnationReleasesRuns(t *testing.T) {
 	h := newHarness(t)
 	j := h.adoptRun("i-0")
@@ -78,6 +78,16 @@
 		t.Fatal("released while the agent knows no worker")
 	}
 	h.receive(&wire.AgentMessage{Complete: true})
+	if j.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released by a message that may be older than the run")
+	}
+	h.tick()
+	h.takeSent()
+	h.receive(&wire.AgentMessage{Complete: true, Status: &wire.WorkerStatus{}})
+	if j.Tasks()[0].State() != job.TaskState_TASK_STARTED {
+		t.Fatal("released while the agent that has received the claim knows no worker")
+	}
+	h.receive(&wire.AgentMessage{Complete: true})
 	if j.Tasks()[0].State() != job.TaskState_TASK_WAITING {
 		t.Error("not released although another incarnation is running")
 	}
