soak: two gateways share the rate of the store; keep the seed that revealed TWICE

Every gateway reads each version of the configuration from the store, which sends at one rate to all of them. The soak knew the link of one gateway only; now the other two share 4 MB/s. Seeds that are kept for older failures play as then.

The check and its bound are as they were.

--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -18,6 +18,8 @@
 	probeInterval              = 100 * time.Millisecond
 	// weakLinkBytesPerSecond is the payload that a link of 10 Mbit/s carries.
 	weakLinkBytesPerSecond = 1_040_000
+	// storeBytesPerSecond is how much the store sends to the other gateways together.
+	storeBytesPerSecond = 4_000_000
 	// maxConfigurationBytes takes less than half of inForceBound over the weak link, so that a gateway that has
 	// just begun to read one version can read the next one in time.
 	maxConfigurationBytes = 1_000_000
@@ -133,3 +135,11 @@
 // hasConfigurationFaults reports whether configurations change in the run of a seed. If so, the first gateway is
 // behind a weak link.
 func hasConfigurationFaults(seed uint64) bool { return faultListCount(seed) > configurationList }
+
+// hasLimitedStore reports whether the gateways that are not behind the weak link share the rate of the store.
+func hasLimitedStore(seed uint64) bool {
+	if r, isRegression := regressionSeeds[seed]; isRegression {
+		return r.limitedStore
+	}
+	return hasConfigurationFaults(seed)
+}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -74,6 +74,12 @@
 	if hasConfigurationFaults(seed) {
 		d.gateways[0].storeRelay.LimitToClient(slowlink.New(weakLinkBytesPerSecond))
 	}
+	if hasLimitedStore(seed) {
+		storeLink := slowlink.New(storeBytesPerSecond)
+		for _, gateway := range d.gateways[1:] {
+			gateway.storeRelay.LimitToClient(storeLink)
+		}
+	}
 	reportsStartTime := startTimeReporters(seed)
 	for index := range agentCount {
 		d.addAgent(ctx, t, index, fmt.Sprintf("%s.2.%d", network, index+1), reportsStartTime(index))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,25 +29,28 @@
 type regression struct {
 	listCount int
 	cause     string
+	// limitedStore is whether gateways shared the rate of the store.
+	limitedStore bool
 }
 
 // regressionSeeds holds the seeds that have revealed a violation, each with the cause of the violation.
 var regressionSeeds = map[uint64]regression{
-	11:   {1, "an end that the owner had not been told of still counted after the owner's grant had expired"},
-	21:   {1, "as seed 11"},
-	22:   {1, "as seed 11; also, an agent accepted an order that arrived late on an older connection"},
-	23:   {1, "as seed 11; also, an agent that had restarted was granted time on the clock of its previous process"},
-	1:    {3, "a worker that had restarted under its ID was taken for its previous incarnation"},
-	2:    {3, "as seed 1"},
-	3:    {3, "as seed 1"},
-	4:    {3, "as seed 1"},
-	5:    {4, "a restarted worker refused its agent's probes because of their fencing token, and was never used again"},
-	223:  {4, "an incarnation was reported as over before the end of a run was known that the next incarnation had carried out"},
-	1003: {5, "reads of the store ended before a large configuration had arrived over a slow link"},
-	1004: {5, "as seed 1003"},
-	1005: {5, "as seed 1003"},
-	1006: {5, "as seed 1003"},
-	126:  {3, "an acknowledgement of an end for an agent's previous process identified a different end to the next process"},
+	11:   {listCount: 1, cause: "an end that the owner had not been told of still counted after the owner's grant had expired"},
+	21:   {listCount: 1, cause: "as seed 11"},
+	22:   {listCount: 1, cause: "as seed 11; also, an agent accepted an order that arrived late on an older connection"},
+	23:   {listCount: 1, cause: "as seed 11; also, an agent that had restarted was granted time on the clock of its previous process"},
+	1:    {listCount: 3, cause: "a worker that had restarted under its ID was taken for its previous incarnation"},
+	2:    {listCount: 3, cause: "as seed 1"},
+	3:    {listCount: 3, cause: "as seed 1"},
+	4:    {listCount: 3, cause: "as seed 1"},
+	5:    {listCount: 4, cause: "a restarted worker refused its agent's probes because of their fencing token, and was never used again"},
+	223:  {listCount: 4, cause: "an incarnation was reported as over before the end of a run was known that the next incarnation had carried out"},
+	1003: {listCount: 5, cause: "reads of the store ended before a large configuration had arrived over a slow link"},
+	1004: {listCount: 5, cause: "as seed 1003"},
+	1005: {listCount: 5, cause: "as seed 1003"},
+	1006: {listCount: 5, cause: "as seed 1003"},
+	1512: {listCount: 5, limitedStore: true, cause: "an owner took the worker that an agent had had before a run was started for the next one, by a delayed message"},
+	126:  {listCount: 3, cause: "an acknowledgement of an end for an agent's previous process identified a different end to the next process"},
 }
 
 // faultListCount returns how many of faultLists a seed runs with.
