owner: log when reads of shards or of agents begin to fail

What operators saw in the incident: two gateways knew for 46 s that their reads failed, and no line of theirs said so. The reader of the configuration has its lines since; two others still dropped the error before they tried again: the one that follows the jobs of a shard, and the one that follows the registered agents.

Event 1063 reports the first failed read in a row of a partition with its error, 1064 the first one that succeeds again and how many had failed. No decision changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -195,11 +195,13 @@
 	OwnershipConfirmed
 )
 
-// What a gateway knows of the configuration that operators have published.
+// What is known of the records in the store, and of the configuration that operators have published there.
 const (
 	ConfigurationUnconfirmed Code = 1060 + iota
 	ConfigurationConfirmed
 	QueueUnknown
+	RecordsUnread
+	RecordsReadAgain
 )
 
 // Agents and their workers.
@@ -391,6 +393,8 @@
 	{ConfigurationUnconfirmed, slog.LevelWarn, "configuration unconfirmed", "A read of the records that operators write failed, so this gateway does not know whether its configuration is the newest one. The attribute age says for how long it has not known that, error why the read failed. Further failures are counted in event 1061.", slowLinkRelease},
 	{ConfigurationConfirmed, slog.LevelInfo, "configuration confirmed", "After event 1060, this gateway knows again that its configuration is the newest one. The attribute after says for how long it had not known that, reads how many reads had failed.", slowLinkRelease},
 	{QueueUnknown, slog.LevelInfo, "queue unknown", "A request was answered with 404 because the configuration in force has no queue for its host and path. The attributes give the version of the configuration and the time since it was confirmed as the newest one.", slowLinkRelease},
+	{RecordsUnread, slog.LevelWarn, "records unread", "A read of the jobs of a shard, or of the registered agents, failed, so this owner may not know the newest ones. The attribute error says why. Further failures are counted in event 1064.", slowLinkRelease},
+	{RecordsReadAgain, slog.LevelInfo, "records read again", "After event 1063, reads of the partition succeed again. The attribute reads says how many had failed.", slowLinkRelease},
 }
 
 // Catalogue returns a copy of the catalogue.
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -110,8 +110,10 @@
 // made one read for each record, the number of reads would be entries × agents.
 func (owner *Owner) followAgentPartition(ctx context.Context, part int) {
 	nextOffset := int64(-1)
+	failures := readFailures{owner: owner, topic: job.TopicAgents, partition: part}
 	for ctx.Err() == nil {
 		tail, err := owner.readAgentRecords(ctx, part, nextOffset)
+		failures.record(ctx, err)
 		if err != nil {
 			nextOffset = owner.nextAgentOffset(err, nextOffset)
 			owner.sleep(ctx, storeRetryDelay)
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -188,6 +188,7 @@
 
 // followShard reads the jobs and cancellations that entries append, until the shard is released.
 func (owner *Owner) followShard(s *shard, nextOffset int64) {
+	failures := readFailures{owner: owner, topic: job.TopicJobs, partition: s.number}
 	for s.ctx.Err() == nil {
 		tail, err := owner.options.Store.Read(s.ctx, platform.Read{
 			Topic: job.TopicJobs, Partition: s.number, Offset: nextOffset, Wait: readWait, Silence: readSilence,
@@ -200,6 +201,7 @@
 			}
 			tail, err = newest, nil
 		}
+		failures.record(s.ctx, err)
 		if err != nil {
 			owner.sleep(s.ctx, storeRetryDelay)
 			continue
--- a/owner/slow_link_test.go
+++ b/owner/slow_link_test.go
@@ -1,9 +1,12 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,10 +76,16 @@
 
 // newSlowLinkOwner starts an owner in a bubble that reaches the store over a slow link. Agents accept no connections.
 func newSlowLinkOwner(t *testing.T, store http.Handler) *Owner {
+	t.Helper()
+	return newLoggingSlowLinkOwner(t, store, event.Discard())
+}
+
+// newLoggingSlowLinkOwner is newSlowLinkOwner with an owner that logs to events.
+func newLoggingSlowLinkOwner(t *testing.T, store http.Handler, events *event.Logger) *Owner {
 	t.Helper()
 	owner := New(Options{
 		Name: "edge-1", Strong: true, Address: "10.0.1.1:7000", Shards: 8, GrantDuration: 6 * time.Second, MemberTimeout: 1500 * time.Millisecond,
-		Clock: clockwork.NewRealClock(), Events: event.Discard(), // The clock reads the time of the bubble.
+		Clock: clockwork.NewRealClock(), Events: events, // The clock reads the time of the bubble.
 		Store: platform.NewStore("store", slowlink.New(slowLinkBytesPerSecond).Transport(store, storeLatency)),
 		Dial:  func(context.Context, string) (drpc.Conn, error) { return nil, errors.New("nobody answers") },
 	})
@@ -151,3 +160,30 @@
 		}
 	})
 }
+
+// TestFailedReadsAreSilent guards against an owner that doesn't say that it can't read its shards or the agents.
+func TestFailedReadsAreSilent(t *testing.T) {
+	const outage, shardCount = 5 * time.Second, 8
+	synctest.Test(t, func(t *testing.T) {
+		store := wirestore.New(shardCount, time.Now)
+		log := &bytes.Buffer{}
+		newLoggingSlowLinkOwner(t, store, event.New(slog.New(slog.NewTextHandler(log, nil))))
+		time.Sleep(slowLinkBound)
+		store.InjectFaults(func(call string) wirestore.Fault {
+			if call == "/v1/log-read" {
+				return wirestore.FaultUnavailable
+			}
+			return wirestore.FaultNone
+		})
+		time.Sleep(outage)
+		store.InjectFaults(nil)
+		time.Sleep(slowLinkBound)
+		synctest.Wait()
+		want := shardCount + job.AgentPartitions(shardCount)
+		for _, code := range []event.Code{event.RecordsUnread, event.RecordsReadAgain} {
+			if got := strings.Count(log.String(), fmt.Sprintf("event=%d ", code)); got != want {
+				t.Errorf("event %d was logged %d times, want once for each of %d partitions", code, got, want)
+			}
+		}
+	})
+}
