gateway: don't refuse while a later configuration of a series arrives

What callers saw: 503 for up to 0.3 s from a gateway with 10 Mbit/s on which the version that had to be in force was, while a later one of a series was still arriving.

Cause: counted the 3 s after which a gateway that is behind refuses from its last confirmation. That is the begin of a read that waited for up to 0.8 s before the first version was written; the transfer of that version and of the newest one over 10 Mbit/s take 2.35 s more.

Change: the time counts from when the response to a read told of newer records, or, if reads had failed before, from when a read would have told at the latest. Why this works: a read that waits is answered as soon as a record is written.

--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -22,7 +22,7 @@
 		go gateway.backlogs.run(ctx)
 	}
 	reader := operator.NewReader(gateway.options.Store, gateway.options.Clock)
-	reader.NotifyBehind(gateway.confirmation.recordBehind)
+	reader.NotifyBehind(func() { gateway.confirmation.recordBehind(gateway.options.Clock.Now()) })
 	for ctx.Err() == nil {
 		update, err := reader.Read(ctx)
 		if err != nil {
--- a/gateway/confirmation.go
+++ b/gateway/confirmation.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"ambertiller.example/ambertiller/operator"
 )
 
 // confirmation tracks when the gateway last knew that its configuration is the newest one. It may be used by
@@ -11,8 +13,9 @@
 	mu          sync.Mutex
 	confirmedAt time.Time // zero until the first confirmation
 	failedReads int       // in a row
-	// isBehind is whether the store has had newer records of operators since the last confirmation.
-	isBehind bool
+	// behindSince is when the gateway learned that the store has newer records of operators than it has read, zero if
+	// it knows of none.
+	behindSince time.Time
 	// storeAnsweredAt is when the store last accepted a record from this gateway.
 	storeAnsweredAt time.Time
 }
@@ -26,7 +29,7 @@
 		unconfirmed = asOf.Sub(c.confirmedAt)
 	}
 	failedReads = c.failedReads
-	c.confirmedAt, c.failedReads, c.isBehind = asOf, 0, false
+	c.confirmedAt, c.failedReads, c.behindSince = asOf, 0, time.Time{}
 	return unconfirmed, failedReads
 }
 
@@ -39,10 +42,12 @@
 }
 
 // recordBehind records that the store has records that the gateway has not read yet.
-func (c *confirmation) recordBehind() {
+func (c *confirmation) recordBehind(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isBehind = true
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+	}
 }
 
 // age returns the time since the last confirmation, or 0 if there was none.
@@ -62,12 +67,20 @@
 	c.storeAnsweredAt = now
 }
 
-// isOutdated reports whether the store has newer records that may have been there for longer than maxConfigurationAge,
-// so that a newer configuration has to be in force.
+// isOutdated reports whether the store has had newer records for longer than maxConfigurationAge, so that a newer
+// configuration has to be in force. A read finds a record that is written while it waits at once. If reads fail, the
+// record may have been there since the first of them.
 func (c *confirmation) isOutdated(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isBehind && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > maxConfigurationAge
+	if c.behindSince.IsZero() || c.confirmedAt.IsZero() {
+		return false
+	}
+	writtenAt := c.confirmedAt.Add(operator.MaxReadWait)
+	if c.behindSince.Before(writtenAt) {
+		writtenAt = c.behindSince
+	}
+	return now.Sub(writtenAt) > maxConfigurationAge
 }
 
 // isOverdue reports whether a newer configuration may be in force elsewhere, although it is not known that there is one:
--- a/operator/reader.go
+++ b/operator/reader.go
@@ -15,9 +15,9 @@
 const (
 	// operatorPartition is the only partition of the operator topic that is in use.
 	operatorPartition = 0
-	// readWait is how long a read waits for new records. A read that is waiting while the store drops its
+	// MaxReadWait is how long a read waits for new records. A read that is waiting while the store drops its
 	// history receives nothing until it is repeated, and a configuration has to take effect within 2 s.
-	readWait = 800 * time.Millisecond
+	MaxReadWait = 800 * time.Millisecond
 	// readSilence bounds how long a response may make no progress. A connection that has broken without notice
 	// has to be found while there is time to read a configuration on another one.
 	readSilence = 700 * time.Millisecond
@@ -91,7 +91,7 @@
 		return Update{}, err
 	}
 	reader.failedReads = 0
-	reader.isLate = reader.clock.Since(startedAt) > readWait+readSilence
+	reader.isLate = reader.clock.Since(startedAt) > MaxReadWait+readSilence
 	if reader.nextOffset == offsetUnknown {
 		// An evacuation without a record among the newest ones has been deleted.
 		clear(reader.evacuated)
@@ -109,7 +109,7 @@
 
 // read reads the newest record of each key if the offset is unknown, otherwise the records from the offset on.
 func (reader *Reader) read(ctx context.Context) (platform.ReadResult, error) {
-	wait, silence := readWait, readSilence
+	wait, silence := MaxReadWait, readSilence
 	if reader.failedReads > 0 || reader.isLate {
 		// The current state has to be known as soon as possible, even if there are no new records.
 		wait = 0
