--- a/gateway/configure.go
+++ b/gateway/configure.go
@@ -69,7 +69,7 @@
 		return
 	}
 	gateway.options.Events.Log(ctx, event.ConfigurationUnconfirmed, slog.Int64("version", gateway.version()),
-		slog.Duration("age", gateway.confirmation.age(gateway.options.Clock.Now())), slog.Any("error", err))
+		slog.Duration("age", gateway.configurationAge()), slog.Any("error", err))
 }
 
 // recordRead records that the configuration in force is the newest one, if the read reached the end of the
