--- a/review/run/deployment.go
+++ b/review/run/deployment.go
@@ -29,8 +29,9 @@
 	controlPort   = "8166"
 	appPort       = "8165"
 	startTimeout  = 20 * time.Second
-	// commonLabel is the kind of most workers.
+	// commonLabel is the kind of most workers, specialLabel that of some.
 	commonLabel    = "a"
+	specialLabel   = "b"
 	workersPerRack = 3
 )
 
@@ -229,23 +230,9 @@
 	return nil
 }
 
-// startAll starts the gateways and the given number of workers with their agents, and waits until they are ready.
-func (d *deployment) startAll(ctx context.Context, workers int) error {
-	for _, gateway := range d.gateways {
-		if err := d.start(ctx, gateway); err != nil {
-			return err
-		}
-	}
-	for range workers {
-		if err := d.addWorker(ctx, commonLabel); err != nil {
-			return err
-		}
-	}
-	return d.awaitReady(ctx)
-}
-
-// startSpecial does the same, with workers of which the first have a kind of their own.
-func (d *deployment) startSpecial(ctx context.Context, workers int) error {
+// startAll starts the gateways and the given number of workers with their agents, of which the first ones are of a kind
+// of their own, and waits until they are ready.
+func (d *deployment) startAll(ctx context.Context, workers, special int) error {
 	for _, gateway := range d.gateways {
 		if err := d.start(ctx, gateway); err != nil {
 			return err
@@ -253,7 +240,7 @@
 	}
 	for number := range workers {
 		kind := commonLabel
-		if number < specialWorkers {
+		if number < special {
 			kind = specialLabel
 		}
 		if err := d.addWorker(ctx, kind); err != nil {
--- a/review/run/gang_cases.go
+++ b/review/run/gang_cases.go
@@ -35,7 +35,7 @@
 // playGangSpread adds an empty worker to four that are in use, and then hands in jobs whose tasks work only together,
 // one on each worker. Without the disruption, the same jobs come without the new worker.
 func playGangSpread(ctx context.Context, d *deployment, trouble bool) (bool, error) {
-	if err := d.startAll(ctx, 4); err != nil {
+	if err := d.startAll(ctx, 4, 0); err != nil {
 		return false, err
 	}
 	c := newClient(d)
@@ -87,16 +87,10 @@
 	return first.Sub(job.acceptedAt) > idleBound, nil
 }
 
-// specialLabel is the label of the workers that some jobs ask for, and specialWorkers is how many of the workers have it.
-const (
-	specialLabel   = "b"
-	specialWorkers = 2
-)
-
 // playGangSuspects has jobs whose six tasks work only together come several times a second, on two workers of a kind of
 // their own among eight, and lets one of these two crash. Without the disruption, none crashes.
 func playGangSuspects(ctx context.Context, d *deployment, trouble bool) (bool, error) {
-	if err := d.startSpecial(ctx, 8); err != nil {
+	if err := d.startAll(ctx, 8, 2); err != nil {
 		return false, err
 	}
 	c := newClient(d)
