review: tasks run again after they are done, by a replaced owner that acknowledges their ends

A worker's tasks that have ended done, with the end taken note of, are started again: their work is done twice. It happens when the store turns one gateway away, its shards pass on, and agents restart that are nearer to it than to the new owner.

Code: a restarted agent knows no epochs and accepts the claim of the replaced owner (agent/claims.go); that owner has nothing to store for a job that it doesn't know, so that flushShard acknowledges the end at once, without a write that the store would refuse (owner/runs.go, owner/flush.go); the agent takes it from any session (agent/ends.go).

--- a/review/run/client.go
+++ b/review/run/client.go
@@ -49,11 +49,13 @@
 	mu sync.Mutex
 	// turn is the gateway that the next call goes to.
 	turn int
-	http *http.Client
+	// gateways are those that the platform passes clients to.
+	gateways []*node
+	http     *http.Client
 }
 
 func newClient(d *deployment) *client {
-	return &client{d: d, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second}}}
+	return &client{d: d, gateways: d.gateways, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second}}}
 }
 
 const (
@@ -104,7 +106,7 @@
 // call makes one call of a client. The status is 0 if there was no answer.
 func (c *client) call(ctx context.Context, method, id string, body []byte) (int, []byte) {
 	c.mu.Lock()
-	gateway := c.d.gateways[c.turn%len(c.d.gateways)]
+	gateway := c.gateways[c.turn%len(c.gateways)]
 	c.turn++
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, clientDeadline)
--- a/review/run/deployment.go
+++ b/review/run/deployment.go
@@ -9,29 +9,33 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/standin/wirestore"
 )
 
 const (
 	gatewayCount = 3
 	partitions   = 8
-	// recordBytes is the most that the store takes in one record, as the settings say.
-	recordBytes = 262144
-	program     = "target/ambertiller"
-	service     = "verbale"
-	host        = "queue.example"
+	program      = "target/ambertiller"
+	service      = "verbale"
+	host         = "queue.example"
 	// The ports that the settings name. Each process has an IP address of its own.
 	clientPort    = "8161"
 	readinessPort = "8167"
 	controlPort   = "8166"
 	appPort       = "8165"
+	agentPort     = "7721" // the second of internal_ports
 	startTimeout  = 20 * time.Second
-	// commonLabel is the kind of most workers, specialLabel that of some.
-	commonLabel    = "a"
-	specialLabel   = "b"
+	// workerKind is the first label of all workers.
+	workerKind     = "a"
 	workersPerRack = 3
 )
 
@@ -111,6 +115,7 @@
 type node struct {
 	name, role, class, ip string
 	path                  string // of its settings file
+	storeAt               string // a gateway's own address of the store
 	command               *exec.Cmd
 	exited                chan struct{}
 }
@@ -121,8 +126,15 @@
 	dir      string
 	network  string // the first two octets of its loopback addresses
 	reserved net.Listener
-	store    *http.Server
+	store    []*http.Server
 	storeAt  string
+	// turnsAway makes the store turn a gateway away, by its name.
+	turnsAway map[string]*atomic.Bool
+	// far are the names of the gateways in another region, farDelay is the delay to it, one way.
+	far      []string
+	farDelay time.Duration
+	linksMu  sync.Mutex
+	links    map[string]*link // by the address of the agent
 	gateways []*node
 	agents   []*node
 	world    *world
@@ -137,19 +149,19 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{rec: rec, dir: dir, world: newWorld(rec)}
+	d := &deployment{rec: rec, dir: dir, world: newWorld(rec), turnsAway: map[string]*atomic.Bool{}, links: map[string]*link{}}
 	if err := d.reserveNetwork(ctx); err != nil {
 		return nil, err
 	}
-	if err := d.startStore(ctx); err != nil {
-		return nil, err
-	}
 	for index := range gatewayCount {
 		d.gateways = append(d.gateways, &node{
 			name: fmt.Sprintf("edge-milano-a-%d", index+1), role: "gateway", class: "edge",
 			ip: fmt.Sprintf("%s.1.%d", d.network, index+1),
 		})
 	}
+	if err := d.startStore(ctx); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -166,28 +178,90 @@
 	return errors.New("no loopback network is free")
 }
 
-// startStore starts the platform's store: the project's stand-in, with the limit of a record that the settings state.
-func (d *deployment) startStore(ctx context.Context) error {
+// startStore starts the platform's store: the project's stand-in. Each gateway reaches it at an address of its own, so
+// that the store can turn it away.
+func (d *deployment) startStore(ctx context.Context) (err error) {
 	store := wirestore.New(partitions, time.Now)
 	store.Put("keyed.op", 0, "config", []byte(configuration))
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(d.network+".0.2", "0"))
+	store.RewriteAppends(job.TopicAgents, d.rewriteAgent)
+	if d.storeAt, err = d.serveStore(ctx, store); err != nil {
+		return err
+	}
+	for _, gateway := range d.gateways {
+		away := &atomic.Bool{}
+		d.turnsAway[gateway.name] = away
+		gateway.storeAt, err = d.serveStore(ctx, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if away.Load() {
+				writer.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			store.ServeHTTP(writer, request)
+		}))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rewriteAgent replaces the address in an agent's record by that of the link to it, if there is one.
+func (d *deployment) rewriteAgent(value []byte) []byte {
+	record := &job.AgentRecord{}
+	if err := proto.Unmarshal(value, record); err != nil {
+		return value
+	}
+	d.linksMu.Lock()
+	defer d.linksMu.Unlock()
+	found := d.links[record.GetAddress()]
+	if found == nil {
+		return value
+	}
+	record.Address = found.listener.Addr().String()
+	rewritten, err := proto.Marshal(record)
+	if err != nil {
+		return value
+	}
+	return rewritten
+}
+
+// addLink puts a link before the agent on an IP address.
+func (d *deployment) addLink(ctx context.Context, number int, ip string) error {
+	agent := net.JoinHostPort(ip, agentPort)
+	added, err := newLink(ctx, net.JoinHostPort(fmt.Sprintf("%s.3.%d", d.network, number), agentPort), agent, d.far, d.farDelay)
 	if err != nil {
 		return err
 	}
-	d.storeAt = listener.Addr().String()
-	d.store = &http.Server{Handler: limitRecords(store), ReadHeaderTimeout: time.Minute}
-	go func() { _ = d.store.Serve(listener) }()
+	d.linksMu.Lock()
+	defer d.linksMu.Unlock()
+	d.links[agent] = added
 	return nil
 }
 
+// serveStore serves the store at a new address.
+func (d *deployment) serveStore(ctx context.Context, handler http.Handler) (address string, err error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(d.network+".0.2", "0"))
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	d.store = append(d.store, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
 // addWorker starts a worker and the agent beside it. The labels of the worker are its kind and its rack.
-func (d *deployment) addWorker(ctx context.Context, kind string) error {
+func (d *deployment) addWorker(ctx context.Context) error {
 	number := len(d.agents) + 1
 	ip := fmt.Sprintf("%s.2.%d", d.network, number)
 	m := newMachine(d.world, fmt.Sprintf("w%d", number), net.JoinHostPort(ip, appPort), net.JoinHostPort(ip, controlPort))
-	m.labels = []string{kind, fmt.Sprintf("r1-%d", (number-1)/workersPerRack)}
+	m.labels = []string{workerKind, fmt.Sprintf("r1-%d", (number-1)/workersPerRack)}
 	agent := &node{name: fmt.Sprintf("side-milano-a-%d", number), role: "agent", class: "side", ip: ip}
 	d.agents = append(d.agents, agent)
+	if len(d.far) > 0 {
+		if err := d.addLink(ctx, number, ip); err != nil {
+			return err
+		}
+	}
 	if err := d.start(ctx, agent); err != nil {
 		return err
 	}
@@ -205,7 +279,11 @@
 		control, app = net.JoinHostPort(n.ip, controlPort), net.JoinHostPort(n.ip, appPort)
 	}
 	n.path = filepath.Join(d.dir, n.name+".toml")
-	text := fmt.Sprintf(settings, n.name, "my-"+n.class, n.class, n.ip, app, front, ready, control, d.storeAt)
+	storeAt := d.storeAt
+	if n.storeAt != "" {
+		storeAt = n.storeAt
+	}
+	text := fmt.Sprintf(settings, n.name, "my-"+n.class, n.class, n.ip, app, front, ready, control, storeAt)
 	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil { //nolint:gosec // a file in its own folder.
 		return err
 	}
@@ -230,20 +308,15 @@
 	return nil
 }
 
-// startAll starts the gateways and the given number of workers with their agents, of which the first ones are of a kind
-// of their own, and waits until they are ready.
-func (d *deployment) startAll(ctx context.Context, workers, special int) error {
+// startAll starts the gateways and the given number of workers with their agents, and waits until they are ready.
+func (d *deployment) startAll(ctx context.Context, workers int) error {
 	for _, gateway := range d.gateways {
 		if err := d.start(ctx, gateway); err != nil {
 			return err
 		}
 	}
-	for number := range workers {
-		kind := commonLabel
-		if number < special {
-			kind = specialLabel
-		}
-		if err := d.addWorker(ctx, kind); err != nil {
+	for range workers {
+		if err := d.addWorker(ctx); err != nil {
 			return err
 		}
 	}
@@ -266,16 +339,14 @@
 	return nil
 }
 
-// crashWorker lets a worker crash, and starts another one on its machine after a time.
-func (d *deployment) crashWorker(ctx context.Context, m *machine, down time.Duration) {
-	d.rec.say("srv_crash: worker %s is down for %v", m.name, down)
-	m.crash()
-	go func() {
-		sleep(ctx, down)
-		if err := m.boot(ctx); err != nil {
-			d.rec.log("the worker does not come back: %v", err)
-		}
-	}()
+// restart kills a process and starts it again after a time.
+func (d *deployment) restart(ctx context.Context, n *node, down time.Duration) error {
+	d.rec.say("node_kill: %s is killed and starts again after %v", n.name, down)
+	// It fails only for a process that has ended.
+	_ = n.command.Process.Kill()
+	<-n.exited
+	sleep(ctx, down)
+	return d.start(ctx, n)
 }
 
 func (d *deployment) isReady(ctx context.Context, gateway *node) bool {
@@ -294,8 +365,7 @@
 
 // stop ends all processes and stand-ins that the deployment has started.
 func (d *deployment) stop() {
-	nodes := append(append([]*node{}, d.gateways...), d.agents...)
-	for _, n := range nodes {
+	for _, n := range slices.Concat(d.gateways, d.agents) {
 		if n.command != nil && n.command.Process != nil {
 			// It fails only for a process that has ended.
 			_ = n.command.Process.Kill()
@@ -303,7 +373,12 @@
 		}
 	}
 	d.world.stop()
-	_ = d.store.Close()
+	for _, server := range d.store {
+		_ = server.Close()
+	}
+	for _, l := range d.links {
+		_ = l.listener.Close()
+	}
 	_ = d.reserved.Close()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(d.dir))
--- a/review/run/gang_cases.go
+++ b/review/run/gang_case.go
@@ -35,7 +35,7 @@
 // playGangSpread adds an empty worker to four that are in use, and then hands in jobs whose tasks work only together,
 // one on each worker. Without the disruption, the same jobs come without the new worker.
 func playGangSpread(ctx context.Context, d *deployment, trouble bool) (bool, error) {
-	if err := d.startAll(ctx, 4, 0); err != nil {
+	if err := d.startAll(ctx, 4); err != nil {
 		return false, err
 	}
 	c := newClient(d)
@@ -46,7 +46,7 @@
 	sleep(ctx, 3*time.Second)
 	if trouble {
 		d.rec.say("scale_out: one empty worker is added to four")
-		if err := d.addWorker(ctx, commonLabel); err != nil {
+		if err := d.addWorker(ctx); err != nil {
 			return false, err
 		}
 	}
@@ -86,59 +86,3 @@
 	d.rec.say("gang %s: first start %.3f s after it was accepted", job.id, first.Sub(job.acceptedAt).Seconds())
 	return first.Sub(job.acceptedAt) > idleBound, nil
 }
-
-// playGangSuspects has jobs whose six tasks work only together come several times a second, on two workers of a kind of
-// their own among eight, and lets one of these two crash. Without the disruption, none crashes.
-func playGangSuspects(ctx context.Context, d *deployment, trouble bool) (bool, error) {
-	if err := d.startAll(ctx, 8, 2); err != nil {
-		return false, err
-	}
-	c := newClient(d)
-	spec := jobSpec{Spec: "together", Steps: []step{{Count: 6, CPU: 500, MemMB: 1000, EstimateMs: 400, Gang: true, Constraints: specialLabel}}}
-	var jobs []*submitted
-	begun := time.Now()
-	crashed := false
-	for time.Since(begun) < 20*time.Second && ctx.Err() == nil {
-		job, err := c.submit(ctx, "gang", spec)
-		if err != nil {
-			return false, err
-		}
-		jobs = append(jobs, job)
-		if trouble && !crashed && time.Since(begun) > 8*time.Second {
-			crashed = true
-			d.crashWorker(ctx, d.world.machines[0], 2*time.Second)
-		}
-		sleep(ctx, 100*time.Millisecond)
-	}
-	// The worker has been back for more than 10 s, and all that was handed in had time to run.
-	sleep(ctx, 10*time.Second)
-	stuck := 0
-	for _, job := range jobs {
-		if job.acceptedAt.IsZero() || d.world.isRunning(job) {
-			continue
-		}
-		runs := d.world.runsOf(job)
-		last, done := lastEnd(job, runs)
-		if done || time.Since(last) < idleBound {
-			continue
-		}
-		stuck++
-		d.rec.say("gang %s: %d runs, none done; nothing of it has run for %.1f s; %.0f%% of the processors are in use; shown as %q",
-			job.id, len(runs), time.Since(last).Seconds(), 100*d.world.usedShare(), c.state(ctx, job))
-	}
-	d.rec.say("%d of %d gangs are stuck", stuck, len(jobs))
-	return stuck > 0, nil
-}
-
-// lastEnd returns when the last run of a job ended, or when the job was accepted if it has none, and whether any run was
-// done.
-func lastEnd(job *submitted, runs []run) (last time.Time, done bool) {
-	last = job.acceptedAt
-	for _, r := range runs {
-		done = done || r.how == howDone
-		if r.endedAt.After(last) {
-			last = r.endedAt
-		}
-	}
-	return last, done
-}
--- a/review/run/machine.go
+++ b/review/run/machine.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -32,17 +34,24 @@
 
 // life is one worker from its start to its end.
 type life struct {
-	machine *machine
-	id      string
-	startAt time.Time
-	fence   int64
-	leaseMs int64
-	seq     int64
-	running map[string]*run
-	highest map[string]int32 // of the attempts that were stopped or have ended, by task
-	ends    []listedEnd
-	lastEnd int64
-	changed chan struct{}
+	machine  *machine
+	id       string
+	startAt  time.Time
+	fence    int64
+	leaseMs  int64
+	seq      int64
+	running  map[string]*run
+	highest  map[string]int32 // of the attempts that were stopped or have ended, by task
+	ends     []listedEnd
+	lastEnd  int64
+	changed  chan struct{}
+	lapsedMs int64       // the lease that lapsed last
+	lapses   []time.Time // when leases lapsed
+}
+
+// lapsedBetween reports whether the lease lapsed between two times.
+func (l *life) lapsedBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(l.lapses, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
 type listedEnd struct {
@@ -82,24 +91,6 @@
 	return nil
 }
 
-// crash ends the worker without a word: its connections are closed, and everything that ran there is lost.
-func (m *machine) crash() {
-	m.world.mu.Lock()
-	l := m.life
-	m.life = nil
-	m.world.mu.Unlock()
-	m.shut()
-	if l == nil {
-		return
-	}
-	m.world.rec.log("worker %s: crashes", l.id)
-	m.world.mu.Lock()
-	defer m.world.mu.Unlock()
-	for _, r := range l.running {
-		m.world.end(r, howCrash)
-	}
-}
-
 func (m *machine) shut() {
 	if m.server == nil {
 		return
@@ -122,7 +113,8 @@
 		if err == nil {
 			l.sendBeat(ctx, body)
 		}
-		sleep(ctx, beatTime)
+		// Roughly once every heartbeat_ms.
+		sleep(ctx, beatTime*9/10+rand.N(beatTime/5)) //nolint:gosec // no secret.
 	}
 }
 
@@ -156,6 +148,10 @@
 	if l.clock() < l.leaseMs {
 		return
 	}
+	if l.leaseMs > l.lapsedMs {
+		l.lapsedMs = l.leaseMs
+		l.lapses = append(l.lapses, time.Now())
+	}
 	for _, r := range l.running {
 		l.machine.world.end(r, howLapsed)
 	}
@@ -301,7 +297,9 @@
 	for _, end := range l.ends {
 		if end.number > body.LastSeen {
 			kept = append(kept, end)
+			continue
 		}
+		end.run.notedAt = time.Now()
 	}
 	l.ends = kept
 	if changed := l.changed; len(l.ends) == 0 && body.WaitMs > 0 {
--- a/review/run/main.go
+++ b/review/run/main.go
@@ -34,8 +34,8 @@
 
 // cases are the cases by name.
 var cases = map[string]play{
-	"gang-spread":   playGangSpread,
-	"gang-suspects": playGangSuspects,
+	"gang-spread": playGangSpread,
+	"stale-owner": playStaleOwner,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/run/world.go
+++ b/review/run/world.go
@@ -24,7 +24,6 @@
 	howLapsed  = "lapsed"
 	howBroken  = "broken"
 	howAlone   = "alone"
-	howCrash   = "lost with its worker"
 )
 
 // world is what all workers share: what the tasks of jobs do, which gangs have assembled, and what has run. Its lock
@@ -58,6 +57,7 @@
 	how     string
 	worksAt time.Time // when it began to work, zero while it waits for its gang
 	percent int
+	notedAt time.Time // when note was taken of its end
 }
 
 func newWorld(rec *record) *world {
@@ -160,18 +160,6 @@
 	}
 }
 
-// isRunning reports whether any run of a job goes on.
-func (w *world) isRunning(job *submitted) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, r := range w.history {
-		if r.job == job && r.endedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // runsOf returns copies of all runs of a job.
 func (w *world) runsOf(job *submitted) []run {
 	w.mu.Lock()
