--- a/review/run/deployment.go
+++ b/review/run/deployment.go
@@ -130,7 +130,7 @@
 	storeAt  string
 	// turnsAway makes the store turn a gateway away, by its name.
 	turnsAway map[string]*atomic.Bool
-	// far are the names of the gateways in another region, farDelay is the delay to it, one way.
+	// far are the names of the gateways in other zones, farDelay is the delay to them, one way.
 	far      []string
 	farDelay time.Duration
 	linksMu  sync.Mutex
--- a/review/run/link.go
+++ b/review/run/link.go
@@ -8,7 +8,7 @@
 )
 
 // link is the network between the gateways and one agent. It delays what far gateways send and receive, as between two
-// regions, and knows them by the names that they state first.
+// zones, and knows them by the names that they state first.
 type link struct {
 	listener net.Listener
 	agent    string
