owner, agent: confirm ends only while the store shows that the shard is ours

Cause: an owner ran the callbacks of a flush at once if there was nothing to store. The end of a run that changes nothing, such as one of a job that the next owner has read, was confirmed without a write that the store could have refused. An agent that has restarted has forgotten the epochs of the shards, so it reports its ends to whichever owner attaches first.

Ruled out: progress that the new owner lost (it had attempt 1 as started, and no later record), and an end that had become void (the worker forgot it, and its lease went on).

A flush with callbacks now always appends, without records if no job has changed. The store refuses that too once the next owner has begun, so a callback proves that the shard was still owned after the callback was queued, however slow the process is. Stops that only this owner wants wait in the same way: of runs that it doesn't know, of runs without progress, of members of a gang, and of jobs whose failure is not stored yet. Cancellations are in the store already and stop runs at once, as before.

An append without records takes no sequence number.

The agent takes a confirmation only from the present owner of the end's shard. It keeps an end that an owner of an earlier build has confirmed, and reports it to the next owner: such an owner doesn't say that it proves its ownership.

Tests of stops wait for the write of the shard now, and ask for the same stops as before.

--- a/agent/ends.go
+++ b/agent/ends.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/platform"
 	"ambertiller.example/ambertiller/telemetry"
@@ -127,19 +129,23 @@
 }
 
 // handleEndSeen handles an owner's confirmation that an end is in the store. The worker may forget the ends
-// up to the first one that is not.
-func (agent *Agent) handleEndSeen(seen *wire.EndSeen, now time.Time) {
+// up to the first one that is not. Only the present owner of the end's shard may confirm it: an earlier one may not
+// know of the job, so that nothing of the end is in the store.
+func (agent *Agent) handleEndSeen(s *session, seen *wire.EndSeen, now time.Time) {
 	state := agent.worker
 	if state == nil || !state.incarnation.MayEqual(seen.Incarnation()) {
 		return
 	}
 	number := seen.GetNumber() - state.endNumberOffset
-	if number <= state.storedEnd || number > state.lastListedEnd {
+	end, pending := state.pendingEnds[number]
+	if !pending {
 		return
 	}
-	if end, pending := state.pendingEnds[number]; pending {
-		agent.logStoredEnd(end, now)
+	if claim, claimed := agent.claims[end.shard]; !claimed || claim.session != s {
+		return
 	}
+	agent.logStoredEnd(end, now)
+	agent.keepUnprovenEnd(s, end)
 	delete(state.pendingEnds, number)
 	state.storedAhead[number] = true
 	for state.storedAhead[state.storedEnd+1] {
@@ -163,6 +169,17 @@
 	}
 }
 
+// keepUnprovenEnd keeps an end for the next owner of its shard if the owner that confirms it may have been replaced.
+// The worker forgets the end, so that the next owner would otherwise consider the run lost and start its task again.
+func (agent *Agent) keepUnprovenEnd(s *session, end *pendingEnd) {
+	if s.provesOwnership {
+		return
+	}
+	kept := proto.CloneOf(end.runEnd)
+	kept.Number = 0
+	agent.keepLostEnd(kept)
+}
+
 // maxLostEnds limits the ends that are kept for later owners, to a few times the number of runs that a worker
 // has at once.
 const maxLostEnds = 512
--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -101,3 +101,53 @@
 	}
 	return count
 }
+
+// storedEnd returns the number up to which the worker was told to forget its ends.
+func (h *harness) storedEnd() int64 {
+	_, storedEnd := h.worker.Polls()
+	return storedEnd
+}
+
+// TestEndConfirmedByReplacedOwnerStaysPending guards against an end that the worker forgets though the owner of its
+// shard does not know of it: the confirmation of an owner that has been replaced arrives after the claim of the next.
+func TestEndConfirmedByReplacedOwnerStaysPending(t *testing.T) {
+	h := newHarness(t)
+	replaced := h.attachReadyOwner(1)
+	h.mustStart(replaced, newStartOrder(1))
+	h.worker.End(testTask, "done")
+	h.waitFor(func() bool { return replaced.firstEnd() != nil })
+	next := h.attachOwner(2)
+	h.waitFor(func() bool { return next.firstEnd() != nil })
+	replaced.confirmEnd(replaced.firstEnd())
+	h.advance(2 * time.Second)
+	if got := h.storedEnd(); got > 0 {
+		t.Fatalf("the worker forgot end %d, which an owner without the shard has confirmed", got)
+	}
+	next.confirmEnd(next.firstEnd())
+	h.waitFor(func() bool { return h.storedEnd() == 1 })
+}
+
+// TestEndConfirmedWithoutProofIsReportedAgain guards against tasks that are done twice after an agent has restarted and
+// met an owner of an earlier build first, which had been replaced: the next owner must be told the end too.
+func TestEndConfirmedWithoutProofIsReportedAgain(t *testing.T) {
+	for name, proves := range map[string]bool{"without proof": false, "with proof": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.worker.AddRun(testTask, 1, time.Hour)
+			h.sendHeartbeat()
+			replaced := h.connectOwner(&wire.OwnerMessage{
+				Owner: "edge-1", Owned: true, Shards: []*wire.ShardEpoch{{Shard: testShard, Epoch: 1}},
+				GrantUntilNanos: int64(time.Minute), ProvesOwnership: proves,
+			})
+			h.worker.End(testTask, "done")
+			h.waitFor(func() bool { return replaced.firstEnd() != nil })
+			replaced.confirmEnd(replaced.firstEnd())
+			h.waitFor(func() bool { return h.storedEnd() == 1 })
+			next := h.attachOwner(2)
+			h.advance(time.Second)
+			if reported := next.countEnds(wire.EndReason_END_DONE) > 0; reported == proves {
+				t.Errorf("the end was reported to the next owner: %v", reported)
+			}
+		})
+	}
+}
--- a/agent/session.go
+++ b/agent/session.go
@@ -39,6 +39,9 @@
 	acceptsChanges bool
 	// takesOffers is set for an owner that answers offers.
 	takesOffers bool
+	// provesOwnership is set for an owner that confirms ends only while it owns their shards. An owner of an earlier
+	// build may do so after it has been replaced.
+	provesOwnership bool
 	// statusEncoder holds the status of the worker that the owner was last sent, sentEstimates the
 	// interference estimates.
 	statusEncoder status.Encoder
@@ -111,6 +114,7 @@
 		s.isSameDomain = message.GetFailureDomain() == agent.options.FailureDomain
 		s.acceptsChanges = message.GetTakesChanges()
 		s.takesOffers = message.GetTakesOffers()
+		s.provesOwnership = message.GetProvesOwnership()
 		s.connectionNumber = message.GetConnection()
 		agent.sessionCount++
 		s.id = agent.sessionCount
@@ -145,7 +149,7 @@
 		agent.requestEvacuations()
 	}
 	for _, seen := range message.GetSeen() {
-		agent.handleEndSeen(seen, now)
+		agent.handleEndSeen(s, seen, now)
 	}
 	s.lastMessageAt = now
 	s.handledSequence = message.GetSequence()
--- a/owner/cancelled_test.go
+++ b/owner/cancelled_test.go
@@ -73,8 +73,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			prepare(h)
-			h.tick()
-			if count := countStops(h.takeSent()); count != 1 {
+			if count := countStops(h.actAndTakeSent()); count != 1 {
 				t.Errorf("%d stop orders, want 1", count)
 			}
 		})
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -101,7 +101,7 @@
 	view.connectionCount++
 	view.nextMessage = &wire.OwnerMessage{
 		Owner: owner.MemberName(), FailureDomain: owner.options.FailureDomain, TakesChanges: true, Connection: view.connectionCount,
-		TakesOffers: owner.options.Features.Has(feature.Offers),
+		TakesOffers: owner.options.Features.Has(feature.Offers), ProvesOwnership: true,
 	}
 	view.sentSequence, view.handledSequence = 0, 0
 	view.claimSequences = map[int]int64{}
--- a/owner/flush.go
+++ b/owner/flush.go
@@ -15,18 +15,15 @@
 
 // flushShard writes the changed jobs of a shard to the store, and then runs the callbacks that wait for that.
 // Only one write of a shard is in progress at a time.
+//
+// If there are callbacks but no changed jobs, it appends no records. The store refuses that too once the next owner
+// has begun, so a callback only ever runs if this entry still owned the shard after the callback was queued.
 func (owner *Owner) flushShard(s *shard, now time.Time) {
-	if !s.loaded || s.writing {
+	if !s.loaded || s.writing || len(s.afterFlush)+len(s.dirty)+len(s.tombstones) == 0 {
 		return
 	}
 	after := s.afterFlush
 	s.afterFlush = nil
-	if len(s.dirty)+len(s.tombstones) == 0 {
-		for _, callback := range after {
-			callback(now)
-		}
-		return
-	}
 	records := owner.takeDirtyRecords(s)
 	s.writing = true
 	beganAt, suspendedBefore := now, owner.eventLoop.SuspendedFor()
@@ -85,9 +82,12 @@
 }
 
 // appendUntilStored appends records under the shard's epoch, and retries until the store has them. It reports
-// false if the shard is no longer owned.
+// false if the shard is no longer owned. Without records, it only finds out whether that is so: such an append takes
+// no sequence number from the ones that follow.
 func (owner *Owner) appendUntilStored(s *shard, records []platform.Record) bool {
-	s.sequence++
+	if len(records) > 0 {
+		s.sequence++
+	}
 	request := platform.Append{
 		Topic: job.TopicRuns, Partition: s.number, Records: records,
 		Producer: producer, Epoch: s.epoch, Sequence: s.sequence,
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		owner.logRun(event.RunStopOrdered, run, slog.String("reason", "another member of the gang did not start"))
-		view.addStopOrder(run.shard, run.taskName, run.attempt, run.place.Incarnation)
+		owner.stopOnceOwned(view, run)
 	}
 }
 
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -173,9 +173,10 @@
 	return orders
 }
 
-// awaitWrites waits until the shard's pending writes to the store have been answered.
+// awaitWrites waits until the shard's pending writes to the store have been answered, or the shard was released since
+// the store has refused one.
 func (h *harness) awaitWrites() {
-	for h.shard.writing {
+	for h.shard.writing && h.owner.shards[h.shard.number] == h.shard {
 		h.owner.eventLoop.RunNext(h.clock.Now())
 	}
 }
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -145,7 +145,8 @@
 	owner.releaseRun(view, run, reason, now)
 }
 
-// stopStrayRun has a listed run stopped if it is not the current run of its task.
+// stopStrayRun has a listed run stopped if it is not the current run of its task. The next owner of the shard may have
+// started it, so the stop is ordered once the store has shown that there is none.
 func (owner *Owner) stopStrayRun(view *agentView, name string, reported *wire.RunStatus, worker incarnation.ID) {
 	ref, err := job.ParseTaskRef(name)
 	if err != nil {
@@ -157,8 +158,13 @@
 	if s == nil || found && run.attempt == reported.GetAttempt() {
 		return
 	}
-	owner.log(event.RunStopOrdered, slog.String("task", name), slog.Int("attempt", int(reported.GetAttempt())), slog.String("reason", "not the task's current run"))
-	view.addStopOrder(s, name, reported.GetAttempt(), worker)
+	s.afterFlush = append(s.afterFlush, func(time.Time) {
+		if run, found := view.runs[name]; found && run.attempt == reported.GetAttempt() {
+			return
+		}
+		owner.log(event.RunStopOrdered, slog.String("task", name), slog.Int("attempt", int(reported.GetAttempt())), slog.String("reason", "not the task's current run"))
+		view.addStopOrder(s, name, reported.GetAttempt(), worker)
+	})
 }
 
 // adoptRuns tracks the runs that earlier owners of the shard have placed, and has the shard claimed at all
--- a/owner/reconcile_test.go
+++ b/owner/reconcile_test.go
@@ -140,12 +140,7 @@
 	h.submit()
 	h.attach()
 	h.receive(&wire.AgentMessage{Complete: true, Runs: []*wire.RunStatus{{Task: firstTask, Attempt: 9}}})
-	h.tick()
-	stops := 0
-	for _, message := range h.takeSent() {
-		stops += len(message.GetStops())
-	}
-	if stops != 1 {
+	if stops := countStops(h.actAndTakeSent()); stops != 1 {
 		t.Errorf("%d stop orders, want 1", stops)
 	}
 }
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -42,11 +42,13 @@
 	live       map[string]*job.Job // jobs that have not ended or still have runs
 	nextOffset int64               // offset from which to read further jobs and cancellations
 
-	dirty      map[string]*job.Job   // jobs whose progress is to be written
-	afterFlush []func(now time.Time) // called once the progress of the dirty jobs is in the store
-	writing    bool                  // a write to the store is in progress
-	appendedAt time.Time             // when the last write that succeeded was begun
-	sequence   int64                 // of the last append
+	dirty map[string]*job.Job // jobs whose progress is to be written
+	// afterFlush is called once the progress of the dirty jobs is in the store. What can't be taken back waits here,
+	// even if it changes no job: only the store can tell that this owner has not been replaced.
+	afterFlush []func(now time.Time)
+	writing    bool      // a write to the store is in progress
+	appendedAt time.Time // when the last write that succeeded was begun
+	sequence   int64     // of the last append with records
 	// cancelled holds the jobs with a cancellation. A cancellation may be read before its job, since the
 	// store returns the newest records in the order of their keys.
 	cancelled map[string]bool
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -40,5 +40,5 @@
 	view.avoidUntil = now.Add(probationDuration)
 	view.consecutiveFailures = max(view.consecutiveFailures, failuresBeforeProbation)
 	owner.logRun(event.RunStopOrdered, run, slog.String("worker", run.place.Incarnation.WorkerID()), slog.String("reason", "no progress"), slog.Duration("since", now.Sub(run.progressedAt)))
-	view.addStopOrder(run.shard, run.taskName, run.attempt, run.place.Incarnation)
+	owner.stopOnceOwned(view, run)
 }
--- a/owner/stall_test.go
+++ b/owner/stall_test.go
@@ -31,8 +31,7 @@
 				h.clock.Advance(time.Second)
 				h.owner.lastJoinAt = h.clock.Now()
 				h.receive(&wire.AgentMessage{Complete: true, Runs: []*wire.RunStatus{{Task: firstTask, Attempt: 1, Percent: percent}}})
-				h.tick()
-				for _, message := range h.takeSent() {
+				for _, message := range h.actAndTakeSent() {
 					stops = max(stops, len(message.GetStops()))
 				}
 			}
--- a/owner/update.go
+++ b/owner/update.go
@@ -6,6 +6,7 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/incarnation"
+	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -93,13 +94,30 @@
 	})
 }
 
+// stopOnceOwned adds an order to stop a run that goes on, once the store has shown that the run's shard has no later
+// owner: that one may want the run to go on.
+func (owner *Owner) stopOnceOwned(view *agentView, run *trackedRun) {
+	run.shard.afterFlush = append(run.shard.afterFlush, func(time.Time) {
+		if view.runs[run.taskName] == run {
+			view.addStopOrder(run.shard, run.taskName, run.attempt, run.place.Incarnation)
+		}
+	})
+}
+
 // stopRetryInterval is how long after a stop order another one is sent if the run has not ended.
 const stopRetryInterval = 500 * time.Millisecond
 
-// stopEndedJobs adds stop orders for the runs of jobs that have ended, such as by a cancellation.
+// isEndStored reports whether the store has the end of a job: its progress or, for a cancelled job, the cancellation
+// that ended it.
+func (s *shard) isEndStored(j *job.Job) bool {
+	_, stored := s.endStoredAt[j.ID()]
+	return stored || j.State() == job.State_STATE_CANCELLED
+}
+
+// stopEndedJobs adds stop orders for the runs of jobs whose end is in the store, such as by a cancellation.
 func (owner *Owner) stopEndedJobs(view *agentView, now time.Time) {
 	for _, run := range view.runs {
-		if !run.task.Job().HasEnded() || run.orderSequence == 0 && !run.orderedEarlier || now.Sub(run.stopOrderedAt) < stopRetryInterval {
+		if !run.shard.isEndStored(run.task.Job()) || run.orderSequence == 0 && !run.orderedEarlier || now.Sub(run.stopOrderedAt) < stopRetryInterval {
 			continue
 		}
 		run.stopOrderedAt = now
--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -61,7 +61,7 @@
 	partition := store.requestedPartition(request)
 	name := request.URL.Query().Get("producer")
 	if name != "" {
-		status, reason, end := partition.admitAppend(name, queryInt(request, "epoch"), queryInt(request, "seq"))
+		status, reason, end := partition.admitAppend(name, queryInt(request, "epoch"), queryInt(request, "seq"), len(body) == 0)
 		if status == http.StatusOK {
 			writeJSON(writer, status, appendResponse{End: end})
 			return
@@ -78,7 +78,7 @@
 		}
 	}
 	store.appendEntries(partition, added)
-	if name != "" {
+	if name != "" && len(added) > 0 {
 		partition.producers[name].endOffsets[queryInt(request, "seq")] = partition.endOffset
 	}
 	writeJSON(writer, http.StatusOK, appendResponse{Offset: partition.endOffset - int64(len(added)), End: partition.endOffset})
--- a/standin/wirestore/partition.go
+++ b/standin/wirestore/partition.go
@@ -22,9 +22,11 @@
 	partition int
 }
 
-// producerState holds the epoch and the last sequence number of a producer.
+// producerState holds the epoch and the last sequence number of a producer. Before its first append with records under
+// an epoch, the sequence number is not set and the next one may be any.
 type producerState struct {
 	epoch, sequence int64
+	hasSequence     bool
 	endOffsets      map[int64]int64 // end offsets returned to appends, by sequence number
 }
 
@@ -65,12 +67,13 @@
 // admitAppend checks the epoch and the sequence number of an append. It returns status 0 if the append is to
 // be carried out. It returns 200 and the earlier end offset if it repeats one that was carried out. Otherwise
 // it returns the error status and the reason: "fenced" for an epoch below the producer's current one, "seq"
-// for a sequence number that does not follow the last one.
-func (partition *partition) admitAppend(name string, epoch, sequence int64) (status int, reason string, end int64) {
+// for a sequence number that does not follow the last one. An empty append sets the epoch and leaves the sequence
+// number as it is.
+func (partition *partition) admitAppend(name string, epoch, sequence int64, isEmpty bool) (status int, reason string, end int64) {
 	producer, found := partition.producers[name]
 	if !found || epoch > producer.epoch {
-		partition.producers[name] = &producerState{epoch: epoch, sequence: sequence, endOffsets: map[int64]int64{}}
-		return 0, "", 0
+		producer = &producerState{epoch: epoch, endOffsets: map[int64]int64{}}
+		partition.producers[name] = producer
 	}
 	if epoch < producer.epoch {
 		return http.StatusConflict, "fenced", 0
@@ -78,10 +81,12 @@
 	if endOffset, appended := producer.endOffsets[sequence]; appended {
 		return http.StatusOK, "", endOffset
 	}
-	if sequence != producer.sequence+1 {
+	if producer.hasSequence && sequence != producer.sequence+1 {
 		return http.StatusConflict, "seq", 0
 	}
-	producer.sequence = sequence
+	if !isEmpty {
+		producer.sequence, producer.hasSequence = sequence, true
+	}
 	return 0, "", 0
 }
 
