agent, owner: tell all entries the ends of a machine that may be gone

Cause: the end of a run is known to the agent and to the owner of its shard, until the store has it. The store was away, and with the lapse of the memberships the shard went to another owner. The former one could not write the end any more, and the agent stopped at once when its machine was taken away. The next owner knew only the start, and waited until the last grant must have expired: storeOutageTolerance and the longest grant, 11.8 s from when it took the shard.

Ruled out: too little room (placed at once after the release), and an end that the agent did not know or report.

An agent now tells all connected entries the ends that it may not be there to report later: while its worker drains, does not answer or is over, and those that are not stored within a second. An entry keeps them for a minute and applies them when it loads a shard, also one that it had before. They are ends like those that an agent reports when a shard is claimed, so that an end as done keeps its work, and one that failed counts as an attempt. Entries that connect later are told the ones that are still pending.

A stopping agent whose worker is gone stays until the store has these ends and the record of the worker, within the time for a planned stop. Before, it could stop a second before the next owner came and asked.

The two logs that the cause was read from were there already; new are "end shared", "shared end applied" and "ends left behind".

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -158,6 +158,8 @@
 	predecessor       predecessor      // what has to be known of earlier incarnations
 	lostEnds          []*wire.RunEnd   // ends of runs whose incarnation is over
 	endedToRegister   []incarnation.ID // incarnations that are certainly over
+	// registrationDue is set while the store does not have endedToRegister.
+	registrationDue bool
 	// endedChanged makes Register write the agent's record again.
 	endedChanged chan struct{}
 	sessions     map[*session]bool
@@ -216,6 +218,7 @@
 		agent.voidEnds(now)
 		agent.stopBeforeLeave(now)
 		agent.logDelayedEnds(now)
+		agent.sharePendingEnds(now)
 		agent.expireOffer(now)
 		agent.poll(now)
 	}
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -35,6 +35,8 @@
 	listedAt time.Time
 	// isVoid is set once the lease has expired after the end was listed: the platform ignores the end then.
 	isVoid bool
+	// isShared is set once all owners were told the end.
+	isShared bool
 	// delayLogged is set once the delay of the end has been logged.
 	delayLogged bool
 }
@@ -163,6 +165,7 @@
 	claim, claimed := agent.claims[shard]
 	if end.GetNumber() == 0 {
 		agent.keepLostEnd(end)
+		agent.shareEnd(end)
 	}
 	if claimed && agent.sessions[claim.session] {
 		claim.session.ends = append(claim.session.ends, end)
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/incarnation"
@@ -142,8 +143,12 @@
 	for _, end := range state.pendingEnds {
 		// No worker waits for the confirmation of this end any more, but it may have to be reported to a later
 		// owner.
-		end.runEnd.Number = 0
-		agent.keepLostEnd(end.runEnd)
+		lost := proto.CloneOf(end.runEnd)
+		lost.Number = 0
+		agent.keepLostEnd(lost)
+		if !end.isShared {
+			agent.shareEnd(lost)
+		}
 	}
 	agent.markStatusChanged()
 }
--- a/agent/register.go
+++ b/agent/register.go
@@ -54,6 +54,7 @@
 			agent.options.Events.Log(ctx, event.AgentRegistered, slog.String("address", address),
 				slog.Int("ended", len(record.GetEnded())+len(record.GetOver())), slog.Int("tries", tries))
 			stored = record
+			agent.eventLoop.Post(func(time.Time) { agent.handleRegistered(record) })
 		}
 		delays.Reset()
 		tries = 0
@@ -64,6 +65,13 @@
 	}
 }
 
+// handleRegistered records that the store has a record of the agent, unless another incarnation has ended since.
+func (agent *Agent) handleRegistered(record *job.AgentRecord) {
+	if proto.Equal(record, job.NewAgentRecord(record.GetName(), record.GetAddress(), agent.endedToRegister)) {
+		agent.registrationDue = false
+	}
+}
+
 // newRegisterBackoff returns the delays between attempts to register.
 func newRegisterBackoff() *backoff.ExponentialBackOff {
 	delays := backoff.NewExponentialBackOff()
@@ -114,6 +122,7 @@
 
 // registerEnded has Register write to the store that an incarnation is certainly over.
 func (agent *Agent) registerEnded(id incarnation.ID) {
+	agent.registrationDue = true
 	agent.endedToRegister = append(agent.endedToRegister, id)
 	if len(agent.endedToRegister) > maxEndedToRegister {
 		agent.endedToRegister = agent.endedToRegister[1:]
--- a/agent/session.go
+++ b/agent/session.go
@@ -49,6 +49,7 @@
 
 	results       []*wire.StartResult
 	ends          []*wire.RunEnd
+	sharedEnds    []*wire.RunEnd
 	offers        []*wire.MoveOffer
 	statusChanged bool
 	fullUpdateDue bool
@@ -119,6 +120,7 @@
 		agent.sessionCount++
 		s.id = agent.sessionCount
 		agent.logSession(event.OwnerAttached, s)
+		s.sharedEnds = agent.sharedPendingEnds()
 	}
 	if message.GetOwned() {
 		agent.handleClaims(s, message)
--- a/agent/updates.go
+++ b/agent/updates.go
@@ -71,7 +71,7 @@
 
 // isUpdateDue reports whether a message to the owner is due.
 func (agent *Agent) isUpdateDue(s *session, now time.Time) bool {
-	if len(s.results) > 0 || len(s.ends) > 0 || len(s.offers) > 0 || s.fullUpdateDue {
+	if len(s.results) > 0 || len(s.ends) > 0 || len(s.sharedEnds) > 0 || len(s.offers) > 0 || s.fullUpdateDue {
 		return true
 	}
 	since := now.Sub(s.lastSentAt)
@@ -98,7 +98,7 @@
 func (agent *Agent) nextMessage(s *session, status *wire.WorkerStatus, now time.Time) *wire.AgentMessage {
 	message := &wire.AgentMessage{
 		UptimeNanos: int64(agent.uptime(now)), Results: s.results, Ends: s.ends, Handled: s.handledSequence,
-		Offers: s.offers,
+		Offers: s.offers, SharedEnds: s.sharedEnds,
 	}
 	if s.lastSentAt.IsZero() || !s.acceptsChanges {
 		message.Agent, message.KeepsLearned = agent.agentID, true
@@ -116,7 +116,7 @@
 		}
 		s.runsSentAt = now
 	}
-	s.results, s.ends, s.offers = nil, nil, nil
+	s.results, s.ends, s.sharedEnds, s.offers = nil, nil, nil, nil
 	s.statusChanged, s.fullUpdateDue = false, false
 	s.lastSentAt, s.acknowledgedSequence = now, s.handledSequence
 	return message
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -129,7 +129,10 @@
 	return state.runsListedOnce || !now.Before(state.leaseOverBy)
 }
 
+// isAnswering reports whether the worker has answered the last poll, and is still the same incarnation.
+func (state *workerState) isAnswering() bool { return state.pollFailures == 0 && !state.isSuperseded }
+
 // isReady reports whether the worker can take starts: it answers, and its runs and their demands are known.
 func (state *workerState) isReady() bool {
-	return state.runsKnown && !state.isSuperseded && state.pollFailures == 0 && state.knowsDemands()
+	return state.runsKnown && state.isAnswering() && state.knowsDemands()
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,6 +30,7 @@
 	ServiceOwner      = "owner"
 	ServiceReadiness  = "readiness"
 	ServiceHeartbeats = "beats"
+	serviceRegister   = "register"
 )
 
 // Indexes into the internal ports of the settings. They differ because both roles may run on one machine.
@@ -182,13 +183,26 @@
 		metricsService(deps.metrics),
 		roleService(role.Run, role, ServiceMetrics),
 		rpcService(address, func(mux *drpcmux.Mux) error { return wire.DRPCRegisterAgent(mux, role) }),
-		runService("register", func(ctx context.Context) { role.Register(ctx, deps.store, address) }, nil, ServiceRPC),
+		runService(serviceRegister, func(ctx context.Context) { role.Register(ctx, deps.store, address) }, nil, ServiceRPC),
 		runService("operator", func(ctx context.Context) { role.FollowOperator(ctx, deps.store) }, nil, ServiceRole),
 		httpService(ServiceHeartbeats, []string{ServiceRole}, settings.HeartbeatAddress(), platform.HeartbeatHandler(role)),
 		httpService("scrape", nil, settings.AddressWithPort(metricsPort), newAdminMux(deps.metrics, func() bool { return true })),
+		agentDrainService(role),
 	)
 }
 
+// agentDrainService lets the agent report what only it knows before anything else stops.
+func agentDrainService(role *agent.Agent) kernel.Service {
+	return kernel.Service{
+		Name:  ServiceDrain,
+		Needs: []string{ServiceRPC, ServiceHeartbeats, serviceRegister},
+		Stop: func(ctx context.Context) error {
+			role.AwaitEndsStored(ctx)
+			return nil
+		},
+	}
+}
+
 // ReloadSettings reads the settings file again and returns an error if it isn't valid. The process continues
 // with the settings that it was started with.
 func (daemon *Daemon) ReloadSettings(ctx context.Context, path string) error {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -149,6 +149,8 @@
 	hardLoadRelease = "0.11"
 	// slowLinkRelease makes reads of the store independent of the speed of the link.
 	slowLinkRelease = "0.12"
+	// sharedEndsRelease lets ends of runs survive the owner and the agent that know them.
+	sharedEndsRelease = "0.13"
 )
 
 // Shares of queues.
@@ -241,6 +243,9 @@
 	ConnectionReplaced
 	WorkerStartedAgain
 	EndPassedOver
+	EndShared
+	SharedEndApplied
+	EndsLeftBehind
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -376,6 +381,9 @@
 	{ConnectionReplaced, slog.LevelInfo, "connection replaced", "An owner has claimed its shards on a newer connection, so this one is closed. Messages in transit on it have no effect. The attribute by is the number of the newer connection.", endTrackingRelease},
 	{WorkerStartedAgain, slog.LevelWarn, "worker started again", "The worker reports another start time than that of the incarnation that the agent manages: it has restarted under the same ID. The attributes give both start times, in milliseconds since 1970, and the number up to which the earlier incarnation had been told to forget its ends.", incarnationRelease},
 	{EndPassedOver, slog.LevelError, "end passed over", "The worker listed the end of a run under a number that another end has already. The end is ignored, so its owner never learns of it.", incarnationRelease},
+	{EndShared, slog.LevelInfo, "end shared", "An agent told all owners the end of a run, since the owner of its shard may not be able to store it before this machine is gone: its worker drains, does not answer or has ended, or the end is not in the store one second after the worker listed it.", sharedEndsRelease},
+	{SharedEndApplied, slog.LevelInfo, "shared end applied", "An owner that has just loaded a shard applied an end that an agent had shared before. It would otherwise have waited until the last grant for the run must have expired, if the agent is gone. The attribute age says how long ago the end was received.", sharedEndsRelease},
+	{EndsLeftBehind, slog.LevelWarn, "ends left behind", "An agent stopped although ends of runs whose worker is gone, or the record that the worker is over, were not in the store when the time for a planned stop was over. The owners that were connected know the ends (event 935).", sharedEndsRelease},
 
 	{JobForecast, slog.LevelInfo, "job forecast", "A job has ended of which the end had been forecast when its owner read it. The attributes give the forecast of the start and of the end with its deviation, the age of the oldest backlog that it was based on, the work ahead of the job, the work that had ended in the 5 s before and the processors in use, the end expected by these before it was corrected by earlier outcomes, the time that the job took, and the ratio of that time to the expected one.", hardLoadRelease},
 	{BacklogKnown, slog.LevelInfo, "backlog known", "The gateway knows the backlogs of all owners again, so it can forecast when jobs end. The attribute age is that of the oldest one.", hardLoadRelease},
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -61,6 +61,8 @@
 	learnedSentVersion int64
 
 	runs map[string]*trackedRun // by task name
+	// sharedEnds are the ends of runs that the agent has lately told all owners, in the order of their arrival.
+	sharedEnds []sharedEnd
 	// endedIncarnations holds the incarnations of the worker that are known to have ended.
 	endedIncarnations map[incarnation.ID]bool
 	// consecutiveFailures counts the runs that have failed on the worker since the last one that
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -225,6 +225,7 @@
 	}
 	for _, view := range owner.agents {
 		owner.releaseExpiredRuns(view, now)
+		view.expireSharedEnds(now)
 	}
 	owner.updateReservations(now)
 	if owner.placementChanges.isDue(now) {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -43,6 +43,7 @@
 	for _, end := range message.GetEnds() {
 		owner.handleRunEnd(view, end, now)
 	}
+	owner.receiveSharedEnds(view, message.GetSharedEnds(), now)
 	owner.receiveOffers(view, message.GetOffers())
 	if message.GetComplete() {
 		owner.reconcile(view, message, now)
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -148,14 +148,8 @@
 		owner.log(event.RecordUnreadable, slog.String("task", end.GetTask()), slog.Any("error", err))
 		return
 	}
-	s, j := owner.loadedJob(ref.Job)
-	if s == nil {
-		return
-	}
-	if j != nil {
-		owner.applyRunEnd(view, s, j, ref, end, now)
-	}
-	if end.GetNumber() == 0 {
+	s := owner.applyRunEnd(view, ref, end, now)
+	if s == nil || end.GetNumber() == 0 {
 		return
 	}
 	s.afterFlush = append(s.afterFlush, func(time.Time) {
@@ -163,8 +157,18 @@
 	})
 }
 
-// applyRunEnd applies the end of a run to its job.
-func (owner *Owner) applyRunEnd(view *agentView, s *shard, j *job.Job, ref job.TaskRef, end *wire.RunEnd, now time.Time) {
+// applyRunEnd applies the end of a run to its job, if that is known. It returns the shard, or nil unless it is owned and
+// loaded.
+func (owner *Owner) applyRunEnd(view *agentView, ref job.TaskRef, end *wire.RunEnd, now time.Time) *shard {
+	s, j := owner.loadedJob(ref.Job)
+	if j != nil {
+		owner.endRun(view, s, j, ref, end, now)
+	}
+	return s
+}
+
+// endRun ends a run of a job.
+func (owner *Owner) endRun(view *agentView, s *shard, j *job.Job, ref job.TaskRef, end *wire.RunEnd, now time.Time) {
 	task := j.Task(ref)
 	if task == nil {
 		return
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -183,6 +183,7 @@
 	s.ended = backlog.NewEndCounter(now)
 	s.nextOffset = jobs.Next
 	owner.adoptRuns(s, now)
+	owner.applySharedEnds(s, now)
 	owner.placementChanges.addAll()
 	owner.log(event.ShardLoaded, slog.Int("shard", s.number), slog.Int64("epoch", s.epoch),
 		slog.Int("jobs", len(s.jobs)), slog.Int("live", len(s.live)), slog.Duration("after", now.Sub(s.acquiredAt)))
