owner: preempt runs only while the store shows that the shard is ours

An owner that had been replaced could have runs of the next owner preempted by an agent that had restarted and taken its claim first, for a task that the next owner may have placed already. The order needed no write.

The case of TestReplacedOwnerStopsNoRun for it failed before; TestPreemptsForMoreUrgentTasks waits for the write now and asks for the same orders.

--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -54,13 +54,17 @@
 	return best
 }
 
-// addPreemptOrder adds an order to free resources for a task to the next message to the worker's agent.
+// addPreemptOrder adds an order to free resources for a task to the next message to the worker's agent once the store
+// has shown that the task's shard has no later owner: that one may have placed the task already.
 func (owner *Owner) addPreemptOrder(task *job.Task, worker *candidate, now time.Time) {
-	view := worker.view
+	view, s := worker.view, owner.shards[task.Job().Shard()]
 	view.preemptedAt = now
 	demand := demandOf(task, now)
-	view.nextMessage.Preempts = append(view.nextMessage.Preempts, &wire.PreemptOrder{
-		Shard: int32(task.Job().Shard()), Epoch: owner.shards[task.Job().Shard()].epoch, Worker: view.status().GetWorker(), Born: view.status().GetBorn(), Demand: demand,
+	order := &wire.PreemptOrder{
+		Shard: int32(s.number), Epoch: s.epoch, Worker: view.status().GetWorker(), Born: view.status().GetBorn(), Demand: demand,
+	}
+	s.afterFlush = append(s.afterFlush, func(time.Time) {
+		view.nextMessage.Preempts = append(view.nextMessage.Preempts, order)
 	})
 	owner.log(event.RunPreempted, slog.String("task", task.Name()), slog.String("worker", view.status().GetWorker()),
 		slog.Int("for_priority", int(demand.GetPriority())),
--- a/owner/preempt_test.go
+++ b/owner/preempt_test.go
@@ -30,16 +30,13 @@
 			status := idleWorkerStatus()
 			status.FreeMemoryMb = 20
 			status.Reclaimable = []*wire.Reclaimable{test.reclaimable}
+			orders := 0
 			for range 4 {
 				h.owner.lastJoinAt = h.clock.Now()
 				h.receive(&wire.AgentMessage{Status: status})
-				h.tick()
+				orders += countPreemptions(h.actAndTakeSent())
 				h.clock.Advance(100 * time.Millisecond)
 			}
-			orders := 0
-			for _, message := range h.takeSent() {
-				orders += len(message.GetPreempts())
-			}
 			if orders != test.orders {
 				t.Errorf("%d preemptions ordered", orders)
 			}
--- a/owner/replaced_test.go
+++ b/owner/replaced_test.go
@@ -37,6 +37,14 @@
 	return count
 }
 
+func countPreemptions(messages []*wire.OwnerMessage) int {
+	count := 0
+	for _, message := range messages {
+		count += len(message.GetPreempts())
+	}
+	return count
+}
+
 // TestReplacedOwnerConfirmsNoEnd guards against tasks that are started again after the worker was told to forget that
 // they are done: an agent that has restarted may report an end to an owner that has been replaced.
 func TestReplacedOwnerConfirmsNoEnd(t *testing.T) {
@@ -104,6 +112,13 @@
 			h.trackRun(j.Tasks()[1])
 			h.receive(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: workerID, Number: 7, Task: j.Tasks()[1].Name(), Attempt: 1, Reason: wire.EndReason_END_FAILED}}})
 		},
+		"that is less urgent than a task without room": func(h *harness) {
+			h.submit()
+			status := idleWorkerStatus()
+			status.FreeMemoryMb = 20
+			status.Reclaimable = []*wire.Reclaimable{{Priority: 2, MemoryMb: 500}}
+			h.receive(&wire.AgentMessage{Status: status})
+		},
 	}
 	for name, prepare := range tests {
 		for state, replaced := range map[string]bool{"replaced": true, "still the owner": false} {
@@ -115,7 +130,8 @@
 					h.replaceOwner()
 				}
 				prepare(h)
-				if stops := countStops(h.actAndTakeSent()); stops > 0 == replaced {
+				messages := h.actAndTakeSent()
+				if stops := countStops(messages) + countPreemptions(messages); stops > 0 == replaced {
 					t.Errorf("%d stop orders", stops)
 				}
 			})
