soak: shards that change hands while only the former owner knows their runs

A sixth list of faults: a gateway that is cut off from the store and first reaches agents that were killed, and a machine that is taken away in an outage of the store. An owner that is cut off while it writes confirms nothing, and there it nearly always writes.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -96,7 +96,7 @@
 // addAgent prepares an agent with its relay, and starts the host of the agent's worker.
 func (d *deployment) addAgent(ctx context.Context, t *testing.T, index int, ip string, reportsStartTime bool) {
 	t.Helper()
-	host := newWorkerHost(fmt.Sprintf("i-%d", index), reportsStartTime, d.ledger)
+	host := newWorkerHost(fmt.Sprintf("i-%d", index), bootfile.HeartbeatAddress(ip), reportsStartTime, d.ledger)
 	t.Cleanup(func() {
 		host.server.CloseClientConnections()
 		host.server.Close()
@@ -110,7 +110,7 @@
 	d.agents = append(d.agents, agent)
 	d.workerHosts = append(d.workerHosts, host)
 	d.agentRelays = append(d.agentRelays, agentRelay)
-	go host.run(ctx, bootfile.HeartbeatAddress(ip))
+	go host.run(ctx)
 }
 
 func (d *deployment) addRelayAddress(agentAddress, relayAddress string) {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -121,6 +121,7 @@
 }{
 	{baseFaults, baseFaultInterval}, {reloadFaults, reloadFaultInterval}, {restartFaults, restartFaultInterval},
 	{storeFaults, storeFaultInterval}, {configurationFaults, configurationFaultInterval},
+	{ownershipFaults, ownershipFaultInterval},
 }
 
 // configurationList is the index of configurationFaults in faultLists.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -31,6 +31,8 @@
 	command *exec.Cmd
 	closing bool
 	starts  int
+	// awayUntil is the time until which the process is not restarted.
+	awayUntil time.Time
 }
 
 // maxLease is the longest lease that workers accept.
@@ -78,7 +80,7 @@
 		// The process logs why it exits.
 		_ = command.Wait()
 		_ = logFile.Close()
-		time.Sleep(restartDelay)
+		time.Sleep(max(restartDelay, p.awayTime()))
 		_ = p.start()
 	}()
 	return nil
@@ -87,6 +89,21 @@
 // restartDelay is how long a process that has exited stays down.
 const restartDelay = 300 * time.Millisecond
 
+// awayTime returns how long the process is not to be restarted.
+func (p *process) awayTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Until(p.awayUntil)
+}
+
+// takeAway stops the process as a machine is taken away, and keeps it away for a duration.
+func (p *process) takeAway(duration time.Duration) {
+	p.mu.Lock()
+	p.awayUntil = time.Now().Add(duration)
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+}
+
 // startCount returns how often the process has been started.
 func (p *process) startCount() int {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,6 +50,7 @@
 	1005: {listCount: 5, cause: "as seed 1003"},
 	1006: {listCount: 5, cause: "as seed 1003"},
 	1512: {listCount: 5, limitedStore: true, cause: "an owner took the worker that an agent had had before a run was started for the next one, by a delayed message"},
+	1648: {listCount: 5, limitedStore: true, cause: "an owner that had been replaced confirmed ends of jobs that it did not know to an agent that had restarted"},
 	126:  {listCount: 3, cause: "an acknowledgement of an end for an agent's previous process identified a different end to the next process"},
 }
 
--- a/soak/worker_host_test.go
+++ b/soak/worker_host_test.go
@@ -34,6 +34,8 @@
 	name   string
 	ledger *ledger
 	server *httptest.Server
+	// agentAddress is the address to which heartbeats are sent.
+	agentAddress string
 	// reportsStartTime is set if its workers report their start time. Only such workers may restart under
 	// their ID.
 	reportsStartTime bool
@@ -44,11 +46,14 @@
 	worker           *wireworker.Worker
 	sequence         int64
 	downUntil        time.Time
-	resumed          chan struct{} // closed when a hanging worker resumes; nil while no worker hangs
+	leavesAt         time.Time // when the present incarnation leaves; zero unless it drains
+	// runsLast is set if runs go on until they are stopped.
+	runsLast bool
+	resumed  chan struct{} // closed when a hanging worker resumes; nil while no worker hangs
 }
 
-func newWorkerHost(name string, reportsStartTime bool, l *ledger) *workerHost {
-	h := &workerHost{name: name, reportsStartTime: reportsStartTime, ledger: l}
+func newWorkerHost(name, agentAddress string, reportsStartTime bool, l *ledger) *workerHost {
+	h := &workerHost{name: name, agentAddress: agentAddress, reportsStartTime: reportsStartTime, ledger: l}
 	h.startIncarnation(nil)
 	h.server = httptest.NewServer(h)
 	return h
@@ -62,6 +67,7 @@
 func (h *workerHost) startIncarnation(worker *wireworker.Worker) {
 	h.incarnationCount++
 	h.sequence = 0
+	h.leavesAt = time.Time{}
 	if worker == nil {
 		h.idCount++
 		worker = h.newWorker()
@@ -100,6 +106,10 @@
 	if rand.Float64() < failShare {
 		reason = "failed"
 	}
+	if h.runsLast {
+		time.AfterFunc(minRunTime, func() { worker.SetProgress(start.Task, 100) })
+		return
+	}
 	runTime := minRunTime + rand.N(maxRunTime-minRunTime)
 	time.AfterFunc(runTime, func() {
 		h.mu.Lock()
@@ -180,6 +190,16 @@
 	h.ledger.recordCrash(ended)
 }
 
+// leave has the worker announce that it leaves after the notice, and take its machine's place away for a duration then.
+func (h *workerHost) leave(ctx context.Context, notice, away time.Duration) {
+	h.mu.Lock()
+	h.leavesAt = time.Now().Add(notice)
+	h.mu.Unlock()
+	h.sendHeartbeat(ctx)
+	sleep(ctx, notice)
+	h.crash(away)
+}
+
 // hang keeps the worker from answering until the returned function is called.
 func (h *workerHost) hang() (resume func()) {
 	h.mu.Lock()
@@ -197,7 +217,7 @@
 }
 
 // run sends heartbeats to the agent and checks the lease until ctx is done.
-func (h *workerHost) run(ctx context.Context, agentAddress string) {
+func (h *workerHost) run(ctx context.Context) {
 	heartbeats, leaseChecks := time.NewTicker(heartbeatInterval), time.NewTicker(leaseCheckInterval)
 	defer heartbeats.Stop()
 	defer leaseChecks.Stop()
@@ -206,7 +226,7 @@
 		case <-ctx.Done():
 			return
 		case <-heartbeats.C:
-			go h.sendHeartbeat(ctx, agentAddress)
+			go h.sendHeartbeat(ctx)
 		case <-leaseChecks.C:
 			if worker := h.currentWorker(); worker != nil {
 				worker.RunningCount() // Ends the runs if the lease has expired.
@@ -215,14 +235,18 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat to the agent at agentAddress, unless the worker is down.
-func (h *workerHost) sendHeartbeat(ctx context.Context, agentAddress string) {
+// sendHeartbeat sends a heartbeat to the agent, unless the worker is down.
+func (h *workerHost) sendHeartbeat(ctx context.Context) {
 	h.mu.Lock()
 	h.sequence++
 	id, sequence, down := h.workerID(), h.sequence, time.Now().Before(h.downUntil)
-	startTimeField := ""
+	state, optionalFields := "ready", ""
 	if h.reportsStartTime {
-		startTimeField = fmt.Sprintf(`,"born":%d`, h.worker.StartTime())
+		optionalFields += fmt.Sprintf(`,"born":%d`, h.worker.StartTime())
+	}
+	if !h.leavesAt.IsZero() {
+		state = "draining"
+		optionalFields += fmt.Sprintf(`,"remaining_ms":%d`, max(time.Until(h.leavesAt).Milliseconds(), 0))
 	}
 	h.mu.Unlock()
 	if down {
@@ -230,9 +254,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"ready","capacity":{"cpu":%d,"mem_mb":16000},"labels":["a","r1"],"seq":%d%s}`,
-		h.address(), workerMilliCPU, sequence, startTimeField)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+agentAddress+"/v1/instances/"+id, strings.NewReader(body))
+	body := fmt.Sprintf(`{"service":"verbale","address":"%s","zone":"milano-a","state":"%s","capacity":{"cpu":%d,"mem_mb":16000},"labels":["a","r1"],"seq":%d%s}`,
+		h.address(), state, workerMilliCPU, sequence, optionalFields)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+h.agentAddress+"/v1/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		return
 	}
