owner: pass over a worker that has its share of a gang

Cause: the members of a gang are assigned one after another, each to the best worker. Members that were assigned in the same pass count for its resources, but not for the limit of the step, so that the emptiest worker was chosen again, and the whole gang was given up since that worker had its share. Every later pass decided the same.

A worker that has as many members as it may have is now left out for the other members. It also counts members that are to move there, as a single task does.

TestSpreadGangNeverStartsBesideEmptierWorker failed before in two of its three cases.

--- a/owner/gang.go
+++ b/owner/gang.go
@@ -48,7 +48,8 @@
 }
 
 // assignGang returns a worker for each member of a gang, or nil if not all members fit. It accounts
-// for the members assigned so far on copies of the candidates.
+// for the members assigned so far on copies of the candidates. A worker that has as many members as it may have is passed
+// over for the others.
 func (owner *Owner) assignGang(members []*job.Task, workers []*candidate, now time.Time) []*candidate {
 	originals := make(map[*candidate]*candidate, len(workers))
 	copies := make([]*candidate, 0, len(workers))
@@ -61,13 +62,15 @@
 	counts := map[*candidate]int32{}
 	for _, member := range members {
 		best := owner.bestWorker(member, copies, now)
-		maxPerWorker := member.Spec().GetMostPerWorker()
-		if best == nil || maxPerWorker > 0 && counts[best] >= maxPerWorker {
+		if best == nil {
 			return nil
 		}
 		counts[best]++
 		best.recordStart(member, demandOf(member, now))
 		assigned = append(assigned, originals[best])
+		if limit := member.Spec().GetMostPerWorker(); limit > 0 && best.countStepTasks(member)+counts[best] >= limit {
+			copies = slices.DeleteFunc(copies, func(worker *candidate) bool { return worker == best })
+		}
 	}
 	return assigned
 }
--- a/owner/gang_test.go
+++ b/owner/gang_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"testing"
 
 	"ambertiller.example/ambertiller/job"
@@ -34,3 +35,48 @@
 		})
 	}
 }
+
+// attachOther adds another agent whose worker has the given resources, and connects it.
+func (h *harness) attachOther(number int, freeMilliCPU int64) *agentView {
+	view := newAgentView(fmt.Sprintf("10.0.1.%d:7001", number))
+	h.owner.agents[view.address] = view
+	conn := &agentConn{outbox: make(chan *wire.OwnerMessage, 64), cancel: func() {}}
+	h.owner.handleConnected(view, conn)
+	h.owner.handleAgentMessage(view, conn, &wire.AgentMessage{Agent: view.address, Status: &wire.WorkerStatus{
+		Worker: fmt.Sprintf("i-1%d", number), Service: "verbale", Ready: true, MilliCpu: freeMilliCPU, MemoryMb: 4000, FreeMilliCpu: freeMilliCPU, FreeMemoryMb: 4000,
+	}}, h.clock.Now())
+	return view
+}
+
+// TestSpreadGangNeverStartsBesideEmptierWorker: a worker that is emptier than the others must not get all members of a
+// gang that is to be spread, since the gang is then never placed.
+func TestSpreadGangNeverStartsBesideEmptierWorker(t *testing.T) {
+	tests := map[string]struct {
+		members, maxPerWorker int32
+		want                  int
+	}{
+		"one member a worker":  {4, 1, 4},
+		"two members a worker": {8, 2, 8},
+		"too few workers":      {5, 1, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			views := []*agentView{h.attachOther(1, 32000), h.attachOther(2, 16000), h.attachOther(3, 16000), h.attachOther(4, 16000)}
+			h.submitWith(func(submission *job.Submission) {
+				submission.Steps = []*job.StepSpec{{Count: test.members, MilliCpu: 1000, MemoryMb: 10, EstimateMs: 1000, Gang: true, MostPerWorker: test.maxPerWorker}}
+			})
+			h.tick()
+			started := 0
+			for _, view := range views {
+				if len(view.runs) > int(test.maxPerWorker) {
+					t.Errorf("%d members on %s", len(view.runs), view.address)
+				}
+				started += len(view.runs)
+			}
+			if started != test.want {
+				t.Errorf("%d members started, want %d", started, test.want)
+			}
+		})
+	}
+}
