owner: start a gang again of which more members are suspects than fit apart

Cause: all members that were on the crashed worker are suspected of the crash, and a worker is given one suspect at a time, also within the pass that assigns the members of a gang. With more suspects than workers no pass finds places for all, and the members start together or not at all.

The members of a gang no longer keep each other from a worker. Agents still start one suspect at a time, so one member on each worker is ordered as a suspect and stands for the others: if the worker crashes again, that is a crash for this one and an ambiguous one for them, as for other tasks that start beside a suspect. A gang that does crash its workers is still given up, at the third crash.

TestGangNeverStartsAgainAfterCrash failed before, with no member started.

--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -97,6 +97,14 @@
 	worker.hasProbationRun = true
 }
 
+// recordGangMember accounts for a member of a gang of which other members are still to be assigned. These start at the
+// same time in any case, so a suspect does not keep another one of the gang from the worker.
+func (worker *candidate) recordGangMember(member *job.Task, demand *wire.Demand) {
+	hadSuspect := worker.hasSuspect
+	worker.recordStart(member, demand)
+	worker.hasSuspect = hadSuspect
+}
+
 // reserve subtracts what a task needs from the free resources.
 func (worker *candidate) reserve(demand *wire.Demand) {
 	worker.free.Subtract(admission.ReservedBy(demand))
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -66,7 +66,7 @@
 			return nil
 		}
 		counts[best]++
-		best.recordStart(member, demandOf(member, now))
+		best.recordGangMember(member, demandOf(member, now))
 		assigned = append(assigned, originals[best])
 		if limit := member.Spec().GetMostPerWorker(); limit > 0 && best.countStepTasks(member)+counts[best] >= limit {
 			copies = slices.DeleteFunc(copies, func(worker *candidate) bool { return worker == best })
--- a/owner/gang_test.go
+++ b/owner/gang_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
@@ -80,3 +81,54 @@
 		})
 	}
 }
+
+// TestGangNeverStartsAgainAfterCrash: the members of a gang that were on a crashed worker are all suspects, often more
+// than there are workers. They must start together all the same, one of them on each worker as a suspect.
+func TestGangNeverStartsAgainAfterCrash(t *testing.T) {
+	h := newHarness(t)
+	views := []*agentView{h.attachOther(1, 3000), h.attachOther(2, 3000)}
+	j := h.submitWith(func(submission *job.Submission) {
+		submission.Attempts = 3
+		submission.Steps = []*job.StepSpec{{Count: 6, MilliCpu: 1000, MemoryMb: 10, EstimateMs: 1000, Gang: true}}
+	})
+	for _, member := range j.Tasks() {
+		j.StartRun(member, job.Place{Incarnation: views[0].incarnation(), AgentAddress: views[0].address}, h.clock.Now())
+	}
+	for _, member := range j.Tasks() {
+		j.EndRun(member, 1, job.EndCrashed, "", h.clock.Now())
+	}
+	h.clock.Advance(time.Second)
+	h.owner.lastJoinAt = h.clock.Now()
+	for _, view := range views {
+		h.owner.handleAgentMessage(view, view.conn, &wire.AgentMessage{Agent: view.address}, h.clock.Now())
+	}
+	h.owner.placementChanges.addAll()
+	h.tick()
+	h.awaitWrites()
+	h.tick()
+	started := 0
+	for _, view := range views {
+		suspects := 0
+		for _, order := range startOrders(sentTo(view)) {
+			started++
+			if order.GetSuspect() {
+				suspects++
+			}
+		}
+		if suspects != 1 {
+			t.Errorf("%d members were ordered as suspects on %s, want 1", suspects, view.address)
+		}
+	}
+	if started != len(j.Tasks()) {
+		t.Errorf("%d of %d members were started", started, len(j.Tasks()))
+	}
+}
+
+// sentTo returns the messages that wait to be sent to an agent.
+func sentTo(view *agentView) []*wire.OwnerMessage {
+	var messages []*wire.OwnerMessage
+	for len(view.conn.outbox) > 0 {
+		messages = append(messages, <-view.conn.outbox)
+	}
+	return messages
+}
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -41,6 +41,7 @@
 	j.StartRun(task, job.Place{Incarnation: view.incarnation(), AgentAddress: view.address}, now)
 	run := newTrackedRun(s, task, now)
 	run.ticket, _ = owner.ticketFor(task, run.place.Incarnation, now)
+	run.isSuspect = task.IsSuspect() && !view.startsSuspectBeside(task)
 	view.runs[run.taskName] = run
 	owner.countStart(task, view, now)
 	if task.IsSuspect() {
@@ -72,7 +73,7 @@
 	j := run.task.Job()
 	view.nextMessage.Starts = append(view.nextMessage.Starts, &wire.StartOrder{
 		Shard: int32(run.shard.number), Epoch: run.shard.epoch, Task: run.taskName, Attempt: run.attempt, Worker: run.place.Incarnation.WorkerID(), Born: run.place.Incarnation.StartedMs(),
-		Spec: j.Submission().GetSpec(), Checkpoint: j.ResumeCheckpoint(run.task), Ticket: run.ticket, Demand: run.demand, Suspect: run.task.IsSuspect(),
+		Spec: j.Submission().GetSpec(), Checkpoint: j.ResumeCheckpoint(run.task), Ticket: run.ticket, Demand: run.demand, Suspect: run.isSuspect,
 	})
 	run.orderSequence = view.sentSequence + 1
 	run.orderedAt = now
--- a/owner/tracked_run.go
+++ b/owner/tracked_run.go
@@ -17,6 +17,8 @@
 	place    job.Place
 	demand   *wire.Demand
 	ticket   string
+	// isSuspect is set if the run is ordered as one that may crash its worker.
+	isSuspect bool
 	// orderSequence is the sequence number of the message with the start order, 0 until there is one on the
 	// current connection.
 	orderSequence int64
