--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,13 @@
 // the worker for its runs. The worker refuses lower tokens from then on, so its answer settles whether the
 // run has started.
 //
+// # Shared ends
+//
+// An end is usually in the store within milliseconds. While the store is away, only the agent and the owner of the
+// end's shard know it, and the shard may have another owner once the store is back. That one is told by the agent,
+// unless the machine is gone by then. Ends that might be lost in this way are therefore told to all connected owners,
+// one of which is most likely the next one. A planned stop waits until such ends are in the store.
+//
 // # Worker restarts
 //
 // A worker may restart under the same ID, as a new incarnation. It has then lost all state, including the
--- a/agent/shared_ends.go
+++ b/agent/shared_ends.go
@@ -9,11 +9,6 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// An end is usually in the store within milliseconds. While the store is away, it is known only to this process and to the
-// owner of its shard, and the store may assign the shard to another owner once it is back. That one asks the agent, unless
-// the machine is gone by then. Ends that may be lost in this way are therefore told to all owners that are connected: one
-// of them is most likely the next owner.
-
 // sharePendingEnds tells all owners the pending ends that this process may not be there to report to a later owner.
 func (agent *Agent) sharePendingEnds(now time.Time) {
 	state := agent.worker
