--- a/soak/worker_host_test.go
+++ b/soak/worker_host_test.go
@@ -190,7 +190,8 @@
 	h.ledger.recordCrash(ended)
 }
 
-// leave has the worker announce that it leaves after the notice, and take its machine's place away for a duration then.
+// leave has the worker announce that it leaves, and ends it after the notice. The next one starts to answer after the time
+// away.
 func (h *workerHost) leave(ctx context.Context, notice, away time.Duration) {
 	h.mu.Lock()
 	h.leavesAt = time.Now().Add(notice)
