owner, agent: shared ends expire in order; four readings of task names are one

It now looks at the oldest one, and drops ends from the front without a copy. By reading; the time was not measured.

The name of a task in an agent's message was parsed, and an invalid one logged, in the same five lines for ends, listed runs, move offers and shared ends: parseTask serves all four. The copy of an end without its number, for owners that need not confirm it, stood in two places of agent.

Tests: actAndTakeSent and sentTo moved to the harness, where attachAndStart, takeSent and six tests use them in place of the same steps. Their assertions are unchanged. go test ./owner ./agent passes.

--- a/agent/ends.go
+++ b/agent/ends.go
@@ -178,9 +178,14 @@
 	if s.provesOwnership {
 		return
 	}
-	kept := proto.CloneOf(end.runEnd)
-	kept.Number = 0
-	agent.keepLostEnd(kept)
+	agent.keepLostEnd(end.withoutNumber())
+}
+
+// withoutNumber returns the end for an owner that need not confirm it, since no worker waits for that any more.
+func (end *pendingEnd) withoutNumber() *wire.RunEnd {
+	unnumbered := proto.CloneOf(end.runEnd)
+	unnumbered.Number = 0
+	return unnumbered
 }
 
 // maxLostEnds limits the ends that are kept for later owners, to a few times the number of runs that a worker
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/incarnation"
@@ -143,8 +142,7 @@
 	for _, end := range state.pendingEnds {
 		// No worker waits for the confirmation of this end any more, but it may have to be reported to a later
 		// owner.
-		lost := proto.CloneOf(end.runEnd)
-		lost.Number = 0
+		lost := end.withoutNumber()
 		agent.keepLostEnd(lost)
 		if !end.isShared {
 			agent.shareEnd(lost)
--- a/owner/advice_test.go
+++ b/owner/advice_test.go
@@ -25,10 +25,7 @@
 	now := h.clock.Now()
 	h.owner.advice.steps[jobID+".0.0"] = &stepAdvice{tickets: map[incarnation.ID]ticket{incarnation.New(workerID, 0): {token: "c81e", expiresAt: now.Add(3 * time.Second)}}, expiresAt: now.Add(3 * time.Second)}
 	h.owner.placementChanges.addAll()
-	h.tick()
-	h.awaitWrites()
-	h.tick()
-	orders := startOrders(h.takeSent())
+	orders := startOrders(h.actAndTakeSent())
 	if len(orders) != 1 || orders[0].GetTicket() != "c81e" {
 		t.Errorf("start orders %v, want one with the ticket", orders)
 	}
--- a/owner/evacuated_test.go
+++ b/owner/evacuated_test.go
@@ -119,11 +119,8 @@
 	h.evacuate(1)
 	h.clock.Advance(2 * time.Second)
 	h.receive(&wire.AgentMessage{UptimeNanos: int64(uptime), Status: evacuatedDomainStatus()})
-	h.tick()
-	h.awaitWrites()
-	h.tick()
 	sent := 0
-	for _, message := range h.takeSent() {
+	for _, message := range h.actAndTakeSent() {
 		if len(message.GetStarts()) == 0 {
 			continue
 		}
--- a/owner/gang_test.go
+++ b/owner/gang_test.go
@@ -123,12 +123,3 @@
 		t.Errorf("%d of %d members were started", started, len(j.Tasks()))
 	}
 }
-
-// sentTo returns the messages that wait to be sent to an agent.
-func sentTo(view *agentView) []*wire.OwnerMessage {
-	var messages []*wire.OwnerMessage
-	for len(view.conn.outbox) > 0 {
-		messages = append(messages, <-view.conn.outbox)
-	}
-	return messages
-}
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -152,16 +152,20 @@
 
 // takeSent returns the messages sent to the agent. The agent's next message acknowledges them.
 func (h *harness) takeSent() []*wire.OwnerMessage {
+	messages := sentTo(h.agent)
+	if len(messages) > 0 {
+		h.handledSequence = messages[len(messages)-1].GetSequence()
+	}
+	return messages
+}
+
+// sentTo returns the messages that wait to be sent to an agent.
+func sentTo(view *agentView) []*wire.OwnerMessage {
 	var messages []*wire.OwnerMessage
-	for {
-		select {
-		case message := <-h.agent.conn.outbox:
-			messages = append(messages, message)
-			h.handledSequence = message.GetSequence()
-		default:
-			return messages
-		}
+	for len(view.conn.outbox) > 0 {
+		messages = append(messages, <-view.conn.outbox)
 	}
+	return messages
 }
 
 // startOrders returns all start orders in messages.
@@ -181,14 +185,19 @@
 	}
 }
 
+// actAndTakeSent has the owner do what is due, and returns what it has sent the agent once its writes are answered.
+func (h *harness) actAndTakeSent() []*wire.OwnerMessage {
+	h.tick()
+	h.awaitWrites()
+	h.tick()
+	return h.takeSent()
+}
+
 // attachAndStart connects the agent and places the waiting tasks on its worker. Their start orders have
 // been sent when it returns.
 func (h *harness) attachAndStart() {
 	h.attach()
-	h.tick()
-	h.awaitWrites()
-	h.tick()
-	h.takeSent()
+	h.actAndTakeSent()
 }
 
 // adoptRun submits the job and has the owner adopt its run, which an earlier owner started.
--- a/owner/incarnation_test.go
+++ b/owner/incarnation_test.go
@@ -130,10 +130,7 @@
 	j := h.submit()
 	h.attach()
 	h.receive(&wire.AgentMessage{Status: idleWorkerStartedAt(secondStartedMs)})
-	h.tick()
-	h.awaitWrites()
-	h.tick()
-	orders := startOrders(h.takeSent())
+	orders := startOrders(h.actAndTakeSent())
 	if len(orders) != 1 || orders[0].GetBorn() != secondStartedMs {
 		t.Fatalf("start orders: %v", orders)
 	}
@@ -143,11 +140,8 @@
 	h.receive(&wire.AgentMessage{Status: idleWorkerStartedAt(secondStartedMs), Ends: []*wire.RunEnd{
 		{Worker: workerID, Born: secondStartedMs, Number: 7, Task: firstTask, Attempt: 1, Reason: wire.EndReason_END_DONE},
 	}})
-	h.tick()
-	h.awaitWrites()
-	h.tick()
 	var acknowledged []*wire.EndSeen
-	for _, message := range h.takeSent() {
+	for _, message := range h.actAndTakeSent() {
 		acknowledged = append(acknowledged, message.GetSeen()...)
 	}
 	if len(acknowledged) != 1 || acknowledged[0].GetBorn() != secondStartedMs || acknowledged[0].GetNumber() != 7 {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -258,6 +258,16 @@
 	return s, s.jobs[id]
 }
 
+// parseTask parses the name of a task in a message of an agent. It logs a name that is invalid, and returns false.
+func (owner *Owner) parseTask(name string) (job.TaskRef, bool) {
+	ref, err := job.ParseTaskRef(name)
+	if err != nil {
+		owner.log(event.RecordUnreadable, slog.String("task", name), slog.Any("error", err))
+		return job.TaskRef{}, false
+	}
+	return ref, true
+}
+
 // sleep waits for a duration or until ctx ends.
 func (owner *Owner) sleep(ctx context.Context, duration time.Duration) {
 	select {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -6,7 +6,6 @@
 
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/incarnation"
-	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
 )
 
@@ -149,9 +148,8 @@
 // stopStrayRun has a listed run stopped if it is not the current run of its task. The next owner of the shard may have
 // started it, so the stop is ordered once the store has shown that there is none.
 func (owner *Owner) stopStrayRun(view *agentView, name string, reported *wire.RunStatus, worker incarnation.ID) {
-	ref, err := job.ParseTaskRef(name)
-	if err != nil {
-		owner.log(event.RecordUnreadable, slog.String("task", name), slog.Any("error", err))
+	ref, valid := owner.parseTask(name)
+	if !valid {
 		return
 	}
 	s, _ := owner.loadedJob(ref.Job)
--- a/owner/relocation.go
+++ b/owner/relocation.go
@@ -108,9 +108,8 @@
 // or the shard is not owned and loaded.
 func (owner *Owner) answerOffer(received receivedOffer, among destinations, now time.Time) {
 	view, offer := received.source, received.offer
-	ref, err := job.ParseTaskRef(offer.GetTask())
-	if err != nil {
-		owner.log(event.RecordUnreadable, slog.String("task", offer.GetTask()), slog.Any("error", err))
+	ref, valid := owner.parseTask(offer.GetTask())
+	if !valid {
 		return
 	}
 	s, j := owner.loadedJob(ref.Job)
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -35,10 +35,7 @@
 	tolerant := idleWorkerStatus()
 	tolerant.ToleratedMilliCpu = 4000
 	h.receive(&wire.AgentMessage{Status: tolerant})
-	h.tick()
-	h.awaitWrites()
-	h.tick()
-	h.takeSent()
+	h.actAndTakeSent()
 	h.receive(&wire.AgentMessage{Results: []*wire.StartResult{{Task: firstTask, Attempt: 1, Worker: workerID, Outcome: wire.StartOutcome_START_STARTED}}})
 	h.destination = h.connect(otherAddress)
 	h.report(4000)
--- a/owner/replaced_test.go
+++ b/owner/replaced_test.go
@@ -21,14 +21,6 @@
 	}
 }
 
-// actAndTakeSent has the owner do what is due, and returns what it has sent the agent once its writes are answered.
-func (h *harness) actAndTakeSent() []*wire.OwnerMessage {
-	h.tick()
-	h.awaitWrites()
-	h.tick()
-	return h.takeSent()
-}
-
 func countConfirmedEnds(messages []*wire.OwnerMessage) int {
 	count := 0
 	for _, message := range messages {
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -144,9 +144,8 @@
 // handleRunEnd applies the end of a run, and acknowledges it to the agent once it is in the store, so that
 // the worker can forget it.
 func (owner *Owner) handleRunEnd(view *agentView, end *wire.RunEnd, now time.Time) {
-	ref, err := job.ParseTaskRef(end.GetTask())
-	if err != nil {
-		owner.log(event.RecordUnreadable, slog.String("task", end.GetTask()), slog.Any("error", err))
+	ref, valid := owner.parseTask(end.GetTask())
+	if !valid {
 		return
 	}
 	s := owner.applyRunEnd(view, ref, end, now)
--- a/owner/shared_ends.go
+++ b/owner/shared_ends.go
@@ -31,16 +31,15 @@
 // the agent may not have received the claim of the shard.
 func (owner *Owner) receiveSharedEnds(view *agentView, ends []*wire.RunEnd, now time.Time) {
 	for _, end := range ends {
-		ref, err := job.ParseTaskRef(end.GetTask())
-		if err != nil {
-			owner.log(event.RecordUnreadable, slog.String("task", end.GetTask()), slog.Any("error", err))
+		ref, valid := owner.parseTask(end.GetTask())
+		if !valid {
 			continue
 		}
 		view.sharedEnds = append(view.sharedEnds, sharedEnd{end: end, ref: ref, receivedAt: now})
 		owner.applyRunEnd(view, ref, end, now)
 	}
 	if excess := len(view.sharedEnds) - maxSharedEnds; excess > 0 {
-		view.sharedEnds = slices.Clone(view.sharedEnds[excess:])
+		view.sharedEnds = slices.Delete(view.sharedEnds, 0, excess)
 	}
 }
 
@@ -67,8 +66,12 @@
 }
 
 // expireSharedEnds drops the ends that have been kept for sharedEndRetention.
+//
+// Performance: it runs in each tick for each agent, and looks at the oldest end only, unless that has expired.
 func (view *agentView) expireSharedEnds(now time.Time) {
-	view.sharedEnds = slices.DeleteFunc(view.sharedEnds, func(shared sharedEnd) bool {
-		return now.Sub(shared.receivedAt) >= sharedEndRetention
-	})
+	expired := 0
+	for expired < len(view.sharedEnds) && now.Sub(view.sharedEnds[expired].receivedAt) >= sharedEndRetention {
+		expired++
+	}
+	view.sharedEnds = slices.Delete(view.sharedEnds, 0, expired)
 }
--- a/owner/suspect_test.go
+++ b/owner/suspect_test.go
@@ -26,10 +26,7 @@
 		h.clock.Advance(length)
 		h.owner.lastJoinAt = h.clock.Now()
 		h.receive(&wire.AgentMessage{})
-		h.tick()
-		h.awaitWrites()
-		h.tick()
-		for _, order := range startOrders(h.takeSent()) {
+		for _, order := range startOrders(h.actAndTakeSent()) {
 			if order.GetSuspect() {
 				suspects++
 				continue
