--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -28,7 +28,9 @@
 	After       []int  `json:"after,omitempty"`
 	Constraints string `json:"constraints,omitempty"`
 	Affinity    string `json:"affinity,omitempty"`
-	LongRunning bool   `json:"long_running,omitempty"`
+	// AntiAffinity is how many tasks of the step one worker holds at most; 0 for no limit.
+	AntiAffinity int  `json:"anti_affinity,omitempty"`
+	LongRunning  bool `json:"long_running,omitempty"`
 }
 
 // submission is a job, as clients send it.
@@ -134,12 +136,18 @@
 	return false
 }
 
+// What state returns if there is no state.
+const (
+	noAnswer   = "no answer"
+	unknownJob = "unknown (410)"
+)
+
 // state asks for the state of a job at one gateway after the other.
 func (c *client) state(ctx context.Context, gateways []*process, id string) string {
 	for _, gateway := range gateways {
 		status, text := c.call(ctx, gateway, http.MethodGet, id, nil)
 		if status == http.StatusGone {
-			return "unknown (410)"
+			return unknownJob
 		}
 		var body struct {
 			State string `json:"state"`
@@ -148,5 +156,5 @@
 			return body.State
 		}
 	}
-	return "no answer"
+	return noAnswer
 }
--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -73,6 +73,7 @@
 	took := time.Since(sentAt)
 	if err == nil {
 		a.answered.Add(1)
+		a.p.records.note("GET at %s: %d after %.3f s", a.gateway.name, response.StatusCode, took.Seconds())
 		return
 	}
 	a.judge(sentAt, took, err)
--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -67,3 +67,11 @@
 		Steps: []step{{Count: 1250, CPU: 25, MemMB: 50, EstimateMs: 500, Affinity: "r1-1"}},
 	}, 36)
 }
+
+// spreadJob: a job of which one worker may hold only some tasks.
+func spreadJob(ctx context.Context, p *play) error {
+	return playBurst(ctx, p, &submission{
+		id: "00000000000000b1", Spec: "large",
+		Steps: []step{{Count: 5000, CPU: 40, MemMB: 20, EstimateMs: 500, AntiAffinity: 700}},
+	}, 36)
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,7 +14,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -51,9 +53,10 @@
 
 // scenarios holds the cases by the number of their folder.
 var scenarios = map[string]scenario{
-	"4": {gateways: 3, sides: 3, play: largeJob},
-	"5": {gateways: 3, sides: 4, play: largeOrder},
+	"4": {gateways: 3, sides: 10, play: spreadJob},
+	"5": {gateways: 3, sides: 3, play: largeJob},
 	"6": {gateways: 3, sides: 10, play: pending},
+	"7": {gateways: 3, sides: 4, play: largeOrder},
 	"8": {gateways: 1, sides: 3, play: drain},
 }
 
@@ -77,16 +80,16 @@
 	}
 	defer os.RemoveAll(dir) //nolint:errcheck // It is a temporary folder.
 	found, err := playCase(dir, records, scenarios[os.Args[1]], os.Getenv("TROUBLE") != "0")
-	switch {
-	case err != nil:
-		records.note("the case couldn't run: %v", err)
-		fmt.Println("the case couldn't run:", err)
-		return exitUnable
-	case len(found) > 0:
+	if len(found) > 0 {
 		records.note("broken %d times", len(found))
 		fmt.Printf("broken %d times; the first: %s\n", len(found), found[0])
 		return exitBroken
 	}
+	if err != nil {
+		records.note("the case couldn't run: %v", err)
+		fmt.Println("the case couldn't run:", err)
+		return exitUnable
+	}
 	records.note("held")
 	fmt.Println("held")
 	return exitHeld
@@ -94,7 +97,9 @@
 
 // playCase plays a case, and returns where rules were broken.
 func playCase(dir string, records *ledger, s scenario, trouble bool) ([]string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, maxTime)
 	defer cancel()
 	d, err := newDeployment(dir, records)
 	if err != nil {
--- a/review/stand/pending.go
+++ b/review/stand/pending.go
@@ -69,9 +69,7 @@
 		return
 	}
 	waited := s.waiting(sentAt)
-	if waited > 0 {
-		s.p.records.note("%s gives %d as pending; %d jobs have waited for longer than %v", gateway.name, body.Pending, waited, waitBound)
-	}
+	s.p.records.note("%s gives %d as pending; %d jobs have waited for longer than %v", gateway.name, body.Pending, waited, waitBound)
 	if waited < minWaiting || body.Pending*2 >= waited {
 		return
 	}
--- a/review/stand/watch.go
+++ b/review/stand/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -102,27 +103,43 @@
 	w.records.note("%s", text)
 }
 
-// askAll asks for the states of all accepted jobs, as clients do finish_s after the traffic.
+// askAll asks for the states of all accepted jobs at the same time, as clients do finish_s after the traffic.
 func (w *idleWatch) askAll(ctx context.Context, c *client) {
+	w.mu.Lock()
+	watched := slices.Clone(w.jobs)
+	w.mu.Unlock()
+	states := make([]string, len(watched))
+	var wg sync.WaitGroup
+	for index, a := range watched {
+		wg.Go(func() { states[index] = c.state(ctx, w.d.gateways, a.job.id) })
+	}
+	wg.Wait()
+	if ctx.Err() != nil {
+		return // The calls were broken off here.
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	counts := map[string]int{}
-	for _, a := range w.jobs {
-		state := c.state(ctx, w.d.gateways, a.job.id)
-		counts[state]++
-		if state != "completed" {
-			w.records.note("GET job %s: %s", a.job.id, state)
-		}
-		switch state {
-		case "failed", "cancelled":
-			w.report("job %s is shown as %s, though none of its runs has failed and nobody has cancelled it", a.job.id, state)
-		case "no answer", "unknown (410)":
-			w.report("finish_s after the traffic, job %s: %s", a.job.id, state)
-		}
+	for index, a := range watched {
+		w.judgeState(a.job.id, states[index])
+		counts[states[index]]++
 	}
 	w.records.note("states %v after the traffic", counts)
 }
 
+// judgeState applies LOST to the state of an accepted job. The lock must be held.
+func (w *idleWatch) judgeState(id, state string) {
+	if state != "completed" {
+		w.records.note("GET job %s: %s", id, state)
+	}
+	switch state {
+	case "failed", "cancelled":
+		w.report("job %s is shown as %s, though none of its runs has failed and nobody has cancelled it", id, state)
+	case noAnswer, unknownJob:
+		w.report("finish_s after the traffic, job %s: %s", id, state)
+	}
+}
+
 // usage returns the processors in use, those of all workers, and the most that is free on one.
 func (d *deployment) usage() (used, total, mostFree int64) {
 	for _, w := range d.workers {
