--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -50,13 +50,6 @@
 	return jobs
 }
 
-// largeJob: a job with more tasks than a record of the store can hold the progress of.
-func largeJob(ctx context.Context, p *play) error {
-	return playBurst(ctx, p, &submission{
-		id: "00000000000000b1", Spec: "large", Steps: []step{{Count: 30_000, CPU: 20, MemMB: 10, EstimateMs: 300}},
-	}, 100)
-}
-
 // maxSpecBytes is the size of a spec up to which the pages allow it.
 const maxSpecBytes = 4000
 
