--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -65,6 +65,6 @@
 func spreadJob(ctx context.Context, p *play) error {
 	return playBurst(ctx, p, &submission{
 		id: "00000000000000b1", Spec: "large",
-		Steps: []step{{Count: 5000, CPU: 40, MemMB: 20, EstimateMs: 500, AntiAffinity: 700}},
+		Steps: []step{{Count: 8000, CPU: 20, MemMB: 10, EstimateMs: 500, AntiAffinity: 1000}},
 	}, 36)
 }
