--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 # gateways and agents come from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
+mkdir -p target
 go build -o target/review-2 ./review/stand
