review: case 5, a job is failed for the crashes of its worker

One worker of ten crashes again and again, each time 0.25 s after it has come back, and is the only one that the job may use; three runs in a row that began less than 0.25 s before a crash fail the task for good (job/crash.go: maxCrashes, failPermanently; agent/liveness.go: crashSuspects), although the crashes are all of one machine and come under other tasks as well.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -214,7 +214,7 @@
 func (d *deployment) addSide(command string, cpu, memMB int64, needs func(task string) (need, bool)) error {
 	index := len(d.agents)
 	ip := fmt.Sprintf("%s.2.%d", d.network, index+1)
-	w := newWorker(fmt.Sprintf("i-%d-1", index), serviceName, fmt.Sprintf("r1-%d", index/workersPerRack), ip+":8166", cpu, memMB, needs, d.records)
+	w := newWorker(fmt.Sprintf("i-%d", index), serviceName, fmt.Sprintf("r1-%d", index/workersPerRack), ip+":8166", cpu, memMB, needs, d.records)
 	p, err := d.addProcess(fmt.Sprintf("side-%d", index), "agent", "side", ip, w.address(), command)
 	if err != nil {
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -54,6 +54,7 @@
 // scenarios holds the cases by the number of their folder.
 var scenarios = map[string]scenario{
 	"4": {gateways: 3, sides: 10, play: spreadJob},
+	"5": {gateways: 3, sides: 10, play: crashes},
 	"6": {gateways: 3, sides: 4, play: largeOrder},
 	"7": {gateways: 3, sides: 10, play: pending},
 	"8": {gateways: 1, sides: 3, play: drain},
--- a/review/stand/watch.go
+++ b/review/stand/watch.go
@@ -68,12 +68,13 @@
 
 // sample looks once. All steps of the jobs here are without conditions, so the turn of a task that is not done has come.
 func (w *idleWatch) sample(now time.Time) {
-	used, total, mostFree := w.d.usage()
+	used, total := w.d.usage()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.jobs {
 		running, done, _ := w.records.progress(a.job.id)
-		roomy := used*2 < total && mostFree >= 2*a.job.Steps[0].CPU
+		first := a.job.Steps[0]
+		roomy := used*2 < total && w.d.mostFree(first.Constraints) >= 2*first.CPU
 		if running > 0 || done >= a.job.tasks() || !roomy {
 			a.idle = time.Time{}
 			continue
@@ -140,13 +141,22 @@
 	}
 }
 
-// usage returns the processors in use, those of all workers, and the most that is free on one.
-func (d *deployment) usage() (used, total, mostFree int64) {
+// usage returns the processors in use, and those of all workers.
+func (d *deployment) usage() (used, total int64) {
 	for _, w := range d.workers {
-		busy := w.usage()
-		used += busy
+		used += w.usage()
 		total += w.cpu
-		mostFree = max(mostFree, w.cpu-busy)
 	}
-	return used, total, mostFree
+	return used, total
+}
+
+// mostFree returns the most processors that are free on one worker with a label.
+func (d *deployment) mostFree(label string) int64 {
+	most := int64(0)
+	for _, w := range d.workers {
+		if free, has := w.offers(label); has {
+			most = max(most, free)
+		}
+	}
+	return most
 }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -47,12 +48,13 @@
 
 // worker is a stand-in for a worker with `preconditions`: it rejects what does not fit.
 type worker struct {
-	id, service, rack string
-	cpu, memMB        int64
-	control           string // where heartbeats go
-	needs             func(task string) (need, bool)
-	records           *ledger
-	server            *httptest.Server
+	id, machine, service string
+	kind, rack           string // its labels
+	cpu, memMB           int64
+	control              string // where heartbeats go
+	needs                func(task string) (need, bool)
+	records              *ledger
+	server               *httptest.Server
 
 	mu         sync.Mutex
 	bornAt     time.Time
@@ -67,11 +69,14 @@
 	changed    chan struct{}
 	// dark is set for a worker that is lost without a sign: it answers nothing, and its connections stay open.
 	dark bool
+	// down is set while the worker has crashed and is not back yet: its connections end.
+	down  bool
+	lives int // how often it has come back
 }
 
-func newWorker(id, service, rack, control string, cpu, memMB int64, needs func(task string) (need, bool), records *ledger) *worker {
+func newWorker(machine, service, rack, control string, cpu, memMB int64, needs func(task string) (need, bool), records *ledger) *worker {
 	w := &worker{
-		id: id, service: service, rack: rack, cpu: cpu, memMB: memMB, control: control, needs: needs, records: records,
+		id: machine + "-1", machine: machine, service: service, kind: "a", rack: rack, cpu: cpu, memMB: memMB, control: control, needs: needs, records: records,
 		bornAt: time.Now(), running: map[string]*run{}, ended: map[string]int32{}, changed: make(chan struct{}),
 	}
 	w.server = httptest.NewServer(w)
@@ -144,15 +149,56 @@
 	w.running, w.ends, w.dark = map[string]*run{}, nil, true
 }
 
+// setKind sets the first label of the worker.
+func (w *worker) setKind(kind string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kind = kind
+}
+
+// offers reports whether the worker has a label, and how much of its processors is free. Every worker has the label "".
+func (w *worker) offers(label string) (free int64, has bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	free = w.cpu
+	for _, r := range w.running {
+		free -= r.need.cpu
+	}
+	return free, !w.down && !w.dark && (label == "" || label == w.kind || label == w.rack)
+}
+
+// crash ends the worker. After a time it is back under a new id: it runs nothing and has seen no fencing token.
+func (w *worker) crash(ctx context.Context, downTime time.Duration) {
+	w.mu.Lock()
+	for _, r := range w.running {
+		w.records.ended(w.id, r.task, r.attempt, "lost with the worker")
+	}
+	w.records.note("worker %s crashes with %d runs", w.id, len(w.running))
+	w.running, w.ended, w.ends, w.down = map[string]*run{}, map[string]int32{}, nil, true
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.mu.Unlock()
+	w.server.CloseClientConnections()
+	sleep(ctx, downTime)
+	w.mu.Lock()
+	w.lives++
+	w.id = fmt.Sprintf("%s-%d", w.machine, w.lives+1)
+	w.bornAt, w.sequence, w.lastNumber, w.token, w.leaseMs, w.lapses = time.Now(), 0, 0, 0, 0, 0
+	w.down = false
+	w.records.note("worker %s is up", w.id)
+	w.mu.Unlock()
+	w.beat(ctx)
+}
+
 // beat sends a heartbeat to the agent.
 func (w *worker) beat(ctx context.Context) {
 	w.mu.Lock()
 	w.sequence++
-	id, dark := w.id, w.dark
+	id, dark := w.id, w.dark || w.down
 	body, err := json.Marshal(map[string]any{
 		"service": w.service, "address": w.address(), "zone": "milano-a", "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.memMB, "gpu": 0},
-		"labels": []string{"a", w.rack}, "clock_ms": w.clockMs(), "seq": w.sequence,
+		"labels": []string{w.kind, w.rack}, "clock_ms": w.clockMs(), "seq": w.sequence,
 	})
 	w.mu.Unlock()
 	if err != nil || dark {
@@ -187,8 +233,11 @@
 // ServeHTTP takes the calls of the agent.
 func (w *worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	w.mu.Lock()
-	dark, id := w.dark, w.id
+	dark, down, id := w.dark, w.down, w.id
 	w.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	if dark {
 		stayDark(request)
 	}
@@ -321,7 +370,7 @@
 		}
 	}
 	w.ends = kept
-	changed, waits := w.changed, len(w.ends) == 0 && body.WaitMs > 0
+	changed, waits, life := w.changed, len(w.ends) == 0 && body.WaitMs > 0, w.lives
 	w.mu.Unlock()
 	if waits {
 		select {
@@ -333,6 +382,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.down || w.lives != life {
+		panic(http.ErrAbortHandler) // A worker that crashes sends nothing.
+	}
 	if w.dark {
 		w.mu.Unlock()
 		defer w.mu.Lock()
