loop, telemetry: measure how long turns of the event loops take

Change: the loop reports each turn; owners and agents record it in the histogram ambertiller.loop.turn.duration and log turns of 100 ms and more once a second at most (turn slow, 106). Wake begins another turn without blocking, for work that is to be continued.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,6 +77,7 @@
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/traffic"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -213,6 +214,8 @@
 // Run manages the worker until ctx ends.
 func (agent *Agent) Run(ctx context.Context) {
 	agent.ctx = ctx
+	turns := telemetry.NewTurns(agent.options.Meters, "agent", agent.options.Events)
+	agent.eventLoop.WatchTurns(func(turn loop.Turn) { turns.Record(ctx, turn, agent.options.Clock.Now()) })
 	agent.eventLoop.Run(ctx, tickInterval, agent.tick)
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -16,6 +16,7 @@
 	SettingsReloaded
 	SettingsRefused
 	ProcessFailed
+	TurnSlow
 )
 
 // Routing of requests.
@@ -151,6 +152,8 @@
 	slowLinkRelease = "0.12"
 	// sharedEndsRelease lets ends of runs survive the owner and the agent that know them.
 	sharedEndsRelease = "0.13"
+	// boundedWorkRelease bounds what owners and agents do in one turn and put into one message.
+	boundedWorkRelease = "0.14"
 )
 
 // Shares of queues.
@@ -256,6 +259,7 @@
 	{SettingsReloaded, slog.LevelInfo, "settings reloaded", "The settings file was read again.", platformRelease},
 	{SettingsRefused, slog.LevelError, "settings refused", "The settings file has changed and is invalid. The previous settings stay in force.", platformRelease},
 	{ProcessFailed, slog.LevelError, "process failed", "The program has a bug and ends because of it. The attribute fault describes the failure, and frames lists the places in the code that led to it, innermost first. Include both in a bug report.", preemptionRelease},
+	{TurnSlow, slog.LevelWarn, "turn slow", "One turn of the event loop took longer than its threshold, and everything else that needs the loop waited for it. The attributes give the time of the functions and of the tick, how many functions ran, and how many waited at the end. It is logged once a second at most; slow counts the turns since.", boundedWorkRelease},
 
 	{RequestRouted, slog.LevelInfo, "request routed", "A request was sent to a backend server, and its whole answer was passed on. The attributes give the worker, its estimated load, how many workers were considered, and how many of them were rejected for which reason.", firstRelease},
 	{RequestNotRun, slog.LevelInfo, "request not run", "A request was given up and has certainly not run. The attribute reason says why, and retry_after when the caller may try again.", firstRelease},
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -10,6 +10,12 @@
 // A posted function must not block. Work that takes time runs on a goroutine of its own, which posts its
 // result.
 //
+// # Turns
+//
+// A turn is one batch of posted functions and the tick that follows it. Everything that is posted during a turn waits
+// for its end, so what a turn does must be bounded. Work that exceeds the bound is continued in a later turn:
+// [Loop.Wake] requests that one at once. [Loop.WatchTurns] reports how long turns take.
+//
 // # Suspension
 //
 // The monotonic clock stops while the machine is suspended, so an age that is computed from the time
@@ -39,12 +45,42 @@
 	clock      clockwork.Clock
 	queue      chan func(now time.Time)
 	done       chan struct{}
+	wake       chan struct{}
+	onTurn     func(turn Turn) // nil if turns are not watched
 	suspension suspension
 }
 
+// Turn describes one turn of a loop.
+type Turn struct {
+	// Functions is how many posted functions ran. FunctionsTook is how long they took together, TickTook how long the
+	// tick took.
+	Functions     int
+	FunctionsTook time.Duration
+	TickTook      time.Duration
+	// Queued is how many functions waited when the turn ended.
+	Queued int
+}
+
+// Took returns how long the turn took.
+func (turn Turn) Took() time.Duration { return turn.FunctionsTook + turn.TickTook }
+
 // New returns a loop. Posted functions are queued until Run is called.
 func New(clock clockwork.Clock) *Loop {
-	return &Loop{clock: clock, queue: make(chan func(now time.Time), queueLength), done: make(chan struct{})}
+	return &Loop{
+		clock: clock, queue: make(chan func(now time.Time), queueLength), done: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
+}
+
+// WatchTurns makes the loop call onTurn after each turn. It must be called before Run.
+func (loop *Loop) WatchTurns(onTurn func(turn Turn)) { loop.onTurn = onTurn }
+
+// Wake makes the loop begin another turn without waiting for a function or for the interval. Unlike Post it never
+// blocks, so functions that run on the loop may call it.
+func (loop *Loop) Wake() {
+	select {
+	case loop.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Post queues a function. It blocks while the queue is full, and does nothing once Run has returned.
@@ -88,18 +124,35 @@
 	ticker := loop.clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
+		turn, beganAt := Turn{}, time.Time{}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+			beganAt = loop.clock.Now()
+		case <-loop.wake:
+			beganAt = loop.clock.Now()
 		case run := <-loop.queue:
+			beganAt = loop.clock.Now()
 			loop.execute(run)
-			loop.executeBatch()
+			turn.Functions = 1 + loop.executeBatch()
 		}
-		loop.execute(tick)
+		loop.finishTurn(turn, beganAt, tick)
 	}
 }
 
+// finishTurn runs tick and reports the turn.
+func (loop *Loop) finishTurn(turn Turn, beganAt time.Time, tick func(now time.Time)) {
+	tickAt := loop.clock.Now()
+	loop.execute(tick)
+	if loop.onTurn == nil {
+		return
+	}
+	turn.FunctionsTook, turn.TickTook = tickAt.Sub(beganAt), loop.clock.Since(tickAt)
+	turn.Queued = len(loop.queue)
+	loop.onTurn(turn)
+}
+
 // RunNext waits for a posted function and runs it. It is for tests that run functions one by one, without
 // Run.
 func (loop *Loop) RunNext(now time.Time) {
@@ -126,14 +179,16 @@
 	run(now)
 }
 
-// executeBatch runs queued functions, at most maxBatch, so that a full queue doesn't delay tick.
-func (loop *Loop) executeBatch() {
-	for range maxBatch {
+// executeBatch runs queued functions, at most maxBatch, so that a full queue doesn't delay tick. It returns how many
+// it has run.
+func (loop *Loop) executeBatch() int {
+	for count := range maxBatch {
 		select {
 		case run := <-loop.queue:
 			loop.execute(run)
 		default:
-			return
+			return count
 		}
 	}
+	return maxBatch
 }
--- a/loop/loop_test.go
+++ b/loop/loop_test.go
@@ -47,3 +47,23 @@
 		t.Error("Call was abandoned while the function ran")
 	}
 }
+
+// TestTurnsAreMeasured checks that a turn is reported with the time of its functions and of its tick, and that Wake
+// begins one. Without that, nobody is told of a turn that keeps joins, answers and ends waiting.
+func TestTurnsAreMeasured(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	eventLoop := loop.New(clock)
+	turns := make(chan loop.Turn, 1)
+	eventLoop.WatchTurns(func(turn loop.Turn) { turns <- turn })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	eventLoop.Post(func(time.Time) { clock.Advance(30 * time.Millisecond) })
+	go eventLoop.Run(ctx, time.Hour, func(time.Time) { clock.Advance(50 * time.Millisecond) })
+	if turn := <-turns; turn.Functions != 1 || turn.FunctionsTook != 30*time.Millisecond || turn.TickTook != 50*time.Millisecond {
+		t.Errorf("turn with a function: %+v", turn)
+	}
+	eventLoop.Wake()
+	if turn := <-turns; turn.Functions != 0 || turn.Took() != 50*time.Millisecond {
+		t.Errorf("turn after Wake: %+v", turn)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -45,6 +45,7 @@
 	"ambertiller.example/ambertiller/loop"
 	"ambertiller.example/ambertiller/operator"
 	"ambertiller.example/ambertiller/platform"
+	"ambertiller.example/ambertiller/telemetry"
 	"ambertiller.example/ambertiller/traffic"
 	"ambertiller.example/ambertiller/wire"
 )
@@ -187,6 +188,8 @@
 func (owner *Owner) Run(ctx context.Context) {
 	owner.ctx = ctx
 	go owner.runCandidacy(owner.candidacyCtx)
+	turns := telemetry.NewTurns(owner.options.Meters, "owner", owner.options.Events)
+	owner.eventLoop.WatchTurns(func(turn loop.Turn) { turns.Record(ctx, turn, owner.options.Clock.Now()) })
 	owner.eventLoop.Run(ctx, tickInterval, owner.tick)
 	owner.stopCandidacy()
 }
