owner, job: bound what a placement pass does in one turn of the event loop

Cause: a pass ran to its end in one turn of the owner's event loop, whatever there was to place, and nothing else ran meanwhile, so that the store took the shards from the owner after 1.5 s and the next one began the same pass. It took that long because the limit for one worker was checked by a list of all tasks of the step for each task and worker.

Refuted: the store (its appends were not slow before the first such turn), and the record of progress (8,000 tasks fit one).

Change: a pass has a budget for each turn, counted in workers examined, and is continued in the next turn; steps without room are remembered meanwhile, so that each turn makes progress. Callbacks of a write run in parts as well. A job keeps a state for each step, so that the questions of a pass, of a gang and of an end don't go over its tasks; ready tasks are an iterator.

--- a/job/job.go
+++ b/job/job.go
@@ -10,9 +10,14 @@
 	submission *Submission
 	shard      int
 	state      State
-	tasks      []*Task
-	// remaining is the number of tasks that are not done, for each step of each round.
-	remaining   []int
+	// tasks are in the order of their rounds, steps and indexes. firstTasks holds the index within a round of the first
+	// task of each step.
+	tasks         []*Task
+	tasksPerRound int
+	firstTasks    []int
+	// steps holds a state for each step of each round.
+	steps       []stepState
+	started     int // tasks in state TASK_STARTED
 	runningAt   time.Time
 	endedAt     time.Time
 	submittedAt time.Time
@@ -25,10 +30,14 @@
 func New(submission *Submission, shard int) *Job {
 	job := &Job{submission: submission, shard: shard, submittedAt: time.UnixMilli(submission.GetSubmittedMs())}
 	steps := submission.GetSteps()
-	job.remaining = make([]int, job.Rounds()*len(steps))
+	for _, step := range steps {
+		job.firstTasks = append(job.firstTasks, job.tasksPerRound)
+		job.tasksPerRound += int(step.GetCount())
+	}
+	job.tasks = make([]*Task, 0, job.Rounds()*job.tasksPerRound)
 	for round := range job.Rounds() {
 		for number, step := range steps {
-			job.remaining[round*len(steps)+number] = int(step.GetCount())
+			job.steps = append(job.steps, newStepState(int(step.GetCount())))
 			for index := range step.GetCount() {
 				job.tasks = append(job.tasks, &Task{job: job, round: int32(round), step: int32(number), index: index})
 			}
@@ -77,14 +86,17 @@
 
 // Task returns the task that a reference denotes, or nil.
 func (job *Job) Task(ref TaskRef) *Task {
-	for _, task := range job.tasks {
-		if task.round == ref.Round && task.step == ref.Step && task.index == ref.Index {
-			return task
-		}
+	steps := job.submission.GetSteps()
+	if ref.Round < 0 || int(ref.Round) >= job.Rounds() || ref.Step < 0 || int(ref.Step) >= len(steps) ||
+		ref.Index < 0 || ref.Index >= steps[ref.Step].GetCount() {
+		return nil
 	}
-	return nil
+	return job.stepTasks(ref.Round, ref.Step)[ref.Index]
 }
 
+// HasRunningTasks reports whether any task is in state TASK_STARTED.
+func (job *Job) HasRunningTasks() bool { return job.started > 0 }
+
 // RunningTasks returns the tasks in state TASK_STARTED, whose start has been ordered.
 func (job *Job) RunningTasks() []*Task {
 	var running []*Task
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -36,9 +36,9 @@
 // StartRun records that a task is started at a place, under the next attempt number. The members of a gang
 // are started one after another, under the attempt number of the first.
 func (job *Job) StartRun(task *Task, place Place, now time.Time) {
-	task.attempt = job.nextAttempt(task)
-	task.state = TaskState_TASK_STARTED
+	job.setAttempt(task, job.nextAttempt(task))
 	task.place = place
+	job.setState(task, TaskState_TASK_STARTED)
 	task.startedAt = now
 	task.unplacedSince, task.obstacle = time.Time{}, ""
 }
@@ -57,14 +57,11 @@
 	if !task.Spec().GetGang() {
 		return task.attempt + 1
 	}
-	highest := int32(0)
-	for _, member := range job.StepTasks(task) {
-		if member.state == TaskState_TASK_STARTED {
-			return member.attempt
-		}
-		highest = max(highest, member.attempt)
+	step := job.stepOf(task)
+	if step.started > 0 {
+		return step.highestAttempt
 	}
-	return highest + 1
+	return step.highestAttempt + 1
 }
 
 // Requeue makes a started task wait again, because its current run never started or is certainly over without
@@ -73,7 +70,7 @@
 	if task.state != TaskState_TASK_STARTED {
 		return
 	}
-	task.state = TaskState_TASK_WAITING
+	job.setState(task, TaskState_TASK_WAITING)
 	task.retryAt = now
 }
 
@@ -82,7 +79,7 @@
 	if task.attempt != attempt || checkpoint == "" || task.checkpoint == checkpoint {
 		return false
 	}
-	task.checkpoint = checkpoint
+	job.setCheckpoint(task, checkpoint)
 	return true
 }
 
@@ -93,11 +90,7 @@
 	if !task.Spec().GetGang() {
 		return task.checkpoint
 	}
-	newest := ""
-	for _, member := range job.StepTasks(task) {
-		newest = max(newest, member.checkpoint)
-	}
-	return newest
+	return job.stepOf(task).newestCheckpoint
 }
 
 // EndRun records that a run ended. It reports whether anything changed.
@@ -114,7 +107,7 @@
 		return false
 	}
 	if checkpoint != "" && isCurrent {
-		task.checkpoint = checkpoint
+		job.setCheckpoint(task, checkpoint)
 	}
 	job.MarkRunning(now)
 	switch reason {
@@ -125,7 +118,7 @@
 			// Agents report an end repeatedly until they know that it is stored.
 			return false
 		}
-		task.failedAttempts = append(task.failedAttempts, attempt)
+		job.setFailedAttempts(task, append(task.failedAttempts, attempt))
 		job.recordFailure(task, isCurrent, now)
 		return true
 	case EndInterrupted:
@@ -167,17 +160,11 @@
 	if task.state == TaskState_TASK_DONE {
 		return
 	}
-	task.state = TaskState_TASK_DONE
-	job.remaining[int(task.round)*len(job.submission.GetSteps())+int(task.step)]--
+	job.setState(task, TaskState_TASK_DONE)
 }
 
 func (job *Job) allDone() bool {
-	for _, count := range job.remaining {
-		if count > 0 {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(job.steps, func(step stepState) bool { return step.remaining > 0 })
 }
 
 func (job *Job) recordFailure(task *Task, isCurrent bool, now time.Time) {
@@ -197,7 +184,7 @@
 
 // failPermanently records that a task will not be started again, and thereby fails its job.
 func (job *Job) failPermanently(task *Task, now time.Time) {
-	task.state = TaskState_TASK_FAILED
+	job.setState(task, TaskState_TASK_FAILED)
 	if !job.HasEnded() {
 		job.finish(State_STATE_FAILED, now)
 	}
@@ -213,12 +200,7 @@
 	if !task.Spec().GetGang() {
 		return len(task.failedAttempts)
 	}
-	var attempts []int32
-	for _, member := range job.StepTasks(task) {
-		attempts = append(attempts, member.failedAttempts...)
-	}
-	slices.Sort(attempts)
-	return len(slices.Compact(attempts))
+	return len(job.stepOf(task).failedAttempts)
 }
 
 // Cancel records that the client cancelled the job. It reports whether anything changed.
--- a/job/progress.go
+++ b/job/progress.go
@@ -68,21 +68,21 @@
 }
 
 func (job *Job) restoreTask(task *Task, record *TaskProgress, progress *Progress, now time.Time) {
-	task.attempt = record.GetAttempt()
-	task.failedAttempts = record.GetFailed()
+	job.setAttempt(task, record.GetAttempt())
+	job.setFailedAttempts(task, record.GetFailed())
 	task.crashedAttempts = record.GetCrashed()
 	task.ambiguousAttempts = record.GetDoubted()
 	task.survivedAttempt = record.GetProven()
-	task.checkpoint = record.GetCheckpoint()
+	job.setCheckpoint(task, record.GetCheckpoint())
 	if record.GetState() == TaskState_TASK_DONE {
 		job.markDone(task)
 		return
 	}
-	task.state = record.GetState()
 	if number := int(record.GetWorker()); number > 0 && number <= len(progress.GetWorkers()) && number <= len(progress.GetAgents()) {
 		task.place = progress.placeAt(number - 1)
 		task.startedAt = now
 	}
+	job.setState(task, record.GetState())
 }
 
 // placeAt returns the place with an index. Records of earlier builds have no start times of workers.
--- a/job/slack.go
+++ b/job/slack.go
@@ -31,15 +31,14 @@
 
 // remainingPathMs returns the same as CriticalPathMs, but counts only the steps of a round that are not done.
 func (job *Job) remainingPathMs(round int) int64 {
-	first := round * len(job.submission.GetSteps())
-	return job.longestPathMs(func(number int) bool { return job.remaining[first+number] > 0 })
+	return job.longestPathMs(func(number int) bool { return job.steps[job.stepIndex(int32(round), int32(number))].remaining > 0 })
 }
 
 // currentRound returns the first round that is not done, or the last round if all are.
 func (job *Job) currentRound() int {
 	steps := len(job.submission.GetSteps())
-	for index, count := range job.remaining {
-		if count > 0 {
+	for index := range job.steps {
+		if job.steps[index].remaining > 0 {
 			return index / steps
 		}
 	}
@@ -88,7 +87,7 @@
 
 // IdleFor returns how long the job has had no running task, counted from the first call that found none.
 func (job *Job) IdleFor(now time.Time) time.Duration {
-	if len(job.RunningTasks()) > 0 {
+	if job.HasRunningTasks() {
 		job.idleSince = time.Time{}
 		return 0
 	}
--- a/job/task.go
+++ b/job/task.go
@@ -64,6 +64,11 @@
 // Place returns the place of the last start.
 func (task *Task) Place() Place { return task.place }
 
+// IsStartedAt reports whether the task is in state TASK_STARTED at the agent with an address.
+func (task *Task) IsStartedAt(agentAddress string) bool {
+	return task.state == TaskState_TASK_STARTED && task.place.AgentAddress == agentAddress
+}
+
 // Checkpoint returns the newest checkpoint, or "" if there is none.
 func (task *Task) Checkpoint() string { return task.checkpoint }
 
--- a/owner/candidate.go
+++ b/owner/candidate.go
@@ -214,12 +214,10 @@
 // machine, or are to move there. It counts those of all incarnations of the machine's worker, since a run that was
 // ordered from an earlier incarnation may still be running.
 func (worker *candidate) countStepTasks(task *job.Task) int32 {
-	count := int32(0)
-	for _, member := range task.Job().StepTasks(task) {
-		isThere := member.State() == job.TaskState_TASK_STARTED && member.Place().AgentAddress == worker.view.address
-		if isThere || member == worker.reservedFor {
-			count++
-		}
+	count := task.Job().StartedOn(task, worker.view.address)
+	if moving := worker.reservedFor; moving != nil && moving.Job() == task.Job() && moving.Round() == task.Round() && moving.Step() == task.Step() &&
+		!moving.IsStartedAt(worker.view.address) {
+		count++
 	}
 	return count
 }
--- a/owner/flush.go
+++ b/owner/flush.go
@@ -39,13 +39,27 @@
 			}
 			s.writing = false
 			owner.handleAppended(s, beganAt.Add(suspendedBefore-owner.eventLoop.SuspendedFor()), now)
-			for _, callback := range after {
-				callback(now)
-			}
+			s.stored = append(s.stored, after...)
+			owner.runStored(s, now)
 		})
 	}()
 }
 
+// maxStoredCallbacks bounds how many callbacks of a shard run in one turn of the event loop.
+const maxStoredCallbacks = 256
+
+// runStored runs the oldest callbacks that wait no more for the store, as many as fit a turn.
+func (owner *Owner) runStored(s *shard, now time.Time) {
+	due := s.stored[:min(len(s.stored), maxStoredCallbacks)]
+	s.stored = s.stored[len(due):]
+	for _, callback := range due {
+		callback(now)
+	}
+	if len(s.stored) > 0 {
+		owner.eventLoop.Wake()
+	}
+}
+
 // maxAppendBytes limits the records of one append. Within storeTimeout it must arrive over a slow link, and the store
 // refuses larger appends for good.
 const maxAppendBytes = 512 << 10
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -11,24 +11,30 @@
 )
 
 // placeGang starts all members of a gang or none. A member that started alone would reserve
-// resources without doing any work until the others start.
-func (owner *Owner) placeGang(members []*job.Task, workers []*candidate, now time.Time) {
+// resources without doing any work until the others start. It reports whether they were started.
+func (owner *Owner) placeGang(members []*job.Task, workers []*candidate, budget *placementBudget, now time.Time) bool {
 	for _, set := range owner.gangCandidateSets(members[0], workers) {
-		if assigned := owner.assignGang(members, set, now); assigned != nil {
+		if assigned := owner.assignGang(members, set, budget, now); assigned != nil {
 			for i, member := range members {
 				owner.startTask(member, assigned[i].view, now)
 				assigned[i].recordStart(member, assigned[i].view.runs[member.Name()].demand)
 			}
-			return
+			return true
 		}
 	}
+	obstacle := ""
 	for _, member := range members {
-		if !member.IsUnplaced() {
-			member.MarkUnplaced(string(mostCommonObstacle(member, workers)), now)
+		if member.IsUnplaced() {
+			continue
+		}
+		if obstacle == "" {
+			obstacle = string(mostCommonObstacle(member, workers))
 		}
+		member.MarkUnplaced(obstacle, now)
 	}
 	owner.shares.noteUnplaced(members[0], workers, now)
 	owner.enqueueAdvice(members[0], now)
+	return false
 }
 
 // gangCandidateSets returns the sets of workers to try in turn. For a gang whose members should run
@@ -50,7 +56,7 @@
 // assignGang returns a worker for each member of a gang, or nil if not all members fit. It accounts
 // for the members assigned so far on copies of the candidates. A worker that has as many members as it may have is passed
 // over for the others.
-func (owner *Owner) assignGang(members []*job.Task, workers []*candidate, now time.Time) []*candidate {
+func (owner *Owner) assignGang(members []*job.Task, workers []*candidate, budget *placementBudget, now time.Time) []*candidate {
 	originals := make(map[*candidate]*candidate, len(workers))
 	copies := make([]*candidate, 0, len(workers))
 	for _, worker := range workers {
@@ -61,6 +67,7 @@
 	var assigned []*candidate
 	counts := map[*candidate]int32{}
 	for _, member := range members {
+		budget.spendOnTask(len(copies))
 		best := owner.bestWorker(member, copies, now)
 		if best == nil {
 			return nil
@@ -95,17 +102,12 @@
 	}
 }
 
-// readyGang returns all members of a ready task's gang, or nil if any of them is not ready.
-func readyGang(task *job.Task, ready []*job.Task) []*job.Task {
-	members := task.Job().StepTasks(task)
-	count := 0
-	for _, other := range ready {
-		if other.Round() == task.Round() && other.Step() == task.Step() {
-			count++
+// isGangReady reports whether all members of a gang are ready.
+func isGangReady(members []*job.Task, now time.Time) bool {
+	for _, member := range members {
+		if !member.Job().IsReady(member, now) {
+			return false
 		}
 	}
-	if count < len(members) {
-		return nil
-	}
-	return members
+	return true
 }
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -211,3 +211,11 @@
 func (h *harness) tick() {
 	h.owner.tick(h.clock.Now())
 }
+
+// placeAll runs a whole placement pass.
+func (owner *Owner) placeAll(now time.Time) {
+	owner.pass = owner.newPlacementPass(owner.placementChanges.take(now), now)
+	for owner.pass != nil {
+		owner.continuePass(now)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -144,6 +144,7 @@
 	shares           *queueShares // nil if the feature is off
 	refusedCallers   refusedCallers
 	placementChanges placementChanges
+	pass             *placementPass // nil unless one is in progress
 	// workersExamined counts the workers examined for placing tasks, once for each job, since the counter
 	// of the metrics was last increased.
 	workersExamined int64
@@ -225,15 +226,14 @@
 	owner.updateConfirmation(now)
 	for _, s := range owner.shards {
 		owner.pruneJobs(s, now)
+		owner.runStored(s, now)
 	}
 	for _, view := range owner.agents {
 		owner.releaseExpiredRuns(view, now)
 		view.expireSharedEnds(now)
 	}
 	owner.updateReservations(now)
-	if owner.placementChanges.isDue(now) {
-		owner.placeJobs(owner.placementChanges.take(now), now)
-	}
+	owner.placeDue(now)
 	owner.answerOffers(now)
 	for _, s := range owner.shards {
 		owner.flushShard(s, now)
--- a/owner/place.go
+++ b/owner/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -32,27 +31,6 @@
 	servingIdleRatio = 0.6
 )
 
-// placeJobs runs one placement pass over the jobs and workers in changes, the most urgent job first.
-func (owner *Owner) placeJobs(changes placementChanges, now time.Time) {
-	var all, grown []*candidate
-	if changes.full || owner.hasReadyTask(changes.jobs, now) {
-		all = owner.candidates(owner.agentViews(), now)
-		grown = slices.DeleteFunc(slices.Clone(all), func(worker *candidate) bool { return !changes.workers[worker.view] })
-	} else {
-		grown = owner.candidates(maps.Keys(changes.workers), now)
-	}
-	if len(all)+len(grown) == 0 {
-		return
-	}
-	for _, j := range owner.jobsByUrgency(now) {
-		set := candidateSet{workers: grown}
-		if changes.full || changes.jobs[j] {
-			set = candidateSet{workers: all, complete: true}
-		}
-		owner.placeJob(j, set, now)
-	}
-}
-
 // candidateSet is the set of workers that a job's tasks may be placed on in one pass.
 type candidateSet struct {
 	workers []*candidate
@@ -64,7 +42,7 @@
 // hasReadyTask reports whether any of the jobs has a task that is ready to start.
 func (owner *Owner) hasReadyTask(jobs map[*job.Job]bool, now time.Time) bool {
 	for j := range jobs {
-		if len(j.ReadyTasks(now)) > 0 {
+		for range j.Ready(now) {
 			return true
 		}
 	}
@@ -176,33 +154,44 @@
 	return a.free.MilliCPU > b.free.MilliCPU
 }
 
-// placeJob places the ready tasks of a job on the candidates.
-func (owner *Owner) placeJob(j *job.Job, set candidateSet, now time.Time) {
+// placeJob places the ready tasks of a job on the candidates. It returns false if the budget was spent before all of them
+// were considered.
+//
+// unplaced holds the obstacles of the steps of which a task could not be placed in this pass.
+func (owner *Owner) placeJob(j *job.Job, set candidateSet, unplaced map[stepKey]string, budget *placementBudget, now time.Time) bool {
 	if len(set.workers) == 0 {
-		return
+		return true
 	}
-	ready := j.ReadyTasks(now)
-	if len(ready) == 0 {
-		return
+	begun := false
+	for task := range j.Ready(now) {
+		if !begun {
+			owner.workersExamined += int64(len(set.workers))
+			owner.requireTolerance(j, set.workers, now)
+			begun = true
+		}
+		if budget.isSpent() {
+			return false
+		}
+		if !task.Spec().GetGang() {
+			owner.placeStepTask(task, unplaced, set, budget, now)
+			continue
+		}
+		if members := j.StepTasks(task); set.complete && members[0] == task && isGangReady(members, now) {
+			owner.placeStepGang(members, unplaced, set, budget, now)
+		}
 	}
-	owner.workersExamined += int64(len(set.workers))
+	return true
+}
+
+// requireTolerance sets the tolerance that fill tasks of a job require of workers.
+func (owner *Owner) requireTolerance(j *job.Job, workers []*candidate, now time.Time) {
 	ratio := toleranceRatioFor(j.SlackRatio(now))
 	if j.IdleFor(now) >= maxJobIdle {
 		ratio = 0
 	}
-	for _, worker := range set.workers {
+	for _, worker := range workers {
 		worker.toleranceRatio = ratio
 	}
-	unplaced := map[stepKey]string{}
-	for _, task := range ready {
-		if !task.Spec().GetGang() {
-			owner.placeStepTask(task, unplaced, set, now)
-			continue
-		}
-		if members := readyGang(task, ready); set.complete && members != nil && members[0] == task {
-			owner.placeGang(members, set.workers, now)
-		}
-	}
 }
 
 // stepKey identifies the tasks of a step of a job in one round. Suspects are kept apart from other
@@ -217,7 +206,7 @@
 //
 // Performance: this saves most of the work, since a job may have dozens of waiting tasks in a step, and
 // there is a placement pass whenever any worker has more free resources.
-func (owner *Owner) placeStepTask(task *job.Task, unplaced map[stepKey]string, set candidateSet, now time.Time) {
+func (owner *Owner) placeStepTask(task *job.Task, unplaced map[stepKey]string, set candidateSet, budget *placementBudget, now time.Time) {
 	key := stepKey{round: task.Round(), step: task.Step(), suspect: task.IsSuspect()}
 	if obstacle, found := unplaced[key]; found {
 		if !task.IsUnplaced() {
@@ -225,11 +214,23 @@
 		}
 		return
 	}
+	budget.spendOnTask(len(set.workers))
 	if !owner.placeTask(task, set, now) {
 		_, unplaced[key] = task.UnplacedFor(now)
 	}
 }
 
+// placeStepGang places a gang, unless it could not be placed in this pass.
+func (owner *Owner) placeStepGang(members []*job.Task, unplaced map[stepKey]string, set candidateSet, budget *placementBudget, now time.Time) {
+	key := stepKey{round: members[0].Round(), step: members[0].Step()}
+	if _, found := unplaced[key]; found {
+		return
+	}
+	if !owner.placeGang(members, set.workers, budget, now) {
+		_, unplaced[key] = members[0].UnplacedFor(now)
+	}
+}
+
 // bestWorker returns the best worker that may run a task and has the resources for it, or nil.
 func (owner *Owner) bestWorker(task *job.Task, workers []*candidate, now time.Time) *candidate {
 	var best *candidate
--- a/owner/placebench_test.go
+++ b/owner/placebench_test.go
@@ -21,7 +21,7 @@
 				b.ReportAllocs()
 				for b.Loop() {
 					h.owner.placementChanges.addWorker(h.owner.agents["10.0.1.7:7001"])
-					h.owner.placeJobs(h.owner.placementChanges.take(h.clock.Now()), h.clock.Now())
+					h.owner.placeAll(h.clock.Now())
 				}
 			})
 		}
--- a/owner/placement_changes_test.go
+++ b/owner/placement_changes_test.go
@@ -12,7 +12,7 @@
 func examinedAfter(h *harness, change func()) int64 {
 	change()
 	before := h.owner.workersExamined
-	h.owner.placeJobs(h.owner.placementChanges.take(h.clock.Now()), h.clock.Now())
+	h.owner.placeAll(h.clock.Now())
 	return h.owner.workersExamined - before
 }
 
--- a/owner/records.go
+++ b/owner/records.go
@@ -70,7 +70,7 @@
 
 // removeIfSettled removes a job from the live ones if it has ended and none of its runs is left.
 func (s *shard) removeIfSettled(j *job.Job) {
-	if j.HasEnded() && len(j.RunningTasks()) == 0 {
+	if j.HasEnded() && !j.HasRunningTasks() {
 		delete(s.live, j.ID())
 	}
 }
--- a/owner/reservations.go
+++ b/owner/reservations.go
@@ -106,7 +106,7 @@
 	reservation relocation.Reservation, move reservedMove, now time.Time,
 ) relocation.EndReason {
 	task := move.run.task
-	if !slices.Contains(task.Job().ReadyTasks(now), task) {
+	if !task.Job().IsReady(task, now) {
 		return relocation.RunEnded // It has failed, and is to be started later.
 	}
 	owner.releaseReservation(reservation)
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -46,6 +46,8 @@
 	// afterFlush is called once the progress of the dirty jobs is in the store. What can't be taken back waits here,
 	// even if it changes no job: only the store can tell that this owner has not been replaced.
 	afterFlush []func(now time.Time)
+	// stored are the callbacks of afterFlush whose write has succeeded.
+	stored     []func(now time.Time)
 	writing    bool      // a write to the store is in progress
 	appendedAt time.Time // when the last write that succeeded was begun
 	sequence   int64     // of the last append with records
