owner, agent, rpc: divide messages of owners and agents

Cause: an owner put all start orders for an agent into one message, whatever its size, and the agent's side of the connection refuses more than 4 MiB. On the next connection the runs counted as lost, were placed and sent again.

Evidence: the agent's line of a lost owner lacked the error of the stream. Refuted: a slow agent and a silent owner (no such lines).

Change: orders wait in a queue of their agent, where they can be withdrawn; a message takes 64 KiB of them, and four such messages may be on their way. Runs that were never ordered are released when the connection ends. Agents divide results and ends in the same way, and list the runs only with the last of them, since a run without an end that is not listed counts as lost. A sender refuses a message above the limit, with its size; lines of lost owners and of unsent messages say why.

--- a/agent/order.go
+++ b/agent/order.go
@@ -25,12 +25,42 @@
 	maxStartTries = 3
 )
 
+// startBatch holds what the start orders of one message have in common.
+//
+// Performance: each of these values is computed from all runs of the worker, and a message may order hundreds of starts.
+type startBatch struct {
+	isReady bool
+	// free is what the runs leave free, those of the message included.
+	free freeResources
+	// leaseLimit is the time up to which the lease may be renewed, as [Agent.leaseLimit] returns it.
+	leaseLimit time.Time
+}
+
+// newStartBatch returns the batch for the orders of one message. The agent has a worker.
+func (agent *Agent) newStartBatch(now time.Time) *startBatch {
+	return &startBatch{isReady: agent.worker.isReady(), free: agent.worker.freeResources(), leaseLimit: agent.leaseLimit(now)}
+}
+
+// handleStartOrders handles the start orders of one message.
+func (agent *Agent) handleStartOrders(s *session, orders []*wire.StartOrder, now time.Time) {
+	if len(orders) == 0 {
+		return
+	}
+	batch := &startBatch{}
+	if agent.worker != nil {
+		batch = agent.newStartBatch(now)
+	}
+	for _, order := range orders {
+		agent.handleStartOrder(s, order, batch, now)
+	}
+}
+
 // handleStartOrder checks an owner's order to start a run, and sends the start to the worker or answers that
 // it was refused.
-func (agent *Agent) handleStartOrder(s *session, order *wire.StartOrder, now time.Time) {
+func (agent *Agent) handleStartOrder(s *session, order *wire.StartOrder, batch *startBatch, now time.Time) {
 	run := &runState{task: order.GetTask(), attempt: order.GetAttempt(), shard: order.GetShard(), demand: order.GetDemand(), phase: phaseStarting, pacePercent: fullPercent, isSuspect: order.GetSuspect(), fromScratch: order.GetCheckpoint() == ""}
 	state := agent.worker
-	outcome := agent.checkStart(s, order, now)
+	outcome := agent.checkStart(s, order, batch, now)
 	agent.metrics.startOrders.Add(agent.ctx, 1, telemetry.WithAttribute("outcome", outcome.String()))
 	if outcome != wire.StartOutcome_START_STARTED {
 		agent.logRun(event.OrderRefused, run, slog.String("outcome", outcome.String()))
@@ -40,14 +70,16 @@
 	agent.logRun(event.OrderTaken, run, slog.String("owner", s.ownerName), slog.Int64("connection", s.id))
 	run.startSentAt, run.sessionID = now, s.id
 	state.runs[run.task] = run
+	batch.free.subtract(run)
+	batch.leaseLimit = earlier(batch.leaseLimit, agent.grantEnd(run.shard))
 	agent.markStatusChanged()
-	agent.sendStart(state, run, order, 1, now)
+	agent.sendStart(state, run, order, 1, batch.leaseLimit, now)
 }
 
 // checkStart returns START_STARTED if the order may be sent to the worker, or else why it is refused. The
 // order must arrive on the connection that holds the shard: its owner may have abandoned an order on an older
 // one together with that connection.
-func (agent *Agent) checkStart(s *session, order *wire.StartOrder, now time.Time) wire.StartOutcome {
+func (agent *Agent) checkStart(s *session, order *wire.StartOrder, batch *startBatch, now time.Time) wire.StartOutcome {
 	state := agent.worker
 	claim, claimed := agent.claims[order.GetShard()]
 	switch {
@@ -55,7 +87,7 @@
 		return wire.StartOutcome_START_WRONG_WORKER
 	case !claimed || order.GetEpoch() != claim.epoch || claim.session != s:
 		return wire.StartOutcome_START_STALE
-	case !state.isReady() || !agent.limitByPendingEnds(claim.grantedUntil).After(now.Add(stopMargin)):
+	case !batch.isReady || !agent.limitByPendingEnds(claim.grantedUntil).After(now.Add(stopMargin)):
 		return wire.StartOutcome_START_NOT_READY
 	case state.heartbeat.Draining:
 		return wire.StartOutcome_START_DRAINING
@@ -63,7 +95,7 @@
 		return domainOutcome(agent.checkFailureDomain(now))
 	case order.GetSuspect() && state.hasNewSuspect(now):
 		return wire.StartOutcome_START_SUSPECT
-	case state.runs[order.GetTask()] != nil || !state.freeResources().fits(order.GetDemand()):
+	case state.runs[order.GetTask()] != nil || !batch.free.fits(order.GetDemand()):
 		return wire.StartOutcome_START_NO_ROOM
 	}
 	return wire.StartOutcome_START_STARTED
@@ -78,9 +110,9 @@
 }
 
 // sendStart sends a start to the worker, with a renewed lease and the present fencing token. The try counts
-// from 1.
-func (agent *Agent) sendStart(state *workerState, run *runState, order *wire.StartOrder, try int, now time.Time) {
-	leaseEnd := state.leaseEnd(now, agent.leaseLimit(now))
+// from 1, and leaseLimit is that of [Agent.leaseLimit].
+func (agent *Agent) sendStart(state *workerState, run *runState, order *wire.StartOrder, try int, leaseLimit, now time.Time) {
+	leaseEnd := state.leaseEnd(now, leaseLimit)
 	state.recordLease(leaseEnd)
 	start := platform.Start{
 		Task: run.task, Attempt: run.attempt, Spec: order.GetSpec(), Checkpoint: order.GetCheckpoint(),
@@ -108,7 +140,7 @@
 		state.recordAnswer(run.startSentAt, now)
 		run.phase = phaseRunning
 		run.confirmedAt, run.workUpdatedAt = now, now
-		agent.schedulePacing(state, run)
+		agent.schedulePacing(state, run, now)
 		agent.queueResult(state, run, wire.StartOutcome_START_STARTED)
 		return
 	}
@@ -122,7 +154,7 @@
 			return
 		}
 		if retryable && try < maxStartTries && run.phase == phaseStarting && !state.isSuperseded {
-			agent.sendStart(state, run, order, try+1, now)
+			agent.sendStart(state, run, order, try+1, agent.leaseLimit(now), now)
 			return
 		}
 		agent.failStart(state, run, refusalOutcome(refused.Reason()), err)
@@ -139,11 +171,20 @@
 	}
 }
 
-// schedulePacing adjusts the paces once the worker accepts a pace for a run that has just started.
-func (agent *Agent) schedulePacing(state *workerState, run *runState) {
-	agent.options.Clock.AfterFunc(firstPaceDelay, func() {
+// pacingBatch is how much later than firstPaceDelay the paces may be adjusted, so that runs that start together have them
+// adjusted once.
+const pacingBatch = 10 * time.Millisecond
+
+// schedulePacing adjusts the paces once the worker accepts a pace for a run that has just started. A run that neither
+// fills nor serves has no effect on the paces.
+func (agent *Agent) schedulePacing(state *workerState, run *runState, now time.Time) {
+	if !run.demand.GetFills() && run.demand.GetTargetMs() == 0 || now.Sub(state.pacingScheduledAt) < pacingBatch {
+		return
+	}
+	state.pacingScheduledAt = now
+	agent.options.Clock.AfterFunc(firstPaceDelay+pacingBatch, func() {
 		agent.eventLoop.Post(func(now time.Time) {
-			if agent.worker == state && state.runs[run.task] == run {
+			if agent.worker == state {
 				agent.adjustPaces(state, false, now)
 			}
 		})
--- a/agent/resources.go
+++ b/agent/resources.go
@@ -19,18 +19,23 @@
 func (state *workerState) freeResources() freeResources {
 	free := freeResources{Resources: admission.NewResources(state.heartbeat.MilliCPU, state.heartbeat.MemoryMB, state.heartbeat.Accelerators)}
 	for _, run := range state.runs {
-		demand := run.demand
-		free.Subtract(admission.ReservedBy(demand))
-		if demand.GetFills() {
-			free.fillMilliCPU += demand.GetMilliCpu() * int64(run.pacePercent) / fullPercent
-		}
-		if demand.GetTargetMs() > 0 {
-			free.servingMilliCPU += demand.GetMilliCpu()
-		}
+		free.subtract(run)
 	}
 	return free
 }
 
+// subtract accounts for a run.
+func (free *freeResources) subtract(run *runState) {
+	demand := run.demand
+	free.Subtract(admission.ReservedBy(demand))
+	if demand.GetFills() {
+		free.fillMilliCPU += demand.GetMilliCpu() * int64(run.pacePercent) / fullPercent
+	}
+	if demand.GetTargetMs() > 0 {
+		free.servingMilliCPU += demand.GetMilliCpu()
+	}
+}
+
 // freeOnceStopped returns the resources that will be free once the runs that are being stopped have ended.
 func (state *workerState) freeOnceStopped() freeResources {
 	free := state.freeResources()
--- a/agent/session.go
+++ b/agent/session.go
@@ -58,11 +58,11 @@
 }
 
 // Attach serves the stream of an owner until either side closes it. It implements wire.DRPCAgentServer.
-func (agent *Agent) Attach(stream wire.DRPCAgent_AttachStream) error {
+func (agent *Agent) Attach(stream wire.DRPCAgent_AttachStream) (err error) {
 	s := &session{outbox: make(chan *wire.AgentMessage, outboxSize), closed: make(chan struct{}), statusChanged: true, fullUpdateDue: true}
 	failed := make(chan error, 1)
 	go func() { failed <- agent.receive(stream, s) }()
-	defer agent.eventLoop.Post(func(now time.Time) { agent.detach(s) })
+	defer func() { agent.eventLoop.Post(func(time.Time) { agent.detach(s, err) }) }()
 	for {
 		select {
 		case message := <-s.outbox:
@@ -94,14 +94,14 @@
 	agent.log(code, append(common, attributes...)...)
 }
 
-// detach removes a session whose stream has ended.
-func (agent *Agent) detach(s *session) {
+// detach removes a session whose stream has ended with an error, or without one if the agent has closed it.
+func (agent *Agent) detach(s *session, err error) {
 	s.isClosed = true
 	if !agent.sessions[s] {
 		return
 	}
 	delete(agent.sessions, s)
-	agent.logSession(event.OwnerLost, s)
+	agent.logSession(event.OwnerLost, s, slog.Any("error", err))
 }
 
 // handleOwnerMessage handles a message of an owner. The first one on a stream adds the session.
@@ -144,9 +144,7 @@
 	for _, order := range message.GetPreempts() {
 		agent.handlePreemptOrder(order, now)
 	}
-	for _, order := range message.GetStarts() {
-		agent.handleStartOrder(s, order, now)
-	}
+	agent.handleStartOrders(s, message.GetStarts(), now)
 	if len(message.GetStarts()) > 0 && message.GetEvacuations() == nil && agent.checkFailureDomain(now) == operator.Outdated {
 		agent.requestEvacuations()
 	}
--- a/agent/updates.go
+++ b/agent/updates.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ambertiller.example/ambertiller/event"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/wire"
@@ -54,6 +56,9 @@
 		select {
 		case s.outbox <- message:
 			agent.traffic.AddAgentMessage(agent.ctx, message, s.isSameDomain)
+			if agent.isUpdateDue(s, now) {
+				agent.eventLoop.Wake()
+			}
 		default:
 			// The owner does not read, so it is considered gone. When it attaches again, it is sent
 			// everything.
@@ -94,12 +99,36 @@
 	return false
 }
 
+// maxEndBytes is the size up to which ends and results are added to one message. It arrives within a tenth of a second over
+// a link of 10 Mbit/s, while the owner's bound on silence is seconds.
+const maxEndBytes = 64 << 10
+
+// takeEnds moves results, ends and offers to a message, as many as fit. The others wait for the next message, which is
+// due at once.
+func (s *session) takeEnds(message *wire.AgentMessage) {
+	space := &wire.Space{Left: maxEndBytes}
+	results := space.Fit(len(s.results), func(index int) proto.Message { return s.results[index] })
+	message.Results, s.results = s.results[:results:results], s.results[results:]
+	ends := space.Fit(len(s.ends), func(index int) proto.Message { return s.ends[index] })
+	message.Ends, s.ends = s.ends[:ends:ends], s.ends[ends:]
+	shared := space.Fit(len(s.sharedEnds), func(index int) proto.Message { return s.sharedEnds[index] })
+	message.SharedEnds, s.sharedEnds = s.sharedEnds[:shared:shared], s.sharedEnds[shared:]
+	offers := space.Fit(len(s.offers), func(index int) proto.Message { return s.offers[index] })
+	message.Offers, s.offers = s.offers[:offers:offers], s.offers[offers:]
+}
+
+// hasUnsentEnds reports whether results or ends of runs wait for the next message.
+func (s *session) hasUnsentEnds() bool { return len(s.results)+len(s.ends) > 0 }
+
 // nextMessage returns the next message to an owner, and records its contents as sent.
+//
+// It lists the runs only together with the last results and ends that wait: an owner takes a run that is not listed, and
+// has no end, for lost.
 func (agent *Agent) nextMessage(s *session, status *wire.WorkerStatus, now time.Time) *wire.AgentMessage {
 	message := &wire.AgentMessage{
-		UptimeNanos: int64(agent.uptime(now)), Results: s.results, Ends: s.ends, Handled: s.handledSequence,
-		Offers: s.offers, SharedEnds: s.sharedEnds,
+		UptimeNanos: int64(agent.uptime(now)), Handled: s.handledSequence,
 	}
+	s.takeEnds(message)
 	if s.lastSentAt.IsZero() || !s.acceptsChanges {
 		message.Agent, message.KeepsLearned = agent.agentID, true
 	}
@@ -108,16 +137,15 @@
 	} else {
 		message.Status = status
 	}
-	if s.fullUpdateDue || now.Sub(s.runsSentAt) >= runsInterval {
+	if (s.fullUpdateDue || now.Sub(s.runsSentAt) >= runsInterval) && !s.hasUnsentEnds() {
 		message.Complete = true
 		message.Runs = agent.runStatuses(s)
 		if claim, found := agent.claims[job.InterferenceShard]; found && claim.session == s {
 			message.Learned = s.changedEstimates(agent.pacer.localEstimates())
 		}
-		s.runsSentAt = now
+		s.runsSentAt, s.fullUpdateDue = now, false
 	}
-	s.results, s.ends, s.sharedEnds, s.offers = nil, nil, nil, nil
-	s.statusChanged, s.fullUpdateDue = false, false
+	s.statusChanged = false
 	s.lastSentAt, s.acknowledgedSequence = now, s.handledSequence
 	return message
 }
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -40,18 +40,20 @@
 	// storedAhead holds the numbers above storedEnd of ends that are in the store.
 	storedAhead map[int64]bool
 
-	provenAliveAt   time.Time // the last time at which the worker was certainly alive
-	lastSignAt      time.Time // when the last sign of life was noticed
-	runsKnown       bool      // the worker has listed its runs in answer to the present token
-	runsListedOnce  bool      // the worker has listed its runs to this agent at least once
-	isPolling       bool      // a poll has not been answered yet
-	pollAt          time.Time
-	pollFailures    int
-	clock           time.Duration // the last reading of the worker's clock, taken before clockReadAt
-	clockReadAt     time.Time
-	leaseOverBy     time.Time // when all runs have certainly ended if the lease is not renewed
-	leavesAt        time.Time // when a draining worker may leave, zero while not known
-	unsettledStarts int       // starts without an answer, which the next poll settles
+	provenAliveAt  time.Time // the last time at which the worker was certainly alive
+	lastSignAt     time.Time // when the last sign of life was noticed
+	runsKnown      bool      // the worker has listed its runs in answer to the present token
+	runsListedOnce bool      // the worker has listed its runs to this agent at least once
+	isPolling      bool      // a poll has not been answered yet
+	pollAt         time.Time
+	pollFailures   int
+	// pacingScheduledAt is when the last adjustment of the paces after a start was scheduled.
+	pacingScheduledAt time.Time
+	clock             time.Duration // the last reading of the worker's clock, taken before clockReadAt
+	clockReadAt       time.Time
+	leaseOverBy       time.Time // when all runs have certainly ended if the lease is not renewed
+	leavesAt          time.Time // when a draining worker may leave, zero while not known
+	unsettledStarts   int       // starts without an answer, which the next poll settles
 }
 
 // runState is what the agent knows of one run on the worker.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -249,6 +249,7 @@
 	EndShared
 	SharedEndApplied
 	EndsLeftBehind
+	MessageUnsent
 )
 
 // catalogue lists all events. docs/EVENTS.md is generated from it.
@@ -358,7 +359,7 @@
 	{WorkerSilent, slog.LevelWarn, "worker silent", "The worker does not answer its agent.", platformRelease},
 	{WorkerBack, slog.LevelInfo, "worker back", "The worker answers its agent again.", platformRelease},
 	{OwnerAttached, slog.LevelInfo, "owner attached", "An owner's connection to this agent is established.", platformRelease},
-	{OwnerLost, slog.LevelWarn, "owner lost", "An owner's connection to this agent is lost. Its runs continue until its last grant ends.", platformRelease},
+	{OwnerLost, slog.LevelWarn, "owner lost", "An owner's connection to this agent is lost. Its runs continue until its last grant ends. The attribute error says why the stream ended, such as a message above the size that is accepted.", platformRelease},
 	{ShardClaimed, slog.LevelDebug, "shard claimed", "An owner told the agent that it owns shards from now on.", platformRelease},
 	{OrderRefused, slog.LevelInfo, "order refused", "A start was refused, by the agent or by the worker. The worker has not started the run.", platformRelease},
 	{OrderUnsettled, slog.LevelWarn, "order unsettled", "The worker did not answer an order. After a start, the fencing token is raised so that the start can't take effect later, and the worker is asked which runs it has.", platformRelease},
@@ -388,6 +389,7 @@
 	{EndShared, slog.LevelInfo, "end shared", "An agent told all owners the end of a run, since the owner of its shard may not be able to store it before this machine is gone: its worker drains, does not answer or has ended, or the end is not in the store one second after the worker listed it.", sharedEndsRelease},
 	{SharedEndApplied, slog.LevelInfo, "shared end applied", "An owner that has just loaded a shard applied an end that an agent had shared before. It would otherwise have waited until the last grant for the run must have expired, if the agent is gone. The attribute age says how long ago the end was received.", sharedEndsRelease},
 	{EndsLeftBehind, slog.LevelWarn, "ends left behind", "An agent stopped although ends of runs whose worker is gone, or the record that the worker is over, were not in the store when the time for a planned stop was over. The owners that were connected know the ends (event 935).", sharedEndsRelease},
+	{MessageUnsent, slog.LevelWarn, "message unsent", "An owner could not send a message to an agent, and closes the connection. The attribute error says whether the connection failed or the message exceeds what the agent accepts.", boundedWorkRelease},
 
 	{JobForecast, slog.LevelInfo, "job forecast", "A job has ended of which the end had been forecast when its owner read it. The attributes give the forecast of the start and of the end with its deviation, the age of the oldest backlog that it was based on, the work ahead of the job, the work that had ended in the 5 s before and the processors in use, the end expected by these before it was corrected by earlier outcomes, the time that the job took, and the ratio of that time to the expected one.", hardLoadRelease},
 	{BacklogKnown, slog.LevelInfo, "backlog known", "The gateway knows the backlogs of all owners again, so it can forecast when jobs end. The attribute age is that of the oldest one.", hardLoadRelease},
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -39,10 +39,15 @@
 	// grantEnd is when the last grant must have expired, by this owner's clock.
 	grantEnd time.Time
 
-	nextMessage     *wire.OwnerMessage // collects what is sent with the next message
-	sentSequence    int64              // of the last message sent on the current connection
-	handledSequence int64              // of the last message that the agent has handled
-	sentAt          time.Time
+	nextMessage *wire.OwnerMessage // collects what is sent with the next message
+	// startsDue holds the runs whose start is in the store and whose order was not sent yet.
+	startsDue       []*trackedRun
+	sentSequence    int64 // of the last message sent on the current connection
+	handledSequence int64 // of the last message that the agent has handled
+	// fullSequences are the sequence numbers of the messages that were filled with orders and that the agent has not
+	// handled yet.
+	fullSequences []int64
+	sentAt        time.Time
 	// ackDeadline is when the agent must have acknowledged the oldest message that it has not
 	// acknowledged yet; zero if there is none.
 	ackDeadline time.Time
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -64,13 +65,13 @@
 		return false
 	}
 	conn := &agentConn{outbox: make(chan *wire.OwnerMessage, outboxSize), cancel: cancel}
-	go owner.sendMessages(ctx, conn, stream, rpcConn)
+	go owner.sendMessages(ctx, view.address, conn, stream, rpcConn)
 	owner.eventLoop.Post(func(now time.Time) { owner.handleConnected(view, conn) })
 	received := false
 	for {
 		message, err := stream.Recv()
 		if err != nil {
-			owner.eventLoop.Post(func(now time.Time) { owner.handleDisconnected(view, conn, err) })
+			owner.eventLoop.Post(func(now time.Time) { owner.handleDisconnected(view, conn, err, now) })
 			return received
 		}
 		received = true
@@ -79,13 +80,14 @@
 }
 
 // sendMessages sends the messages in a connection's outbox until ctx ends or a message can't be sent.
-func (owner *Owner) sendMessages(ctx context.Context, conn *agentConn, stream wire.DRPCAgent_AttachClient, rpcConn drpc.Conn) {
+func (owner *Owner) sendMessages(ctx context.Context, address string, conn *agentConn, stream wire.DRPCAgent_AttachClient, rpcConn drpc.Conn) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case message := <-conn.outbox:
 			if err := stream.Send(message); err != nil {
+				owner.log(event.MessageUnsent, slog.String("peer", address), slog.Int64("message", message.GetSequence()), slog.Any("error", err))
 				conn.cancel()
 				// The receiving goroutine reports the end of the connection.
 				_ = rpcConn.Close()
@@ -110,20 +112,22 @@
 	view.receivedOnConn, view.keepsLearned = false, false
 	view.learnedSentAt, view.learnedSentVersion = time.Time{}, 0
 	view.sentEvacuations = nil
+	view.fullSequences = nil
 	for _, run := range view.runs {
-		run.orderedEarlier = true
+		run.orderedEarlier = !run.isUnordered()
 		run.orderSequence = 0
 	}
 	owner.log(event.AgentAttached, slog.String("agent", view.address))
 }
 
 // handleDisconnected records that a connection has ended, unless a newer one has replaced it.
-func (owner *Owner) handleDisconnected(view *agentView, conn *agentConn, err error) {
+func (owner *Owner) handleDisconnected(view *agentView, conn *agentConn, err error, now time.Time) {
 	if view.conn != conn {
 		return
 	}
 	view.conn = nil
 	owner.log(event.AgentLost, slog.String("agent", view.address), slog.Int("runs", len(view.runs)), slog.Any("error", err))
+	owner.releaseUnordered(view, now)
 }
 
 // closeIfUnresponsive closes a connection on which the agent has not acknowledged messages in time, so that
@@ -159,4 +163,5 @@
 		view.ackDeadline = view.nextAckDeadline(now)
 	}
 	view.handledSequence = handled
+	view.fullSequences = slices.DeleteFunc(view.fullSequences, func(sequence int64) bool { return sequence <= handled })
 }
--- a/owner/reconcile_test.go
+++ b/owner/reconcile_test.go
@@ -53,7 +53,7 @@
 	h := newHarness(t)
 	j := h.submit()
 	h.attachAndStart()
-	h.owner.handleDisconnected(h.agent, h.agent.conn, context.Canceled)
+	h.owner.handleDisconnected(h.agent, h.agent.conn, context.Canceled, h.clock.Now())
 	h.clock.Advance(6 * time.Second)
 	h.tick()
 	if j.Tasks()[0].Attempt() != 1 || j.Tasks()[0].State() != job.TaskState_TASK_STARTED {
--- a/owner/relocation_test.go
+++ b/owner/relocation_test.go
@@ -238,7 +238,9 @@
 		waiting bool // the run ends afterwards, and its task has to wait
 		atEnd   bool // that is noticed only then
 	}{
-		"the destination is lost":   {func(h *moveHarness) { h.owner.handleDisconnected(h.destination, h.destination.conn, nil) }, true, false},
+		"the destination is lost": {func(h *moveHarness) {
+			h.owner.handleDisconnected(h.destination, h.destination.conn, nil, h.clock.Now())
+		}, true, false},
 		"the destination is silent": {func(h *moveHarness) { h.clock.Advance(1900 * time.Millisecond) }, true, false},
 		"the destination drains":    {func(h *moveHarness) { h.destination.status().Draining = true }, true, false},
 		"the destination is evacuated": {func(h *moveHarness) {
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -55,30 +55,29 @@
 	s.afterFlush = append(s.afterFlush, func(now time.Time) { owner.addStartOrder(view, run, now) })
 }
 
-// addStartOrder adds the start order of a run whose start is in the store to the agent's next message. If
-// the run can't be ordered any more, it is released.
+// addStartOrder has a run ordered whose start is in the store, unless it can't be ordered any more.
 func (owner *Owner) addStartOrder(view *agentView, run *trackedRun, now time.Time) {
+	if owner.mayOrder(view, run, now) {
+		run.orderedAt = now
+		view.startsDue = append(view.startsDue, run)
+	}
+}
+
+// mayOrder reports whether a run may still be ordered. It releases a run that can't be: it was never ordered, so it can't
+// have started.
+func (owner *Owner) mayOrder(view *agentView, run *trackedRun, now time.Time) bool {
 	if view.runs[run.taskName] != run {
-		return
+		return false
 	}
 	if view.conn == nil || view.incarnation() != run.place.Incarnation || run.task.Job().HasEnded() {
-		// The run was never ordered, so it can't have started.
 		owner.releaseRun(view, run, "its place went away before the order", now)
-		return
+		return false
 	}
 	if owner.isEvacuated(view) {
 		owner.releaseRun(view, run, "its failure domain was evacuated before the order", now)
-		return
+		return false
 	}
-	j := run.task.Job()
-	view.nextMessage.Starts = append(view.nextMessage.Starts, &wire.StartOrder{
-		Shard: int32(run.shard.number), Epoch: run.shard.epoch, Task: run.taskName, Attempt: run.attempt, Worker: run.place.Incarnation.WorkerID(), Born: run.place.Incarnation.StartedMs(),
-		Spec: j.Submission().GetSpec(), Checkpoint: j.ResumeCheckpoint(run.task), Ticket: run.ticket, Demand: run.demand, Suspect: run.isSuspect,
-	})
-	run.orderSequence = view.sentSequence + 1
-	run.orderedAt = now
-	run.orderedEarlier = false
-	owner.logRun(event.RunOrdered, run, slog.String("worker", run.place.Incarnation.WorkerID()), slog.Int64("message", run.orderSequence))
+	return true
 }
 
 // confirmRun marks a run as started.
--- a/owner/shared_ends_test.go
+++ b/owner/shared_ends_test.go
@@ -35,7 +35,7 @@
 			h.receive(&wire.AgentMessage{SharedEnds: []*wire.RunEnd{{
 				Worker: workerID, Number: 7, Task: firstTask, Attempt: 1, Reason: test.reason, Checkpoint: "later",
 			}}})
-			h.owner.handleDisconnected(h.agent, h.agent.conn, context.Canceled)
+			h.owner.handleDisconnected(h.agent, h.agent.conn, context.Canceled, h.clock.Now())
 			h.clock.Advance(test.age)
 			h.owner.lastJoinAt = h.clock.Now()
 			h.tick()
--- a/owner/tracked_run.go
+++ b/owner/tracked_run.go
@@ -28,8 +28,8 @@
 	inherited bool
 	// confirmed is set once the agent has reported the run as started.
 	confirmed bool
-	// orderedAt is when the start was in the store and the order was added to a message. It is zero for a
-	// run that an earlier owner ordered.
+	// orderedAt is when the start was in the store, so that it could be ordered. It is zero for a run that an earlier
+	// owner ordered.
 	orderedAt time.Time
 	// progressPercent is the progress last reported, progressedAt when it last changed.
 	progressPercent int32
@@ -39,6 +39,9 @@
 	inAgentStatus bool
 }
 
+// isUnordered reports whether no order of the run was sent, so that it can't have started.
+func (run *trackedRun) isUnordered() bool { return run.orderSequence == 0 && !run.orderedEarlier }
+
 // storeLatency returns the time from the placement of the task until its start was in the store, or 0 if that
 // is not known. The run may be nil.
 func (run *trackedRun) storeLatency(task *job.Task) time.Duration {
--- a/owner/update.go
+++ b/owner/update.go
@@ -10,26 +10,29 @@
 	"ambertiller.example/ambertiller/wire"
 )
 
-// sendUpdate sends an agent the next message, if it has any content or a grant is due.
+// sendUpdate sends an agent the next message, if it has any content or a grant is due. Orders that don't fit the message
+// wait for the next one.
 func (owner *Owner) sendUpdate(view *agentView, now time.Time) {
 	if view.conn == nil {
 		return
 	}
 	owner.stopEndedJobs(view, now)
-	message := view.nextMessage
 	if !view.claimsSent {
 		owner.addShardClaims(view)
 	}
 	owner.addEvacuations(view)
+	message := view.nextMessage
 	grantDue := now.Sub(view.sentAt) >= owner.sendInterval()
-	if !grantDue && !message.Owned && message.Evacuations == nil && len(message.Starts)+len(message.Stops)+len(message.Seen)+len(message.Runs)+len(message.Preempts)+len(message.Moves) == 0 {
+	if !grantDue && !message.Owned && message.Evacuations == nil && !view.maySendOrders() {
 		return
 	}
+	rest := owner.takeOrders(view, now)
+	owner.addEvacuations(view)
 	owner.addGrant(view, now)
 	owner.addLearned(view, now)
 	view.sentSequence++
 	message.Sequence = view.sentSequence
-	view.nextMessage = &wire.OwnerMessage{}
+	view.nextMessage = rest
 	view.sentAt = now
 	if view.ackDeadline.IsZero() {
 		view.ackDeadline = view.nextAckDeadline(now)
@@ -41,6 +44,9 @@
 		// The agent does not read from the connection, so close it. A new one will be made.
 		view.conn.cancel()
 	}
+	if view.maySendOrders() {
+		owner.eventLoop.Wake()
+	}
 }
 
 // idleSendInterval is how often an owner without shards sends messages to agents. It is short enough for
@@ -97,8 +103,12 @@
 // stopOnceOwned adds an order to stop a run that goes on, once the store has shown that the run's shard has no later
 // owner: that one may want the run to go on.
 func (owner *Owner) stopOnceOwned(view *agentView, run *trackedRun) {
-	run.shard.afterFlush = append(run.shard.afterFlush, func(time.Time) {
-		if view.runs[run.taskName] == run {
+	run.shard.afterFlush = append(run.shard.afterFlush, func(now time.Time) {
+		switch {
+		case view.runs[run.taskName] != run:
+		case run.isUnordered():
+			owner.releaseRun(view, run, "it was to be stopped before the order", now)
+		default:
 			view.addStopOrder(run.shard, run.taskName, run.attempt, run.place.Incarnation)
 		}
 	})
@@ -117,7 +127,7 @@
 // stopEndedJobs adds stop orders for the runs of jobs whose end is in the store, such as by a cancellation.
 func (owner *Owner) stopEndedJobs(view *agentView, now time.Time) {
 	for _, run := range view.runs {
-		if !run.shard.isEndStored(run.task.Job()) || run.orderSequence == 0 && !run.orderedEarlier || now.Sub(run.stopOrderedAt) < stopRetryInterval {
+		if !run.shard.isEndStored(run.task.Job()) || run.isUnordered() || now.Sub(run.stopOrderedAt) < stopRetryInterval {
 			continue
 		}
 		run.stopOrderedAt = now
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -26,8 +26,8 @@
 //
 // # Errors
 //
-// A [*DialError] proves that the call was not made. After any other error the call
-// may have been carried out.
+// A [*DialError] proves that the call was not made, a [*MessageTooLargeError] that the message was not sent.
+// After any other error the call may have been carried out.
 package rpc
 
 import (
@@ -50,7 +50,6 @@
 const (
 	dialTimeout            = time.Second
 	idleExpiration         = time.Minute
-	maxMessageBytes        = 4 << 20
 	retainedBufferBytes    = 64 << 10
 	poolCapacity           = 4096
 	poolCapacityPerAddress = 128
@@ -78,7 +77,7 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		WriterBufferSize: writerBufferBytes,
-		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
 		Stream:           drpcstream.Options{SplitSize: splitFrameBytes, MaximumBufferSize: retainedBufferBytes},
 		SoftCancel:       true,
 		SoftCancelGrace:  softCancelGrace,
@@ -206,7 +205,7 @@
 	if err != nil {
 		return nil, &DialError{address: address, cause: err}
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+	return limitedConn{drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})}, nil
 }
 
 // DialUnpooled opens a connection that the caller owns, for a long-lived stream.
@@ -215,7 +214,7 @@
 	if err != nil {
 		return nil, &DialError{address: address, cause: err}
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+	return limitedConn{drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})}, nil
 }
 
 // Server accepts calls on one address.
@@ -245,7 +244,7 @@
 	}
 	return &Server{
 		listener: listener,
-		handler:  drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+		handler:  drpcserver.NewWithOptions(limitedHandler{mux}, drpcserver.Options{Manager: managerOptions()}),
 	}, nil
 }
 
