owner, agent: a run counts as begun once its worker has shown it

Cause: an agent lists a run as soon as it has sent the start, and the owner took each listed run for begun. An end reported for a run that was lost with its worker counted as proof as well. Nothing moves a job back.

Evidence: before the fix, the agent of the lost worker logged "order unsettled" for the very jobs whose runs the owner had logged as started. Refuted: the cached count (500 ms) and owners that don't answer (the count fails then, rather than leave a shard out).

Change: agents tell of each listed run whether its worker has answered the start or listed it, and of a lost run whether it never did. Owners take only that, an answer to the start order, progress, or an end of the worker's list for proof; the state, the wait in the metrics and the refusals follow it. An agent of an earlier build answers start orders on the connection they came on, so its list proves only runs that were ordered before; earlier owners ignore the new fields. A state that was shown is never taken back.

--- a/agent/liveness.go
+++ b/agent/liveness.go
@@ -135,7 +135,7 @@
 func (state *workerState) newLostEnd(run *runState) *wire.RunEnd {
 	return &wire.RunEnd{
 		Worker: state.incarnation.WorkerID(), Born: state.incarnation.StartedMs(), Task: run.task, Attempt: run.attempt, Reason: wire.EndReason_END_LOST,
-		Checkpoint: run.checkpoint, Proven: state.survivedStart(run),
+		Checkpoint: run.checkpoint, Proven: state.survivedStart(run), Unanswered: !run.begun,
 	}
 }
 
--- a/agent/order.go
+++ b/agent/order.go
@@ -138,7 +138,7 @@
 func (agent *Agent) handleStartAnswer(state *workerState, run *runState, order *wire.StartOrder, try int, err error, now time.Time) {
 	if err == nil {
 		state.recordAnswer(run.startSentAt, now)
-		run.phase = phaseRunning
+		run.phase, run.begun = phaseRunning, true
 		run.confirmedAt, run.workUpdatedAt = now, now
 		agent.schedulePacing(state, run, now)
 		agent.queueResult(state, run, wire.StartOutcome_START_STARTED)
--- a/agent/reconcile.go
+++ b/agent/reconcile.go
@@ -48,6 +48,7 @@
 	if run.attempt != listed.Attempt {
 		return
 	}
+	run.begun = true
 	if run.phase == phaseUnsettled {
 		agent.settleStart(state, run, true)
 		run.confirmedAt = now
--- a/agent/updates.go
+++ b/agent/updates.go
@@ -130,7 +130,7 @@
 	}
 	s.takeEnds(message)
 	if s.lastSentAt.IsZero() || !s.acceptsChanges {
-		message.Agent, message.KeepsLearned = agent.agentID, true
+		message.Agent, message.KeepsLearned, message.TellsBegun = agent.agentID, true, true
 	}
 	if s.acceptsChanges {
 		s.statusEncoder.Encode(message, status)
@@ -162,6 +162,7 @@
 		}
 		listed = append(listed, &wire.RunStatus{
 			Task: run.task, Attempt: run.attempt, Checkpoint: run.checkpoint, Percent: run.progressPercent, Figure: run.reading,
+			Begun: run.begun,
 		})
 	}
 	return listed
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -74,6 +74,8 @@
 	slowedSince  time.Time // when the pace fell below slowedPercent, zero while it is not below
 	confirmedAt  time.Time // when the worker answered the start or first listed the run
 	startSentAt  time.Time // when the start was first sent, or the run adopted
+	// begun is set once the worker has answered the start or listed the run. Until then the run may not exist.
+	begun bool
 	// sessionID is the session on which the start was ordered, 0 for an adopted run.
 	sessionID int64
 	// fromScratch is set for a run that started without a checkpoint. workDone is then the time, at full
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -99,6 +99,17 @@
 // conclusive: a failure counts against the allowed attempts, a crash of the worker counts against the task,
 // and a task that waits is done if an earlier run turns out to have completed it.
 func (job *Job) EndRun(task *Task, attempt int32, reason EndReason, checkpoint string, now time.Time) bool {
+	return job.endRun(task, attempt, reason, checkpoint, true, now)
+}
+
+// EndUnansweredRun is like [Job.EndRun] for a run that was interrupted or lost in a crash and may not have begun, since
+// nothing is known of it but that its start was sent. A job that waits goes on waiting then.
+func (job *Job) EndUnansweredRun(task *Task, attempt int32, reason EndReason, now time.Time) bool {
+	return job.endRun(task, attempt, reason, "", false, now)
+}
+
+// endRun implements EndRun and EndUnansweredRun. begun is set if the run has certainly begun.
+func (job *Job) endRun(task *Task, attempt int32, reason EndReason, checkpoint string, begun bool, now time.Time) bool {
 	isCurrent := attempt == task.attempt
 	if task.state == TaskState_TASK_DONE || task.state == TaskState_TASK_FAILED {
 		return false
@@ -109,7 +120,9 @@
 	if checkpoint != "" && isCurrent {
 		job.setCheckpoint(task, checkpoint)
 	}
-	job.MarkRunning(now)
+	if begun {
+		job.MarkRunning(now)
+	}
 	switch reason {
 	case EndDone:
 		return job.recordSuccess(task, isCurrent, now)
--- a/owner/agents.go
+++ b/owner/agents.go
@@ -58,6 +58,9 @@
 
 	// receivedOnConn is set once the agent has sent a message on the current connection.
 	receivedOnConn bool
+	// tellsBegun is set for an agent that tells which runs have begun. One of an earlier build lists a run as soon as it
+	// has sent the start.
+	tellsBegun bool
 	// keepsLearned is set for an agent that stores the interference estimates it receives, so that only
 	// changed ones have to be sent. learnedSentAt is when estimates were last sent to the agent, and
 	// learnedSentVersion the version of the table up to which it has them.
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -109,7 +109,7 @@
 	view.claimSequences = map[int]int64{}
 	view.claimsSent = false
 	view.sentAt, view.ackDeadline = time.Time{}, time.Time{}
-	view.receivedOnConn, view.keepsLearned = false, false
+	view.receivedOnConn, view.keepsLearned, view.tellsBegun = false, false, false
 	view.learnedSentAt, view.learnedSentVersion = time.Time{}, 0
 	view.sentEvacuations = nil
 	view.fullSequences = nil
--- a/owner/incarnation_test.go
+++ b/owner/incarnation_test.go
@@ -46,7 +46,9 @@
 }
 
 // firstRunListed returns what an agent lists while the first run of the task is running.
-func firstRunListed() []*wire.RunStatus { return []*wire.RunStatus{{Task: firstTask, Attempt: 1}} }
+func firstRunListed() []*wire.RunStatus {
+	return []*wire.RunStatus{{Task: firstTask, Attempt: 1, Begun: true}}
+}
 
 // TestEndOfEarlierIncarnation: the end of one incarnation must not release a run on the next one. Neither
 // must an ended worker ID without a start time, as written by earlier versions that could not tell
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -24,6 +24,7 @@
 		view.sentAt = time.Time{} // Send the first grant on the connection at once.
 	}
 	view.keepsLearned = view.keepsLearned || message.GetKeepsLearned()
+	view.tellsBegun = view.tellsBegun || message.GetTellsBegun()
 	view.lastMessageAt = now
 	view.agentUptime = time.Duration(message.GetUptimeNanos())
 	view.recordAcknowledged(message.GetHandled(), now)
@@ -102,7 +103,9 @@
 // handleListedRun applies what an agent reports of a run that was placed there. If the worker is not ready,
 // the agent may have been restarted, so it is sent the run's demand again.
 func (owner *Owner) handleListedRun(view *agentView, run *trackedRun, reported *wire.RunStatus, now time.Time) {
-	owner.confirmRun(run, now)
+	if view.provesBegun(run, reported) {
+		owner.confirmRun(run, now)
+	}
 	run.inherited, run.inAgentStatus = false, true
 	run.task.Job().SetCheckpoint(run.task, reported.GetAttempt(), reported.GetCheckpoint())
 	if !view.status().GetReady() {
@@ -110,6 +113,30 @@
 	}
 }
 
+// provesBegun reports whether a listed run has certainly begun. An agent lists a run from when it has sent the start. One
+// that doesn't tell more answers the start order as soon as the worker has answered, but only on the connection on which
+// the order came.
+func (view *agentView) provesBegun(run *trackedRun, reported *wire.RunStatus) bool {
+	if reported.GetBegun() || reported.GetPercent() > 0 || reported.GetCheckpoint() != "" {
+		return true
+	}
+	return !view.tellsBegun && run.orderedEarlier
+}
+
+// provesEndedRunBegun reports whether the run of an end has certainly begun. The run is nil if it is not tracked. A worker
+// lists only ends of runs that have begun, and an agent reports the others as lost or crashed.
+func (view *agentView) provesEndedRunBegun(run *trackedRun, end *wire.RunEnd) bool {
+	switch end.GetReason() {
+	case wire.EndReason_END_LOST, wire.EndReason_END_CRASHED, wire.EndReason_END_CRASHED_BESIDE:
+	default:
+		return true
+	}
+	if end.GetUnanswered() {
+		return false
+	}
+	return view.tellsBegun || end.GetProven() || run == nil || run.confirmed || run.orderedEarlier
+}
+
 // handleUnlistedRun releases a run that its agent does not list, if that proves that the run has ended or
 // will not start.
 func (owner *Owner) handleUnlistedRun(view *agentView, run *trackedRun, worker incarnation.ID, now time.Time) {
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -175,6 +175,8 @@
 	run, found := view.runs[end.GetTask()]
 	if found && run.attempt == end.GetAttempt() {
 		delete(view.runs, end.GetTask())
+	} else {
+		run = nil
 	}
 	hadEnded := j.HasEnded()
 	storeLatency := run.storeLatency(task)
@@ -182,7 +184,7 @@
 		task.MarkSurvivedStart(end.GetAttempt())
 	}
 	reason := endReason(end.GetReason())
-	if !j.EndRun(task, end.GetAttempt(), reason, end.GetCheckpoint(), now) {
+	if !view.endRunOf(j, task, run, end, now) {
 		owner.logSupersededEnd(task, end)
 		s.removeIfSettled(j)
 		return
@@ -205,6 +207,15 @@
 	s.removeIfSettled(j)
 }
 
+// endRunOf records the end of a run in its job, and reports whether anything changed. The run is nil if it is not tracked.
+func (view *agentView) endRunOf(j *job.Job, task *job.Task, run *trackedRun, end *wire.RunEnd, now time.Time) bool {
+	reason := endReason(end.GetReason())
+	if !view.provesEndedRunBegun(run, end) {
+		return j.EndUnansweredRun(task, end.GetAttempt(), reason, now)
+	}
+	return j.EndRun(task, end.GetAttempt(), reason, end.GetCheckpoint(), now)
+}
+
 // logSupersededEnd logs and counts the end of a successful run whose task has been started again since.
 func (owner *Owner) logSupersededEnd(task *job.Task, end *wire.RunEnd) {
 	if end.GetReason() != wire.EndReason_END_DONE || end.GetAttempt() >= task.Attempt() {
