gateway, daemon: requests are answered before a planned stop is broken off

Cause: a GET waited for an owner until the client's deadline, although the gateway had released its shards and the process stops earlier: a request that came 2.3 s after SIGTERM with a deadline of 3 s waited until 5.15 s, and the stop is broken off after 5.1 s.

Evidence: the six cut requests were sent 2.26 s after SIGTERM and later, and cut after 2.84 s, which is the end of the stop to 10 ms. Refuted: requests on connections that the server takes for idle (these would be cut at once).

Change: all waits of a request (owners, peers, store, its own body) end 0.4 s before the deadline of the stop. A gateway that has left the group of owners answers at once if the store knows no other member since, with the time until its own process is gone and 1 s in Retry-After. An agent that waits for its ends to be stored leaves 0.5 s for the heartbeats in flight. The line of a stopped process says what was not completed.

By reading only: entry and guard, whose requests are bounded by their own deadlines, and pipelined requests.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -71,7 +72,7 @@
 func (daemon *Daemon) Stop(ctx context.Context) error {
 	daemon.events.Log(ctx, event.ProcessStopping)
 	err := daemon.kern.Stop(ctx)
-	daemon.events.Log(ctx, event.ProcessStopped)
+	daemon.events.Log(ctx, event.ProcessStopped, slog.Any("error", err))
 	return err
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -147,8 +147,10 @@
 		Name:  ServiceDrain,
 		Needs: []string{ServiceRPC, ServiceHTTP, ServiceReadiness},
 		Stop: func(ctx context.Context) error {
-			handler.BeginShutdown()
+			deadline, _ := ctx.Deadline()
+			handler.BeginShutdown(deadline)
 			err := shardOwner.Leave(ctx)
+			handler.RecordLeave(time.Now().Add(gatewayLeaveDelay))
 			sleep(ctx, gatewayLeaveDelay)
 			return err
 		},
@@ -191,12 +193,20 @@
 	)
 }
 
+// heartbeatStopTime is the part of an agent's stop that is reserved for completing the heartbeats in flight.
+const heartbeatStopTime = 500 * time.Millisecond
+
 // agentDrainService lets the agent report what only it knows before anything else stops.
 func agentDrainService(role *agent.Agent) kernel.Service {
 	return kernel.Service{
 		Name:  ServiceDrain,
 		Needs: []string{ServiceRPC, ServiceHeartbeats, serviceRegister},
 		Stop: func(ctx context.Context) error {
+			if deadline, limited := ctx.Deadline(); limited {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithDeadline(ctx, deadline.Add(-heartbeatStopTime))
+				defer cancel()
+			}
 			role.AwaitEndsStored(ctx)
 			return nil
 		},
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -256,7 +256,7 @@
 var catalogue = []Entry{
 	{ProcessStarted, slog.LevelInfo, "process started", "The process has started all its services. The attributes give its role, name and addresses.", firstRelease},
 	{ProcessStopping, slog.LevelInfo, "process stopping", "A planned stop has begun. New work is refused, and work in flight is finished within the stated time.", firstRelease},
-	{ProcessStopped, slog.LevelInfo, "process stopped", "The planned stop has ended.", firstRelease},
+	{ProcessStopped, slog.LevelInfo, "process stopped", "The planned stop has ended. The attribute error says what it did not complete in time.", firstRelease},
 	{SettingsReloaded, slog.LevelInfo, "settings reloaded", "The settings file was read again.", platformRelease},
 	{SettingsRefused, slog.LevelError, "settings refused", "The settings file has changed and is invalid. The previous settings stay in force.", platformRelease},
 	{ProcessFailed, slog.LevelError, "process failed", "The program has a bug and ends because of it. The attribute fault describes the failure, and frames lists the places in the code that led to it, innermost first. Include both in a bug report.", preemptionRelease},
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -31,18 +31,20 @@
 // ownerDirectory caches which entry owns which shard, and sends requests to the owners. It may be used by
 // many goroutines.
 type ownerDirectory struct {
-	options Options
+	options  Options
+	shutdown *shutdown
 
 	mu             sync.Mutex
 	owners         map[int]string          // member names of entries, by shard
 	refreshedAt    time.Time               // when the last request to the store ended, with or without an answer
+	ownersAsOf     time.Time               // when the request was sent that owners is the answer to
 	refreshing     bool                    // a request to the store is in flight
 	refreshFailing bool                    // the last request to the store failed
 	pendingCounts  map[string]pendingCount // by queue
 }
 
 func newOwnerDirectory(options Options) *ownerDirectory {
-	return &ownerDirectory{options: options, owners: map[int]string{}, pendingCounts: map[string]pendingCount{}}
+	return &ownerDirectory{options: options, shutdown: newShutdown(), owners: map[int]string{}, pendingCounts: map[string]pendingCount{}}
 }
 
 // refresh reads the owners from the store, unless they were read within maxAge.
@@ -52,9 +54,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownersTimeout)
 	defer cancel()
+	sentAt := directory.options.Clock.Now()
 	owners, err := directory.options.Store.Owners(ctx, job.OwnersGroup)
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
+	if err == nil {
+		directory.ownersAsOf = sentAt
+	}
 	directory.refreshing = false
 	directory.refreshedAt = directory.options.Clock.Now()
 	directory.updateOwners(ctx, owners, err)
@@ -112,8 +118,17 @@
 	return wire.NewDRPCPeerClient(directory.options.Pool.Conn(owner.MemberAddress(member)))
 }
 
-// retryUntilAnswered calls request until it succeeds or ctx ends, since shards may be moving from one entry
-// to another. It returns the last error, or that of ctx if request was never called; action describes the
+// isAbandoned reports whether no owner can answer: this entry has left the group of owners, and the store knows no other
+// member since.
+func (directory *ownerDirectory) isAbandoned() bool {
+	directory.mu.Lock()
+	asOf := directory.ownersAsOf
+	directory.mu.Unlock()
+	return directory.shutdown.hasLeftBefore(asOf) && len(directory.peers()) == 0
+}
+
+// retryUntilAnswered calls request until it succeeds, no owner can answer, or ctx ends, since shards may be moving from one
+// entry to another. It returns the last error, or that of ctx if request was never called; action describes the
 // request in it.
 func (directory *ownerDirectory) retryUntilAnswered(ctx context.Context, action string, request func() error) error {
 	var lastErr error
@@ -122,6 +137,9 @@
 		if lastErr == nil {
 			return nil
 		}
+		if directory.isAbandoned() {
+			break
+		}
 		directory.refresh(ctx, ownersRetryMaxAge)
 		sleep(ctx, directory.options.Clock, peerRetryDelay)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,7 +80,7 @@
 	confirmation  confirmation
 	directory     *ownerDirectory
 	backlogs      *backlogPoller
-	shuttingDown  atomic.Bool
+	shutdown      *shutdown
 	breaker       circuitBreaker
 	metrics       metrics
 	admission     admission
@@ -93,7 +93,7 @@
 	directory := newOwnerDirectory(options)
 	gateway := &Gateway{
 		options: options, directory: directory, backlogs: newBacklogPoller(options, directory),
-		admission: newAdmission(options.Meters),
+		admission: newAdmission(options.Meters), shutdown: directory.shutdown,
 	}
 	gateway.metrics = newMetrics(options.Meters, gateway.configurationAge)
 	if options.Features.Has(feature.Backlog) {
@@ -104,13 +104,9 @@
 
 // IsReady reports whether the gateway has a configuration that is neither outdated nor overdue, and is not shutting down.
 func (gateway *Gateway) IsReady() bool {
-	return gateway.configuration.Load() != nil && !gateway.isConfigurationOutdated() && !gateway.confirmation.isOverdue() && !gateway.shuttingDown.Load()
+	return gateway.configuration.Load() != nil && !gateway.isConfigurationOutdated() && !gateway.confirmation.isOverdue() && !gateway.shutdown.hasBegun()
 }
 
-// BeginShutdown makes IsReady report false, so that the platform routes clients to other gateways. Requests
-// that still arrive are served.
-func (gateway *Gateway) BeginShutdown() { gateway.shuttingDown.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	configuration := gateway.configuration.Load()
@@ -130,6 +126,7 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), platform.ClientTimeout(request, defaultTimeout)-responseMargin)
 	defer cancel()
+	defer context.AfterFunc(gateway.shutdown.requests, cancel)()
 	request = request.WithContext(ctx)
 	switch {
 	case request.Method == http.MethodGet && id == "":
@@ -184,7 +181,11 @@
 		return
 	}
 	receivedAt := gateway.options.Clock.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, max(configuration.MaxBodyBytes(), defaultMaxBodyBytes)))
+	body, err := readBody(writer, request, max(configuration.MaxBodyBytes(), defaultMaxBodyBytes))
+	if request.Context().Err() != nil {
+		gateway.respondRefused(writer, id, event.ReasonDeadlinePassed)
+		return
+	}
 	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
@@ -209,6 +210,16 @@
 	gateway.respondAppend(writer, request, result, id, event.JobAccepted, configuration.Version(), receivedAt)
 }
 
+// readBody reads the body of a request, and stops when the request's context ends.
+func readBody(writer http.ResponseWriter, request *http.Request, maxBytes int64) ([]byte, error) {
+	controller := http.NewResponseController(writer)
+	defer context.AfterFunc(request.Context(), func() {
+		// Without support for deadlines the read goes on until the server's own timeout.
+		_ = controller.SetReadDeadline(time.Unix(0, 1))
+	})()
+	return io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBytes))
+}
+
 func (gateway *Gateway) cancelJob(writer http.ResponseWriter, request *http.Request, configuration *platform.Configuration, id string) {
 	receivedAt := gateway.options.Clock.Now()
 	value, err := proto.Marshal(&job.Cancellation{Id: id, AtMs: receivedAt.UnixMilli()})
@@ -259,7 +270,7 @@
 		slog.Bool("known", reply.GetKnown()), slog.Any("error", err))
 	switch {
 	case err != nil:
-		respondRetryLater(writer, http.StatusServiceUnavailable, retryDelay)
+		gateway.respondNoOwner(writer)
 	case !reply.GetKnown():
 		writer.WriteHeader(http.StatusGone)
 	default:
@@ -280,7 +291,7 @@
 func (gateway *Gateway) respondPending(writer http.ResponseWriter, request *http.Request, queue *platform.Queue) {
 	count, err := gateway.directory.pendingJobs(request.Context(), queue.Name())
 	if err != nil {
-		respondRetryLater(writer, http.StatusServiceUnavailable, retryDelay)
+		gateway.respondNoOwner(writer)
 		return
 	}
 	platform.WritePending(writer, count)
--- /dev/null
+++ b/gateway/shutdown.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// shutdownMargin is the part of a planned stop that is reserved for sending the responses to the requests that still wait.
+const shutdownMargin = 400 * time.Millisecond
+
+// shutdown is the state of a planned stop. A request may wait for an owner, the store or a peer, and its client may allow
+// more time than the stop takes, so each wait ends with the stop too.
+type shutdown struct {
+	begun atomic.Bool
+	// requests is cancelled when all requests have to be answered.
+	requests    context.Context
+	endRequests context.CancelFunc
+	// left is set once the owner in this process has released its shards.
+	left atomic.Pointer[departure]
+}
+
+// departure says when the owner in this process released its shards, and when the gateway accepts no clients any more.
+type departure struct{ leftAt, closesAt time.Time }
+
+func newShutdown() *shutdown {
+	requests, endRequests := context.WithCancel(context.Background())
+	return &shutdown{requests: requests, endRequests: endRequests}
+}
+
+// hasBegun reports whether a planned stop has begun.
+func (shutdown *shutdown) hasBegun() bool { return shutdown.begun.Load() }
+
+// hasLeftBefore reports whether the shards had been released before a time.
+func (shutdown *shutdown) hasLeftBefore(at time.Time) bool {
+	left := shutdown.left.Load()
+	return left != nil && at.After(left.leftAt)
+}
+
+// retryAfter returns when a caller may come back that no owner answers: once another process has taken this one's place,
+// if this one is stopping.
+func (shutdown *shutdown) retryAfter(now time.Time) time.Duration {
+	left := shutdown.left.Load()
+	if left == nil {
+		return retryDelay
+	}
+	return max(left.closesAt.Sub(now), 0) + retryDelay
+}
+
+// BeginShutdown makes IsReady report false, so that the platform routes clients to other gateways. Requests that still
+// arrive are served. All requests are answered before the deadline of the stop; the zero time means that it has none.
+func (gateway *Gateway) BeginShutdown(deadline time.Time) {
+	gateway.shutdown.begin(gateway.options.Clock, deadline)
+}
+
+func (shutdown *shutdown) begin(clock clockwork.Clock, deadline time.Time) {
+	shutdown.begun.Store(true)
+	if !deadline.IsZero() {
+		clock.AfterFunc(deadline.Sub(clock.Now())-shutdownMargin, shutdown.endRequests)
+	}
+}
+
+// RecordLeave records that the owner in this process has released its shards and left the group of owners. The gateway
+// accepts clients until closesAt.
+func (gateway *Gateway) RecordLeave(closesAt time.Time) {
+	gateway.shutdown.left.Store(&departure{leftAt: gateway.options.Clock.Now(), closesAt: closesAt})
+}
+
+// respondNoOwner responds to a request that no owner has answered.
+func (gateway *Gateway) respondNoOwner(writer http.ResponseWriter) {
+	respondRetryLater(writer, http.StatusServiceUnavailable, gateway.shutdown.retryAfter(gateway.options.Clock.Now()))
+}
