agent: an owner's order needs a grant of that owner

Change: runs go on for the grant of any owner, as the wait of the next owner assumes; starts need a grant of the owner whose order it is. Tried and left out: no further grants of an owner that has given the shard up. They would end runs 5 s after a hand-over at whose beginning the store goes down, in place of 11 s.

--- a/agent/claims.go
+++ b/agent/claims.go
@@ -13,8 +13,11 @@
 type claim struct {
 	epoch   int64
 	session *session
-	// grantedUntil is when the owner's last grant ends.
+	// grantedUntil is when the last grant of any owner of the shard ends. Runs may go on until then.
 	grantedUntil time.Time
+	// startsUntil is when the last grant of the present owner ends, and zero before its first one. Runs may be started
+	// until then: a former owner's grant says nothing of how old an order of the present one is.
+	startsUntil time.Time
 }
 
 // handleClaims updates the claims from a message that lists all shards of an owner. A claim with an epoch
@@ -50,6 +53,9 @@
 				s.sentEstimates = nil
 			}
 		}
+		if c.epoch != shard.GetEpoch() {
+			c.startsUntil = time.Time{}
+		}
 		c.epoch = shard.GetEpoch()
 		c.session = s
 	}
@@ -73,8 +79,9 @@
 	}
 	until := agent.startedAt.Add(time.Duration(message.GetGrantUntilNanos()))
 	for _, claim := range agent.claims {
-		if claim.session == s && until.After(claim.grantedUntil) {
-			claim.grantedUntil = until
+		if claim.session == s {
+			claim.grantedUntil = later(claim.grantedUntil, until)
+			claim.startsUntil = later(claim.startsUntil, until)
 		}
 	}
 }
--- a/agent/order.go
+++ b/agent/order.go
@@ -87,7 +87,7 @@
 		return wire.StartOutcome_START_WRONG_WORKER
 	case !claimed || order.GetEpoch() != claim.epoch || claim.session != s:
 		return wire.StartOutcome_START_STALE
-	case !batch.isReady || !agent.limitByPendingEnds(claim.grantedUntil).After(now.Add(stopMargin)):
+	case !batch.isReady || !agent.limitByPendingEnds(claim.startsUntil).After(now.Add(stopMargin)):
 		return wire.StartOutcome_START_NOT_READY
 	case state.heartbeat.Draining:
 		return wire.StartOutcome_START_DRAINING
--- a/agent/suspended.go
+++ b/agent/suspended.go
@@ -19,6 +19,7 @@
 	agent.startedAt = agent.startedAt.Add(-suspended)
 	for _, claim := range agent.claims {
 		claim.grantedUntil = claim.grantedUntil.Add(-suspended)
+		claim.startsUntil = claim.startsUntil.Add(-suspended)
 	}
 	agent.evacuationState.Backdate(suspended)
 }
