--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -59,7 +59,7 @@
 func (shutdown *shutdown) begin(clock clockwork.Clock, deadline time.Time) {
 	shutdown.begun.Store(true)
 	if !deadline.IsZero() {
-		clock.AfterFunc(deadline.Sub(clock.Now())-shutdownMargin, shutdown.endRequests)
+		clock.AfterFunc(deadline.Sub(clock.Now())-shutdownMargin, func() { shutdown.endRequests() })
 	}
 }
 
