owner, job, gateway: divide the progress of a wide job into records that fit the store

Cause: a job's progress was one record, whatever its size. The store refuses a record above record_bytes for good, so one owner after the other gave the shard up. Besides, the whole record was encoded and written for each end, N records of size N over the life of a job.

Change: where divided-progress is enabled, a job of more than 512 tasks has its progress in a record for each 512 of them, and only those that changed are written. Owners read both forms in either case and apply the records of a job in the order of their offsets, so that a whole record and parts of it may follow each other. Owners of earlier builds don't read parts, hence the feature. Without it, a job whose finished progress exceeds a record is refused at submission, by the record_bytes of the settings.

Tests: TestProgressLargerThanARecordNeverStored failed before (the shard was given up; it does without the feature), as did TestJobLargerThanARecordIsRefused (200). TestDividedProgressRestores and TestDividedProgressCostIsLinear are for the new form. The stand-in store refuses records above 256 KiB as the platform's does.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -106,7 +106,7 @@
 	handler := gateway.New(gateway.Options{
 		Name: settings.Name(), Shards: settings.Partitions(), Store: deps.store, Owner: shardOwner,
 		MemberName: shardOwner.MemberName(), Pool: pool, Clock: deps.clock, Events: deps.events, Meters: deps.metrics.Provider(),
-		Features: features,
+		Features: features, MaxRecordBytes: settings.MaxRecordBytes(),
 	})
 	daemon := &Gateway{Daemon: Daemon{kern: kernel.New(), events: deps.events}}
 	return daemon, registerAll(daemon.kern,
--- a/feature/feature.go
+++ b/feature/feature.go
@@ -33,11 +33,15 @@
 	Offers Feature = "offers"
 	// Confirmation makes an owner decide nothing for shards that the store may have assigned to another entry.
 	Confirmation Feature = "confirmation"
+	// DividedProgress makes owners store the progress of a job with many tasks in several records. Owners of earlier
+	// builds don't read these: enable it once all entries can.
+	DividedProgress Feature = "divided-progress"
 )
 
 // requirements holds the features that a feature needs.
 var requirements = map[Feature][]Feature{
 	Backlog: nil, Admission: {Backlog}, Shares: {Backlog}, Offers: nil, Confirmation: nil,
+	DividedProgress: nil,
 }
 
 // Names returns the names of all features, sorted.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/metric"
 	"google.golang.org/protobuf/proto"
 
@@ -71,6 +72,8 @@
 	Meters metric.MeterProvider
 	// Features are the optional features that are enabled.
 	Features feature.Set
+	// MaxRecordBytes is the maximum size of one record of the store, or 0 if there is no limit.
+	MaxRecordBytes int
 }
 
 // Gateway is the http.Handler that serves the clients of queues.
@@ -191,6 +194,9 @@
 		return
 	}
 	submission, err := platform.ParseSubmission(id, queue, body, receivedAt)
+	if err == nil {
+		err = gateway.checkProgressSize(submission)
+	}
 	if err != nil {
 		gateway.options.Events.Log(request.Context(), event.JobRefused, slog.String("job", id), slog.Any("reason", err))
 		writer.WriteHeader(http.StatusBadRequest)
@@ -210,6 +216,15 @@
 	gateway.respondAppend(writer, request, result, id, event.JobAccepted, configuration.Version(), receivedAt)
 }
 
+// checkProgressSize returns an error if the store can never hold the progress of a job, which its owner would try for ever.
+func (gateway *Gateway) checkProgressSize(submission *job.Submission) error {
+	limit := gateway.options.MaxRecordBytes
+	if limit == 0 || gateway.options.Features.Has(feature.DividedProgress) || job.MayFitRecord(submission, limit) {
+		return nil
+	}
+	return errors.Errorf("the job has too many tasks: their progress exceeds a record of %d bytes, and %s is not enabled", limit, feature.DividedProgress)
+}
+
 // readBody reads the body of a request, and stops when the request's context ends.
 func readBody(writer http.ResponseWriter, request *http.Request, maxBytes int64) ([]byte, error) {
 	controller := http.NewResponseController(writer)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,6 +57,7 @@
 	options := gateway.Options{
 		Name: "edge-1", Shards: shardCount, Store: store, Owner: shardOwner, MemberName: shardOwner.MemberName(),
 		Pool: rpc.NewPool(nil), Clock: clock, Events: event.Discard(), Features: enabled,
+		MaxRecordBytes: 256 << 10,
 	}
 	handler := gateway.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -185,3 +187,28 @@
 		})
 	}
 }
+
+// TestJobLargerThanARecordIsRefused guards against a job that is accepted although the store can never hold its progress.
+func TestJobLargerThanARecordIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		tasks    int
+		features []string
+		status   int
+	}{
+		"fits":                    {tasks: 20_000, status: http.StatusOK},
+		"never fits":              {tasks: 30_000, status: http.StatusBadRequest},
+		"progress can be divided": {tasks: 30_000, features: []string{"divided-progress"}, status: http.StatusOK},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, routesConfiguration, test.features...)
+			body := strings.Replace(submissionBody, `"count":1`, fmt.Sprintf(`"count":%d`, test.tasks), 1)
+			if got := h.send(http.MethodPost, "/q/"+jobID, body, ""); got.Code != test.status {
+				t.Errorf("status %d, body %s", got.Code, got.Body)
+			}
+			if accepted := test.status == http.StatusOK; h.isStored() != accepted {
+				t.Errorf("the job is stored: %v, want %v", h.isStored(), accepted)
+			}
+		})
+	}
+}
--- a/job/crash.go
+++ b/job/crash.go
@@ -41,6 +41,7 @@
 // MarkSurvivedStart records that a run continued after its start. A task that crashes every worker that
 // starts it would not have, so crashes up to that run had another cause and no longer count.
 func (task *Task) MarkSurvivedStart(attempt int32) {
+	task.job.markChanged(task)
 	task.survivedAttempt = max(task.survivedAttempt, attempt)
 	hasOtherCause := func(crashed int32) bool { return crashed <= task.survivedAttempt }
 	task.crashedAttempts = slices.DeleteFunc(task.crashedAttempts, hasOtherCause)
@@ -53,6 +54,9 @@
 // first.
 func (job *Job) recordCrash(task *Task, attempt int32, reason EndReason, now time.Time) bool {
 	counts := attempt > task.survivedAttempt && !slices.Contains(task.crashedAttempts, attempt) && !slices.Contains(task.ambiguousAttempts, attempt)
+	if counts {
+		job.markChanged(task)
+	}
 	if counts && reason == EndCrashed {
 		task.crashedAttempts = append(task.crashedAttempts, attempt)
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -16,7 +16,9 @@
 	tasksPerRound int
 	firstTasks    []int
 	// steps holds a state for each step of each round.
-	steps       []stepState
+	steps []stepState
+	// changed holds for each record of a divided progress whether any of its tasks has changed since it was taken.
+	changed     []bool
 	started     int // tasks in state TASK_STARTED
 	runningAt   time.Time
 	endedAt     time.Time
@@ -43,6 +45,7 @@
 			}
 		}
 	}
+	job.changed = make([]bool, (len(job.tasks)+tasksPerRecord-1)/tasksPerRecord)
 	job.objective = job.submittedAt.Add(job.TargetDuration())
 	return job
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -7,7 +7,10 @@
 )
 
 // Progress returns the record of the job's state and of the tasks that have been started.
-func (job *Job) Progress() *Progress {
+func (job *Job) Progress() *Progress { return job.progressOf(job.tasks) }
+
+// progressOf returns the record of the job's state and of those of the tasks given that have been started.
+func (job *Job) progressOf(tasks []*Task) *Progress {
 	progress := &Progress{Id: job.ID(), State: job.state}
 	if !job.endedAt.IsZero() {
 		progress.EndedMs = job.endedAt.UnixMilli()
@@ -16,7 +19,7 @@
 		progress.BegunMs = job.runningAt.UnixMilli()
 	}
 	places := map[Place]int32{}
-	for _, task := range job.tasks {
+	for _, task := range tasks {
 		if task.attempt == 0 && task.state == TaskState_TASK_WAITING {
 			continue
 		}
@@ -49,7 +52,7 @@
 	return record
 }
 
-// Restore sets the state of a new job to that of a record.
+// Restore sets the state of a job to that of a record. Records of one job are restored in the order they were written.
 func (job *Job) Restore(progress *Progress, now time.Time) {
 	job.state = progress.GetState()
 	if progress.GetEndedMs() > 0 {
@@ -68,6 +71,10 @@
 }
 
 func (job *Job) restoreTask(task *Task, record *TaskProgress, progress *Progress, now time.Time) {
+	if task.state == TaskState_TASK_STARTED {
+		// An earlier record has another place, under which the task is counted.
+		job.setState(task, TaskState_TASK_WAITING)
+	}
 	job.setAttempt(task, record.GetAttempt())
 	job.setFailedAttempts(task, record.GetFailed())
 	task.crashedAttempts = record.GetCrashed()
--- a/job/step.go
+++ b/job/step.go
@@ -51,6 +51,7 @@
 
 // setState changes the state of a task. The place of a task that becomes started must be set before.
 func (job *Job) setState(task *Task, state TaskState) {
+	job.markChanged(task)
 	step := job.stepOf(task)
 	job.addToState(step, task, -1)
 	task.state = state
@@ -83,6 +84,7 @@
 
 // setAttempt sets the attempt number of a task.
 func (job *Job) setAttempt(task *Task, attempt int32) {
+	job.markChanged(task)
 	task.attempt = attempt
 	step := job.stepOf(task)
 	step.highestAttempt = max(step.highestAttempt, attempt)
@@ -90,6 +92,7 @@
 
 // setCheckpoint sets the checkpoint of a task.
 func (job *Job) setCheckpoint(task *Task, checkpoint string) {
+	job.markChanged(task)
 	task.checkpoint = checkpoint
 	step := job.stepOf(task)
 	step.newestCheckpoint = max(step.newestCheckpoint, checkpoint)
@@ -97,6 +100,7 @@
 
 // setFailedAttempts sets the failed attempts of a task.
 func (job *Job) setFailedAttempts(task *Task, attempts []int32) {
+	job.markChanged(task)
 	task.failedAttempts = attempts
 	step := job.stepOf(task)
 	if step.failedAttempts == nil && len(attempts) > 0 {
--- a/owner/flush.go
+++ b/owner/flush.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ambertiller.example/ambertiller/event"
+	"ambertiller.example/ambertiller/feature"
 	"ambertiller.example/ambertiller/job"
 	"ambertiller.example/ambertiller/platform"
 )
@@ -82,14 +83,17 @@
 func (owner *Owner) takeDirtyRecords(s *shard) []platform.Record {
 	records := s.tombstones
 	s.tombstones = nil
+	divide := owner.options.Features.Has(feature.DividedProgress)
 	for id, j := range s.dirty {
-		value, err := proto.Marshal(j.Progress())
-		if err != nil {
-			// Unreachable: a newly built message can always be encoded.
-			owner.log(event.RecordUnreadable, slog.String("job", id), slog.Any("error", err))
-			continue
+		for key, progress := range j.TakeProgress(divide) {
+			value, err := proto.Marshal(progress)
+			if err != nil {
+				// Unreachable: a newly built message can always be encoded.
+				owner.log(event.RecordUnreadable, slog.String("job", id), slog.Any("error", err))
+				continue
+			}
+			records = append(records, platform.Record{Key: key, Value: value})
 		}
-		records = append(records, platform.Record{Key: id, Value: value})
 	}
 	s.dirty = map[string]*job.Job{}
 	return records
--- a/owner/prune.go
+++ b/owner/prune.go
@@ -86,14 +86,16 @@
 	}
 	s.pruning = false
 	for _, id := range ids {
+		s.deleteProgress(s.jobs[id].ProgressKeys()...)
 		delete(s.jobs, id)
 		delete(s.endStoredAt, id)
 		delete(s.cancelled, id)
-		s.deleteProgress(id)
 	}
 }
 
-// deleteProgress has the next append delete the progress of a job whose submission is no longer in the store.
-func (s *shard) deleteProgress(id string) {
-	s.tombstones = append(s.tombstones, platform.Record{Key: id})
+// deleteProgress has the next append delete records of the progress of jobs whose submission is no longer in the store.
+func (s *shard) deleteProgress(keys ...string) {
+	for _, key := range keys {
+		s.tombstones = append(s.tombstones, platform.Record{Key: key})
+	}
 }
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -1,8 +1,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"ambertiller.example/ambertiller/backlog"
@@ -167,8 +169,8 @@
 			owner.applySubmission(s, record, now)
 		}
 	}
-	for _, record := range runs.Records {
-		if !submitted[job.SubmissionKey(record.Key)] {
+	for _, record := range byOffset(runs.Records) {
+		if !submitted[job.SubmissionKey(job.ProgressJob(record.Key))] {
 			// Progress is only written for a job that was read, so the job has been deleted since. A
 			// job whose record can't be decoded is still there and keeps its progress.
 			s.deleteProgress(record.Key)
@@ -191,6 +193,11 @@
 		slog.Int("jobs", len(s.jobs)), slog.Int("live", len(s.live)), slog.Duration("after", now.Sub(s.acquiredAt)))
 }
 
+// byOffset returns records in the order they were written. The store returns the newest ones in the order of their keys.
+func byOffset(records []platform.Record) []platform.Record {
+	return slices.SortedStableFunc(slices.Values(records), func(a, b platform.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+}
+
 // followShard reads the jobs and cancellations that entries append, until the shard is released.
 func (owner *Owner) followShard(s *shard, nextOffset int64) {
 	failures := readFailures{owner: owner, topic: job.TopicJobs, partition: s.number}
--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -37,18 +37,24 @@
 	End    int64 `json:"end"`
 }
 
-// maxAppendBytes is the size above which an append is refused.
-const maxAppendBytes = 2 << 20
+const (
+	// maxAppendBytes is the size above which an append is refused.
+	maxAppendBytes = 2 << 20
+	// maxRecordBytes is the size of a key and a value above which the append of a record is refused.
+	maxRecordBytes = 256 << 10
+)
 
-// serveAppend appends the records of the request body to a partition. An append that is too large is refused. An append that names a producer is
-// checked against the epoch and the sequence number of that producer's last append.
+// serveAppend appends the records of the request body to a partition. An append that is too large, or has a
+// record that is, is refused. An append that names a producer is checked against the epoch and the sequence number of that producer's last append.
 func (store *Store) serveAppend(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if len(body) > maxAppendBytes {
+	added := decodeEntries(body)
+	isTooLarge := func(added entry) bool { return added.size() > maxRecordBytes }
+	if len(body) > maxAppendBytes || slices.ContainsFunc(added, isTooLarge) {
 		writeJSON(writer, http.StatusRequestEntityTooLarge, refusalResponse{"size"})
 		return
 	}
@@ -71,7 +77,6 @@
 			return
 		}
 	}
-	added := decodeEntries(body)
 	if rewrite, found := store.rewrites[request.URL.Query().Get("topic")]; found {
 		for index := range added {
 			added[index].value = rewrite(added[index].value)
