job, owner: crashes at one machine don't fail a job

Cause: three crashes under new runs failed a task, wherever they were, and a pass that was caused by the return of a crashed worker offered the task to that worker alone. Only crashes at different machines tell a task that crashes workers from a worker that crashes by itself.

Change: a crash is stored with the address of its agent, and a task is given up only after crashes at two machines or more. Records of earlier builds have no addresses; their crashes count as at different machines, as before. A worker that has come back does not take a task back that it crashed under before all workers have been considered.

TestReturnedWorkerDoesNotTakeSuspectBack failed before.

--- a/job/progress.go
+++ b/job/progress.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"ambertiller.example/ambertiller/incarnation"
@@ -33,8 +34,10 @@
 func (task *Task) progressRecord(progress *Progress, places map[Place]int32) *TaskProgress {
 	record := &TaskProgress{
 		Round: task.round, Step: task.step, Index: task.index,
-		Attempt: task.attempt, Failed: task.failedAttempts, State: task.state, Crashed: task.crashedAttempts, Doubted: task.ambiguousAttempts, Proven: task.survivedAttempt,
+		Attempt: task.attempt, Failed: task.failedAttempts, State: task.state, Proven: task.survivedAttempt,
 	}
+	record.Crashed, record.CrashedAt = encodeCrashes(task.crashes)
+	record.Doubted, record.DoubtedAt = encodeCrashes(task.ambiguousCrashes)
 	if task.state == TaskState_TASK_DONE {
 		return record
 	}
@@ -77,8 +80,9 @@
 	}
 	job.setAttempt(task, record.GetAttempt())
 	job.setFailedAttempts(task, record.GetFailed())
-	task.crashedAttempts = record.GetCrashed()
-	task.ambiguousAttempts = record.GetDoubted()
+	task.crashes = decodeCrashes(record.GetCrashed(), record.GetCrashedAt())
+	task.ambiguousCrashes = decodeCrashes(record.GetDoubted(), record.GetDoubtedAt())
+	task.crashedAgents = slices.Concat(record.GetCrashedAt(), record.GetDoubtedAt())
 	task.survivedAttempt = record.GetProven()
 	job.setCheckpoint(task, record.GetCheckpoint())
 	if record.GetState() == TaskState_TASK_DONE {
--- a/job/task.go
+++ b/job/task.go
@@ -29,11 +29,10 @@
 	state             TaskState
 	attempt           int32
 	failedAttempts    []int32 // the attempts that failed, without duplicates
-	crashedAttempts   []int32 // the attempts after survivedAttempt under which a worker crashed, without duplicates
-	ambiguousAttempts []int32 // the same, if another suspect had just started on the worker
+	crashes           []crash // those after survivedAttempt, one for each attempt
+	ambiguousCrashes  []crash // the same, if another suspect had just started on the worker
 	survivedAttempt   int32   // the last attempt that survived its start
-	// crashedAgents lists the addresses of agents whose worker crashed under a run, as far as this owner
-	// knows.
+	// crashedAgents lists the addresses of agents whose worker crashed under a run, as far as they are known.
 	crashedAgents []string
 	place         Place
 	checkpoint    string
--- a/owner/place.go
+++ b/owner/place.go
@@ -250,6 +250,11 @@
 // nor lead to a preemption in this pass.
 func (owner *Owner) placeTask(task *job.Task, set candidateSet, now time.Time) bool {
 	best := owner.bestWorker(task, set.workers, now)
+	if best != nil && !set.complete && task.HasCrashedWorkerOf(best.view.address) {
+		// A worker that has just come back after a crash would take the task again before any other one is considered.
+		owner.placementChanges.addJob(task.Job())
+		return true
+	}
 	if best != nil {
 		owner.startTask(task, best.view, now)
 		best.recordStart(task, best.view.runs[task.Name()].demand)
--- a/owner/suspect_test.go
+++ b/owner/suspect_test.go
@@ -113,3 +113,26 @@
 		})
 	}
 }
+
+// TestReturnedWorkerDoesNotTakeSuspectBack guards against a job that fails since its task is placed again and again on a
+// worker that crashes by itself: a pass that was caused by its return considers no other worker.
+func TestReturnedWorkerDoesNotTakeSuspectBack(t *testing.T) {
+	h := newHarness(t)
+	task := h.submit().Tasks()[0]
+	h.attachAndStart()
+	h.receive(&wire.AgentMessage{Ends: []*wire.RunEnd{{Worker: workerID, Task: firstTask, Attempt: 1, Reason: wire.EndReason_END_CRASHED}}})
+	other := h.attachOther(2, 1000)
+	h.clock.Advance(time.Second)
+	now := h.clock.Now()
+	h.owner.placementChanges.take(now)
+
+	returned := newCandidate(h.agent)
+	h.owner.placeTask(task, candidateSet{workers: []*candidate{returned}}, now)
+	if task.State() != job.TaskState_TASK_WAITING || !h.owner.placementChanges.isDue(now) {
+		t.Fatalf("the task is %v at %s, and another pass is due: %v", task.State(), task.Place().AgentAddress, h.owner.placementChanges.isDue(now))
+	}
+	h.owner.placeTask(task, candidateSet{workers: []*candidate{returned, newCandidate(other)}, complete: true}, now)
+	if !task.IsStartedAt(other.address) {
+		t.Errorf("the task is %v at %s, although there is another worker", task.State(), task.Place().AgentAddress)
+	}
+}
