agent: tests of crashes let no time pass before the agent has noticed

TestCrashIsReported/new_run failed in 31 of 960 plays in 96 copies side by side, TestCarriedOverOrderDelaysRegistration in 25 of 960 in 48 copies.

Cause: the tests' clock ran on while the agent had no processor. A run was no longer new when the agent noticed the crash of its worker, and the order had not reached the worker before the test restarted that.

Change: the clock stands still until the start is answered, until the agent has logged that the worker is silent, and until the worker has received the start that it holds back. What the tests ask is as before.

--- a/agent/crash_test.go
+++ b/agent/crash_test.go
@@ -33,6 +33,15 @@
 	h.server.CloseClientConnections()
 }
 
+// crashKnownWorker does the same with a worker that answers, and waits until the agent has noticed it. The runs do not get
+// older meanwhile.
+func (h *harness) crashKnownWorker() {
+	h.t.Helper()
+	before := h.log.count("worker silent")
+	h.crashWorker()
+	h.awaitNow(func() bool { return h.log.count("worker silent") > before })
+}
+
 // replaceWorker starts a worker with another ID in place of the first one, and sends its heartbeat.
 func (h *harness) replaceWorker() {
 	beat := h.firstHeartbeat()
@@ -55,24 +64,24 @@
 		proven bool
 	}{
 		"new run": {func(h *harness, _ *ownerStream) {
-			h.crashWorker()
+			h.crashKnownWorker()
 			h.advance(time.Second)
 			h.replaceWorker()
 		}, wire.EndReason_END_CRASHED, false},
 		"new run, worker replaced after its lease has expired": {func(h *harness, owner *ownerStream) {
-			h.crashWorker()
+			h.crashKnownWorker()
 			h.waitForEnd(owner, wire.EndReason_END_LOST)
 			h.replaceWorker()
 		}, wire.EndReason_END_CRASHED, false},
 		"older run, no answer since its start": {func(h *harness, _ *ownerStream) {
 			h.advance(400 * time.Millisecond)
-			h.crashWorker()
+			h.crashKnownWorker()
 			h.advance(time.Second)
 			h.replaceWorker()
 		}, wire.EndReason_END_LOST, false},
 		"run that survived its start": {func(h *harness, _ *ownerStream) {
 			h.advance(3 * time.Second)
-			h.crashWorker()
+			h.crashKnownWorker()
 			h.advance(time.Second)
 			h.replaceWorker()
 		}, wire.EndReason_END_LOST, true},
@@ -96,7 +105,7 @@
 func TestSilenceIsNoCrash(t *testing.T) {
 	h := newHarness(t)
 	owner := h.attachOwnerWithRun(&wire.Demand{MilliCpu: 1000, MemoryMb: 1000})
-	h.crashWorker()
+	h.crashKnownWorker()
 	h.waitForEnd(owner, wire.EndReason_END_LOST)
 	h.worker.InjectFaults(func(string) wireworker.Fault { return wireworker.FaultNone })
 	h.advance(2 * time.Second)
@@ -166,7 +175,7 @@
 	second.Task = other
 	owner.send(&wire.OwnerMessage{Starts: []*wire.StartOrder{second}})
 	h.waitFor(func() bool { _, runs := h.worker.Running(other); return runs })
-	h.crashWorker()
+	h.crashKnownWorker()
 	h.advance(time.Second)
 	h.replaceWorker()
 	h.advance(time.Second)
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -140,6 +140,34 @@
 	// suspendedFor is how long the machine has been suspended, in nanoseconds.
 	suspendedFor atomic.Int64
 	server       *httptest.Server
+	log          logLines
+}
+
+// logLines keeps what the agent logs.
+type logLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer. It is called with one line each time.
+func (lines *logLines) Write(line []byte) (int, error) {
+	lines.mu.Lock()
+	defer lines.mu.Unlock()
+	lines.lines = append(lines.lines, string(line))
+	return len(line), nil
+}
+
+// count returns how many lines contain a text.
+func (lines *logLines) count(text string) int {
+	lines.mu.Lock()
+	defer lines.mu.Unlock()
+	count := 0
+	for _, line := range lines.lines {
+		if strings.Contains(line, text) {
+			count++
+		}
+	}
+	return count
 }
 
 // newHarness starts an agent, and a worker that sends no heartbeat yet.
@@ -163,8 +191,12 @@
 
 // startAgent starts a new agent process.
 func (h *harness) startAgent() {
+	events, err := event.Open(&h.log, "json", "info")
+	if err != nil {
+		h.t.Fatal(err)
+	}
 	h.agent = agent.New(agent.Options{
-		Name: "side-1", Shards: shardCount, FirstToken: h.clock.Now().UnixMilli(), Clock: h.clock, Events: event.Discard(),
+		Name: "side-1", Shards: shardCount, FirstToken: h.clock.Now().UnixMilli(), Clock: h.clock, Events: events,
 		EvacuationDeadline: evacuationDeadline, Suspended: func() time.Duration { return time.Duration(h.suspendedFor.Load()) },
 		Connect: func(address string, of incarnation.ID) *platform.Worker {
 			return platform.NewWorker(address, of, platform.NewTransport())
@@ -244,14 +276,19 @@
 	}
 }
 
-// attachOwnerWithRun attaches an owner that grants a minute, and starts the test task with a demand.
+// attachOwnerWithRun attaches an owner that grants a minute, and starts the test task with a demand. The run has the age 0
+// when it returns.
 func (h *harness) attachOwnerWithRun(demand *wire.Demand) *ownerStream {
 	h.t.Helper()
 	owner := h.attachReadyOwner(1)
 	owner.send(&wire.OwnerMessage{GrantUntilNanos: int64(time.Minute)})
 	order := newStartOrder(1)
 	order.Demand = demand
-	h.mustStart(owner, order)
+	owner.send(&wire.OwnerMessage{Starts: []*wire.StartOrder{order}})
+	h.awaitNow(func() bool { return owner.startOutcome() != wire.StartOutcome_START_UNSPECIFIED })
+	if got := owner.startOutcome(); got != wire.StartOutcome_START_STARTED {
+		h.t.Fatalf("start outcome %v, want START_STARTED", got)
+	}
 	return owner
 }
 
@@ -274,6 +311,19 @@
 	h.t.Fatal("timed out waiting for a condition")
 }
 
+// awaitNow waits until the condition holds while the clock stands still, for what the agent does at once, however long it
+// takes to get a processor. It fails the test if the condition does not hold.
+func (h *harness) awaitNow(condition func() bool) {
+	h.t.Helper()
+	for range 10_000 {
+		if condition() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	h.t.Fatal("timed out waiting for a condition while the clock stands still")
+}
+
 const (
 	// maxUnpolled is the longest time on the fake clock that passes without a poll of the worker, which
 	// comes once a second. The lease of 4 s must not expire only because the goroutines of the test get no
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -347,6 +347,7 @@
 		return wireworker.FaultReset
 	})
 	owner.send(&wire.OwnerMessage{Starts: []*wire.StartOrder{newStartOrderFor(h.worker, testTask)}})
+	h.awaitNow(func() bool { return h.worker.DelayedStarts() > 0 })
 	h.advanceUnpolled(200 * time.Millisecond)
 	h.restartWorker(100 * time.Millisecond)
 }
--- a/job/task.go
+++ b/job/task.go
@@ -22,16 +22,16 @@
 
 // Task holds the state of one task of a job.
 type Task struct {
-	job               *Job
-	round             int32
-	step              int32
-	index             int32
-	state             TaskState
-	attempt           int32
-	failedAttempts    []int32 // the attempts that failed, without duplicates
-	crashes           []crash // those after survivedAttempt, one for each attempt
-	ambiguousCrashes  []crash // the same, if another suspect had just started on the worker
-	survivedAttempt   int32   // the last attempt that survived its start
+	job              *Job
+	round            int32
+	step             int32
+	index            int32
+	state            TaskState
+	attempt          int32
+	failedAttempts   []int32 // the attempts that failed, without duplicates
+	crashes          []crash // those after survivedAttempt, one for each attempt
+	ambiguousCrashes []crash // the same, if another suspect had just started on the worker
+	survivedAttempt  int32   // the last attempt that survived its start
 	// crashedAgents lists the addresses of agents whose worker crashed under a run, as far as they are known.
 	crashedAgents []string
 	place         Place
--- a/standin/wireworker/wireworker.go
+++ b/standin/wireworker/wireworker.go
@@ -267,6 +267,13 @@
 	worker.changed = make(chan struct{})
 }
 
+// DelayedStarts returns the number of starts that FaultDelayed holds back.
+func (worker *Worker) DelayedStarts() int {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return len(worker.delayedStarts)
+}
+
 // ExecuteDelayedStarts carries out the starts that FaultDelayed held back. Those that are no longer valid are
 // dropped.
 func (worker *Worker) ExecuteDelayedStarts() {
