standin/slowlink: timers that expire late don't slow the link

Cause: a transfer that was woken late left the link idle for that time, beyond the 16 KiB that it carries at once. Each transfer of 4 KiB waits 4 ms, and timers were tens of milliseconds late, so that the link carried a part of its rate and the configuration arrived late.

Change: what comes after a late transfer is carried from the time at which the link was free. An idle link carries as much at once as before.

--- a/standin/slowlink/slowlink.go
+++ b/standin/slowlink/slowlink.go
@@ -13,9 +13,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -27,25 +26,60 @@
 )
 
 // Link is a link that all transfers share. It is safe for concurrent use.
-type Link struct{ limiter *rate.Limiter }
+//
+// A transfer that is woken too late, because the machine is busy, doesn't leave the link idle: what comes next is carried
+// from the time at which the link was free.
+type Link struct {
+	bytesPerSecond int
 
-// New returns a link that carries bytesPerSecond.
-func New(bytesPerSecond int) *Link {
-	return &Link{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), maxChunkBytes)}
+	mu     sync.Mutex
+	freeAt time.Time     // when the link has carried all that it was given
+	late   time.Duration // how late the last transfer was woken
 }
 
+// New returns a link that carries bytesPerSecond.
+func New(bytesPerSecond int) *Link { return &Link{bytesPerSecond: bytesPerSecond} }
+
 // Wait waits until the link has carried count bytes, or ctx ends.
 func (link *Link) Wait(ctx context.Context, count int) error {
 	for count > 0 {
 		chunk := min(count, maxChunkBytes)
-		if err := link.limiter.WaitN(ctx, chunk); err != nil {
-			return err
+		carriedAt := link.reserve(chunk, time.Now())
+		select {
+		case <-time.After(time.Until(carriedAt)):
+		case <-ctx.Done():
+			return ctx.Err()
 		}
+		link.recordWakeUp(carriedAt, time.Now())
 		count -= chunk
 	}
 	return nil
 }
 
+// reserve has the link carry count bytes, and returns when it has. An idle link carries up to maxChunkBytes at once.
+func (link *Link) reserve(count int, now time.Time) time.Time {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	begin := now.Add(-link.duration(maxChunkBytes) - link.late)
+	if link.freeAt.After(begin) {
+		begin = link.freeAt
+	}
+	link.freeAt = begin.Add(link.duration(count))
+	return link.freeAt
+}
+
+// recordWakeUp records when a transfer that the link had carried at carriedAt was woken.
+func (link *Link) recordWakeUp(carriedAt, now time.Time) {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	link.late = max(0, now.Sub(carriedAt))
+}
+
+// duration returns how long the link takes to carry count bytes.
+func (link *Link) duration(count int) time.Duration {
+	return time.Duration(count) * time.Second / time.Duration(link.bytesPerSecond)
+}
+
 // Transport returns a round tripper that has handler answer requests after latency, without a network, so that
 // it can be used in a synctest bubble. The bodies of the responses arrive over the link.
 func (link *Link) Transport(handler http.Handler, latency time.Duration) http.RoundTripper {
@@ -98,7 +132,7 @@
 // Close implements io.Closer. It leaves the link occupied by the part of the body that is in flight.
 func (b *body) Close() error {
 	for rest := min(b.content.Len(), inFlightBytes); rest > 0; rest -= maxChunkBytes {
-		b.link.limiter.ReserveN(time.Now(), min(rest, maxChunkBytes))
+		b.link.reserve(min(rest, maxChunkBytes), time.Now())
 	}
 	b.content.Reset()
 	return nil
