standin/wirestore: newest records are kept, and encoded while the store is not locked

Cause: a read of the newest records went over all records of the partition and encoded the newest of them, and a read encoded up to 1 MB, both under the lock of the whole store. A caller whose read has taken too long repeats it, while the first one is still being prepared, so that a store that had once been slow stayed slow.

Change: partitions keep the newest record of each key. The lock is held only while records are collected; they are sorted and encoded after it.

--- a/standin/wirestore/calls.go
+++ b/standin/wirestore/calls.go
@@ -1,6 +1,7 @@
 package wirestore
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"io"
@@ -58,7 +59,7 @@
 		writeJSON(writer, http.StatusRequestEntityTooLarge, refusalResponse{"size"})
 		return
 	}
-	if !store.awaitAppend(partitionKey{request.URL.Query().Get("topic"), int(queryInt(request, "part"))}) {
+	if !store.awaitAppend(requestedKey(request)) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -123,11 +124,10 @@
 			}{first})
 			return
 		}
-		body := partition.encodeFrom(from, maxReadBytes(request))
-		hasEntries := partition.endOffset > from
+		found := partition.pageFrom(from, maxReadBytes(request))
 		store.mu.Unlock()
-		if hasEntries {
-			_, _ = writer.Write(body) //nolint:gosec // the body is binary records and is not rendered by a browser.
+		if found.endOffset > from {
+			_, _ = writer.Write(found.encode()) //nolint:gosec // the body is binary records and is not rendered by a browser.
 			return
 		}
 		select {
@@ -135,7 +135,7 @@
 		case <-request.Context().Done():
 			return
 		case <-timer.C:
-			_, _ = writer.Write(body) //nolint:gosec // the body is binary records and is not rendered by a browser.
+			_, _ = writer.Write(found.encode()) //nolint:gosec // the body is binary records and is not rendered by a browser.
 			return
 		}
 	}
@@ -163,38 +163,42 @@
 
 // newestPage returns a page of the newest record of every key that is greater than the query parameter "after", sorted
 // by key. A key whose newest value is empty counts as deleted and is left out.
+//
+// Performance: callers repeat reads that take too long. The store is locked only while the records are collected, and
+// goes over the keys rather than all records, since it would otherwise answer ever more slowly once it has been slow.
 func (store *Store) newestPage(request *http.Request) newestResponse {
+	newest, end := store.newestAfter(requestedKey(request), request.URL.Query().Get("after"))
+	slices.SortFunc(newest, func(a, b entry) int { return cmp.Compare(a.key, b.key) })
+	limited := limitPage(newest)
+	items := []newestRecord{}
+	for _, entry := range limited {
+		items = append(items, newestRecord{Key: entry.key, Value: base64.StdEncoding.EncodeToString(entry.value), Offset: entry.offset})
+	}
+	return newestResponse{Items: items, More: len(items) < len(newest), End: end}
+}
+
+// newestAfter returns the newest record of every key of a partition that is greater than after, unless it is deleted, in
+// no order, and the end of the partition.
+func (store *Store) newestAfter(key partitionKey, after string) (newest []entry, end int64) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	partition := store.requestedPartition(request)
-	newest := map[string]entry{}
-	for _, entry := range partition.entries {
-		newest[entry.key] = entry
-	}
-	items := []newestRecord{}
-	for key, entry := range newest {
-		if len(entry.value) > 0 && key > request.URL.Query().Get("after") {
-			items = append(items, newestRecord{Key: key, Value: base64.StdEncoding.EncodeToString(entry.value), Offset: entry.offset})
+	partition := store.getPartition(key.topic, key.partition)
+	for key, entry := range partition.newest {
+		if key > after {
+			newest = append(newest, entry)
 		}
 	}
-	slices.SortFunc(items, func(a, b newestRecord) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
-	page := limitPage(items)
-	return newestResponse{Items: page, More: len(page) < len(items), End: partition.endOffset}
+	return newest, partition.endOffset
 }
 
-// limitPage returns the first items that fit a page, but at least one.
-func limitPage(items []newestRecord) []newestRecord {
+// limitPage returns the first records that fit a page, but at least one.
+func limitPage(records []entry) []entry {
 	size := 0
-	for index, item := range items {
-		size += len(item.Key) + len(item.Value)
+	for index, record := range records {
+		size += len(record.key) + base64.StdEncoding.EncodedLen(len(record.value))
 		if index > 0 && (size > maxPageBytes || index == maxPageItems) {
-			return items[:index]
+			return records[:index]
 		}
 	}
-	return items
+	return records
 }
--- a/standin/wirestore/partition.go
+++ b/standin/wirestore/partition.go
@@ -35,6 +35,7 @@
 // the offset of the next record.
 type partition struct {
 	entries     []entry
+	newest      map[string]entry // the newest record of each key, unless its value is empty
 	endOffset   int64
 	firstOffset int64
 	producers   map[string]*producerState
@@ -45,7 +46,7 @@
 func (store *Store) getPartition(topic string, number int) *partition {
 	key := partitionKey{topic, number}
 	if store.partitions[key] == nil {
-		store.partitions[key] = &partition{producers: map[string]*producerState{}, appended: make(chan struct{})}
+		store.partitions[key] = &partition{newest: map[string]entry{}, producers: map[string]*producerState{}, appended: make(chan struct{})}
 	}
 	return store.partitions[key]
 }
@@ -56,6 +57,10 @@
 		entry.offset = partition.endOffset
 		partition.endOffset++
 		partition.entries = append(partition.entries, entry)
+		partition.newest[entry.key] = entry
+		if len(entry.value) == 0 {
+			delete(partition.newest, entry.key)
+		}
 	}
 	close(partition.appended)
 	partition.appended = make(chan struct{})
@@ -63,7 +68,13 @@
 
 // requestedPartition returns the partition that the query of a request names.
 func (store *Store) requestedPartition(request *http.Request) *partition {
-	return store.getPartition(request.URL.Query().Get("topic"), int(queryInt(request, "part")))
+	key := requestedKey(request)
+	return store.getPartition(key.topic, key.partition)
+}
+
+// requestedKey returns the key of the partition that the query of a request names.
+func requestedKey(request *http.Request) partitionKey {
+	return partitionKey{request.URL.Query().Get("topic"), int(queryInt(request, "part"))}
 }
 
 // admitAppend checks the epoch and the sequence number of an append. It returns status 0 if the append is to
@@ -117,21 +128,32 @@
 	return body
 }
 
-// encodeFrom encodes the body of a read: the end offset and the first readable offset as 8-byte big-endian
-// integers, followed by the records from offset on, up to maxBytes of keys and values but at least one record.
-func (partition *partition) encodeFrom(offset, maxBytes int64) []byte {
-	var entries []entry
+// page is what a read returns: the end and the first readable offset of a partition, and records. It is encoded while the
+// store is not locked.
+type page struct {
+	endOffset, firstOffset int64
+	entries                []entry
+}
+
+// pageFrom returns the records from offset on, up to maxBytes of keys and values but at least one record.
+func (partition *partition) pageFrom(offset, maxBytes int64) page {
+	found := page{endOffset: partition.endOffset, firstOffset: partition.firstOffset}
 	size := int64(0)
 	// Performance: a read waits for appends and looks for records after each, under the lock of the store.
 	first, _ := slices.BinarySearchFunc(partition.entries, offset, func(entry entry, offset int64) int { return cmp.Compare(entry.offset, offset) })
 	for _, entry := range partition.entries[first:] {
 		size += entry.size()
-		if len(entries) > 0 && size > maxBytes {
+		if len(found.entries) > 0 && size > maxBytes {
 			break
 		}
-		entries = append(entries, entry)
+		found.entries = append(found.entries, entry)
 	}
-	body := binary.BigEndian.AppendUint64(nil, uint64(partition.endOffset))
-	body = binary.BigEndian.AppendUint64(body, uint64(partition.firstOffset))
-	return append(body, encodeEntries(entries)...)
+	return found
+}
+
+// encode encodes the body of a read: both offsets as 8-byte big-endian integers, followed by the records.
+func (p page) encode() []byte {
+	body := binary.BigEndian.AppendUint64(nil, uint64(p.endOffset))
+	body = binary.BigEndian.AppendUint64(body, uint64(p.firstOffset))
+	return append(body, encodeEntries(p.entries)...)
 }
--- a/standin/wirestore/wirestore.go
+++ b/standin/wirestore/wirestore.go
@@ -133,13 +133,8 @@
 func (store *Store) Newest(topic string, number int, key string) ([]byte, bool) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	partition := store.getPartition(topic, number)
-	for index := len(partition.entries) - 1; index >= 0; index-- {
-		if partition.entries[index].key == key {
-			return partition.entries[index].value, len(partition.entries[index].value) > 0
-		}
-	}
-	return nil, false
+	entry, found := store.getPartition(topic, number).newest[key]
+	return entry.value, found
 }
 
 // Put appends a record without a producer, as an operator does.
