job: failures of long-running tasks are not kept

Cause: a long-running task has no limit to its failures, and each was added to the record of its progress, which the store refuses above 256 KiB for good: its shard would be given up by one owner after the other.

Change: the failure of a long-running task that is not its current run changes nothing, as before for a current one that was reported again, so that no list is needed. Lists in records of earlier builds are dropped.

--- a/job/outcome.go
+++ b/job/outcome.go
@@ -127,6 +127,9 @@
 	case EndDone:
 		return job.recordSuccess(task, isCurrent, now)
 	case EndFailed:
+		if task.Spec().GetLasting() {
+			return job.recordLastingFailure(task, isCurrent, now)
+		}
 		if slices.Contains(task.failedAttempts, attempt) {
 			// Agents report an end repeatedly until they know that it is stored.
 			return false
@@ -185,16 +188,23 @@
 		job.Requeue(task, now)
 		task.retryAt = now.Add(failureBackoff)
 	}
-	if task.Spec().GetLasting() {
-		task.retryAt = now.Add(longRunningBackoff)
-		return
-	}
 	if job.failureCount(task) < max(1, int(job.submission.GetAttempts())) {
 		return
 	}
 	job.failPermanently(task, now)
 }
 
+// recordLastingFailure records a failure of a long-running task, which is started again however often it fails. The attempt
+// is not kept: the list of them would grow for as long as the task lasts, and with it the record of the job's progress.
+func (job *Job) recordLastingFailure(task *Task, isCurrent bool, now time.Time) bool {
+	if !isCurrent {
+		return false
+	}
+	job.Requeue(task, now)
+	task.retryAt = now.Add(longRunningBackoff)
+	return true
+}
+
 // failPermanently records that a task will not be started again, and thereby fails its job.
 func (job *Job) failPermanently(task *Task, now time.Time) {
 	job.setState(task, TaskState_TASK_FAILED)
--- a/job/progress.go
+++ b/job/progress.go
@@ -79,7 +79,9 @@
 		job.setState(task, TaskState_TASK_WAITING)
 	}
 	job.setAttempt(task, record.GetAttempt())
-	job.setFailedAttempts(task, record.GetFailed())
+	if !task.Spec().GetLasting() {
+		job.setFailedAttempts(task, record.GetFailed())
+	}
 	task.crashes = decodeCrashes(record.GetCrashed(), record.GetCrashedAt())
 	task.ambiguousCrashes = decodeCrashes(record.GetDoubted(), record.GetDoubtedAt())
 	task.crashedAgents = slices.Concat(record.GetCrashedAt(), record.GetDoubtedAt())
--- a/job/records_test.go
+++ b/job/records_test.go
@@ -95,3 +95,29 @@
 		t.Errorf("a job of 4000 tasks writes %d bytes, one of 8000 tasks %d", once, twice)
 	}
 }
+
+// TestFailuresOfLastingTaskNeverFillRecord guards against a record of a long-running task that grows with each failure, until
+// the store refuses it for good.
+func TestFailuresOfLastingTaskNeverFillRecord(t *testing.T) {
+	j := newJob(func(submission *job.Submission) { submission.Steps = []*job.StepSpec{{Count: 1, Lasting: true}} })
+	task, now := j.Tasks()[0], testNow
+	fail := func(times int) int {
+		for range times {
+			now = now.Add(time.Second)
+			j.StartRun(task, testPlace, now)
+			if !j.EndRun(task, task.Attempt(), job.EndFailed, "", now) {
+				t.Fatalf("the failure of attempt %d changed nothing", task.Attempt())
+			}
+			if j.EndRun(task, task.Attempt(), job.EndFailed, "", now) {
+				t.Fatalf("the failure of attempt %d counted twice", task.Attempt())
+			}
+		}
+		return proto.Size(j.Progress())
+	}
+	if few, many := fail(200), fail(2000); many > few+10 {
+		t.Errorf("the progress takes %d bytes after 200 failures and %d after 2200", few, many)
+	}
+	if j.HasEnded() || task.State() != job.TaskState_TASK_WAITING {
+		t.Errorf("the job is %v, its task %v", j.State(), task.State())
+	}
+}
