session: readers of the log that wait for the clock are let go on

TestFailureSession and TestLaggingEntryDeniesResult failed in 10 of 288 plays each in 48 copies side by side: an entry did not read the log for 20 s, or the lagging entry answered 200 where 409 is wanted.

If the clock is advanced between a read that failed and the pause that follows, nothing ends the pause, since the test then waits with the clock standing still. And a read that was in progress when the test took the log away still returned records.

Change: after 3 s of real time the harness lets the clock run on until the entry has read. A read in progress gets no answer once the log is disconnected. What the tests ask is as before.

--- a/session/harness_test.go
+++ b/session/harness_test.go
@@ -268,6 +268,10 @@
 	}
 }
 
+// maxReadTime is the real time after which an entry that has not read the log is taken to wait for the clock: if the clock
+// is advanced between a read that failed and the pause that follows, nothing else would end that pause.
+const maxReadTime = 3 * time.Second
+
 // catchUp waits until every entry that is connected to the log has read it to its end, and puts the newest
 // documents in force. It does nothing while the log is down.
 func (h *harness) catchUp() {
@@ -281,11 +285,16 @@
 		if instance.log.get() == nil {
 			continue
 		}
+		begunAt := time.Now()
 		h.waitFor(name+" has read the log", func() bool {
 			h.log.ExpireReads()
 			if h.advanceDuringReads {
 				h.advanceClock(time.Millisecond)
 			}
+			if !h.inBubble && time.Since(begunAt) > maxReadTime {
+				h.clock.Advance(time.Millisecond)
+				time.Sleep(time.Millisecond)
+			}
 			var nextOffset int64
 			instance.journal.View(func(st *state.State) { nextOffset = st.NextOffset() })
 			return !instance.journal.SyncedAt().Before(now) && nextOffset == h.log.EndOffset(changelog.RecordStream)
--- a/session/switchablelog_test.go
+++ b/session/switchablelog_test.go
@@ -38,10 +38,15 @@
 	return 0, errLogDisconnected
 }
 
-// Read implements logservice.Service.
+// Read implements logservice.Service. A read that was in progress when the log was disconnected gets no answer.
 func (l *switchableLog) Read(ctx context.Context, stream string, options logservice.ReadOptions) (logservice.Page, error) {
-	if service := l.get(); service != nil {
-		return service.Read(ctx, stream, options)
+	service := l.get()
+	if service == nil {
+		return logservice.Page{}, errLogDisconnected
+	}
+	page, err := service.Read(ctx, stream, options)
+	if l.get() == nil {
+		return logservice.Page{}, errLogDisconnected
 	}
-	return logservice.Page{}, errLogDisconnected
+	return page, err
 }
