--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -193,10 +193,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	submission, err := platform.ParseSubmission(id, queue, body, receivedAt)
-	if err == nil {
-		err = gateway.checkProgressSize(submission)
-	}
+	submission, err := gateway.parseSubmission(id, queue, body, receivedAt)
 	if err != nil {
 		gateway.options.Events.Log(request.Context(), event.JobRefused, slog.String("job", id), slog.Any("reason", err))
 		writer.WriteHeader(http.StatusBadRequest)
@@ -216,13 +213,18 @@
 	gateway.respondAppend(writer, request, result, id, event.JobAccepted, configuration.Version(), receivedAt)
 }
 
-// checkProgressSize returns an error if the store can never hold the progress of a job, which its owner would try for ever.
-func (gateway *Gateway) checkProgressSize(submission *job.Submission) error {
+// parseSubmission decodes a job. It returns an error if the job is invalid, or if it can never end since the store can't
+// hold the progress of its tasks.
+func (gateway *Gateway) parseSubmission(id string, queue *platform.Queue, body []byte, receivedAt time.Time) (*job.Submission, error) {
+	submission, err := platform.ParseSubmission(id, queue, body, receivedAt)
+	if err != nil {
+		return nil, err
+	}
 	limit := gateway.options.MaxRecordBytes
 	if limit == 0 || gateway.options.Features.Has(feature.DividedProgress) || job.MayFitRecord(submission, limit) {
-		return nil
+		return submission, nil
 	}
-	return errors.Errorf("the job has too many tasks: their progress exceeds a record of %d bytes, and %s is not enabled", limit, feature.DividedProgress)
+	return nil, errors.Errorf("the job has too many tasks: their progress exceeds a record of %d bytes, and %s is not enabled", limit, feature.DividedProgress)
 }
 
 // readBody reads the body of a request, and stops when the request's context ends.
