--- a/job/crash.go
+++ b/job/crash.go
@@ -94,7 +94,7 @@
 	return len(known)+unknown >= minCrashedAgents
 }
 
-// crashesWorkers reports whether the task has certainly enough crashes to be given up.
+// crashesWorkers reports whether the task has enough crashes, at enough machines, to be given up.
 func (task *Task) crashesWorkers() bool {
 	return (task.Crashes() >= maxCrashes || task.totalCrashes() >= maxTotalCrashes) && task.crashedAtSeveral()
 }
