owner: a pass over many suspects ends

Cause: since a pass that was caused by the return of a crashed worker leaves out tasks that it crashed under. It neither started such a task nor remembered its step, so a continued pass began with the same tasks again. With more of them in one job than fit a turn the pass never ended, and no task of any job was placed any more. Found by reading the change; not seen.

Change: the step of such a task counts as unplaced for the rest of the pass. All its tasks are considered with all workers in the next one, as before.

Test: TestPassOverManySuspectsEnds failed before (2,000 tasks).

--- a/owner/place.go
+++ b/owner/place.go
@@ -252,8 +252,12 @@
 	best := owner.bestWorker(task, set.workers, now)
 	if best != nil && !set.complete && task.HasCrashedWorkerOf(best.view.address) {
 		// A worker that has just come back after a crash would take the task again before any other one is considered.
+		// The other suspects of the step wait for that too, so that a pass that continues makes progress.
 		owner.placementChanges.addJob(task.Job())
-		return true
+		if !task.IsUnplaced() {
+			task.MarkUnplaced(string(obstacleSuspect), now)
+		}
+		return false
 	}
 	if best != nil {
 		owner.startTask(task, best.view, now)
--- a/owner/suspect_test.go
+++ b/owner/suspect_test.go
@@ -136,3 +136,30 @@
 		t.Errorf("the task is %v at %s, although there is another worker", task.State(), task.Place().AgentAddress)
 	}
 }
+
+// TestPassOverManySuspectsEnds guards against a pass that never ends, so that no task of any job is placed any more: more
+// tasks than fit a turn were lost with a worker that has come back, and none of them may go there first.
+func TestPassOverManySuspectsEnds(t *testing.T) {
+	const tasks = 2000
+	h := newHarness(t)
+	j := h.submitWith(func(submission *job.Submission) { submission.Steps[0].Count, submission.Steps[0].MilliCpu = tasks, 1 })
+	h.attach()
+	now := h.clock.Now()
+	for _, task := range j.Tasks() {
+		j.StartRun(task, job.Place{Incarnation: incarnation.New("i-0", 0), AgentAddress: agentAddress}, now)
+		j.EndRun(task, 1, job.EndCrashed, "", now)
+	}
+	h.clock.Advance(time.Second)
+	now = h.clock.Now()
+	changes := newPlacementChanges()
+	changes.addWorker(h.agent)
+	h.owner.pass = h.owner.newPlacementPass(changes, now)
+	for range tasks {
+		if h.owner.pass != nil {
+			h.owner.continuePass(now)
+		}
+	}
+	if h.owner.pass != nil {
+		t.Error("the pass does not end")
+	}
+}
